--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Proof of ragwortworks by behave features."""
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fixtures and helpers of the features."""
--- /dev/null
+++ b/libs/ragwort_cli/ragwort_cli/_load.py
@@ -0,0 +1,147 @@
+"""Open-loop load: arrivals that do not wait for answers."""
+
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Any
+
+from hdrh import histogram
+from twisted.internet import defer
+
+import ragwort_client as caller
+import ragwort_model as model
+
+MAX_LATENCY_MS = 3_600_000
+SIGNIFICANT_DIGITS = 3
+BURST_LENGTH_S = 1.0
+BURST_EVERY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadClass:
+    """One class of work in the mix; share is its part of the arrivals."""
+
+    name: str
+    share: float
+    deadline_s: float
+    workspaces: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """Arrivals per second over a duration (s); bursts multiply the rate."""
+
+    classes: tuple[LoadClass, ...]
+    rate: float
+    duration_s: float
+    burst: float = 1.0
+    seed: int = 1
+
+
+class ClassResult:
+    """Outcomes and latencies of one class of work."""
+
+    def __init__(self, name: str) -> None:
+        """Start empty."""
+        self.name = name
+        self.outcomes: dict[str, int] = {}
+        self.in_time = 0
+        self.latency = histogram.HdrHistogram(
+            1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS
+        )
+        self.first_chunk = histogram.HdrHistogram(
+            1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS
+        )
+
+    def add(self, answer: caller.Answer, deadline_s: float) -> None:
+        """Count one answer."""
+        name = answer.outcome.value
+        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+        if answer.outcome != model.Outcome.COMPLETED:
+            return
+        self.in_time += answer.duration_s <= deadline_s
+        self.latency.record_value(max(1, int(answer.duration_s * 1000)))
+        if answer.first_chunk_s is not None:
+            first_ms = max(1, int(answer.first_chunk_s * 1000))
+            self.first_chunk.record_value(first_ms)
+
+    @property
+    def total(self) -> int:
+        """Return the number of answers."""
+        return sum(self.outcomes.values())
+
+    @property
+    def attainment(self) -> float:
+        """Return the share completed in time."""
+        return self.in_time / self.total if self.total else 0.0
+
+    def summary(self) -> dict[str, Any]:
+        """Return the figures of a report; times in milliseconds."""
+        return {
+            'class': self.name,
+            'requests': self.total,
+            'outcomes': dict(sorted(self.outcomes.items())),
+            'attainment': round(self.attainment, 4),
+            'p50_ms': self.latency.get_value_at_percentile(50),
+            'p95_ms': self.latency.get_value_at_percentile(95),
+            'p99_ms': self.latency.get_value_at_percentile(99),
+            'first_chunk_p95_ms': self.first_chunk.get_value_at_percentile(95),
+        }
+
+
+def arrival_times(plan: LoadPlan, rng: random.Random) -> list[float]:
+    """Return Poisson arrival times in seconds, bursts included."""
+    times: list[float] = []
+    at = 0.0
+    while True:
+        in_burst = at % BURST_EVERY_S < BURST_LENGTH_S
+        rate = plan.rate * (plan.burst if in_burst else 1.0)
+        at += rng.expovariate(rate)
+        if at >= plan.duration_s:
+            return times
+        times.append(at)
+
+
+class LoadRun:
+    """Send a plan's requests and collect their answers."""
+
+    def __init__(
+        self, reactor: Any, clients: Sequence[caller.Client], plan: LoadPlan
+    ) -> None:
+        """Bind clients, which take turns, to a plan."""
+        self.reactor = reactor
+        self.clients = clients
+        self.plan = plan
+        self.rng = random.Random(plan.seed)
+        self.results = {c.name: ClassResult(c.name) for c in plan.classes}
+
+    def run(self) -> 'defer.Deferred[list[ClassResult]]':
+        """Fire with the results once every request has its answer."""
+        pending = [
+            self._send_at(at, index)
+            for index, at in enumerate(arrival_times(self.plan, self.rng))
+        ]
+        done: defer.Deferred[Any] = defer.DeferredList(
+            pending, fireOnOneErrback=True, consumeErrors=True
+        )
+        return done.addCallback(lambda _: list(self.results.values()))
+
+    def _send_at(self, at: float, index: int) -> 'defer.Deferred[None]':
+        shares = [c.share for c in self.plan.classes]
+        chosen = self.rng.choices(self.plan.classes, shares)[0]
+        workspace = self.rng.choice(chosen.workspaces)
+        client = self.clients[index % len(self.clients)]
+        finished: defer.Deferred[None] = defer.Deferred()
+
+        def begin() -> None:
+            sent = client.send(
+                chosen.name, workspace, f'question {index}', chosen.deadline_s
+            )
+            sent.addCallback(self._on_answer, chosen)
+            sent.addCallbacks(finished.callback, finished.errback)
+
+        self.reactor.callLater(at, begin)
+        return finished
+
+    def _on_answer(self, answer: caller.Answer, chosen: LoadClass) -> None:
+        self.results[chosen.name].add(answer, chosen.deadline_s)
--- /dev/null
+++ b/libs/ragwort_cli/ragwort_cli/_main.py
@@ -0,0 +1,142 @@
+"""The ragwortworks command."""
+
+import pathlib
+import sys
+from typing import Annotated
+from typing import Any
+
+import structlog
+from twisted.internet import defer
+import typer
+
+from ragwort_cli import _demo
+from ragwort_cli import _loop
+from ragwort_cli import _output
+import ragwort_fakes as fakes
+import ragwort_model as model
+import ragwort_node as node
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_NOT_COMPLETED = 3
+
+app = typer.Typer(
+    help='Serve multi-stage model pipelines and look after them.',
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+SettingsOption = Annotated[
+    pathlib.Path,
+    typer.Option('--settings', help='YAML file that holds the settings.'),
+]
+NameOption = Annotated[
+    str | None,
+    typer.Option('--name', help='Which of the file\'s several settings.'),
+]
+OutputOption = Annotated[
+    _output.OutputForm,
+    typer.Option('--output', help='How to print the data.'),
+]
+
+
+def _select(
+    path: pathlib.Path, kind: str, name: str | None
+) -> model.DaemonSettings:
+    found = model.load_settings(path)
+    return model.select_settings(found, kind, name, str(path))
+
+
+@app.command('node')
+def run_node(settings: SettingsOption, name: NameOption = None) -> None:
+    """Run an entry node until SIGTERM, which drains it."""
+    chosen = _select(settings, 'node', name)
+    assert isinstance(chosen, model.NodeSettings)
+    node.configure_logs()
+
+    def run(reactor: Any) -> 'defer.Deferred[None]':
+        daemon = node.NodeDaemon(reactor, chosen)
+        daemon.start()
+        daemon.handle_signals()
+        return daemon.stopped
+
+    _loop.run_command(run)
+
+
+@app.command('platform')
+def run_platform(settings: SettingsOption, name: NameOption = None) -> None:
+    """Run the stand-in of the platform's object API."""
+    chosen = _select(settings, 'platform', name)
+    assert isinstance(chosen, model.PlatformSettings)
+
+    def run(reactor: Any) -> 'defer.Deferred[None]':
+        fakes.PlatformServer(reactor, chosen).start()
+        return defer.Deferred()
+
+    _loop.run_command(run)
+
+
+@app.command('runner')
+def run_runner(settings: SettingsOption, name: NameOption = None) -> None:
+    """Run a stand-in runner until SIGTERM, which drains it."""
+    chosen = _select(settings, 'runner', name)
+    assert isinstance(chosen, model.RunnerSettings)
+
+    def run(reactor: Any) -> 'defer.Deferred[None]':
+        server = fakes.RunnerServer(reactor, chosen)
+        server.start()
+        server.handle_signals()
+        return server.stopped
+
+    _loop.run_command(run)
+
+
+@app.command()
+def demo(
+    keep: Annotated[
+        bool, typer.Option('--keep', help='Stay up and print curl lines.')
+    ] = False,
+    verbose: Annotated[
+        bool, typer.Option('--verbose', help='Show the decision log.')
+    ] = False,
+    output: OutputOption = _output.OutputForm.TEXT,
+) -> None:
+    """Run a whole system on loopback and show what it attains."""
+    node.configure_logs()
+    if not verbose:
+        silence_logs()
+    _loop.run_command(lambda reactor: _demo.run_demo(reactor, keep, output))
+
+
+def silence_logs() -> None:
+    """Let only warnings through."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(30)
+    )
+
+
+def main() -> None:
+    """Run the command line; print errors in one plain line."""
+    try:
+        app(standalone_mode=False)
+    except model.InvalidInputError as error:
+        _exit(str(error), EXIT_INVALID)
+    except model.RagwortError as error:
+        _exit(str(error), EXIT_FAILED)
+    except typer.Exit as error:
+        sys.exit(error.exit_code)
+    except (KeyboardInterrupt, typer.Abort):
+        sys.exit(EXIT_FAILED)
+    except OSError as error:
+        _exit(str(error), EXIT_FAILED)
+    except Exception as error:
+        # Usage errors of the command line know how to show themselves.
+        if not hasattr(error, 'format_message'):
+            raise
+        _exit(error.format_message(), EXIT_INVALID)
+
+
+def _exit(message: str, code: int) -> None:
+    typer.echo(f'ragwortworks: {message}', err=True)
+    sys.exit(code)
--- /dev/null
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -0,0 +1,354 @@
+"""Client of a ragwortworks system: addresses, failover, whole answers."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import io
+import json
+import time
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+
+import ragwort_model as model
+import ragwort_wire as wire
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_S = 3.0
+DEADLINE_MARGIN_S = 2.0
+MAX_TRIES = 6
+PAUSE_S = 0.2
+
+
+OnChunk = Callable[[int, str], None]
+
+
+def _ignore_chunk(seq: int, data: str) -> None:
+    """Do nothing with a chunk."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What became of a request; chunks is whole if outcome is completed.
+
+    first_chunk_s and duration_s count from the first try, in seconds.
+    """
+
+    key: str
+    outcome: model.Outcome
+    chunks: tuple[str, ...]
+    reason: str
+    host: str
+    first_chunk_s: float | None
+    duration_s: float
+    tries: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What was received of one answer over all its connections."""
+
+    key: str
+    started_at: float
+    ends_at: float
+    chunks: list[str] = dataclasses.field(default_factory=list)
+    host: str = ''
+    first_chunk_s: float | None = None
+    end: model.End | None = None
+    refusal: wire.Problem | None = None
+    tries: int = 0
+
+    def restart(self) -> None:
+        """Begin anew, since the host that ran the request is gone.
+
+        Another run may word its answer differently, so that no chunk of
+        the first may be kept.
+        """
+        self.host = ''
+        self.chunks.clear()
+        self.end = None
+        self.refusal = None
+
+
+class _StreamReader(protocol.Protocol):
+    """Read records of one connection into a progress."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        progress: _Progress,
+        on_chunk: OnChunk,
+    ) -> None:
+        self.reactor = reactor
+        self.progress = progress
+        self.on_chunk = on_chunk
+        self.rest = b''
+        self.done: defer.Deferred[None] = defer.Deferred()
+        self.silence = reactor.callLater(SILENCE_S, self._close)
+
+    def _close(self) -> None:
+        self.transport.loseConnection()
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.silence.active():
+            self.silence.cancel()
+        if not self.done.called:
+            self.done.callback(None)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.done.called:
+            return
+        self.silence.reset(SILENCE_S)
+        *lines, self.rest = (self.rest + data).split(b'\n')
+        for line in lines:
+            self._on_line(line)
+
+    def _on_line(self, line: bytes) -> None:
+        progress = self.progress
+        try:
+            event = wire.decode_event(line)
+        except model.WireError:
+            self._close()
+            return
+        match event:
+            case model.Accepted():
+                progress.host = event.host
+            case model.Chunk():
+                self._on_chunk(event)
+            case model.End():
+                self._on_end(event)
+
+    def _on_chunk(self, event: model.Chunk) -> None:
+        progress = self.progress
+        if event.seq > len(progress.chunks):
+            # A gap: give this connection up and resume where it began.
+            self._close()
+            return
+        if event.seq < len(progress.chunks):
+            return
+        if progress.first_chunk_s is None:
+            progress.first_chunk_s = time.monotonic() - progress.started_at
+        progress.chunks.append(event.data)
+        self.on_chunk(event.seq, event.data)
+
+    def _on_end(self, event: model.End) -> None:
+        progress = self.progress
+        completed = event.outcome == model.Outcome.COMPLETED
+        whole = (
+            event.key == progress.key
+            and event.count == len(progress.chunks)
+            and event.digest == model.content_digest(progress.chunks)
+        )
+        if whole or not completed:
+            progress.end = event
+        self._finish()
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        self._finish()
+
+
+class Client:
+    """Send requests to whichever entry hosts the system names."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        bootstrap: Sequence[str],
+        failure_domain: str = '',
+        name: str = 'client',
+    ) -> None:
+        """bootstrap is any few entry addresses."""
+        self.reactor = reactor
+        self.bootstrap = list(bootstrap)
+        self.failure_domain = failure_domain
+        self.name = name
+        self.addresses: list[str] = []
+        self.expires_at = 0.0
+        self.pool = client.HTTPConnectionPool(reactor)
+        self.pool.maxPersistentPerHost = 64
+        self.pool.retryAutomatically = False
+        self.agent = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool
+        )
+
+    def close(self) -> Any:
+        """Close idle connections."""
+        return self.pool.closeCachedConnections()
+
+    @defer.inlineCallbacks
+    def refresh(self) -> Any:
+        """Ask the system for its addresses, trying all that are known."""
+        known = self.addresses + [
+            a for a in self.bootstrap if a not in self.addresses
+        ]
+        for address in known:
+            url = (
+                f'http://{address}/v1/addresses'
+                f'?failure_domain={self.failure_domain}&caller={self.name}'
+            )
+            try:
+                response = yield self._get(url)
+                body = yield client.readBody(response)
+                record = wire.decode_addresses(body)
+            except Exception:  # noqa: B902
+                continue
+            if record.addresses:
+                self.addresses = [e.address for e in record.addresses]
+                self.expires_at = time.monotonic() + record.ttl_s
+                return
+        if not self.addresses:
+            tried = ', '.join(known)
+            raise model.RequestError(f'no entry host answers at {tried}')
+
+    def _get(self, url: str) -> 'defer.Deferred[iweb.IResponse]':
+        sent: defer.Deferred[iweb.IResponse] = self.agent.request(
+            b'GET', url.encode()
+        )
+        sent.addTimeout(SILENCE_S, self.reactor)
+        return sent
+
+    @defer.inlineCallbacks
+    def send(
+        self,
+        class_of_work: str,
+        workspace: str,
+        text: str,
+        deadline_s: float,
+        key: str | None = None,
+        on_chunk: OnChunk = _ignore_chunk,
+    ) -> Any:
+        """Send a request and return its Answer.
+
+        The same key is sent again after a failure, which is safe: the
+        system follows the first, or says that it does not know. on_chunk
+        is called with seq and data; seq 0 again means a new answer.
+        """
+        key = key or model.new_request_key()
+        started_at = time.monotonic()
+        ends_at = started_at + deadline_s + DEADLINE_MARGIN_S
+        progress = _Progress(key, started_at, ends_at)
+        body = json.dumps(
+            {
+                'class_of_work': class_of_work,
+                'workspace': workspace,
+                'key': key,
+                'deadline_ms': max(1, int(deadline_s * 1000)),
+                'input': text,
+            }
+        ).encode()
+        while progress.end is None and progress.tries < MAX_TRIES:
+            if time.monotonic() >= ends_at:
+                break
+            if progress.tries:
+                yield self._pause()
+            yield self._try(progress, body, on_chunk)
+            if _is_final(progress.refusal):
+                break
+        return _answer(progress)
+
+    def _pause(self) -> 'defer.Deferred[None]':
+        paused: defer.Deferred[None] = defer.Deferred()
+        self.reactor.callLater(PAUSE_S, paused.callback, None)
+        return paused
+
+    @defer.inlineCallbacks
+    def _try(
+        self,
+        progress: _Progress,
+        body: bytes,
+        on_chunk: OnChunk,
+    ) -> Any:
+        """Send or resume once; leave the result in progress."""
+        if time.monotonic() >= self.expires_at or progress.tries:
+            yield self.refresh()
+        address = self.addresses[progress.tries % len(self.addresses)]
+        progress.tries += 1
+        progress.refusal = None
+        try:
+            response = yield self._open(address, progress, body)
+        except Exception:  # noqa: B902
+            self.expires_at = 0.0
+            return
+        if response.code != 200:
+            content = yield client.readBody(response)
+            progress.refusal = _problem(response.code, content)
+            self.expires_at = 0.0
+            if response.code == 404 and progress.host:
+                progress.restart()
+            return
+        resumed = bool(progress.host)
+        reader = _StreamReader(self.reactor, progress, on_chunk)
+        response.deliverBody(reader)
+        yield reader.done
+        lost = progress.end and progress.end.outcome == model.Outcome.UNKNOWN
+        if resumed and lost:
+            # Submitting the key again is safe and tells what can be known.
+            progress.restart()
+
+    def _open(
+        self, address: str, progress: _Progress, body: bytes
+    ) -> 'defer.Deferred[iweb.IResponse]':
+        if progress.host:
+            return self._get(
+                f'http://{address}/v1/requests/{progress.key}'
+                f'?from_seq={len(progress.chunks)}&host={progress.host}'
+            )
+        headers = http_headers.Headers(
+            {b'content-type': [b'application/json']}
+        )
+        sent: defer.Deferred[iweb.IResponse] = self.agent.request(
+            b'POST',
+            f'http://{address}/v1/requests'.encode(),
+            headers,
+            client.FileBodyProducer(io.BytesIO(body)),
+        )
+        sent.addTimeout(SILENCE_S, self.reactor)
+        return sent
+
+
+def _problem(code: int, content: bytes) -> wire.Problem:
+    try:
+        data = json.loads(content)
+        return wire.Problem(
+            str(data.get('title', '')),
+            code,
+            str(data.get('detail', '')),
+            outcome=str(data.get('outcome', '')),
+        )
+    except ValueError:
+        return wire.Problem('Problem', code, content[:200].decode('latin-1'))
+
+
+def _is_final(refusal: wire.Problem | None) -> bool:
+    """Tell whether another node would refuse just the same."""
+    if refusal is None:
+        return False
+    return refusal.status not in (429, 503)
+
+
+def _answer(progress: _Progress) -> Answer:
+    outcome = model.Outcome.UNKNOWN
+    reason = 'no entry host gave an answer in time'
+    if progress.end is not None:
+        outcome, reason = progress.end.outcome, progress.end.reason
+    elif progress.refusal is not None:
+        outcome = model.Outcome.NOT_RUN
+        reason = progress.refusal.detail
+    return Answer(
+        progress.key,
+        outcome,
+        tuple(progress.chunks),
+        reason,
+        progress.host,
+        progress.first_chunk_s,
+        time.monotonic() - progress.started_at,
+        progress.tries,
+    )
--- /dev/null
+++ b/libs/ragwort_fakes/ragwort_fakes/_runner.py
@@ -0,0 +1,355 @@
+"""Stand-in of a model engine or plain service, without sockets."""
+
+import collections
+import dataclasses
+import enum
+import heapq
+import itertools
+import random
+
+from ragwort_fakes import _content
+import ragwort_model as model
+import ragwort_wire as wire
+
+HEARTBEAT_S = 0.25
+QUEUE_PER_SLOT = 8
+FAILURE_S = 0.002
+CACHED_SHARE = 0.4
+PREFIX_CHARS = 256
+
+
+class RunnerFault(enum.StrEnum):
+    """Ways in which a stand-in runner can be told to misbehave."""
+
+    SLOW = 'slow'
+    FAIL = 'fail'
+    REFUSE = 'refuse'
+    HANG = 'hang'
+    SILENT_CONNECTION = 'silent_connection'
+    CROSS = 'cross'
+    REPEAT = 'repeat'
+    LOSE_CHUNK = 'lose_chunk'
+    REORDER = 'reorder'
+    TRUNCATE = 'truncate'
+    LATE = 'late'
+    DIE_MIDWAY = 'die_midway'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerShape:
+    """Capacity and speed of a stand-in; times in seconds.
+
+    deviation is the standard deviation of the logarithm of the service
+    time; cached_prefixes is how many prompt prefixes its cache holds.
+    """
+
+    service: str
+    kind: model.ServiceKind
+    slots: int = 8
+    service_s: float = 0.02
+    chunk_s: float = 0.002
+    chunks: int = 12
+    deviation: float = 0.0
+    checks_fencing: bool = True
+    report_lag_s: float = 0.0
+    cached_prefixes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    record: wire.CallRecord
+    connection: str
+    arrived_at: float
+    started_at: float | None = None
+    busy_s: float = 0.0
+    chunks: list[str] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerReply:
+    """A record to send on the connection of a call.
+
+    broken means that the connection ends here instead.
+    """
+
+    connection: str
+    attempt: str
+    record: wire.ResultRecord | None
+    broken: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A placement order as a runner takes it."""
+
+    fencing: int
+    wanted: str
+    expires_at: float
+
+
+class RunnerCore:
+    """Queue, slots, faults and the record of what was run."""
+
+    def __init__(
+        self, name: str, shape: RunnerShape, rng: random.Random
+    ) -> None:
+        """Start idle and healthy."""
+        self.name = name
+        self.shape = shape
+        self.rng = rng
+        self.waiting: dict[str, _Call] = {}
+        self.running: dict[str, _Call] = {}
+        self.events: list[tuple[float, int, str, str]] = []
+        self.counter = itertools.count()
+        self.faults: dict[RunnerFault, float] = {}
+        self.silent: set[str] = set()
+        self.draining = False
+        self.state_version = 0
+        self.executed: list[tuple[str, str, float]] = []
+        self.accepted_at: list[float] = []
+        self.cache: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.fencing = 0
+        self.orders: list[Order] = []
+        self.wanted = 'loaded'
+        self.busy_s = 0.0
+        self.crossing: list[wire.ResultRecord] = []
+        self.report = wire.LoadRecord(0, 0, shape.slots, 0.0, False, 0)
+        self.report_at = -1e9
+
+    def set_fault(self, fault: RunnerFault, value: float) -> None:
+        """Set a fault's share, or its factor for SLOW; 0 clears it."""
+        if value:
+            self.faults[fault] = value
+        else:
+            self.faults.pop(fault, None)
+        if fault == RunnerFault.SILENT_CONNECTION and not value:
+            self.silent.clear()
+
+    def _hits(self, fault: RunnerFault) -> bool:
+        share = self.faults.get(fault, 0.0)
+        return share > 0.0 and self.rng.random() < share
+
+    def drain(self, now: float) -> None:
+        """Refuse new calls and finish those taken."""
+        self.draining = True
+        self.state_version = max(self.state_version + 1, int(now * 1000))
+
+    def undrain(self, now: float) -> None:
+        """Take calls again."""
+        self.draining = False
+        self.state_version = max(self.state_version + 1, int(now * 1000))
+
+    def order(self, order: Order, now: float) -> bool:
+        """Take a placement order; return False if it is refused."""
+        if now > order.expires_at:
+            return False
+        if self.shape.checks_fencing and order.fencing < self.fencing:
+            return False
+        self.fencing = max(self.fencing, order.fencing)
+        self.orders.append(order)
+        self.wanted = order.wanted
+        return True
+
+    def load(self, now: float) -> wire.LoadRecord:
+        """Return a load report, which lags by the shape's report_lag_s."""
+        if now - self.report_at >= self.shape.report_lag_s:
+            self.report_at = now
+            self.report = wire.LoadRecord(
+                len(self.running),
+                len(self.waiting),
+                self.shape.slots,
+                0.0,
+                self.draining,
+                self.state_version,
+            )
+        seen = self.report
+        return wire.LoadRecord(
+            seen.running,
+            seen.queued,
+            seen.slots,
+            now - self.report_at,
+            self.draining,
+            self.state_version,
+        )
+
+    def submit(
+        self, record: wire.CallRecord, connection: str, now: float
+    ) -> list[RunnerReply]:
+        """Take a call, or refuse it."""
+        if connection in self.silent:
+            return []
+        if self._hits(RunnerFault.SILENT_CONNECTION):
+            self.silent.add(connection)
+            return []
+        full = len(self.waiting) >= QUEUE_PER_SLOT * self.shape.slots
+        refused = self.draining or self._hits(RunnerFault.REFUSE)
+        if refused or full:
+            reason = 'draining' if self.draining else 'queue full'
+            refusal = wire.ResultRefused(
+                record.attempt, reason, self.load(now)
+            )
+            return [RunnerReply(connection, record.attempt, refusal)]
+        self.accepted_at.append(now)
+        call = _Call(record, connection, now)
+        self.waiting[record.attempt] = call
+        self._at(now + HEARTBEAT_S, 'alive', record.attempt)
+        return self._start_waiting(now)
+
+    def _at(self, due: float, kind: str, attempt: str) -> None:
+        heapq.heappush(self.events, (due, next(self.counter), kind, attempt))
+
+    def _start_waiting(self, now: float) -> list[RunnerReply]:
+        while self.waiting and len(self.running) < self.shape.slots:
+            attempt = max(
+                self.waiting, key=lambda a: self.waiting[a].record.priority
+            )
+            self._start(attempt, self.waiting.pop(attempt), now)
+        return []
+
+    def _start(self, attempt: str, call: _Call, now: float) -> None:
+        key = attempt.split('/', 1)[0]
+        self.executed.append((key, attempt, now))
+        self.running[attempt] = call
+        call.started_at = now
+        text = call.record.input
+        call.chunks = _content.stage_chunks(
+            self.shape.service, self.shape.kind, text, self.shape.chunks
+        )
+        if self._hits(RunnerFault.HANG):
+            return
+        if self._hits(RunnerFault.FAIL):
+            self._at(now + FAILURE_S, 'fail', attempt)
+            return
+        factor = self.faults.get(RunnerFault.SLOW, 1.0)
+        if self._hits(RunnerFault.LATE):
+            factor *= 20.0
+        first_s = self._service_s(text) * factor
+        chunk_s = self.shape.chunk_s * factor
+        wanted = range(call.record.resume_from, len(call.chunks))
+        for index, seq in enumerate(wanted):
+            self._at(now + first_s + index * chunk_s, f'c{seq}', attempt)
+        call.busy_s = first_s + max(0, len(wanted) - 1) * chunk_s
+        self._at(now + call.busy_s, 'end', attempt)
+
+    def _service_s(self, text: str) -> float:
+        base = self.shape.service_s
+        if self.shape.deviation:
+            base *= self.rng.lognormvariate(0.0, self.shape.deviation)
+        if self.shape.cached_prefixes and self._is_cached(text):
+            base *= CACHED_SHARE
+        return base
+
+    def _is_cached(self, text: str) -> bool:
+        prefix = text[:PREFIX_CHARS]
+        known = prefix in self.cache
+        self.cache[prefix] = None
+        self.cache.move_to_end(prefix)
+        while len(self.cache) > self.shape.cached_prefixes:
+            self.cache.popitem(last=False)
+        return known
+
+    def cancel(self, attempt: str, now: float) -> list[RunnerReply]:
+        """Stop a call if it is known."""
+        self.waiting.pop(attempt, None)
+        call = self.running.pop(attempt, None)
+        if call is not None and call.started_at is not None:
+            self.busy_s += now - call.started_at
+        return self._start_waiting(now)
+
+    def next_due(self) -> float | None:
+        """Return when tick has something to do."""
+        return self.events[0][0] if self.events else None
+
+    def tick(self, now: float) -> list[RunnerReply]:
+        """Return the replies that are due."""
+        replies: list[RunnerReply] = []
+        while self.events and self.events[0][0] <= now:
+            due, _, kind, attempt = heapq.heappop(self.events)
+            replies += self._act(kind, attempt, due)
+        return replies
+
+    def _act(self, kind: str, attempt: str, now: float) -> list[RunnerReply]:
+        if kind == 'alive':
+            return self._heartbeat(attempt, now)
+        call = self.running.get(attempt)
+        if call is None:
+            return []
+        if call.connection in self.silent:
+            return self._finish(attempt, now) if kind == 'end' else []
+        if kind == 'end':
+            return self._end(attempt, call, now)
+        if kind == 'fail':
+            record = wire.ResultError(attempt, 'stand-in failure')
+            return [
+                RunnerReply(call.connection, attempt, record),
+                *self._finish(attempt, now),
+            ]
+        return self._chunk(attempt, call, int(kind[1:]), now)
+
+    def _heartbeat(self, attempt: str, now: float) -> list[RunnerReply]:
+        call = self.waiting.get(attempt) or self.running.get(attempt)
+        if call is None:
+            return []
+        self._at(now + HEARTBEAT_S, 'alive', attempt)
+        if call.connection in self.silent or self._is_hung(call, now):
+            return []
+        record = wire.ResultAlive(attempt)
+        return [RunnerReply(call.connection, attempt, record)]
+
+    def _is_hung(self, call: _Call, now: float) -> bool:
+        return call.started_at is not None and call.busy_s == 0.0
+
+    def _finish(self, attempt: str, now: float) -> list[RunnerReply]:
+        call = self.running.pop(attempt)
+        assert call.started_at is not None
+        self.busy_s += now - call.started_at
+        return self._start_waiting(now)
+
+    def _chunk(
+        self, attempt: str, call: _Call, seq: int, now: float
+    ) -> list[RunnerReply]:
+        record = wire.ResultChunk(attempt, seq, call.chunks[seq])
+        reply = RunnerReply(call.connection, attempt, record)
+        if self._hits(RunnerFault.DIE_MIDWAY):
+            broken = RunnerReply(call.connection, attempt, None, broken=True)
+            return [broken, *self._finish(attempt, now)]
+        if self._hits(RunnerFault.LOSE_CHUNK):
+            return []
+        if self._hits(RunnerFault.CROSS):
+            return self._cross(call, reply, attempt)
+        if self._hits(RunnerFault.REORDER) and seq + 1 < len(call.chunks):
+            after = wire.ResultChunk(attempt, seq + 1, call.chunks[seq + 1])
+            return [RunnerReply(call.connection, attempt, after), reply]
+        if self._hits(RunnerFault.REPEAT):
+            return [reply, reply]
+        return [reply]
+
+    def _cross(
+        self, call: _Call, reply: RunnerReply, attempt: str
+    ) -> list[RunnerReply]:
+        """Send this reply, too, on the connection of another call."""
+        others = [
+            (name, other)
+            for name, other in self.running.items()
+            if name != attempt
+        ]
+        if not others:
+            return [reply]
+        name, other = self.rng.choice(others)
+        return [RunnerReply(other.connection, name, reply.record), reply]
+
+    def _end(self, attempt: str, call: _Call, now: float) -> list[RunnerReply]:
+        after = self._finish(attempt, now)
+        if self._hits(RunnerFault.TRUNCATE):
+            broken = RunnerReply(call.connection, attempt, None, broken=True)
+            return [broken, *after]
+        record = wire.ResultEnd(
+            attempt,
+            len(call.chunks),
+            model.content_digest(call.chunks),
+            call.busy_s,
+            self.load(now),
+        )
+        return [RunnerReply(call.connection, attempt, record), *after]
--- /dev/null
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -0,0 +1,1 @@
+"""ragwortworks library."""
--- /dev/null
+++ b/libs/ragwort_membership/ragwort_membership/__init__.py
@@ -0,0 +1,19 @@
+"""Membership of nodes and the directory of entry addresses."""
+
+from ragwort_membership._directory import elected
+from ragwort_membership._directory import entry_addresses
+from ragwort_membership._directory import owner_address
+from ragwort_membership._membership import Member
+from ragwort_membership._membership import MemberChanged
+from ragwort_membership._membership import Membership
+from ragwort_membership._membership import PROBE_INTERVAL_S
+
+__all__ = [
+    'elected',
+    'entry_addresses',
+    'Member',
+    'MemberChanged',
+    'Membership',
+    'owner_address',
+    'PROBE_INTERVAL_S',
+]
--- /dev/null
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -0,0 +1,197 @@
+"""Domain types, identifiers, border models and errors of ragwortworks."""
+
+from ragwort_model._documents import class_of_work
+from ragwort_model._documents import ClassDocument
+from ragwort_model._documents import describe_problem
+from ragwort_model._documents import Document
+from ragwort_model._documents import is_finite
+from ragwort_model._documents import MAX_DEADLINE_S
+from ragwort_model._documents import Name
+from ragwort_model._documents import parse_document
+from ragwort_model._documents import PipelineDocument
+from ragwort_model._documents import runner
+from ragwort_model._documents import RunnerDocument
+from ragwort_model._documents import service
+from ragwort_model._documents import ServiceDocument
+from ragwort_model._documents import TargetDocument
+from ragwort_model._documents import WorkspaceDocument
+from ragwort_model._domain import ClassOfWork
+from ragwort_model._domain import EntryHost
+from ragwort_model._domain import HostState
+from ragwort_model._domain import Outcome
+from ragwort_model._domain import Pipeline
+from ragwort_model._domain import Request
+from ragwort_model._domain import Runner
+from ragwort_model._domain import Service
+from ragwort_model._domain import ServiceKind
+from ragwort_model._domain import Target
+from ragwort_model._errors import ConfigurationError
+from ragwort_model._errors import IncompleteAnswerError
+from ragwort_model._errors import InvalidInputError
+from ragwort_model._errors import RagwortError
+from ragwort_model._errors import RequestError
+from ragwort_model._errors import SettingsError
+from ragwort_model._errors import StoreError
+from ragwort_model._errors import StoreUnavailableError
+from ragwort_model._errors import TargetConflictError
+from ragwort_model._errors import VersionConflictError
+from ragwort_model._errors import WireError
+from ragwort_model._hashing import content_digest
+from ragwort_model._hashing import rendezvous
+from ragwort_model._hashing import stable_hash
+from ragwort_model._ids import AttemptId
+from ragwort_model._ids import new_nonce
+from ragwort_model._ids import new_request_key
+from ragwort_model._ids import request_key_at
+from ragwort_model._ids import request_key_time
+from ragwort_model._peer import Ack
+from ragwort_model._peer import Claim
+from ragwort_model._peer import ClaimForward
+from ragwort_model._peer import ClaimReply
+from ragwort_model._peer import ClaimStatus
+from ragwort_model._peer import Follow
+from ragwort_model._peer import FollowEvent
+from ragwort_model._peer import IndirectPing
+from ragwort_model._peer import MemberStatus
+from ragwort_model._peer import MemberSync
+from ragwort_model._peer import MemberUpdate
+from ragwort_model._peer import ObjectVersion
+from ragwort_model._peer import PeerMessage
+from ragwort_model._peer import Ping
+from ragwort_model._peer import SendPeer
+from ragwort_model._peer import StateDigest
+from ragwort_model._peer import StatePush
+from ragwort_model._peer import StateVersions
+from ragwort_model._peer import StateWant
+from ragwort_model._settings import DaemonSettings
+from ragwort_model._settings import LimitSettings
+from ragwort_model._settings import load_settings
+from ragwort_model._settings import NodeSettings
+from ragwort_model._settings import parse_settings
+from ragwort_model._settings import PlatformSettings
+from ragwort_model._settings import RunnerSettings
+from ragwort_model._settings import select_settings
+from ragwort_model._stage import Accepted
+from ragwort_model._stage import AnswerCaller
+from ragwort_model._stage import CallerEvent
+from ragwort_model._stage import CallFailure
+from ragwort_model._stage import CallRunner
+from ragwort_model._stage import CancelCall
+from ragwort_model._stage import Chunk
+from ragwort_model._stage import End
+from ragwort_model._stage import Heartbeat
+from ragwort_model._stage import LoadReport
+from ragwort_model._stage import NOT_RUN_FAILURES
+from ragwort_model._stage import StageAlive
+from ragwort_model._stage import StageCall
+from ragwort_model._stage import StageChunk
+from ragwort_model._stage import StageEnd
+from ragwort_model._stage import StageFailed
+from ragwort_model._store import StoreCall
+from ragwort_model._store import StoredObject
+from ragwort_model._store import StoreResult
+from ragwort_model._store import StoreStatus
+from ragwort_model._store import StoreVerb
+from ragwort_model._units import Address
+from ragwort_model._units import parse_address
+from ragwort_model._units import parse_duration
+from ragwort_model._units import split_address
+
+__all__ = [
+    'Accepted',
+    'Ack',
+    'Address',
+    'AnswerCaller',
+    'AttemptId',
+    'CallerEvent',
+    'CallFailure',
+    'CallRunner',
+    'CancelCall',
+    'Chunk',
+    'Claim',
+    'ClaimForward',
+    'ClaimReply',
+    'ClaimStatus',
+    'class_of_work',
+    'ClassDocument',
+    'ClassOfWork',
+    'ConfigurationError',
+    'content_digest',
+    'DaemonSettings',
+    'describe_problem',
+    'Document',
+    'End',
+    'EntryHost',
+    'Follow',
+    'FollowEvent',
+    'Heartbeat',
+    'HostState',
+    'IncompleteAnswerError',
+    'IndirectPing',
+    'InvalidInputError',
+    'is_finite',
+    'LimitSettings',
+    'load_settings',
+    'LoadReport',
+    'MAX_DEADLINE_S',
+    'MemberStatus',
+    'MemberSync',
+    'MemberUpdate',
+    'Name',
+    'new_nonce',
+    'new_request_key',
+    'NodeSettings',
+    'NOT_RUN_FAILURES',
+    'ObjectVersion',
+    'Outcome',
+    'parse_address',
+    'parse_document',
+    'parse_duration',
+    'parse_settings',
+    'PeerMessage',
+    'Ping',
+    'Pipeline',
+    'PipelineDocument',
+    'PlatformSettings',
+    'RagwortError',
+    'rendezvous',
+    'Request',
+    'request_key_at',
+    'request_key_time',
+    'RequestError',
+    'Runner',
+    'runner',
+    'RunnerDocument',
+    'RunnerSettings',
+    'select_settings',
+    'SendPeer',
+    'Service',
+    'service',
+    'ServiceDocument',
+    'ServiceKind',
+    'SettingsError',
+    'split_address',
+    'stable_hash',
+    'StageAlive',
+    'StageCall',
+    'StageChunk',
+    'StageEnd',
+    'StageFailed',
+    'StateDigest',
+    'StatePush',
+    'StateVersions',
+    'StateWant',
+    'StoreCall',
+    'StoredObject',
+    'StoreError',
+    'StoreResult',
+    'StoreStatus',
+    'StoreUnavailableError',
+    'StoreVerb',
+    'Target',
+    'TargetConflictError',
+    'TargetDocument',
+    'VersionConflictError',
+    'WireError',
+    'WorkspaceDocument',
+]
--- /dev/null
+++ b/libs/ragwort_model/ragwort_model/_domain.py
@@ -0,0 +1,114 @@
+"""Domain data classes: services, pipelines, classes of work, requests."""
+
+import dataclasses
+import enum
+
+
+class ServiceKind(enum.StrEnum):
+    """Tell what a service does for a pipeline."""
+
+    ENCODER = 'encoder'
+    RETRIEVER = 'retriever'
+    RERANKER = 'reranker'
+    GENERATOR = 'generator'
+    PLAIN = 'plain'
+
+
+class Outcome(enum.StrEnum):
+    """Final state of a request as told to its caller.
+
+    NOT_RUN: no stage was ever dispatched. FAILED: only idempotent stages
+    were dispatched. UNKNOWN: a non-idempotent call was sent and its result
+    was never seen.
+    """
+
+    COMPLETED = 'completed'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+class HostState(enum.StrEnum):
+    """Whether a host or runner takes new work."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service whose runners carry out one stage of a pipeline."""
+
+    name: str
+    kind: ServiceKind
+    idempotent: bool = True
+    streams: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pipeline:
+    """Ordered names of the services that a request passes through."""
+
+    name: str
+    stages: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """What operators ask of a class of work.
+
+    attainment is the share of requests to complete within deadline_s;
+    cost is the most to spend per completed request, in cost units.
+    """
+
+    attainment: float
+    deadline_s: float
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassOfWork:
+    """A kind of request with one pipeline and one target."""
+
+    name: str
+    pipeline: str
+    target: Target
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Runner:
+    """A model engine or plain service that takes stage calls.
+
+    cost_rate is in cost units per busy second.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    cost_rate: float = 1.0
+    checks_fencing: bool = True
+    state: HostState = HostState.LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryHost:
+    """A host of the system with the addresses it listens on."""
+
+    name: str
+    caller_address: str
+    peer_address: str
+    failure_domain: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request after validation."""
+
+    key: str
+    class_of_work: str
+    workspace: str
+    deadline_s: float
+    input: str
+    digest: str
--- /dev/null
+++ b/libs/ragwort_model/ragwort_model/_hashing.py
@@ -0,0 +1,33 @@
+"""Stable hashes: digests of content and rendezvous choice."""
+
+from collections.abc import Iterable
+import hashlib
+
+import xxhash
+
+DIGEST_BYTES = 16
+
+
+def content_digest(parts: Iterable[str]) -> str:
+    """Return a digest of the concatenated parts as hexadecimal text."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(part.encode())
+    return digest.hexdigest()
+
+
+def stable_hash(*parts: str) -> int:
+    """Return 64 bits that are equal in every process."""
+    return xxhash.xxh3_64_intdigest('\x00'.join(parts).encode())
+
+
+def rendezvous(key: str, names: Iterable[str], count: int = 1) -> list[str]:
+    """Return the count names with the highest score for key.
+
+    Rendezvous hashing: when a name joins or goes, only the keys that it
+    wins or held change place.
+    """
+    scored = sorted(
+        names, key=lambda name: (stable_hash(key, name), name), reverse=True
+    )
+    return scored[:count]
--- /dev/null
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -0,0 +1,190 @@
+"""Messages between nodes."""
+
+import dataclasses
+import enum
+
+from ragwort_model import _store
+
+
+class MemberStatus(enum.IntEnum):
+    """Liveness of a node; the order breaks ties of one incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class ClaimStatus(enum.IntEnum):
+    """Answer to a claim.
+
+    GRANTED: the claimant's own nonce stands in the store. TAKEN: another
+    claim holds the key. UNRESOLVED: the store gave no answer in time.
+    """
+
+    GRANTED = 0
+    TAKEN = 1
+    UNRESOLVED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """What one node says about another."""
+
+    name: str
+    incarnation: int
+    status: MemberStatus
+    caller_address: str
+    peer_address: str
+    failure_domain: str
+    region: str
+    accepting: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Probe; wall lets the receiver compare clocks (seconds)."""
+
+    sequence: int
+    wall: float
+    updates: list[MemberUpdate]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer to a probe."""
+
+    sequence: int
+    wall: float
+    updates: list[MemberUpdate]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IndirectPing:
+    """Ask the receiver to probe target for the sender."""
+
+    sequence: int
+    target: str
+    updates: list[MemberUpdate]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberSync:
+    """Full member list, exchanged at start and after a healed split."""
+
+    members: list[MemberUpdate]
+    reply: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectVersion:
+    """Name and version of one replicated object."""
+
+    name: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateDigest:
+    """Hash over the replica, and over its buckets once roots differ."""
+
+    root: int
+    buckets: list[int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateVersions:
+    """Versions that the sender holds in the named buckets."""
+
+    buckets: list[int]
+    versions: list[ObjectVersion]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateWant:
+    """Ask for objects by name."""
+
+    names: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatePush:
+    """Objects for the receiver to merge; synced ends a full exchange."""
+
+    objects: list[_store.StoredObject]
+    synced: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """The right of one node to dispatch one non-idempotent request."""
+
+    key: str
+    workspace: str
+    body_digest: str
+    host: str
+    nonce: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimForward:
+    """Ask the shard's owner to commit a claim."""
+
+    claim: Claim
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """Result of a forwarded claim, with the claim that stands."""
+
+    key: str
+    nonce: str
+    status: ClaimStatus
+    standing: Claim | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follow:
+    """Ask for the answer stream of a request from chunk from_seq on."""
+
+    key: str
+    token: str
+    from_seq: int
+    body_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowEvent:
+    """One event of a followed stream, encoded as towards callers."""
+
+    token: str
+    event: str
+
+
+PeerMessage = (
+    Ping
+    | Ack
+    | IndirectPing
+    | MemberSync
+    | StateDigest
+    | StateVersions
+    | StateWant
+    | StatePush
+    | ClaimForward
+    | ClaimReply
+    | Follow
+    | FollowEvent
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendPeer:
+    """Effect: send a message to the node at address.
+
+    fresh asks for a new connection because the present one is suspected
+    of being silent.
+    """
+
+    address: str
+    message: PeerMessage
+    fresh: bool = False
--- /dev/null
+++ b/libs/ragwort_model/ragwort_model/_stage.py
@@ -0,0 +1,162 @@
+"""Stage calls to runners and events of the answer stream to callers."""
+
+import dataclasses
+import enum
+
+from ragwort_model import _domain
+from ragwort_model import _ids
+
+
+class CallFailure(enum.StrEnum):
+    """Why a stage call ended without a result.
+
+    The first three are proof that the runner did not run the call.
+    """
+
+    REFUSED = 'refused'
+    OVERLOADED = 'overloaded'
+    UNREACHABLE = 'unreachable'
+    LOST = 'lost'
+    SILENT = 'silent'
+    PROTOCOL = 'protocol'
+    FAILED = 'failed'
+
+
+NOT_RUN_FAILURES = frozenset(
+    {CallFailure.REFUSED, CallFailure.OVERLOADED, CallFailure.UNREACHABLE}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load as a runner reports it.
+
+    age_s is how old the figures were when sent; state_version orders the
+    runner's own words about draining.
+    """
+
+    running: int
+    queued: int
+    slots: int
+    age_s: float
+    draining: bool
+    state_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageCall:
+    """What a runner is asked to do.
+
+    resume_from is the first chunk wanted, after the text in prior.
+    """
+
+    attempt: _ids.AttemptId
+    service: str
+    input: str
+    deadline_s: float
+    priority: int
+    resume_from: int = 0
+    prior: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallRunner:
+    """Effect: send a stage call; fresh demands a new connection."""
+
+    runner: _domain.Runner
+    call: StageCall
+    fresh: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelCall:
+    """Effect: stop waiting for a stage call and tell its runner."""
+
+    attempt: _ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageChunk:
+    """Event: one chunk as read from a runner, echo still unchecked."""
+
+    attempt: _ids.AttemptId
+    echo: str
+    seq: int
+    data: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageEnd:
+    """Event: end record of a stage result, echo still unchecked."""
+
+    attempt: _ids.AttemptId
+    echo: str
+    count: int
+    digest: str
+    busy_s: float
+    report: LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageAlive:
+    """Event: a heartbeat of a runner that has not answered yet."""
+
+    attempt: _ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageFailed:
+    """Event: a stage call ended without a whole result."""
+
+    attempt: _ids.AttemptId
+    failure: CallFailure
+    detail: str = ''
+    report: LoadReport | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """First event of an answer stream."""
+
+    key: str
+    host: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """Part of an answer; seq counts from 0 without gaps."""
+
+    seq: int
+    data: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sign of life while no chunk is due."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """Last event of an answer stream.
+
+    count and digest cover all chunks from seq 0. retry_after_s is set
+    when the caller may try again later.
+    """
+
+    key: str
+    outcome: _domain.Outcome
+    count: int
+    digest: str
+    reason: str = ''
+    retry_after_s: float | None = None
+
+
+CallerEvent = Accepted | Chunk | Heartbeat | End
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerCaller:
+    """Effect: send an event to the caller behind subscriber."""
+
+    subscriber: str
+    event: CallerEvent
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_admission.py
@@ -0,0 +1,146 @@
+"""Whether a request is taken at all."""
+
+import dataclasses
+
+import ragwort_model as model
+from ragwort_node import _control
+from ragwort_node import _dispatcher
+from ragwort_node import _effects
+from ragwort_node import _execution
+from ragwort_node import _options
+import ragwort_policy as policy
+
+BUSY_RETRY_S = 1.0
+OUTAGE_RETRY_S = 2.0
+MAX_KEY_LEAD_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is refused, and when to come back."""
+
+    kind: _effects.RefusalKind
+    detail: str
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Class of work and services that a request asks for."""
+
+    class_of_work: model.ClassOfWork
+    services: tuple[model.Service, ...]
+
+    @property
+    def needs_claim(self) -> bool:
+        """Tell whether any stage may not be repeated."""
+        return any(not service.idempotent for service in self.services)
+
+
+def find_plan(
+    control: _control.ControlPlane, request: model.Request
+) -> Plan | Refusal:
+    """Look up what a request names in the configuration in force."""
+    catalog = control.catalog
+    work = catalog.classes.get(request.class_of_work)
+    if work is None:
+        return _unknown(f'class of work {request.class_of_work!r}')
+    if request.workspace not in catalog.workspaces:
+        return _unknown(f'workspace {request.workspace!r}')
+    pipeline = catalog.pipelines.get(work.pipeline)
+    if pipeline is None:
+        return _unknown(f'pipeline {work.pipeline!r} of class {work.name!r}')
+    services: list[model.Service] = []
+    for name in pipeline.stages:
+        service = catalog.services.get(name)
+        if service is None:
+            return _unknown(f'service {name!r} of pipeline {pipeline.name!r}')
+        services.append(service)
+    return Plan(work, tuple(services))
+
+
+def _unknown(what: str) -> Refusal:
+    return Refusal(
+        _effects.RefusalKind.UNKNOWN_NAME, f'{what} is not configured'
+    )
+
+
+def check_key(
+    options: _options.NodeOptions, key: str, wall: float
+) -> Refusal | None:
+    """Refuse a key whose claim could no longer, or not yet, be checked."""
+    age_s = wall - model.request_key_time(key)
+    if age_s > options.claim_retention_s:
+        return Refusal(
+            _effects.RefusalKind.KEY_EXPIRED,
+            f'the request key is {age_s:.0f} s old; '
+            f'keys are kept for {options.claim_retention_s:.0f} s',
+        )
+    if age_s < -(options.clock_skew_s + MAX_KEY_LEAD_S):
+        return Refusal(
+            _effects.RefusalKind.INVALID,
+            f'the request key lies {-age_s:.0f} s in the future',
+        )
+    return None
+
+
+def check_claimable(
+    control: _control.ControlPlane,
+    options: _options.NodeOptions,
+    plan: Plan,
+    now: float,
+) -> Refusal | None:
+    """Refuse non-idempotent work that cannot be claimed safely now."""
+    if not plan.needs_claim:
+        return None
+    offset_s = control.members.clock_offset()
+    if abs(offset_s) > options.clock_skew_s:
+        return Refusal(
+            _effects.RefusalKind.CLOCK_SKEW,
+            f'this node\'s clock is {-offset_s:+.1f} s off its peers\'',
+            BUSY_RETRY_S,
+        )
+    if control.ledger.is_store_down(now):
+        return Refusal(
+            _effects.RefusalKind.STORE_DOWN,
+            'the platform\'s store does not answer; work that may not be '
+            'repeated waits until it does',
+            OUTAGE_RETRY_S,
+        )
+    return None
+
+
+def check_capacity(
+    dispatcher: _dispatcher.Dispatcher,
+    options: _options.NodeOptions,
+    execution: _execution.Execution,
+    open_requests: int,
+    now: float,
+) -> Refusal | None:
+    """Refuse what would only be queued to miss its deadline."""
+    overloaded = _effects.RefusalKind.OVERLOADED
+    if open_requests >= options.max_open_requests:
+        detail = f'{open_requests} requests are open on this node'
+        return Refusal(overloaded, detail, BUSY_RETRY_S)
+    first = execution.service.name
+    queued = dispatcher.queue(first).queued(execution.request.workspace)
+    if queued >= options.max_queued_per_workspace:
+        detail = f'{queued} requests of this workspace wait already'
+        return Refusal(overloaded, detail, BUSY_RETRY_S)
+    for service in execution.services:
+        if not dispatcher.in_service(service.name, now):
+            detail = f'no runner of service {service.name!r} is in service'
+            return Refusal(overloaded, detail, BUSY_RETRY_S)
+    estimate = dispatcher.estimate(execution, now)
+    if estimate.known and estimate.chance < policy.MIN_CHANCE:
+        wait_s = sum(
+            dispatcher.queue_wait_s(name, now)
+            for name in execution.remaining_services
+        )
+        return Refusal(
+            _effects.RefusalKind.TOO_LATE,
+            f'it would take {estimate.mean_s:.2f} s of the '
+            f'{execution.deadline_at - now:.2f} s allowed',
+            max(wait_s, BUSY_RETRY_S),
+        )
+    return None
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_caller_http.py
@@ -0,0 +1,393 @@
+"""HTTP towards callers and operators."""
+
+import dataclasses
+import itertools
+import json
+from typing import Any
+from typing import Protocol
+
+import msgspec
+from twisted.internet import error
+from twisted.python import failure
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+import ragwort_model as model
+from ragwort_node import _core
+from ragwort_node import _effects
+import ragwort_wire as wire
+
+HTTP_OF_REFUSAL = {
+    _effects.RefusalKind.INVALID: 400,
+    _effects.RefusalKind.UNKNOWN_NAME: 404,
+    _effects.RefusalKind.UNKNOWN_KEY: 404,
+    _effects.RefusalKind.KEY_REUSED: 409,
+    _effects.RefusalKind.KEY_EXPIRED: 410,
+    _effects.RefusalKind.OVERLOADED: 429,
+    _effects.RefusalKind.TOO_LATE: 429,
+    _effects.RefusalKind.NOT_READY: 503,
+    _effects.RefusalKind.DRAINING: 503,
+    _effects.RefusalKind.STORE_DOWN: 503,
+    _effects.RefusalKind.CLOCK_SKEW: 503,
+}
+TITLE_OF_HTTP = {
+    400: 'Invalid request',
+    404: 'Not found',
+    409: 'Key reused',
+    410: 'Key expired',
+    413: 'Body too large',
+    429: 'Too much work',
+    500: 'Internal error',
+    503: 'Not available',
+}
+VERSION_HEADER = b'ragwort-directory-version'
+
+
+class NodeService(Protocol):
+    """What the HTTP resources need of the daemon."""
+
+    core: _core.NodeCore
+    max_body: int
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    def wall(self) -> float:
+        """Return the time of day in seconds."""
+
+    def perform(self, effects: list[_effects.Effect]) -> None:
+        """Carry out effects."""
+
+    def open_stream(self, stream: 'CallerStream') -> None:
+        """Begin to hand a subscriber's events to stream."""
+
+    def close_stream(self, subscriber: str) -> None:
+        """Forget a subscriber whose connection is gone."""
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+
+
+def problem_body(
+    code: int,
+    detail: str,
+    outcome: str = '',
+    key: str = '',
+    retry_after_s: float | None = None,
+) -> bytes:
+    """Return a problem document."""
+    title = TITLE_OF_HTTP.get(code, 'Problem')
+    return wire.encode_json(
+        wire.Problem(
+            title,
+            code,
+            detail,
+            outcome=outcome,
+            key=key,
+            retry_after_s=retry_after_s,
+        )
+    )
+
+
+def send_problem(request: server.Request, code: int, body: bytes) -> bytes:
+    """Set status and type of a problem and return its body."""
+    request.setResponseCode(code)
+    request.setHeader(b'content-type', wire.PROBLEM_TYPE.encode())
+    return body
+
+
+class CallerRequest(server.Request):
+    """A request whose body is bounded while it arrives."""
+
+    max_body = 1024 * 1024
+    received = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Refuse an announced body over the limit."""
+        if length is not None and length > self.max_body:
+            self._refuse_body()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Refuse a body that grows over the limit."""
+        self.received += len(data)
+        if self.received > self.max_body:
+            self._refuse_body()
+            return
+        super().handleContentChunk(data)
+
+    def _refuse_body(self) -> None:
+        body = problem_body(
+            413, f'the body is over {self.max_body} bytes', 'not_run'
+        )
+        head = (
+            'HTTP/1.1 413 Body too large\r\nconnection: close\r\n'
+            f'content-type: {wire.PROBLEM_TYPE}\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        # Content still arriving is dropped with the connection.
+        self.content = None
+        self.channel.transport.write(head.encode() + body)
+        self.channel.transport.loseConnection()
+
+
+class CallerStream:
+    """One caller's answer, written as records or as a whole."""
+
+    counter = itertools.count(1)
+
+    def __init__(
+        self, service: NodeService, request: server.Request, whole: bool
+    ) -> None:
+        """Bind to an open HTTP request."""
+        self.service = service
+        self.request = request
+        self.whole = whole
+        self.subscriber = f'caller-{next(self.counter)}'
+        self.lines: list[bytes] = []
+        self.chunks: list[str] = []
+        self.started = False
+        self.over = False
+        request.notifyFinish().addErrback(self._on_disconnect)
+
+    def _on_disconnect(self, reason: failure.Failure) -> None:
+        reason.trap(error.ConnectionDone, error.ConnectionLost)
+        if not self.over:
+            self.over = True
+            self.service.count('caller.disconnected')
+        self.service.close_stream(self.subscriber)
+
+    def on_event(self, event: model.CallerEvent) -> None:
+        """Buffer an event until the next flush."""
+        if self.over:
+            return
+        if not self.whole:
+            self.lines.append(wire.encode_event(event))
+        elif isinstance(event, model.Chunk):
+            self.chunks.append(event.data)
+        if isinstance(event, model.End):
+            self._end(event)
+
+    def flush(self) -> None:
+        """Write what was buffered."""
+        if not self.lines or self.over:
+            return
+        if not self.started:
+            self.started = True
+            kind = wire.STREAM_TYPE.encode()
+            self.request.setHeader(b'content-type', kind)
+        self.lines.append(b'')
+        self.request.write(b'\n'.join(self.lines))
+        self.lines.clear()
+
+    def _end(self, end: model.End) -> None:
+        self.flush()
+        self.over = True
+        self.service.close_stream(self.subscriber)
+        if self.whole:
+            self.request.write(self._whole_answer(end))
+        self.request.finish()
+
+    def _whole_answer(self, end: model.End) -> bytes:
+        if end.outcome != model.Outcome.COMPLETED:
+            body = problem_body(
+                503, end.reason, end.outcome, end.key, end.retry_after_s
+            )
+            return send_problem(self.request, 503, body)
+        self.request.setHeader(b'content-type', b'application/json')
+        answer = wire.AnswerRecord(
+            end.key,
+            end.outcome,
+            ''.join(self.chunks),
+            end.count,
+            end.digest,
+            end.reason,
+        )
+        return wire.encode_json(answer)
+
+    def refuse(self, effect: _effects.RefuseCaller) -> None:
+        """Answer with a problem document instead of a stream."""
+        if self.over:
+            return
+        self.over = True
+        self.service.close_stream(self.subscriber)
+        if effect.retry_after_s is not None:
+            seconds = max(1, round(effect.retry_after_s))
+            self.request.setHeader(b'retry-after', str(seconds).encode())
+        code = HTTP_OF_REFUSAL[effect.kind]
+        body = problem_body(
+            code,
+            effect.detail,
+            model.Outcome.NOT_RUN,
+            effect.key,
+            effect.retry_after_s,
+        )
+        self.request.write(send_problem(self.request, code, body))
+        self.request.finish()
+
+
+def _argument(request: server.Request, name: str, default: str = '') -> str:
+    values = request.args.get(name.encode(), [])
+    return values[0].decode(errors='replace') if values else default
+
+
+def _wants_whole(request: server.Request) -> bool:
+    accept = request.getHeader(b'accept') or b''
+    return b'application/json' in accept
+
+
+class _Leaf(resource.Resource):
+    """Base of the resources; marks responses with the directory version."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, service: NodeService) -> None:
+        super().__init__()
+        self.service = service
+
+    def render(self, request: server.Request) -> Any:
+        core = self.service.core
+        version = str(core.control.members.version).encode()
+        request.setHeader(VERSION_HEADER, version)
+        if core.state in (
+            _core.NodeState.DRAINING,
+            _core.NodeState.REFUSING,
+        ):
+            request.setHeader(b'connection', b'close')
+        return super().render(request)
+
+
+class AddressesResource(_Leaf):
+    """GET /v1/addresses."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Return entry addresses, the caller's failure domain first."""
+        domain = _argument(request, 'failure_domain')
+        caller = _argument(request, 'caller', request.getClientAddress().host)
+        core = self.service.core
+        entries = [
+            wire.EntryRecord(m.name, m.caller_address, m.failure_domain)
+            for m in core.addresses(domain, caller)
+        ]
+        record = wire.AddressesRecord(
+            entries,
+            core.options.address_ttl_s,
+            core.control.members.version,
+        )
+        request.setHeader(b'content-type', b'application/json')
+        return wire.encode_json(record)
+
+
+class RequestsResource(_Leaf):
+    """POST /v1/requests, GET /v1/requests/KEY and its explanation."""
+
+    def render_POST(self, request: server.Request) -> Any:  # noqa: N802
+        """Take a request and stream its answer."""
+        try:
+            parsed = wire.parse_request(request.content.read())
+        except model.InvalidInputError as problem:
+            self.service.count('refused.invalid')
+            body = problem_body(400, str(problem), model.Outcome.NOT_RUN)
+            return send_problem(request, 400, body)
+        service = self.service
+        stream = CallerStream(service, request, _wants_whole(request))
+        service.open_stream(stream)
+        service.perform(
+            service.core.submit(
+                parsed, stream.subscriber, service.now(), service.wall()
+            )
+        )
+        return server.NOT_DONE_YET
+
+    def render_GET(self, request: server.Request) -> Any:  # noqa: N802
+        """Resume an answer stream, or explain a request."""
+        parts = [part.decode(errors='replace') for part in request.postpath]
+        if len(parts) == 2 and parts[1] == 'explain':
+            return self._explain(request, parts[0])
+        if len(parts) != 1:
+            body = problem_body(404, 'write /v1/requests/KEY')
+            return send_problem(request, 404, body)
+        try:
+            from_seq = int(_argument(request, 'from_seq', '0'))
+        except ValueError:
+            from_seq = -1
+        if from_seq < 0:
+            detail = 'from_seq: write a number from 0 up'
+            return send_problem(request, 400, problem_body(400, detail))
+        service = self.service
+        stream = CallerStream(service, request, False)
+        service.open_stream(stream)
+        host = _argument(request, 'host', service.core.name)
+        service.perform(
+            service.core.follow(
+                parts[0], host, from_seq, stream.subscriber, service.now()
+            )
+        )
+        return server.NOT_DONE_YET
+
+    def _explain(self, request: server.Request, key: str) -> bytes:
+        decisions = self.service.core.explain(key)
+        if decisions is None:
+            detail = f'this node does not know the key {key!r}'
+            return send_problem(request, 404, problem_body(404, detail))
+        request.setHeader(b'content-type', b'application/json')
+        return msgspec.json.encode(decisions)
+
+
+class StatusResource(_Leaf):
+    """GET /v1/status."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        """Return what the node reports of itself."""
+        status = self.service.core.status(self.service.now())
+        request.setHeader(b'content-type', b'application/json')
+        return json.dumps(dataclasses.asdict(status)).encode()
+
+
+class NotFoundResource(_Leaf):
+    """Anything else."""
+
+    def render(self, request: server.Request) -> bytes:
+        """Return a problem document."""
+        detail = 'see docs/interfaces for what can be asked'
+        return send_problem(request, 404, problem_body(404, detail))
+
+
+class _Branch(resource.Resource):
+    """An inner path; what is not under it is a problem document."""
+
+    def __init__(self, service: NodeService) -> None:
+        super().__init__()
+        self.service = service
+
+    def getChild(self, path: bytes, request: Any) -> Any:  # noqa: N802
+        return NotFoundResource(self.service)
+
+
+def _resources(service: NodeService) -> resource.Resource:
+    root = _Branch(service)
+    version = _Branch(service)
+    root.putChild(b'v1', version)
+    version.putChild(b'addresses', AddressesResource(service))
+    version.putChild(b'requests', RequestsResource(service))
+    version.putChild(b'status', StatusResource(service))
+    return root
+
+
+def caller_site(service: NodeService, idle_s: float) -> server.Site:
+    """Return the site that serves callers and operators."""
+    site = server.Site(_resources(service), timeout=idle_s)
+    site.noisy = False
+    site.displayTracebacks = False
+    limited = type(
+        'LimitedRequest', (CallerRequest,), {'max_body': service.max_body}
+    )
+    site.requestFactory = limited
+    site.log = _no_access_log
+    return site
+
+
+def _no_access_log(request: http.Request) -> None:
+    """Write no access log: decisions are logged instead."""
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -0,0 +1,135 @@
+"""Control plane of a node: members, configuration and claims."""
+
+import random
+
+import ragwort_membership as membership
+import ragwort_model as model
+from ragwort_node import _options
+import ragwort_state as state
+
+TICK_S = 0.1
+WATCHERS_PER_REGION = 2
+WATCHER_ROLE = 'watcher'
+JANITOR_ROLE = 'janitor'
+TOMBSTONE_CHECK_S = 600.0
+
+ControlEffect = model.SendPeer | model.StoreCall | state.ClaimResolved
+
+
+class ControlPlane:
+    """What a node shares with its peers and keeps in the store."""
+
+    def __init__(
+        self,
+        options: _options.NodeOptions,
+        rng: random.Random,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Start alone, with no configuration."""
+        self.options = options
+        self.members = membership.Membership(
+            options.host, options.seeds, rng, now, wall
+        )
+        self.replica = state.Replica()
+        self.gossip = state.Gossip(self.replica, rng, now)
+        self.watcher = state.Watcher(self.replica, rng, now)
+        self.ledger = state.Ledger(rng)
+        self.janitor = state.Janitor(
+            options.claim_retention_s, options.clock_skew_s
+        )
+        self.next_tombstone_check = now + TOMBSTONE_CHECK_S
+        self.adopted: list[model.StoredObject] = []
+
+    @property
+    def catalog(self) -> state.Catalog:
+        """Return the configuration in force."""
+        return self.replica.catalog
+
+    def tick(self, now: float, wall: float) -> list[ControlEffect]:
+        """Return everything that is due now."""
+        effects: list[ControlEffect] = []
+        effects += self.members.tick(now, wall)
+        effects += self.gossip.tick(now, self.members.peers())
+        effects += self.watcher.tick(now, self._is_watcher())
+        effects += self.ledger.tick(now)
+        if self.replica.synced and self._is_janitor():
+            effects += self.janitor.tick(wall)
+        if now >= self.next_tombstone_check:
+            self.next_tombstone_check = now + TOMBSTONE_CHECK_S
+            self.replica.drop_old_tombstones(now)
+        return effects
+
+    def _is_watcher(self) -> bool:
+        region = self.options.host.region
+        return membership.elected(
+            self.members, WATCHER_ROLE, WATCHERS_PER_REGION, region
+        )
+
+    def _is_janitor(self) -> bool:
+        return membership.elected(self.members, JANITOR_ROLE, 1, None)
+
+    def learn(self, objects: list[model.StoredObject], now: float) -> None:
+        """Adopt objects that this node learned first and spread them."""
+        adopted = self.replica.merge(objects, now)
+        self._spread(adopted)
+
+    def _spread(self, adopted: list[model.StoredObject]) -> None:
+        self.adopted += adopted
+        if len(adopted) <= state.BULK_OBJECTS:
+            self.gossip.spread(adopted, len(self.members.peers()))
+
+    def take_adopted(self) -> list[model.StoredObject]:
+        """Return the objects adopted since the last call."""
+        adopted, self.adopted = self.adopted, []
+        return adopted
+
+    def on_store_result(
+        self, result: model.StoreResult, now: float
+    ) -> list[ControlEffect]:
+        """Hand a store result to whoever made the call."""
+        if result.op in (state.LIST_OP, state.WATCH_OP):
+            self._spread(self.watcher.result(result, now))
+            return []
+        if result.op.startswith(state.LEDGER_OP):
+            return list(self.ledger.result(result, now))
+        return []
+
+    def on_peer(
+        self, sender: str, message: model.PeerMessage, now: float, wall: float
+    ) -> list[ControlEffect]:
+        """Hand a peer's message to whoever it is for."""
+        members = self.members
+        match message:
+            case model.Ping():
+                return list(members.on_ping(sender, message, now, wall))
+            case model.Ack():
+                return list(members.on_ack(sender, message, now, wall))
+            case model.IndirectPing():
+                return list(members.on_indirect(sender, message, now, wall))
+            case model.MemberSync():
+                return list(members.on_sync(sender, message, now))
+            case model.StateDigest():
+                return list(self.gossip.on_digest(sender, message))
+            case model.StateVersions():
+                return list(self.gossip.on_versions(sender, message))
+            case model.StateWant():
+                return list(self.gossip.on_want(sender, message))
+            case model.StatePush():
+                peer_count = len(members.peers())
+                self.adopted += self.gossip.on_push(message, now, peer_count)
+                return []
+            case model.ClaimForward():
+                return list(self.ledger.on_forward(sender, message, now))
+            case model.ClaimReply():
+                return list(self.ledger.on_reply(message))
+            case _:
+                return []
+
+    def begin_claim(
+        self, claim: model.Claim, now: float, expires_at: float
+    ) -> list[ControlEffect]:
+        """Start a claim through its shard's owner."""
+        shard = state.shard_of(claim.workspace, claim.key)
+        owner = membership.owner_address(self.members, f'shard/{shard}')
+        return list(self.ledger.claim(claim, owner, now, expires_at))
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -0,0 +1,206 @@
+"""The node daemon: sockets, timers and signals around the core."""
+
+import random
+import signal
+import time
+from typing import Any
+
+import structlog
+from twisted.internet import defer
+
+import ragwort_model as model
+from ragwort_node import _caller_http
+from ragwort_node import _core
+from ragwort_node import _effects
+from ragwort_node import _http_client
+from ragwort_node import _logs
+from ragwort_node import _metrics
+from ragwort_node import _options
+from ragwort_node import _peer_links
+from ragwort_node import _runner_client
+from ragwort_node import _store_client
+import ragwort_wire as wire
+
+FLUSH_S = 0.002
+METRICS_S = 1.0
+MIN_TIMER_S = 0.001
+FAREWELL_S = 0.2
+
+
+class NodeDaemon:
+    """Turn socket events into core events and effects into calls."""
+
+    def __init__(self, reactor: Any, settings: model.NodeSettings) -> None:
+        """Create the core and its clients; nothing listens yet."""
+        self.reactor = reactor
+        self.settings = settings
+        self.max_body = settings.limits.max_body
+        self.logger = structlog.get_logger().bind(node=settings.name)
+        self.metrics = _metrics.Metrics(settings.statsd)
+        self.core = _core.NodeCore(
+            _options.options_from_settings(settings),
+            random.Random(random.SystemRandom().getrandbits(64)),
+            self.now(),
+            self.wall(),
+        )
+        self.http = _http_client.HttpClient(reactor)
+        self.runners = _runner_client.RunnerClient(self.http, self._on_runner)
+        self.store = _store_client.StoreClient(
+            reactor, self.http, settings.platform, self._on_store
+        )
+        self.peers = _peer_links.PeerLinks(reactor, settings.peers)
+        self.streams: dict[str, _caller_http.CallerStream] = {}
+        self.unflushed: dict[str, _caller_http.CallerStream] = {}
+        self.flush_call: Any = None
+        self.timer: Any = None
+        self.ports: list[Any] = []
+        self.next_metrics = 0.0
+        self.stopped: defer.Deferred[None] = defer.Deferred()
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return the time of day in seconds."""
+        return time.time()
+
+    def start(self) -> None:
+        """Listen and begin to tick."""
+        host, port = model.split_address(self.settings.callers)
+        site = _caller_http.caller_site(
+            self, self.settings.limits.idle_connection
+        )
+        self.ports.append(
+            self.reactor.listenTCP(port, site, backlog=512, interface=host)
+        )
+        host, port = model.split_address(self.settings.peers)
+        factory = _peer_links.IncomingFactory(
+            self._on_frame, self._on_peer_problem
+        )
+        self.ports.append(
+            self.reactor.listenTCP(port, factory, interface=host)
+        )
+        self._tick()
+
+    def handle_signals(self) -> None:
+        """Drain on the first SIGTERM or SIGINT, stop on the second."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        self.reactor.callFromThread(self.drain)
+
+    def drain(self) -> None:
+        """Begin to leave; a second call stops at once."""
+        states = (_core.NodeState.DRAINING, _core.NodeState.REFUSING)
+        if self.core.state in states:
+            self._stop()
+            return
+        self.perform(self.core.begin_drain(self.now(), self.wall()))
+
+    def _tick(self) -> None:
+        now = self.now()
+        self.perform(self.core.tick(now, self.wall()))
+        if now >= self.next_metrics:
+            self.next_metrics = now + METRICS_S
+            self._flush_metrics(now)
+        if self.core.is_drained() and not self.streams:
+            self._leave()
+            return
+        delay_s = max(self.core.next_due() - self.now(), MIN_TIMER_S)
+        self.timer = self.reactor.callLater(delay_s, self._tick)
+
+    def _flush_metrics(self, now: float) -> None:
+        self.peers.close_idle(now)
+        gauges = {
+            'open_requests': float(len(self.core.engine.active)),
+            'members': float(len(self.core.control.members.live())),
+        }
+        self.metrics.flush(gauges)
+
+    def _leave(self) -> None:
+        """Say farewell and stop once the messages are out."""
+        self.perform(self.core.leave(self.now(), self.wall()))
+        self.reactor.callLater(FAREWELL_S, self._stop)
+
+    def _stop(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        for port in self.ports:
+            port.stopListening()
+        self.ports.clear()
+        self.peers.close()
+        if not self.stopped.called:
+            self.stopped.callback(None)
+
+    def perform(self, effects: list[_effects.Effect]) -> None:
+        """Carry out effects in order."""
+        for effect in effects:
+            match effect:
+                case model.AnswerCaller():
+                    self._answer(effect)
+                case model.CallRunner():
+                    self.runners.call(effect)
+                case model.CancelCall():
+                    self.runners.cancel(effect)
+                case model.SendPeer():
+                    self.peers.send(effect, self.now())
+                case model.StoreCall():
+                    self.store.call(effect)
+                case _effects.Decision():
+                    _logs.log_decision(self.logger, effect)
+                case _effects.Count():
+                    self.metrics.count(effect.name, effect.value)
+                case _effects.Timing():
+                    self.metrics.timing(effect.name, effect.duration_s)
+                case _effects.RefuseCaller():
+                    stream = self.streams.get(effect.subscriber)
+                    if stream is not None:
+                        stream.refuse(effect)
+
+    def _answer(self, effect: model.AnswerCaller) -> None:
+        stream = self.streams.get(effect.subscriber)
+        if stream is None:
+            return
+        stream.on_event(effect.event)
+        self.unflushed[effect.subscriber] = stream
+        if self.flush_call is None:
+            # Chunks of many streams within this delay share one write.
+            self.flush_call = self.reactor.callLater(FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        self.flush_call = None
+        streams = list(self.unflushed.values())
+        self.unflushed.clear()
+        for stream in streams:
+            stream.flush()
+
+    def open_stream(self, stream: _caller_http.CallerStream) -> None:
+        """Begin to hand a subscriber's events to stream."""
+        self.streams[stream.subscriber] = stream
+
+    def close_stream(self, subscriber: str) -> None:
+        """Forget a subscriber whose answer is over or connection gone."""
+        if self.streams.pop(subscriber, None) is not None:
+            self.perform(self.core.detach(subscriber))
+
+    def count(self, name: str) -> None:
+        """Add one to a counter."""
+        self.metrics.count(name)
+
+    def _on_runner(self, event: _runner_client.RunnerEvent) -> None:
+        self.perform(self.core.on_runner(event, self.now()))
+
+    def _on_store(self, result: model.StoreResult) -> None:
+        self.perform(self.core.on_store(result, self.now()))
+
+    def _on_frame(self, frame: wire.PeerFrame) -> None:
+        effects = self.core.on_peer(
+            frame.sender, frame.message, self.now(), self.wall()
+        )
+        self.perform(effects)
+
+    def _on_peer_problem(self, detail: str) -> None:
+        self.metrics.count('peer.damaged')
+        self.logger.warning('peer-problem', detail=detail)
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_dispatcher.py
@@ -0,0 +1,307 @@
+"""Queues and runner choice for stage calls.
+
+The dispatcher decides which waiting call goes next and to which runner;
+it knows nothing of callers, claims or results.
+"""
+
+import dataclasses
+import random
+
+import ragwort_model as model
+from ragwort_node import _control
+from ragwort_node import _effects
+from ragwort_node import _execution
+from ragwort_node import _options
+import ragwort_policy as policy
+
+SUBSET_REFRESH_S = 1.0
+PREFIX_CHARS = 256
+
+
+@dataclasses.dataclass(slots=True)
+class _Subset:
+    """Runners of one service in use, and what they were chosen from."""
+
+    states: list[policy.RunnerState]
+    generation: tuple[int, int]
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """A runner chosen for a call."""
+
+    state: policy.RunnerState
+    decision: _effects.Decision
+    is_probe: bool
+
+
+class Dispatcher:
+    """Queues by service, and the state of the runners behind them."""
+
+    def __init__(
+        self,
+        options: _options.NodeOptions,
+        control: _control.ControlPlane,
+        rng: random.Random,
+    ) -> None:
+        """Start with empty queues."""
+        self.options = options
+        self.control = control
+        self.rng = rng
+        self.strategy = policy.find_strategy(options.strategy)
+        self.queues: dict[str, policy.FairQueue] = {}
+        self.states: dict[str, policy.RunnerState] = {}
+        self.subsets: dict[str, _Subset] = {}
+        self.latencies = policy.LatencyModel()
+        self.attainment = policy.AttainmentTracker()
+        self.retries: dict[str, policy.Budget] = {}
+        self.hedges: dict[str, policy.Budget] = {}
+        self.turns: dict[str, int] = {}
+
+    def queue(self, service: str) -> policy.FairQueue:
+        """Return the queue of a service."""
+        return self.queues.setdefault(service, policy.FairQueue())
+
+    def retry_budget(self, service: str) -> policy.Budget:
+        """Return the retry budget of a service."""
+        return self.retries.setdefault(service, policy.retry_budget())
+
+    def hedge_budget(self, service: str) -> policy.Budget:
+        """Return the hedge budget of a service."""
+        return self.hedges.setdefault(service, policy.hedge_budget())
+
+    def subset(self, service: str, now: float) -> list[policy.RunnerState]:
+        """Return the runners of a service that this node uses."""
+        catalog = self.control.catalog
+        generation = (catalog.generation, self.control.members.version)
+        known = self.subsets.get(service)
+        if known is not None:
+            fresh = now - known.at < SUBSET_REFRESH_S and known.states
+            if known.generation == generation or fresh:
+                return known.states
+        runners = catalog.runners_by_service.get(service, {}).values()
+        names = [update.name for update in self.control.members.live()]
+        chosen = policy.choose_subset(self.options.host.name, names, runners)
+        states = [self._state(runner) for runner in chosen]
+        self.subsets[service] = _Subset(states, generation, now)
+        return states
+
+    def _state(self, runner: model.Runner) -> policy.RunnerState:
+        known = self.states.get(runner.name)
+        if known is None or known.runner.address != runner.address:
+            known = policy.RunnerState(runner)
+            self.states[runner.name] = known
+        known.runner = runner
+        return known
+
+    def forget_removed(self) -> None:
+        """Drop the state of runners that are no longer listed."""
+        for name, known in list(self.states.items()):
+            if name not in self.control.catalog.runners and not known.inflight:
+                del self.states[name]
+
+    def in_service(self, service: str, now: float) -> list[policy.RunnerState]:
+        """Return the runners that have not said they are leaving."""
+        catalog = self.control.catalog
+        return [
+            state
+            for state in self.subset(service, now)
+            if state.runner.name not in catalog.draining_runners
+            and state.runner.name in catalog.runners
+            and catalog.runners[state.runner.name].state
+            == model.HostState.LIVE
+        ]
+
+    def typical_s(self, service: str, now: float) -> float:
+        """Return the usual busy time of a service's runners."""
+        times = [s.busy_s for s in self.subset(service, now) if s.results]
+        if not times:
+            return policy.UNKNOWN_BUSY_S
+        return sum(times) / len(times)
+
+    def queue_wait_s(self, service: str, now: float) -> float:
+        """Return how long a call joining the queue now would wait."""
+        queue = self.queue(service)
+        if not queue.size:
+            return 0.0
+        room = sum(int(s.limit) for s in self.in_service(service, now))
+        return queue.work_s / max(room, 1)
+
+    def estimate(
+        self, execution: _execution.Execution, now: float
+    ) -> policy.FinishEstimate:
+        """Estimate whether an execution can finish in time."""
+        services = execution.remaining_services
+        return policy.estimate_finish(
+            self.latencies,
+            execution.class_of_work.name,
+            services,
+            sum(self.queue_wait_s(service, now) for service in services),
+            execution.deadline_at - now,
+            now,
+        )
+
+    def enqueue(self, execution: _execution.Execution, now: float) -> None:
+        """Put the current stage of an execution into its queue."""
+        service = execution.service.name
+        estimate = policy.estimate_finish(
+            self.latencies,
+            execution.class_of_work.name,
+            execution.remaining_services,
+            0.0,
+            execution.deadline_at - now,
+            now,
+        )
+        histogram = self.latencies.find(
+            service, execution.class_of_work.name, now
+        )
+        cost_s = histogram.mean() if histogram else policy.UNKNOWN_BUSY_S
+        call = policy.QueuedCall(
+            execution.key,
+            execution.request.workspace,
+            execution.class_of_work.name,
+            execution.deadline_at - estimate.mean_s,
+            now,
+            cost_s,
+        )
+        self.queue(service).push(call)
+
+    def pop(self, service: str, now: float) -> policy.QueuedCall | None:
+        """Take the next call of a service out of its queue."""
+        queue = self.queue(service)
+        shortfalls = {
+            name: self.attainment.shortfall(work.target, name, now)
+            for name, work in self.control.catalog.classes.items()
+        }
+        return queue.pop(shortfalls)
+
+    def choose(
+        self,
+        execution: _execution.Execution,
+        now: float,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Choice | None:
+        """Choose a runner for the current stage, None if none has room."""
+        service = execution.service
+        states = [
+            state
+            for state in self.in_service(service.name, now)
+            if state.runner.name not in exclude
+        ]
+        probe = self._probe_target(execution, states, now)
+        if probe is not None:
+            return self._choice(execution, probe, 'probe', now, True)
+        wanted = execution.fresh_runner
+        for state in states:
+            if state.runner.name == wanted:
+                rule = 'same-runner-new-connection'
+                return self._choice(execution, state, rule, now)
+        usable = [
+            state
+            for state in states
+            if state.has_room and not policy.is_ejected(state, now)
+        ]
+        untried = [
+            state
+            for state in usable
+            if state.runner.name not in execution.excluded
+        ]
+        if not usable:
+            return None
+        context = self._context(execution, now)
+        routed = self.strategy(untried or usable, context)
+        decision = _effects.Decision(
+            now,
+            _effects.DecisionKind.ROUTING,
+            execution.key,
+            routed.rule,
+            routed.state.runner.name,
+            f'{service.name} for {execution.class_of_work.name}',
+            context.budget_s,
+            routed.candidates,
+        )
+        return Choice(routed.state, decision, False)
+
+    def _choice(
+        self,
+        execution: _execution.Execution,
+        state: policy.RunnerState,
+        rule: str,
+        now: float,
+        is_probe: bool = False,
+    ) -> Choice:
+        decision = _effects.Decision(
+            now,
+            _effects.DecisionKind.ROUTING,
+            execution.key,
+            rule,
+            state.runner.name,
+            f'{execution.service.name} for {execution.class_of_work.name}',
+        )
+        return Choice(state, decision, is_probe)
+
+    def _probe_target(
+        self,
+        execution: _execution.Execution,
+        states: list[policy.RunnerState],
+        now: float,
+    ) -> policy.RunnerState | None:
+        """Return an ejected runner that is due for one trial request."""
+        if not execution.service.idempotent or execution.tries:
+            return None
+        for state in states:
+            if policy.may_probe(state, now):
+                return state
+        return None
+
+    def _context(
+        self, execution: _execution.Execution, now: float
+    ) -> policy.RoutingContext:
+        service = execution.service
+        work = execution.class_of_work
+        turn = self.turns.get(service.name, 0)
+        self.turns[service.name] = turn + 1
+        affinity = None
+        if service.kind == model.ServiceKind.GENERATOR:
+            affinity = execution.input[:PREFIX_CHARS]
+        return policy.RoutingContext(
+            now,
+            self.rng,
+            self.options.host.failure_domain,
+            policy.stage_budget_s(
+                self.latencies,
+                work.name,
+                execution.remaining_services,
+                execution.deadline_at - now,
+                now,
+            ),
+            self.typical_s(service.name, now),
+            self.attainment.may_economise(work.target, work.name, now),
+            affinity,
+            turn,
+        )
+
+    def judge(
+        self, state: policy.RunnerState, now: float
+    ) -> _effects.Decision | None:
+        """Eject a runner if it is worse than its peers."""
+        peers = self.in_service(state.runner.service, now)
+        if state not in peers:
+            return None
+        ejection = policy.judge(state, peers, now)
+        if ejection is None:
+            return None
+        policy.eject(state, ejection)
+        return _effects.Decision(
+            now,
+            _effects.DecisionKind.EJECTION,
+            ejection.runner,
+            ejection.reason,
+            detail=(
+                f'failure share {ejection.failure_share:.2f}, '
+                f'busy {ejection.busy_s:.3f} s, '
+                f'peers {ejection.peers_busy_s:.3f} s'
+            ),
+            estimate_s=ejection.until - now,
+        )
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_effects.py
@@ -0,0 +1,97 @@
+"""Effects of a node core other than those of the model."""
+
+import dataclasses
+import enum
+
+import ragwort_model as model
+import ragwort_policy as policy
+
+
+class DecisionKind(enum.StrEnum):
+    """What was decided."""
+
+    ADMISSION = 'admission'
+    CLAIM = 'claim'
+    ROUTING = 'routing'
+    RETRY = 'retry'
+    HEDGE = 'hedge'
+    EJECTION = 'ejection'
+    OUTCOME = 'outcome'
+    DRAIN = 'drain'
+    PLACEMENT = 'placement'
+    CONFIGURATION = 'configuration'
+    MEMBERSHIP = 'membership'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """Effect: one line of the decision log, with its reason as data.
+
+    subject is a request key or the name of a node, runner or object;
+    at is monotonic seconds.
+    """
+
+    at: float
+    kind: DecisionKind
+    subject: str
+    rule: str
+    chosen: str = ''
+    detail: str = ''
+    estimate_s: float | None = None
+    candidates: tuple[policy.Candidate, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Effect: add to a counter."""
+
+    name: str
+    value: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Effect: record a duration in seconds."""
+
+    name: str
+    duration_s: float
+
+
+class RefusalKind(enum.StrEnum):
+    """Why a request was refused before anything of it ran."""
+
+    INVALID = 'invalid'
+    UNKNOWN_NAME = 'unknown_name'
+    KEY_REUSED = 'key_reused'
+    KEY_EXPIRED = 'key_expired'
+    NOT_READY = 'not_ready'
+    DRAINING = 'draining'
+    OVERLOADED = 'overloaded'
+    STORE_DOWN = 'store_down'
+    CLOCK_SKEW = 'clock_skew'
+    TOO_LATE = 'too_late'
+    UNKNOWN_KEY = 'unknown_key'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseCaller:
+    """Effect: refuse a request; its outcome is not_run."""
+
+    subscriber: str
+    key: str
+    kind: RefusalKind
+    detail: str
+    retry_after_s: float | None = None
+
+
+Effect = (
+    model.CallRunner
+    | model.CancelCall
+    | model.AnswerCaller
+    | model.SendPeer
+    | model.StoreCall
+    | Decision
+    | Count
+    | Timing
+    | RefuseCaller
+)
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -0,0 +1,665 @@
+"""Life of requests: stages, attempts, retries, hedges and outcomes."""
+
+import random
+
+import ragwort_model as model
+from ragwort_node import _dispatcher
+from ragwort_node import _effects
+from ragwort_node import _execution
+from ragwort_node import _timers
+import ragwort_policy as policy
+
+MAX_TRIES_PER_STAGE = 4
+PROGRESS_TIMEOUT_S = 1.0
+HEARTBEAT_S = 1.0
+RESUME_RETENTION_S = 30.0
+MAX_PRIORITY = 9
+
+
+class Engine:
+    """Drive executions from stage to stage; out collects the effects."""
+
+    def __init__(
+        self,
+        dispatcher: _dispatcher.Dispatcher,
+        rng: random.Random,
+        out: list[_effects.Effect],
+    ) -> None:
+        """Start with no request."""
+        self.dispatcher = dispatcher
+        self.rng = rng
+        self.out = out
+        self.timers = _timers.Timers()
+        self.executions: dict[str, _execution.Execution] = {}
+        self.active: dict[str, _execution.Execution] = {}
+        self.next_heartbeat = 0.0
+
+    def add(self, execution: _execution.Execution) -> None:
+        """Take an execution into care until its deadline."""
+        self.executions[execution.key] = execution
+        self.active[execution.key] = execution
+        self.timers.add(
+            execution.deadline_at,
+            _timers.TimerKind.DEADLINE,
+            execution.key,
+        )
+
+    def start_stage(self, execution: _execution.Execution, now: float) -> None:
+        """Queue the current stage."""
+        execution.phase = _execution.Phase.QUEUED
+        execution.stage_started_at = now
+        execution.tries = 0
+        execution.excluded.clear()
+        execution.leader = ''
+        execution.fresh_runner = ''
+        self._requeue(execution, now)
+
+    def _requeue(self, execution: _execution.Execution, now: float) -> None:
+        self.dispatcher.enqueue(execution, now)
+        self.pump(execution.service.name, now)
+
+    def pump(self, service: str, now: float) -> None:
+        """Dispatch waiting calls while runners have room."""
+        while self.dispatcher.queue(service).size:
+            if not self._has_room(service, now):
+                return
+            call = self.dispatcher.pop(service, now)
+            if call is None:
+                return
+            execution = self.active.get(call.ident)
+            if execution is None or execution.service.name != service:
+                continue
+            choice = self.dispatcher.choose(execution, now)
+            if choice is None:
+                self.dispatcher.enqueue(execution, now)
+                return
+            self._dispatch(execution, choice, now)
+
+    def _has_room(self, service: str, now: float) -> bool:
+        return any(
+            policy.may_probe(state, now)
+            or (state.has_room and not policy.is_ejected(state, now))
+            for state in self.dispatcher.in_service(service, now)
+        )
+
+    def _dispatch(
+        self,
+        execution: _execution.Execution,
+        choice: _dispatcher.Choice,
+        now: float,
+        is_hedge: bool = False,
+    ) -> None:
+        state = choice.state
+        service = execution.service
+        fresh = not service.idempotent or (
+            execution.fresh_runner == state.runner.name
+        )
+        execution.fresh_runner = ''
+        execution.phase = _execution.Phase.RUNNING
+        execution.dispatched = True
+        execution.in_doubt = execution.in_doubt or not service.idempotent
+        attempt = self._new_attempt(execution, choice, fresh, is_hedge, now)
+        state.on_dispatch()
+        state.probing = state.probing or choice.is_probe
+        if not execution.tries:
+            self.dispatcher.retry_budget(service.name).on_call()
+            self.dispatcher.hedge_budget(service.name).on_call()
+        execution.tries += 1
+        self._log(execution, choice.decision)
+        self.out.append(_effects.Count(f'dispatch.{service.name}'))
+        call = self._call(execution, attempt, now)
+        self.out.append(model.CallRunner(state.runner, call, fresh))
+        if service.idempotent:
+            due = now + PROGRESS_TIMEOUT_S
+            self._timer(due, _timers.TimerKind.PROGRESS, attempt)
+            self._plan_hedge(execution, attempt, now)
+
+    def _new_attempt(
+        self,
+        execution: _execution.Execution,
+        choice: _dispatcher.Choice,
+        fresh: bool,
+        is_hedge: bool,
+        now: float,
+    ) -> _execution.Attempt:
+        execution.total_tries += 1
+        ident = model.AttemptId(
+            execution.key,
+            execution.stage,
+            execution.total_tries,
+            model.new_nonce(self.rng),
+        )
+        attempt = _execution.Attempt(
+            ident,
+            choice.state,
+            now,
+            now,
+            fresh,
+            is_hedge,
+            choice.is_probe,
+            len(execution.delivered),
+        )
+        execution.attempts[str(ident)] = attempt
+        return attempt
+
+    def _timer(
+        self,
+        due: float,
+        kind: _timers.TimerKind,
+        attempt: _execution.Attempt,
+    ) -> None:
+        key = attempt.ident.request_key
+        self.timers.add(due, kind, key, str(attempt.ident))
+
+    def _call(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> model.StageCall:
+        remaining_s = execution.deadline_at - now
+        slack = remaining_s / max(execution.request.deadline_s, 0.001)
+        return model.StageCall(
+            attempt.ident,
+            execution.service.name,
+            execution.input,
+            remaining_s,
+            int(MAX_PRIORITY * (1.0 - min(1.0, max(0.0, slack)))),
+            attempt.resume_from,
+            ''.join(execution.delivered),
+        )
+
+    def _plan_hedge(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        """Plan a second call where the class is short of its target."""
+        work = execution.class_of_work
+        attainment = self.dispatcher.attainment
+        if attempt.is_hedge or execution.delivered:
+            return
+        if not attainment.shortfall(work.target, work.name, now):
+            return
+        histogram = self.dispatcher.latencies.find(
+            execution.service.name, work.name, now
+        )
+        if histogram is None:
+            return
+        due = now + histogram.quantile(policy.HEDGE_QUANTILE)
+        if due < execution.deadline_at:
+            self._timer(due, _timers.TimerKind.HEDGE, attempt)
+
+    def _log(
+        self, execution: _execution.Execution, decision: _effects.Decision
+    ) -> None:
+        execution.remember(decision)
+        self.out.append(decision)
+
+    def _decide(
+        self,
+        execution: _execution.Execution,
+        kind: _effects.DecisionKind,
+        rule: str,
+        now: float,
+        chosen: str = '',
+        detail: str = '',
+    ) -> None:
+        decision = _effects.Decision(
+            now, kind, execution.key, rule, chosen, detail
+        )
+        self._log(execution, decision)
+
+    def _find(
+        self, ident: model.AttemptId
+    ) -> tuple[_execution.Execution, _execution.Attempt] | None:
+        execution = self.active.get(ident.request_key)
+        if execution is None:
+            return None
+        attempt = execution.attempts.get(str(ident))
+        return None if attempt is None else (execution, attempt)
+
+    def on_chunk(self, event: model.StageChunk, now: float) -> None:
+        """Take a chunk if it is the next one of a current attempt."""
+        if event.echo != str(event.attempt):
+            self.out.append(_effects.Count('reply.crossed'))
+            return
+        found = self._find(event.attempt)
+        if found is None:
+            self.out.append(_effects.Count('reply.late'))
+            return
+        execution, attempt = found
+        match attempt.take_chunk(event.seq, event.data):
+            case _execution.ChunkVerdict.REPEATED:
+                self.out.append(_effects.Count('reply.repeated'))
+            case _execution.ChunkVerdict.GAP:
+                self.out.append(_effects.Count('reply.gap'))
+                self._break_off(execution, attempt, 'gap in the chunks', now)
+            case _execution.ChunkVerdict.ACCEPTED:
+                attempt.last_sign_at = now
+                if execution.relays:
+                    self._relay(execution, attempt, event, now)
+
+    def _relay(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        event: model.StageChunk,
+        now: float,
+    ) -> None:
+        """Pass a chunk on; the first attempt to bring one keeps the stream."""
+        ident = str(attempt.ident)
+        if not execution.leader:
+            execution.leader = ident
+            self._cancel_others(execution, attempt, now)
+        if execution.leader == ident:
+            execution.delivered.append(event.data)
+            self._tell(execution, model.Chunk(event.seq, event.data), now)
+
+    def _tell(
+        self,
+        execution: _execution.Execution,
+        event: model.CallerEvent,
+        now: float,
+    ) -> None:
+        execution.last_event_at = now
+        for subscriber in execution.subscribers:
+            self.out.append(model.AnswerCaller(subscriber, event))
+
+    def on_alive(self, event: model.StageAlive, now: float) -> None:
+        """Note that a runner is still at work on an attempt."""
+        found = self._find(event.attempt)
+        if found is not None:
+            found[1].last_sign_at = now
+
+    def on_end(self, event: model.StageEnd, now: float) -> None:
+        """Accept a stage result if it is whole."""
+        if event.echo != str(event.attempt):
+            self.out.append(_effects.Count('reply.crossed'))
+            return
+        found = self._find(event.attempt)
+        if found is None:
+            self.out.append(_effects.Count('reply.late'))
+            return
+        execution, attempt = found
+        if not execution.is_whole(attempt, event):
+            self.out.append(_effects.Count('reply.truncated'))
+            self._break_off(execution, attempt, 'result not whole', now)
+            return
+        del execution.attempts[str(attempt.ident)]
+        self._settle_runner(execution, attempt, event, now)
+        self._cancel_others(execution, attempt, now)
+        self._finish_stage(execution, attempt, now)
+        self.pump(attempt.state.runner.service, now)
+
+    def _settle_runner(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        event: model.StageEnd,
+        now: float,
+    ) -> None:
+        state = attempt.state
+        service = execution.service.name
+        latency_s = now - attempt.started_at
+        state.on_result(event.busy_s, latency_s, now)
+        state.on_report(event.report, now)
+        work = execution.class_of_work.name
+        self.dispatcher.latencies.add(service, work, latency_s, now)
+        cost = event.busy_s * state.runner.cost_rate
+        self.dispatcher.attainment.on_cost(work, service, cost, False, now)
+        self.out.append(_effects.Timing(f'stage.{service}', latency_s))
+        if attempt.is_probe:
+            self._end_probe(attempt, True, event.busy_s, now)
+        else:
+            self._judge(state, now)
+
+    def _end_probe(
+        self,
+        attempt: _execution.Attempt,
+        ok: bool,
+        busy_s: float,
+        now: float,
+    ) -> None:
+        state = attempt.state
+        peers = self.dispatcher.in_service(state.runner.service, now)
+        back = policy.on_probe_result(state, ok, busy_s, peers, now)
+        decision = _effects.Decision(
+            now,
+            _effects.DecisionKind.EJECTION,
+            state.runner.name,
+            'back-in-service' if back else 'still-out',
+            estimate_s=max(0.0, state.ejected_until - now),
+        )
+        self.out.append(decision)
+
+    def _judge(self, state: policy.RunnerState, now: float) -> None:
+        decision = self.dispatcher.judge(state, now)
+        if decision is not None:
+            self.out.append(decision)
+
+    def _cancel_others(
+        self,
+        execution: _execution.Execution,
+        keep: _execution.Attempt,
+        now: float,
+    ) -> None:
+        for attempt in list(execution.attempts.values()):
+            if attempt is not keep:
+                self._cancel(execution, attempt, now)
+
+    def _cancel(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        """Give up an attempt without blame, and count its cost as waste."""
+        del execution.attempts[str(attempt.ident)]
+        state = attempt.state
+        state.on_abandon()
+        if attempt.is_probe:
+            self._end_probe(attempt, False, 0.0, now)
+        self._count_waste(execution, attempt, now)
+        self.out.append(model.CancelCall(attempt.ident))
+        self.pump(state.runner.service, now)
+
+    def _count_waste(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        """Estimate the cost of a call whose result is not used.
+
+        It worked at most since it was sent.
+        """
+        state = attempt.state
+        busy_s = min(now - attempt.started_at, state.busy_s or 0.0)
+        self.dispatcher.attainment.on_cost(
+            execution.class_of_work.name,
+            state.runner.service,
+            busy_s * state.runner.cost_rate,
+            True,
+            now,
+        )
+
+    def _finish_stage(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        if not execution.service.idempotent:
+            execution.in_doubt = False
+            execution.side_effect_done = True
+        if execution.is_last_stage:
+            if not execution.relays:
+                self._deliver_whole(execution, attempt.chunks, now)
+            self.finish(execution, model.Outcome.COMPLETED, '', now)
+            return
+        execution.input = ''.join(attempt.chunks)
+        execution.stage += 1
+        self.start_stage(execution, now)
+
+    def _deliver_whole(
+        self,
+        execution: _execution.Execution,
+        chunks: list[str],
+        now: float,
+    ) -> None:
+        for seq, data in enumerate(chunks):
+            execution.delivered.append(data)
+            self._tell(execution, model.Chunk(seq, data), now)
+
+    def _break_off(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        detail: str,
+        now: float,
+    ) -> None:
+        """Cancel an attempt whose reply is damaged and treat it as failed."""
+        self.out.append(model.CancelCall(attempt.ident))
+        failure = model.CallFailure.PROTOCOL
+        self._fail(execution, attempt, failure, detail, now)
+
+    def on_failed(self, event: model.StageFailed, now: float) -> None:
+        """Take the failure of an attempt."""
+        found = self._find(event.attempt)
+        if found is None:
+            self.out.append(_effects.Count('reply.late'))
+            return
+        execution, attempt = found
+        if event.report is not None:
+            attempt.state.on_report(event.report, now)
+        self._fail(execution, attempt, event.failure, event.detail, now)
+
+    def _fail(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        failure: model.CallFailure,
+        detail: str,
+        now: float,
+    ) -> None:
+        del execution.attempts[str(attempt.ident)]
+        if execution.leader == str(attempt.ident):
+            execution.leader = ''
+        state = attempt.state
+        service = execution.service
+        self.out.append(_effects.Count(f'failure.{service.name}.{failure}'))
+        if self._blames_connection(attempt, failure):
+            state.on_abandon()
+            execution.fresh_runner = state.runner.name
+        else:
+            state.on_failure(failure, now)
+            execution.excluded.add(state.runner.name)
+            self._judge(state, now)
+        if attempt.is_probe:
+            self._end_probe(attempt, False, 0.0, now)
+        if failure not in model.NOT_RUN_FAILURES:
+            self._count_waste(execution, attempt, now)
+        elif not service.idempotent:
+            execution.in_doubt = False
+        if not execution.attempts:
+            self._retry_or_end(execution, failure, detail, now)
+        self.pump(service.name, now)
+
+    def _blames_connection(
+        self, attempt: _execution.Attempt, failure: model.CallFailure
+    ) -> bool:
+        """Tell whether a new connection is to be tried first."""
+        suspect = failure in (
+            model.CallFailure.LOST,
+            model.CallFailure.SILENT,
+        )
+        return suspect and not attempt.fresh
+
+    def _retry_or_end(
+        self,
+        execution: _execution.Execution,
+        failure: model.CallFailure,
+        detail: str,
+        now: float,
+    ) -> None:
+        obstacle = self._retry_obstacle(execution, failure, now)
+        name = execution.service.name
+        reason = f'{name}: {failure}'
+        if detail:
+            reason += f' ({detail})'
+        if obstacle:
+            outcome = execution.failure_outcome()
+            self.finish(execution, outcome, f'{reason}; {obstacle}', now)
+            return
+        self._decide(
+            execution,
+            _effects.DecisionKind.RETRY,
+            'retry',
+            now,
+            execution.fresh_runner,
+            reason,
+        )
+        self.out.append(_effects.Count(f'retry.{name}'))
+        execution.phase = _execution.Phase.QUEUED
+        self._requeue(execution, now)
+
+    def _retry_obstacle(
+        self,
+        execution: _execution.Execution,
+        failure: model.CallFailure,
+        now: float,
+    ) -> str:
+        """Return why a stage may not be tried again, empty if it may."""
+        service = execution.service
+        if execution.in_doubt:
+            return 'it may have run and may not be repeated'
+        if execution.tries >= MAX_TRIES_PER_STAGE:
+            return f'{execution.tries} tries'
+        estimate = self.dispatcher.estimate(execution, now)
+        if estimate.known and estimate.chance < policy.MIN_CHANCE:
+            return 'too little time is left'
+        if failure == model.CallFailure.REFUSED:
+            return ''
+        if not self.dispatcher.retry_budget(service.name).take():
+            return 'the retry budget is used up'
+        return ''
+
+    def on_timer(
+        self, kind: _timers.TimerKind, key: str, ident: str, now: float
+    ) -> None:
+        """Act on one timer."""
+        if kind == _timers.TimerKind.FORGET:
+            self.executions.pop(key, None)
+            return
+        execution = self.active.get(key)
+        if execution is None:
+            return
+        if kind == _timers.TimerKind.DEADLINE:
+            outcome = execution.failure_outcome()
+            stage = execution.service.name
+            reason = f'deadline passed at stage {stage}'
+            self.finish(execution, outcome, reason, now)
+            return
+        attempt = execution.attempts.get(ident)
+        if attempt is None:
+            return
+        if kind == _timers.TimerKind.PROGRESS:
+            self._check_progress(execution, attempt, now)
+        else:
+            self._hedge(execution, attempt, now)
+
+    def _check_progress(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        due = attempt.last_sign_at + PROGRESS_TIMEOUT_S
+        if now < due:
+            self._timer(due, _timers.TimerKind.PROGRESS, attempt)
+            return
+        self.out.append(model.CancelCall(attempt.ident))
+        failure = model.CallFailure.SILENT
+        detail = f'no sign for {PROGRESS_TIMEOUT_S:.1f} s'
+        self._fail(execution, attempt, failure, detail, now)
+
+    def _hedge(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        now: float,
+    ) -> None:
+        service = execution.service
+        if attempt.chunks or len(execution.attempts) > 1:
+            return
+        exclude = frozenset({attempt.state.runner.name})
+        choice = self.dispatcher.choose(execution, now, exclude)
+        if choice is None or choice.is_probe:
+            return
+        if not self.dispatcher.hedge_budget(service.name).take():
+            return
+        chosen = choice.state.runner.name
+        kind = _effects.DecisionKind.HEDGE
+        self._decide(execution, kind, 'slow-attempt', now, chosen)
+        self._dispatch(execution, choice, now, is_hedge=True)
+
+    def finish(
+        self,
+        execution: _execution.Execution,
+        outcome: model.Outcome,
+        reason: str,
+        now: float,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """End a request and tell its callers at once."""
+        self.active.pop(execution.key, None)
+        for attempt in list(execution.attempts.values()):
+            self._cancel(execution, attempt, now)
+        if execution.phase == _execution.Phase.QUEUED:
+            workspace = execution.request.workspace
+            queue = self.dispatcher.queue(execution.service.name)
+            queue.remove(execution.key, workspace)
+        execution.phase = _execution.Phase.ENDED
+        kind = _effects.DecisionKind.OUTCOME
+        self._decide(execution, kind, outcome, now, detail=reason)
+        execution.end = model.End(
+            execution.key,
+            outcome,
+            len(execution.delivered),
+            model.content_digest(execution.delivered),
+            reason,
+            retry_after_s,
+        )
+        self._tell(execution, execution.end, now)
+        self._account(execution, outcome, now)
+        forget_at = now + RESUME_RETENTION_S
+        self.timers.add(forget_at, _timers.TimerKind.FORGET, execution.key)
+
+    def _account(
+        self,
+        execution: _execution.Execution,
+        outcome: model.Outcome,
+        now: float,
+    ) -> None:
+        work = execution.class_of_work
+        elapsed_s = now - execution.started_at
+        completed = outcome == model.Outcome.COMPLETED
+        in_time = elapsed_s <= work.target.deadline_s
+        attainment = self.dispatcher.attainment
+        attainment.on_end(work.name, completed, in_time, now)
+        self.out.append(_effects.Count(f'outcome.{work.name}.{outcome}'))
+        self.out.append(_effects.Timing(f'request.{work.name}', elapsed_s))
+
+    def attach(
+        self,
+        execution: _execution.Execution,
+        subscriber: str,
+        from_seq: int,
+        host: str,
+    ) -> None:
+        """Send a subscriber all chunks from from_seq on, then what comes."""
+        accepted = model.Accepted(execution.key, host)
+        self.out.append(model.AnswerCaller(subscriber, accepted))
+        for seq in range(from_seq, len(execution.delivered)):
+            chunk = model.Chunk(seq, execution.delivered[seq])
+            self.out.append(model.AnswerCaller(subscriber, chunk))
+        if execution.end is not None:
+            self.out.append(model.AnswerCaller(subscriber, execution.end))
+        else:
+            execution.subscribers[subscriber] = from_seq
+
+    def detach(self, subscriber: str) -> None:
+        """Forget a subscriber; its request goes on for a resumption."""
+        for execution in self.active.values():
+            execution.subscribers.pop(subscriber, None)
+
+    def heartbeats(self, now: float) -> None:
+        """Send a heartbeat to every caller that heard nothing lately."""
+        if now < self.next_heartbeat:
+            return
+        self.next_heartbeat = now + HEARTBEAT_S
+        for execution in self.active.values():
+            if now - execution.last_event_at >= HEARTBEAT_S:
+                self._tell(execution, model.Heartbeat(), now)
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_http_client.py
@@ -0,0 +1,106 @@
+"""HTTP connections from a node to runners and the platform."""
+
+from collections.abc import Callable
+import io
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import iweb
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_IDLE_CONNECTIONS = 64
+IDLE_TIMEOUT_S = 30.0
+MAX_LINE_BYTES = 1024 * 1024
+
+NOT_CONNECTED = (
+    error.ConnectError,
+    error.ConnectionRefusedError,
+    error.TimeoutError,
+    error.DNSLookupError,
+)
+
+
+class HttpClient:
+    """Agents with and without connections that are used again."""
+
+    def __init__(self, reactor: Any) -> None:
+        """Create a pool for the reactor."""
+        self.pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        self.pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        # A request that died on its connection is the core's to repeat.
+        self.pool.retryAutomatically = False
+        self.pooled = client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool
+        )
+        self.single = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
+
+    def request(
+        self,
+        method: bytes,
+        url: str,
+        body: bytes | None = None,
+        fresh: bool = False,
+    ) -> 'defer.Deferred[iweb.IResponse]':
+        """Send a request; fresh demands a connection of its own."""
+        agent = self.single if fresh else self.pooled
+        producer = None
+        if body is not None:
+            producer = client.FileBodyProducer(io.BytesIO(body))
+        headers = http_headers.Headers(
+            {b'content-type': [b'application/json']}
+        )
+        sent: defer.Deferred[iweb.IResponse] = agent.request(
+            method, url.encode(), headers, producer
+        )
+        return sent
+
+    def close(self) -> 'defer.Deferred[None]':
+        """Close idle connections."""
+        closed: defer.Deferred[None] = self.pool.closeCachedConnections()
+        return closed
+
+
+class LineReader(protocol.Protocol):
+    """Cut a response body into lines."""
+
+    def __init__(
+        self,
+        on_line: Callable[[bytes], None],
+        on_end: Callable[[], None],
+    ) -> None:
+        """Call on_line for each line and on_end once the body is over."""
+        self.on_line = on_line
+        self.on_end = on_end
+        self.rest = b''
+        self.stopped = False
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the body."""
+        *lines, self.rest = (self.rest + data).split(b'\n')
+        for line in lines:
+            if self.stopped:
+                return
+            self.on_line(line)
+        if len(self.rest) > MAX_LINE_BYTES:
+            self.stop()
+            self.on_end()
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Note the end of the body, whatever its reason."""
+        if not self.stopped:
+            self.stopped = True
+            self.on_end()
+
+    def stop(self) -> None:
+        """Read no more and close the connection."""
+        self.stopped = True
+        if self.transport is not None:
+            self.transport.loseConnection()
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_options.py
@@ -0,0 +1,40 @@
+"""Options of a node core, free of files and units."""
+
+import dataclasses
+
+import ragwort_model as model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NodeOptions:
+    """Who a node is and the bounds it keeps; times in seconds."""
+
+    host: model.EntryHost
+    seeds: tuple[str, ...] = ()
+    address_ttl_s: float = 5.0
+    claim_retention_s: float = 600.0
+    clock_skew_s: float = 5.0
+    strategy: str = 'ragwort'
+    max_open_requests: int = 2000
+    max_queued_per_workspace: int = 256
+
+
+def options_from_settings(settings: model.NodeSettings) -> NodeOptions:
+    """Return the options that a settings file asks for."""
+    host = model.EntryHost(
+        settings.name,
+        settings.callers,
+        settings.peers,
+        settings.failure_domain,
+        settings.region,
+    )
+    return NodeOptions(
+        host,
+        tuple(settings.seeds),
+        settings.address_ttl,
+        settings.claim_retention,
+        settings.clock_skew,
+        settings.strategy,
+        settings.limits.max_open_requests,
+        settings.limits.max_queued_per_workspace,
+    )
--- /dev/null
+++ b/libs/ragwort_node/ragwort_node/_store_client.py
@@ -0,0 +1,89 @@
+"""Calls to the platform's object API over HTTP."""
+
+from collections.abc import Callable
+from typing import Any
+import urllib.parse
+
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import iweb
+
+import ragwort_model as model
+from ragwort_node import _http_client
+import ragwort_wire as wire
+
+CALL_TIMEOUT_S = 2.0
+WATCH_MARGIN_S = 3.0
+
+
+def store_url(platform: str, call: model.StoreCall) -> str:
+    """Return the URL of a store call."""
+    base = f'http://{platform}/v1'
+    name = urllib.parse.quote(call.name)
+    match call.verb:
+        case model.StoreVerb.LIST:
+            return f'{base}/objects?prefix={name}'
+        case model.StoreVerb.WATCH:
+            wait_ms = int(call.wait_s * 1000)
+            return (
+                f'{base}/watch?prefix={name}&since={call.since}'
+                f'&wait_ms={wait_ms}'
+            )
+        case _:
+            return f'{base}/objects/{name}'
+
+
+def store_method(call: model.StoreCall) -> bytes:
+    """Return the HTTP method of a store call."""
+    if call.verb == model.StoreVerb.PUT:
+        return b'PUT'
+    return b'DELETE' if call.verb == model.StoreVerb.DELETE else b'GET'
+
+
+class StoreClient:
+    """Carry out StoreCall."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        http: _http_client.HttpClient,
+        platform: str,
+        on_result: Callable[[model.StoreResult], None],
+    ) -> None:
+        """Report the results of all calls to on_result."""
+        self.reactor = reactor
+        self.http = http
+        self.platform = platform
+        self.on_result = on_result
+
+    def call(self, call: model.StoreCall) -> None:
+        """Send a call; it ends as UNAVAILABLE after its time."""
+        writing = call.verb == model.StoreVerb.PUT
+        body = wire.encode_write(call) if writing else None
+        url = store_url(self.platform, call)
+        answered = self._answer(call, store_method(call), url, body)
+        timeout_s = CALL_TIMEOUT_S
+        if call.wait_s:
+            timeout_s = call.wait_s + WATCH_MARGIN_S
+        # Cancelling closes the connection, which may be the silent part.
+        answered.addTimeout(timeout_s, self.reactor)
+        answered.addErrback(self._unavailable, call)
+        answered.addCallback(self.on_result)
+
+    @defer.inlineCallbacks
+    def _answer(
+        self,
+        call: model.StoreCall,
+        method: bytes,
+        url: str,
+        body: bytes | None,
+    ) -> Any:
+        response: iweb.IResponse = yield self.http.request(method, url, body)
+        content: bytes = yield client.readBody(response)
+        return wire.decode_store_result(call.op, response.code, content)
+
+    def _unavailable(
+        self, _: failure.Failure, call: model.StoreCall
+    ) -> model.StoreResult:
+        return model.StoreResult(call.op, model.StoreStatus.UNAVAILABLE)
--- /dev/null
+++ b/libs/ragwort_policy/ragwort_policy/_deadline.py
@@ -0,0 +1,82 @@
+"""Splitting a deadline over stages and estimating the chance to meet it."""
+
+import dataclasses
+import math
+
+from ragwort_policy import _latency
+
+BUDGET_QUANTILE = 0.9
+UNKNOWN_STAGE_S = 0.1
+MIN_CHANCE = 0.05
+MIN_DEVIATION_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FinishEstimate:
+    """Expected time to finish (seconds) and the chance to be in time.
+
+    known is False while too few samples exist to refuse anything.
+    """
+
+    mean_s: float
+    deviation_s: float
+    chance: float
+    known: bool
+
+
+def stage_budget_s(
+    latencies: _latency.LatencyModel,
+    class_of_work: str,
+    stages: tuple[str, ...],
+    remaining_s: float,
+    now: float,
+) -> float:
+    """Return the share of the remaining time for the first of stages.
+
+    Shares follow learned quantiles; since they are taken anew at each
+    stage, time that one stage leaves over flows to the later ones.
+    """
+    needs = [
+        _quantile(latencies, service, class_of_work, now) for service in stages
+    ]
+    return remaining_s * needs[0] / sum(needs)
+
+
+def _quantile(
+    latencies: _latency.LatencyModel,
+    service: str,
+    class_of_work: str,
+    now: float,
+) -> float:
+    histogram = latencies.find(service, class_of_work, now)
+    if histogram is None:
+        return UNKNOWN_STAGE_S
+    return max(histogram.quantile(BUDGET_QUANTILE), MIN_DEVIATION_S)
+
+
+def estimate_finish(
+    latencies: _latency.LatencyModel,
+    class_of_work: str,
+    stages: tuple[str, ...],
+    queue_wait_s: float,
+    remaining_s: float,
+    now: float,
+) -> FinishEstimate:
+    """Estimate the time for stages after queue_wait_s of waiting.
+
+    Stage times are summed as independent; the sum is taken as normal.
+    """
+    mean_s = queue_wait_s
+    variance = 0.0
+    known = True
+    for service in stages:
+        histogram = latencies.find(service, class_of_work, now)
+        if histogram is None:
+            known = False
+            continue
+        mean_s += histogram.mean()
+        variance += histogram.variance()
+    deviation_s = max(math.sqrt(variance), MIN_DEVIATION_S)
+    score = (remaining_s - mean_s) / deviation_s
+    chance = 0.5 * math.erfc(-score / math.sqrt(2.0))
+    return FinishEstimate(mean_s, deviation_s, chance, known)
--- /dev/null
+++ b/libs/ragwort_policy/ragwort_policy/_routing.py
@@ -0,0 +1,174 @@
+"""Choosing a runner for a stage call.
+
+Strategies are functions in a registry filled by the decorator strategy.
+Each returns a decision that carries its reason as data.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import random
+
+import ragwort_model as model
+from ragwort_policy import _runners
+
+SAMPLE_SIZE = 6
+BUDGET_SAFETY = 0.5
+AFFINITY_LOAD_FACTOR = 1.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingContext:
+    """What a strategy may look at besides the runners.
+
+    budget_s is the time this stage may take; typical_s the usual time of
+    the service; economise says that cost matters more than speed now.
+    """
+
+    now: float
+    rng: random.Random
+    failure_domain: str
+    budget_s: float
+    typical_s: float
+    economise: bool = False
+    affinity_key: str | None = None
+    turn: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A runner as a strategy weighed it."""
+
+    runner: str
+    expected_s: float
+    cost: float
+    inflight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingDecision:
+    """The runner chosen, the rule that chose it, and what was weighed."""
+
+    state: _runners.RunnerState
+    rule: str
+    candidates: tuple[Candidate, ...]
+
+
+Strategy = Callable[
+    [Sequence[_runners.RunnerState], RoutingContext], RoutingDecision
+]
+
+STRATEGIES: dict[str, Strategy] = {}
+
+
+def strategy(name: str) -> Callable[[Strategy], Strategy]:
+    """Register a strategy under a name that settings may give."""
+
+    def register(function: Strategy) -> Strategy:
+        STRATEGIES[name] = function
+        return function
+
+    return register
+
+
+def find_strategy(name: str) -> Strategy:
+    """Return a registered strategy; raise SettingsError."""
+    found = STRATEGIES.get(name)
+    if found is None:
+        known = ', '.join(sorted(STRATEGIES))
+        raise model.SettingsError(
+            f'strategy: {name!r} is unknown; write one of {known}'
+        )
+    return found
+
+
+@strategy('random')
+def choose_random(
+    runners: Sequence[_runners.RunnerState], context: RoutingContext
+) -> RoutingDecision:
+    """Choose any runner."""
+    return RoutingDecision(context.rng.choice(runners), 'random', ())
+
+
+@strategy('round-robin')
+def choose_in_turn(
+    runners: Sequence[_runners.RunnerState], context: RoutingContext
+) -> RoutingDecision:
+    """Choose each runner in turn."""
+    chosen = runners[context.turn % len(runners)]
+    return RoutingDecision(chosen, 'round-robin', ())
+
+
+@strategy('least-outstanding')
+def choose_least_outstanding(
+    runners: Sequence[_runners.RunnerState], context: RoutingContext
+) -> RoutingDecision:
+    """Choose a runner with the fewest calls of this node in flight."""
+    fewest = min(state.inflight for state in runners)
+    equals = [state for state in runners if state.inflight == fewest]
+    chosen = context.rng.choice(equals)
+    return RoutingDecision(chosen, 'least-outstanding', ())
+
+
+@strategy('ragwort')
+def choose_by_estimate(
+    runners: Sequence[_runners.RunnerState], context: RoutingContext
+) -> RoutingDecision:
+    """Weigh a random sample by expected time, or by cost if there is time.
+
+    Sampling keeps nodes with the same stale reports from all choosing the
+    same runner, and bounds the work of a decision.
+    """
+    preferred = _affinity_choice(runners, context)
+    if preferred is not None:
+        candidate = _weigh(preferred, context)
+        return RoutingDecision(preferred, 'cache-affinity', (candidate,))
+    sample = list(runners)
+    if len(sample) > SAMPLE_SIZE:
+        sample = context.rng.sample(sample, SAMPLE_SIZE)
+    else:
+        context.rng.shuffle(sample)
+    weighed = [(_weigh(state, context), state) for state in sample]
+    candidates = tuple(candidate for candidate, _ in weighed)
+    if context.economise:
+        limit_s = context.budget_s * BUDGET_SAFETY
+        timely = [pair for pair in weighed if pair[0].expected_s <= limit_s]
+        if timely:
+            best = min(timely, key=lambda p: (p[0].cost, p[0].expected_s))
+            return RoutingDecision(best[1], 'cheapest-in-time', candidates)
+    best = min(weighed, key=lambda pair: pair[0].expected_s)
+    return RoutingDecision(best[1], 'fastest', candidates)
+
+
+def _weigh(state: _runners.RunnerState, context: RoutingContext) -> Candidate:
+    expected_s = state.expected_s(context.now, context.typical_s)
+    if state.runner.failure_domain != context.failure_domain:
+        expected_s += _runners.REMOTE_PENALTY_S
+    return Candidate(
+        state.runner.name,
+        expected_s,
+        state.call_cost(context.typical_s),
+        state.inflight,
+    )
+
+
+def _affinity_choice(
+    runners: Sequence[_runners.RunnerState], context: RoutingContext
+) -> _runners.RunnerState | None:
+    """Return the runner that likely has the prompt prefix cached.
+
+    Bounded load: a runner with clearly more calls than the average is
+    passed over, since waiting costs more than the cache saves.
+    """
+    if context.affinity_key is None or context.economise:
+        return None
+    by_name = {state.runner.name: state for state in runners}
+    average = sum(state.inflight for state in runners) / len(runners)
+    names = model.rendezvous(context.affinity_key, by_name, 2)
+    for name in names:
+        state = by_name[name]
+        crowded = state.occupancy(context.now) + 1 > state.slots
+        if state.inflight <= AFFINITY_LOAD_FACTOR * average + 1:
+            if not crowded:
+                return state
+    return None
--- /dev/null
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -0,0 +1,73 @@
+"""Configuration replica, claim ledger and leases over the store."""
+
+from ragwort_state._catalog import Catalog
+from ragwort_state._catalog import CONFIG_PREFIX
+from ragwort_state._catalog import ObjectProblem
+from ragwort_state._catalog import runner_sign
+from ragwort_state._catalog import SIGN_PREFIX
+from ragwort_state._gossip import BULK_OBJECTS
+from ragwort_state._gossip import Gossip
+from ragwort_state._lease import Lease
+from ragwort_state._lease import LEASE_OP
+from ragwort_state._lease import LEASE_PREFIX
+from ragwort_state._lease import LEASE_S
+from ragwort_state._lease import LeasePhase
+from ragwort_state._lease import ORDER_EXPIRY_S
+from ragwort_state._ledger import bucket_name
+from ragwort_state._ledger import BUCKET_S
+from ragwort_state._ledger import ClaimResolved
+from ragwort_state._ledger import CLAIMS_PREFIX
+from ragwort_state._ledger import decode_claims
+from ragwort_state._ledger import Janitor
+from ragwort_state._ledger import JANITOR_OP
+from ragwort_state._ledger import Ledger
+from ragwort_state._ledger import LEDGER_OP
+from ragwort_state._ledger import LedgerEffect
+from ragwort_state._ledger import SHARD_COUNT
+from ragwort_state._ledger import shard_of
+from ragwort_state._replica import Replica
+from ragwort_state._targets import apply_change
+from ragwort_state._targets import is_applied
+from ragwort_state._targets import TARGET_FIELDS
+from ragwort_state._targets import target_of
+from ragwort_state._targets import TargetChange
+from ragwort_state._watcher import LIST_OP
+from ragwort_state._watcher import WATCH_OP
+from ragwort_state._watcher import Watcher
+
+__all__ = [
+    'apply_change',
+    'bucket_name',
+    'BUCKET_S',
+    'BULK_OBJECTS',
+    'Catalog',
+    'ClaimResolved',
+    'CLAIMS_PREFIX',
+    'CONFIG_PREFIX',
+    'decode_claims',
+    'Gossip',
+    'is_applied',
+    'Janitor',
+    'JANITOR_OP',
+    'Lease',
+    'LEASE_OP',
+    'LEASE_PREFIX',
+    'LEASE_S',
+    'LeasePhase',
+    'Ledger',
+    'LEDGER_OP',
+    'LedgerEffect',
+    'LIST_OP',
+    'ObjectProblem',
+    'ORDER_EXPIRY_S',
+    'Replica',
+    'runner_sign',
+    'SHARD_COUNT',
+    'shard_of',
+    'SIGN_PREFIX',
+    'TARGET_FIELDS',
+    'target_of',
+    'TargetChange',
+    'WATCH_OP',
+    'Watcher',
+]
--- /dev/null
+++ b/libs/ragwort_state/ragwort_state/_catalog.py
@@ -0,0 +1,111 @@
+"""Typed view of the replicated configuration objects."""
+
+import dataclasses
+import json
+
+import ragwort_model as model
+
+CONFIG_PREFIX = 'config/'
+SIGN_PREFIX = 'sign/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectProblem:
+    """Why a version of an object is not in force."""
+
+    version: int
+    text: str
+
+
+class Catalog:
+    """Hold the last valid content of each configuration object.
+
+    An invalid object leaves its last valid content in force and is
+    listed in problems.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.classes: dict[str, model.ClassOfWork] = {}
+        self.pipelines: dict[str, model.Pipeline] = {}
+        self.services: dict[str, model.Service] = {}
+        self.workspaces: set[str] = set()
+        self.runners: dict[str, model.Runner] = {}
+        self.runners_by_service: dict[str, dict[str, model.Runner]] = {}
+        self.draining_runners: set[str] = set()
+        self.problems: dict[str, ObjectProblem] = {}
+        self.in_force: dict[str, int] = {}
+        self.generation = 0
+
+    def apply(self, item: model.StoredObject) -> None:
+        """Put a newer version of an object in force if it is valid."""
+        self.generation += 1
+        if item.name.startswith(SIGN_PREFIX):
+            self._apply_sign(item)
+            return
+        name = item.name.removeprefix(CONFIG_PREFIX)
+        if item.value is None:
+            self._remove(name)
+        else:
+            try:
+                self._put(name, model.parse_document(name, item.value))
+            except model.ConfigurationError as error:
+                self.problems[name] = ObjectProblem(item.version, str(error))
+                return
+        self.problems.pop(name, None)
+        self.in_force[name] = item.version
+
+    def _apply_sign(self, item: model.StoredObject) -> None:
+        runner = item.name.removeprefix(SIGN_PREFIX)
+        if item.value == DRAINING_SIGN:
+            self.draining_runners.add(runner)
+        else:
+            self.draining_runners.discard(runner)
+
+    def _put(self, name: str, document: model.Document) -> None:
+        match document:
+            case model.ClassDocument():
+                self.classes[document.name] = model.class_of_work(document)
+            case model.PipelineDocument():
+                self.pipelines[document.name] = model.Pipeline(
+                    document.name, tuple(document.stages)
+                )
+            case model.ServiceDocument():
+                self.services[document.name] = model.service(document)
+            case model.WorkspaceDocument():
+                self.workspaces.add(document.name)
+            case model.RunnerDocument():
+                self._remove(name)
+                runner = model.runner(document)
+                self.runners[runner.name] = runner
+                self.runners_by_service.setdefault(runner.service, {})[
+                    runner.name
+                ] = runner
+
+    def _remove(self, name: str) -> None:
+        kind, _, rest = name.partition('/')
+        match kind:
+            case 'class':
+                self.classes.pop(rest, None)
+            case 'pipeline':
+                self.pipelines.pop(rest, None)
+            case 'service':
+                self.services.pop(rest, None)
+            case 'workspace':
+                self.workspaces.discard(rest)
+            case 'runner':
+                runner = self.runners.pop(rest, None)
+                if runner is not None:
+                    self.runners_by_service[runner.service].pop(rest, None)
+
+
+DRAINING_SIGN = json.dumps({'draining': True})
+SERVING_SIGN = json.dumps({'draining': False})
+
+
+def runner_sign(
+    runner: str, draining: bool, state_version: int
+) -> model.StoredObject:
+    """Return the replicated object for a runner's own word on draining."""
+    value = DRAINING_SIGN if draining else SERVING_SIGN
+    return model.StoredObject(SIGN_PREFIX + runner, state_version, value)
--- /dev/null
+++ b/libs/ragwort_state/ragwort_state/_replica.py
@@ -0,0 +1,107 @@
+"""Replica of versioned objects in which no version ever falls."""
+
+from collections.abc import Iterable
+
+import ragwort_model as model
+from ragwort_state import _catalog
+
+BUCKET_COUNT = 64
+TOMBSTONE_RETENTION_S = 24 * 3600.0
+_HASH_MASK = (1 << 63) - 1
+
+
+def _bucket_of(name: str) -> int:
+    return model.stable_hash('bucket', name) % BUCKET_COUNT
+
+
+def _object_hash(name: str, version: int) -> int:
+    return model.stable_hash(name, str(version)) & _HASH_MASK
+
+
+class Replica:
+    """Keep the highest version seen of each object, from any source."""
+
+    def __init__(self) -> None:
+        """Start empty; synced tells whether a full state was merged."""
+        self.objects: dict[str, model.StoredObject] = {}
+        self.catalog = _catalog.Catalog()
+        self.adopted_at: dict[str, float] = {}
+        self.hashes = [0] * BUCKET_COUNT
+        self.names: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
+        self.synced = False
+
+    def merge(
+        self, objects: Iterable[model.StoredObject], now: float
+    ) -> list[model.StoredObject]:
+        """Adopt newer versions and return those that were adopted."""
+        return [item for item in objects if self._adopt(item, now)]
+
+    def _adopt(self, item: model.StoredObject, now: float) -> bool:
+        known = self.objects.get(item.name)
+        if known is not None and known.version >= item.version:
+            return False
+        bucket = _bucket_of(item.name)
+        if known is not None:
+            self.hashes[bucket] ^= _object_hash(known.name, known.version)
+        self.hashes[bucket] ^= _object_hash(item.name, item.version)
+        self.names[bucket].add(item.name)
+        self.objects[item.name] = item
+        self.adopted_at[item.name] = now
+        self.catalog.apply(item)
+        return True
+
+    def merge_list(
+        self, objects: Iterable[model.StoredObject], revision: int, now: float
+    ) -> list[model.StoredObject]:
+        """Adopt a full list read at revision, deletions included.
+
+        An object missing from the list was deleted at or before revision
+        unless its version is higher.
+        """
+        listed = list(objects)
+        names = {item.name for item in listed}
+        deleted = [
+            model.StoredObject(item.name, revision, None)
+            for item in self.objects.values()
+            if item.name.startswith(_catalog.CONFIG_PREFIX)
+            and item.name not in names
+            and item.value is not None
+            and item.version < revision
+        ]
+        return self.merge(listed + deleted, now)
+
+    def drop_old_tombstones(self, now: float) -> None:
+        """Forget deletions that every node has long seen."""
+        for item in list(self.objects.values()):
+            age = now - self.adopted_at[item.name]
+            if item.value is None and age > TOMBSTONE_RETENTION_S:
+                self._forget(item)
+
+    def _forget(self, item: model.StoredObject) -> None:
+        bucket = _bucket_of(item.name)
+        self.hashes[bucket] ^= _object_hash(item.name, item.version)
+        self.names[bucket].discard(item.name)
+        del self.objects[item.name]
+        del self.adopted_at[item.name]
+
+    def root(self) -> int:
+        """Return a hash over all names and versions."""
+        return model.stable_hash(*map(str, self.hashes)) & _HASH_MASK
+
+    def versions(self, buckets: Iterable[int]) -> list[model.ObjectVersion]:
+        """Return names and versions of the objects in the buckets."""
+        return [
+            model.ObjectVersion(name, self.objects[name].version)
+            for bucket in buckets
+            for name in sorted(self.names[bucket])
+        ]
+
+    def differing_buckets(self, hashes: list[int]) -> list[int]:
+        """Return the buckets whose hash is not the given one."""
+        return [
+            index
+            for index, (mine, other) in enumerate(
+                zip(self.hashes, hashes, strict=False)
+            )
+            if mine != other
+        ]
--- /dev/null
+++ b/libs/ragwort_state/ragwort_state/_targets.py
@@ -0,0 +1,56 @@
+"""Changing a target while other operators change it too."""
+
+import dataclasses
+import json
+
+import ragwort_model as model
+
+TARGET_FIELDS = ('attainment', 'deadline_s', 'cost')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetChange:
+    """Fields that an operator sets, and the values it started from."""
+
+    class_of_work: str
+    operator: str
+    operation_id: str
+    base: dict[str, float]
+    wanted: dict[str, float]
+
+
+def target_of(value: str) -> dict[str, float]:
+    """Return the target fields of a stored class of work."""
+    target = json.loads(value)['target']
+    return {field: target[field] for field in TARGET_FIELDS}
+
+
+def apply_change(change: TargetChange, value: str) -> str:
+    """Return the stored class of work with the change merged in.
+
+    Raises TargetConflictError if a field that the change sets was set to
+    something else since base, and ConfigurationError if the merged
+    document is not valid.
+    """
+    document = json.loads(value)
+    current = document['target']
+    for field, wanted in change.wanted.items():
+        moved = current[field] != change.base[field]
+        if moved and current[field] != wanted:
+            raise model.TargetConflictError(
+                f'{change.class_of_work}: {field} was {change.base[field]}, '
+                f'{document.get("changed_by") or "another operator"} set it '
+                f'to {current[field]}, and you want {wanted}; look at the '
+                'present target and decide again'
+            )
+    document['target'] = current | change.wanted
+    document['changed_by'] = change.operator
+    document['operation_id'] = change.operation_id
+    merged = json.dumps(document, sort_keys=True)
+    model.parse_document(f'class/{change.class_of_work}', merged)
+    return merged
+
+
+def is_applied(change: TargetChange, value: str) -> bool:
+    """Tell whether the stored object carries this very change."""
+    return bool(json.loads(value).get('operation_id') == change.operation_id)
--- /dev/null
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -0,0 +1,98 @@
+"""Reading the store: a few watchers, seldom polls by everybody else."""
+
+import random
+
+import ragwort_model as model
+from ragwort_state import _catalog
+from ragwort_state import _replica
+
+LIST_OP = 'config:list'
+WATCH_OP = 'config:watch'
+WATCH_WAIT_S = 20.0
+POLL_INTERVAL_S = 60.0
+PEER_GRACE_S = 2.0
+COLD_LIST_JITTER_S = 3.0
+MIN_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 5.0
+
+
+class Watcher:
+    """Decide when to list, watch or poll the store.
+
+    An elected watcher keeps one watch open. Others list only if no peer
+    brought them a full state, and poll seldom.
+    """
+
+    def __init__(
+        self, replica: _replica.Replica, rng: random.Random, now: float
+    ) -> None:
+        """Start with nothing read."""
+        self.replica = replica
+        self.rng = rng
+        self.started_at = now
+        self.revision = 0
+        self.listed = False
+        self.open_op: str | None = None
+        self.backoff_s = MIN_BACKOFF_S
+        self.not_before = now
+        self.cold_list_at = (
+            now + PEER_GRACE_S + rng.uniform(0, COLD_LIST_JITTER_S)
+        )
+        self.next_poll = now + self._poll_delay()
+
+    def _poll_delay(self) -> float:
+        return POLL_INTERVAL_S * self.rng.uniform(0.75, 1.25)
+
+    def tick(self, now: float, elected: bool) -> list[model.StoreCall]:
+        """Return the store call due now, if any."""
+        if self.listed and now >= self.started_at + PEER_GRACE_S:
+            self.replica.synced = True
+        if self.open_op is not None or now < self.not_before:
+            return []
+        if elected:
+            return [self._watch(WATCH_WAIT_S) if self.listed else self._list()]
+        if not self.replica.synced and now >= self.cold_list_at:
+            return [] if self.listed else [self._list()]
+        if self.replica.synced and now >= self.next_poll:
+            self.next_poll = now + self._poll_delay()
+            return [self._watch(0.0) if self.listed else self._list()]
+        return []
+
+    def _list(self) -> model.StoreCall:
+        self.open_op = LIST_OP
+        return model.StoreCall(
+            LIST_OP, model.StoreVerb.LIST, _catalog.CONFIG_PREFIX
+        )
+
+    def _watch(self, wait_s: float) -> model.StoreCall:
+        self.open_op = WATCH_OP
+        return model.StoreCall(
+            WATCH_OP,
+            model.StoreVerb.WATCH,
+            _catalog.CONFIG_PREFIX,
+            since=self.revision,
+            wait_s=wait_s,
+        )
+
+    def result(
+        self, result: model.StoreResult, now: float
+    ) -> list[model.StoredObject]:
+        """Merge what a call brought and return the objects adopted."""
+        self.open_op = None
+        if result.status == model.StoreStatus.GONE:
+            self.listed = False
+            return []
+        if result.status != model.StoreStatus.OK:
+            self.not_before = now + self.backoff_s * self.rng.uniform(0.5, 1)
+            self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
+            return []
+        self.backoff_s = MIN_BACKOFF_S
+        if result.op == LIST_OP:
+            self.listed = True
+            adopted = self.replica.merge_list(
+                result.objects, result.revision, now
+            )
+        else:
+            adopted = self.replica.merge(result.objects, now)
+        self.revision = max(self.revision, result.revision)
+        return adopted
--- /dev/null
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -0,0 +1,79 @@
+"""Codecs between nodes and towards callers, runners and the platform."""
+
+from ragwort_wire._caller_http import AddressesRecord
+from ragwort_wire._caller_http import AnswerRecord
+from ragwort_wire._caller_http import decode_addresses
+from ragwort_wire._caller_http import encode_json
+from ragwort_wire._caller_http import EntryRecord
+from ragwort_wire._caller_http import parse_request
+from ragwort_wire._caller_http import Problem
+from ragwort_wire._caller_http import PROBLEM_TYPE
+from ragwort_wire._caller_http import RequestBody
+from ragwort_wire._caller_http import STREAM_TYPE
+from ragwort_wire._peer_codec import decode_peer
+from ragwort_wire._peer_codec import encode_peer
+from ragwort_wire._peer_codec import MAX_FRAME_BYTES
+from ragwort_wire._peer_codec import PeerFrame
+from ragwort_wire._peer_codec import WIRE_VERSION
+from ragwort_wire._platform_http import CODE_OF_STATUS
+from ragwort_wire._platform_http import decode_store_result
+from ragwort_wire._platform_http import decode_write
+from ragwort_wire._platform_http import encode_store_result
+from ragwort_wire._platform_http import encode_write
+from ragwort_wire._platform_http import UNAVAILABLE_CODE
+from ragwort_wire._platform_http import WriteRecord
+from ragwort_wire._runner_http import CallRecord
+from ragwort_wire._runner_http import decode_call
+from ragwort_wire._runner_http import decode_result
+from ragwort_wire._runner_http import encode_call
+from ragwort_wire._runner_http import encode_result
+from ragwort_wire._runner_http import LoadRecord
+from ragwort_wire._runner_http import result_event
+from ragwort_wire._runner_http import ResultAlive
+from ragwort_wire._runner_http import ResultChunk
+from ragwort_wire._runner_http import ResultEnd
+from ragwort_wire._runner_http import ResultError
+from ragwort_wire._runner_http import ResultRecord
+from ragwort_wire._runner_http import ResultRefused
+from ragwort_wire._stream import decode_event
+from ragwort_wire._stream import encode_event
+
+__all__ = [
+    'AddressesRecord',
+    'AnswerRecord',
+    'CallRecord',
+    'CODE_OF_STATUS',
+    'decode_addresses',
+    'decode_call',
+    'decode_event',
+    'decode_peer',
+    'decode_result',
+    'decode_store_result',
+    'decode_write',
+    'encode_call',
+    'encode_event',
+    'encode_json',
+    'encode_peer',
+    'encode_result',
+    'encode_store_result',
+    'encode_write',
+    'EntryRecord',
+    'LoadRecord',
+    'MAX_FRAME_BYTES',
+    'parse_request',
+    'PeerFrame',
+    'Problem',
+    'PROBLEM_TYPE',
+    'RequestBody',
+    'result_event',
+    'ResultAlive',
+    'ResultChunk',
+    'ResultEnd',
+    'ResultError',
+    'ResultRecord',
+    'ResultRefused',
+    'STREAM_TYPE',
+    'UNAVAILABLE_CODE',
+    'WIRE_VERSION',
+    'WriteRecord',
+]
--- /dev/null
+++ b/libs/ragwort_wire/ragwort_wire/_platform_http.py
@@ -0,0 +1,78 @@
+"""Records of the platform's object API."""
+
+import msgspec
+
+import ragwort_model as model
+
+
+class ObjectRecord(msgspec.Struct):
+    """An object; value is null once deleted."""
+
+    name: str
+    version: int
+    value: str | None = None
+
+
+class WriteRecord(msgspec.Struct):
+    """Body of PUT /v1/objects/NAME."""
+
+    value: str
+    expected_version: int
+
+
+class ObjectsRecord(msgspec.Struct):
+    """Answer to a call: objects and the revision they were read at."""
+
+    objects: list[ObjectRecord]
+    revision: int
+
+
+_STATUS_OF_CODE = {
+    200: model.StoreStatus.OK,
+    404: model.StoreStatus.NOT_FOUND,
+    409: model.StoreStatus.CONFLICT,
+    410: model.StoreStatus.GONE,
+    429: model.StoreStatus.RATE_LIMITED,
+}
+CODE_OF_STATUS = {status: code for code, status in _STATUS_OF_CODE.items()}
+UNAVAILABLE_CODE = 503
+
+
+def encode_store_result(result: model.StoreResult) -> bytes:
+    """Return the body of an answer of the object API."""
+    return msgspec.json.encode(
+        ObjectsRecord(
+            [ObjectRecord(o.name, o.version, o.value) for o in result.objects],
+            result.revision,
+        )
+    )
+
+
+def decode_store_result(op: str, code: int, body: bytes) -> model.StoreResult:
+    """Return the result of the call op; damaged answers are UNAVAILABLE."""
+    status = _STATUS_OF_CODE.get(code, model.StoreStatus.UNAVAILABLE)
+    if status == model.StoreStatus.UNAVAILABLE:
+        return model.StoreResult(op, status)
+    try:
+        record = msgspec.json.decode(body, type=ObjectsRecord)
+    except (msgspec.MsgspecError, ValueError):
+        return model.StoreResult(op, model.StoreStatus.UNAVAILABLE)
+    objects = tuple(
+        model.StoredObject(o.name, o.version, o.value) for o in record.objects
+    )
+    return model.StoreResult(op, status, objects, record.revision)
+
+
+def encode_write(call: model.StoreCall) -> bytes:
+    """Return the body of a conditional write."""
+    return msgspec.json.encode(
+        WriteRecord(call.value or '', call.expected_version)
+    )
+
+
+def decode_write(body: bytes) -> WriteRecord:
+    """Return the write of a body; raise WireError if it is not one."""
+    try:
+        return msgspec.json.decode(body, type=WriteRecord)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged write: {error}') from None
--- /dev/null
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -0,0 +1,169 @@
+"""Records between nodes and runners: calls, result lines, orders."""
+
+import msgspec
+
+import ragwort_model as model
+
+
+class CallRecord(msgspec.Struct):
+    """Body of POST /v1/calls; deadline_ms is what remains of it."""
+
+    attempt: str
+    service: str
+    input: str
+    deadline_ms: int
+    priority: int
+    resume_from: int = 0
+    prior: str = ''
+
+
+class LoadRecord(msgspec.Struct):
+    """Load as a runner reports it."""
+
+    running: int
+    queued: int
+    slots: int
+    age_s: float
+    draining: bool
+    state_version: int
+
+
+class ResultChunk(msgspec.Struct, tag='chunk', tag_field='type'):
+    """Part seq of a stage result."""
+
+    attempt: str
+    seq: int
+    data: str
+
+
+class ResultAlive(msgspec.Struct, tag='heartbeat', tag_field='type'):
+    """The call is queued or running."""
+
+    attempt: str
+
+
+class ResultEnd(msgspec.Struct, tag='end', tag_field='type'):
+    """End of a stage result."""
+
+    attempt: str
+    count: int
+    digest: str
+    busy_s: float
+    load: LoadRecord
+
+
+class ResultRefused(msgspec.Struct, tag='refused', tag_field='type'):
+    """The call was not run: overloaded or draining."""
+
+    attempt: str
+    reason: str
+    load: LoadRecord
+
+
+class ResultError(msgspec.Struct, tag='error', tag_field='type'):
+    """The call was run and failed."""
+
+    attempt: str
+    reason: str
+
+
+ResultRecord = (
+    ResultChunk | ResultAlive | ResultEnd | ResultRefused | ResultError
+)
+
+_ENCODER = msgspec.json.Encoder()
+_RESULTS = msgspec.json.Decoder(ResultRecord)
+_CALLS = msgspec.json.Decoder(CallRecord)
+
+
+def encode_call(call: model.StageCall) -> bytes:
+    """Return the body of a call."""
+    return _ENCODER.encode(
+        CallRecord(
+            str(call.attempt),
+            call.service,
+            call.input,
+            int(call.deadline_s * 1000),
+            call.priority,
+            call.resume_from,
+            call.prior,
+        )
+    )
+
+
+def decode_call(body: bytes) -> CallRecord:
+    """Return the call of a body; raise WireError if it is not one."""
+    try:
+        return _CALLS.decode(body)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged call: {error}') from None
+
+
+def encode_result(record: ResultRecord) -> bytes:
+    """Return one line of a result with its line end."""
+    return _ENCODER.encode(record) + b'\n'
+
+
+def decode_result(line: bytes) -> ResultRecord:
+    """Return the record of one line; raise WireError if it is not one."""
+    try:
+        return _RESULTS.decode(line)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged result line: {error}') from None
+
+
+def load_report(record: LoadRecord) -> model.LoadReport:
+    """Return the data class for a load record."""
+    return model.LoadReport(
+        record.running,
+        record.queued,
+        record.slots,
+        record.age_s,
+        record.draining,
+        record.state_version,
+    )
+
+
+def result_event(
+    attempt: model.AttemptId, record: ResultRecord
+) -> model.StageChunk | model.StageAlive | model.StageEnd | model.StageFailed:
+    """Return the event that a record means for the call named attempt."""
+    match record:
+        case ResultChunk():
+            return model.StageChunk(
+                attempt, record.attempt, record.seq, record.data
+            )
+        case ResultAlive():
+            return model.StageAlive(attempt)
+        case ResultEnd():
+            return model.StageEnd(
+                attempt,
+                record.attempt,
+                record.count,
+                record.digest,
+                record.busy_s,
+                load_report(record.load),
+            )
+        case ResultRefused():
+            return _refusal(attempt, record)
+        case ResultError():
+            return model.StageFailed(
+                attempt, model.CallFailure.FAILED, record.reason
+            )
+
+
+def _refusal(
+    attempt: model.AttemptId, record: ResultRefused
+) -> model.StageFailed:
+    # A refusal proves nothing about a call other than the one it names.
+    if record.attempt != str(attempt):
+        return model.StageFailed(
+            attempt, model.CallFailure.PROTOCOL, 'refusal of another call'
+        )
+    draining = record.load.draining
+    failure = (
+        model.CallFailure.REFUSED if draining else model.CallFailure.OVERLOADED
+    )
+    return model.StageFailed(
+        attempt, failure, record.reason, load_report(record.load)
+    )
--- /dev/null
+++ b/libs/ragwort_wire/ragwort_wire/_stream.py
@@ -0,0 +1,93 @@
+"""Records of the answer stream towards callers, one JSON line each."""
+
+import msgspec
+
+import ragwort_model as model
+
+
+class AcceptedRecord(msgspec.Struct, tag='accepted', tag_field='type'):
+    """The request was taken by host."""
+
+    key: str
+    host: str
+
+
+class ChunkRecord(msgspec.Struct, tag='chunk', tag_field='type'):
+    """Part seq of the answer."""
+
+    seq: int
+    data: str
+
+
+class HeartbeatRecord(msgspec.Struct, tag='heartbeat', tag_field='type'):
+    """Sign of life."""
+
+
+class EndRecord(
+    msgspec.Struct, tag='end', tag_field='type', omit_defaults=True
+):
+    """Outcome, number of chunks and digest over all of them."""
+
+    key: str
+    outcome: str
+    count: int
+    digest: str
+    reason: str = ''
+    retry_after_s: float | None = None
+
+
+StreamRecord = AcceptedRecord | ChunkRecord | HeartbeatRecord | EndRecord
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(StreamRecord)
+
+
+def encode_event(event: model.CallerEvent) -> bytes:
+    """Return an event as JSON without a line end."""
+    return _ENCODER.encode(_record(event))
+
+
+def decode_event(line: bytes | str) -> model.CallerEvent:
+    """Return the event of one line; raise WireError if it is not one."""
+    try:
+        return _event(_DECODER.decode(line))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged stream record: {error}') from None
+
+
+def _record(event: model.CallerEvent) -> StreamRecord:
+    match event:
+        case model.Chunk():
+            return ChunkRecord(event.seq, event.data)
+        case model.Accepted():
+            return AcceptedRecord(event.key, event.host)
+        case model.Heartbeat():
+            return HeartbeatRecord()
+        case model.End():
+            return EndRecord(
+                event.key,
+                event.outcome.value,
+                event.count,
+                event.digest,
+                event.reason,
+                event.retry_after_s,
+            )
+
+
+def _event(record: StreamRecord) -> model.CallerEvent:
+    match record:
+        case ChunkRecord():
+            return model.Chunk(record.seq, record.data)
+        case AcceptedRecord():
+            return model.Accepted(record.key, record.host)
+        case HeartbeatRecord():
+            return model.Heartbeat()
+        case EndRecord():
+            return model.End(
+                record.key,
+                model.Outcome(record.outcome),
+                record.count,
+                record.digest,
+                record.reason,
+                record.retry_after_s,
+            )
--- /dev/null
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -0,0 +1,114 @@
+// Messages between nodes. Field numbers are never reused; unknown fields
+// are ignored, so that nodes of two versions can talk to each other.
+
+struct MemberUpdate {
+  1: string name
+  2: i64 incarnation
+  3: i32 status
+  4: string caller_address
+  5: string peer_address
+  6: string failure_domain
+  7: string region
+  8: bool accepting
+}
+
+struct Ping {
+  1: i64 sequence
+  2: double wall
+  3: list<MemberUpdate> updates
+}
+
+struct Ack {
+  1: i64 sequence
+  2: double wall
+  3: list<MemberUpdate> updates
+}
+
+struct IndirectPing {
+  1: i64 sequence
+  2: string target
+  3: list<MemberUpdate> updates
+}
+
+struct MemberSync {
+  1: list<MemberUpdate> members
+  2: bool reply
+}
+
+struct ObjectVersion {
+  1: string name
+  2: i64 version
+}
+
+struct StoredObject {
+  1: string name
+  2: i64 version
+  3: optional string value
+}
+
+struct StateDigest {
+  1: i64 root
+  2: list<i64> buckets
+}
+
+struct StateVersions {
+  1: list<i32> buckets
+  2: list<ObjectVersion> versions
+}
+
+struct StateWant {
+  1: list<string> names
+}
+
+struct StatePush {
+  1: list<StoredObject> objects
+  2: bool synced
+}
+
+struct Claim {
+  1: string key
+  2: string workspace
+  3: string body_digest
+  4: string host
+  5: string nonce
+}
+
+struct ClaimForward {
+  1: Claim claim
+}
+
+struct ClaimReply {
+  1: string key
+  2: string nonce
+  3: i32 status
+  4: optional Claim standing
+}
+
+struct Follow {
+  1: string key
+  2: string token
+  3: i64 from_seq
+  4: string body_digest
+}
+
+struct FollowEvent {
+  1: string token
+  2: string event
+}
+
+struct Envelope {
+  1: i32 version
+  2: string sender
+  10: optional Ping ping
+  11: optional Ack ack
+  12: optional IndirectPing indirect_ping
+  13: optional MemberSync member_sync
+  14: optional StateDigest state_digest
+  15: optional StateVersions state_versions
+  16: optional StateWant state_want
+  17: optional StatePush state_push
+  18: optional ClaimForward claim_forward
+  19: optional ClaimReply claim_reply
+  20: optional Follow follow
+  21: optional FollowEvent follow_event
+}
