--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -235,15 +235,15 @@
         started_at = time.monotonic()
         ends_at = started_at + deadline_s + DEADLINE_MARGIN_S
         progress = _Progress(key, started_at, ends_at)
-        body = json.dumps(
-            {
-                'class_of_work': class_of_work,
-                'workspace': workspace,
-                'key': key,
-                'deadline_ms': max(1, int(deadline_s * 1000)),
-                'input': text,
-            }
-        ).encode()
+        body = wire.encode_json(
+            wire.CallerBody(
+                class_of_work,
+                workspace,
+                key,
+                max(1, int(deadline_s * 1000)),
+                text,
+            )
+        )
         while progress.end is None and progress.tries < MAX_TRIES:
             if time.monotonic() >= ends_at:
                 break
--- a/libs/ragwort_fakes/ragwort_fakes/_platform.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_platform.py
@@ -7,6 +7,7 @@
 
 HISTORY_LIMIT = 10_000
 BURST_S = 1.0
+STALE_REVISIONS = 25
 
 
 class PlatformFault(enum.StrEnum):
@@ -81,8 +82,16 @@
             return
         self.faults.add(fault)
         if fault == PlatformFault.STALE_LIST:
-            self.stale = dict(self.objects)
-            self.stale_revision = self.revision
+            self.stale_revision = max(0, self.revision - STALE_REVISIONS)
+            self.stale = self._as_of(self.stale_revision)
+
+    def _as_of(self, revision: int) -> dict[str, model.StoredObject]:
+        """Return the objects as they stood at an earlier revision."""
+        objects: dict[str, model.StoredObject] = {}
+        for item in self.history:
+            if item.version <= revision:
+                objects[item.name] = item
+        return {n: i for n, i in objects.items() if i.value is not None}
 
     def put(self, name: str, value: str | None) -> int:
         """Set an object from outside the API and return its version."""
--- a/libs/ragwort_wire/ragwort_wire/__init__.py
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -2,6 +2,7 @@
 
 from ragwort_wire._caller_http import AddressesRecord
 from ragwort_wire._caller_http import AnswerRecord
+from ragwort_wire._caller_http import CallerBody
 from ragwort_wire._caller_http import decode_addresses
 from ragwort_wire._caller_http import encode_json
 from ragwort_wire._caller_http import EntryRecord
@@ -41,6 +42,7 @@
 __all__ = [
     'AddressesRecord',
     'AnswerRecord',
+    'CallerBody',
     'CallRecord',
     'CODE_OF_STATUS',
     'decode_addresses',
--- a/libs/ragwort_wire/ragwort_wire/_caller_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_caller_http.py
@@ -28,6 +28,16 @@
     input: str = pydantic.Field(max_length=MAX_INPUT_CHARS)
 
 
+class CallerBody(msgspec.Struct):
+    """Body of POST /v1/requests as a caller writes it."""
+
+    class_of_work: str
+    workspace: str
+    key: str
+    deadline_ms: int
+    input: str
+
+
 class Problem(msgspec.Struct, omit_defaults=True):
     """Problem document of RFC 9457 with the outcome of the request."""
 
