Place runners under leases with fencing numbers

Cause: idle runners could not be let go, and nothing exercised leases. A keeper per service parks the most expensive idle runner by a configuration object, waits until every node has stopped using it, and only then orders it unloaded; orders are level-triggered, expire, and carry the store version of the lease's acquisition.

--- a/libs/ragwort_fakes/ragwort_fakes/__init__.py
+++ b/libs/ragwort_fakes/ragwort_fakes/__init__.py
@@ -6,7 +6,6 @@
 from ragwort_fakes._platform import PlatformFault
 from ragwort_fakes._platform import WatchAnswer
 from ragwort_fakes._platform_http import PlatformServer
-from ragwort_fakes._runner import Order
 from ragwort_fakes._runner import RunnerCore
 from ragwort_fakes._runner import RunnerFault
 from ragwort_fakes._runner import RunnerReply
@@ -30,7 +29,6 @@
     'HOULE_WORKSPACES',
     'named',
     'Objects',
-    'Order',
     'PIPELINES',
     'PlatformCore',
     'PlatformFault',
--- a/libs/ragwort_fakes/ragwort_fakes/_runner.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_runner.py
@@ -5,6 +5,7 @@
 import enum
 import heapq
 import itertools
+import math
 import random
 
 from ragwort_fakes import _content
@@ -53,6 +54,7 @@
     checks_fencing: bool = True
     report_lag_s: float = 0.0
     cached_prefixes: int = 0
+    load_s: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,15 +80,6 @@
     broken: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
-    """A placement order as a runner takes it."""
-
-    fencing: int
-    wanted: str
-    expires_at: float
-
-
 class RunnerCore:
     """Queue, slots, faults and the record of what was run."""
 
@@ -111,8 +104,8 @@
             collections.OrderedDict()
         )
         self.fencing = 0
-        self.orders: list[Order] = []
-        self.wanted = 'loaded'
+        self.orders: list[model.RunnerOrder] = []
+        self.loaded_at = -math.inf
         self.busy_s = 0.0
         self.crossing: list[wire.ResultRecord] = []
         self.report = wire.LoadRecord(0, 0, shape.slots, 0.0, False, 0)
@@ -141,17 +134,24 @@
         self.draining = False
         self.state_version = max(self.state_version + 1, int(now * 1000))
 
-    def order(self, order: Order, now: float) -> bool:
+    def order(self, order: model.RunnerOrder, now: float, wall: float) -> bool:
         """Take a placement order; return False if it is refused."""
-        if now > order.expires_at:
+        if wall > order.expires_wall:
             return False
         if self.shape.checks_fencing and order.fencing < self.fencing:
             return False
         self.fencing = max(self.fencing, order.fencing)
         self.orders.append(order)
-        self.wanted = order.wanted
+        if order.wanted == model.WantedState.UNLOADED:
+            self.loaded_at = math.inf
+        elif math.isinf(self.loaded_at):
+            self.loaded_at = now + self.shape.load_s
         return True
 
+    def is_loaded(self, now: float) -> bool:
+        """Tell whether the weights are there."""
+        return now >= self.loaded_at
+
     def load(self, now: float) -> wire.LoadRecord:
         """Return a load report, which lags by the shape's report_lag_s."""
         if now - self.report_at >= self.shape.report_lag_s:
@@ -172,6 +172,7 @@
             now - self.report_at,
             self.draining,
             self.state_version,
+            self.is_loaded(now),
         )
 
     def submit(
@@ -184,9 +185,10 @@
             self.silent.add(connection)
             return []
         full = len(self.waiting) >= QUEUE_PER_SLOT * self.shape.slots
-        refused = self.draining or self._hits(RunnerFault.REFUSE)
+        unloaded = not self.is_loaded(now)
+        refused = self.draining or self._hits(RunnerFault.REFUSE) or unloaded
         if refused or full:
-            reason = 'draining' if self.draining else 'queue full'
+            reason = self._refusal_reason(unloaded)
             refusal = wire.ResultRefused(
                 record.attempt, reason, self.load(now)
             )
@@ -197,6 +199,11 @@
         self._at(now + HEARTBEAT_S, 'alive', record.attempt)
         return self._start_waiting(now)
 
+    def _refusal_reason(self, unloaded: bool) -> str:
+        if self.draining:
+            return 'draining'
+        return 'not loaded' if unloaded else 'queue full'
+
     def _at(self, due: float, kind: str, attempt: str) -> None:
         heapq.heappush(self.events, (due, next(self.counter), kind, attempt))
 
--- a/libs/ragwort_fakes/ragwort_fakes/_runner_http.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_runner_http.py
@@ -205,16 +205,15 @@
     """POST of a placement order; 409 if its fencing number is too old."""
 
     def render_POST(self, request: server.Request) -> bytes:  # noqa: N802
-        body = json.loads(request.content.read())
-        now = time.monotonic()
-        order = _runner.Order(
-            int(body['fencing']),
-            str(body['wanted']),
-            now + float(body['valid_s']),
-        )
-        if not self.runner.core.order(order, now):
+        try:
+            order = wire.decode_order(request.content.read())
+        except model.WireError as error:
+            request.setResponseCode(400)
+            return str(error).encode()
+        core = self.runner.core
+        if not core.order(order, time.monotonic(), time.time()):
             request.setResponseCode(409)
-            return b'{"error": "fencing number too old"}'
+            return b'{"error": "fencing number or expiry too old"}'
         return b'{}'
 
 
--- a/libs/ragwort_lab/ragwort_lab/_faults.py
+++ b/libs/ragwort_lab/ragwort_lab/_faults.py
@@ -11,6 +11,8 @@
 
 Heal = Callable[[], None]
 
+ORDER_DELAY_S = 30.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Victim:
@@ -254,3 +256,14 @@
     world.kill(victim.node)
     world.after(0.5, lambda: world.restart(victim.node))
     return lambda: world.platform.set_fault(fakes.PlatformFault.DOWN, False)
+
+
+@fault('orders-delayed')
+def delay_orders(world: _world.World, victim: Victim) -> Heal:
+    """Let the node's orders to runners arrive very late."""
+    world.order_delays[victim.node] = ORDER_DELAY_S
+
+    def heal() -> None:
+        world.order_delays.pop(victim.node, None)
+
+    return heal
--- a/libs/ragwort_lab/ragwort_lab/_invariants.py
+++ b/libs/ragwort_lab/ragwort_lab/_invariants.py
@@ -219,3 +219,9 @@
                     f'the store at {version}'
                 )
     return found[:5]
+
+
+@invariant('fenced-orders')
+def check_orders(world: _world.World) -> list[str]:
+    """No runner obeyed an older holder after a newer one."""
+    return list(world.trace.order_violations)
--- a/libs/ragwort_lab/ragwort_lab/_matrix.py
+++ b/libs/ragwort_lab/ragwort_lab/_matrix.py
@@ -17,10 +17,13 @@
 from ragwort_lab import _world
 import ragwort_model as model
 import ragwort_node as node
+import ragwort_state as state
 
 READY_S = 5.0
 STRIKE_LIMIT_S = 4.0
 FAULT_S = 4.0
+LEASE_STRIKE_LIMIT_S = 40.0
+LEASE_FAULT_S = 14.0
 TAIL_S = 14.0
 SETTLE_S = 10.0
 PROBE_GAP_S = 0.2
@@ -99,6 +102,12 @@
                 isinstance(effect, node.Timing)
                 and effect.name == f'stage.{service}'
             )
+        case 'lease':
+            return isinstance(
+                effect, model.StoreCall
+            ) and effect.op.startswith(state.LEASE_OP)
+        case 'order':
+            return isinstance(effect, model.SendOrder)
         case 'stream':
             return (
                 isinstance(effect, model.AnswerCaller)
@@ -118,7 +127,10 @@
     *(f'reply:{service}' for service in SERVICES),
     'stream',
     'configuration',
+    'lease',
+    'order',
 )
+LEASE_STEPS = frozenset({'lease', 'order'})
 
 
 class CaseRun:
@@ -137,6 +149,11 @@
         self.target_key = ''
         self.resumes: dict[str, int] = {}
         self.healed_at = 0.0
+        on_lease = case.step in LEASE_STEPS
+        self.fault_s = LEASE_FAULT_S if on_lease else FAULT_S
+        self.strike_limit_s = (
+            LEASE_STRIKE_LIMIT_S if on_lease else STRIKE_LIMIT_S
+        )
         self.probes: list[Probe] = []
 
     def run(self) -> CaseResult:
@@ -145,11 +162,11 @@
         world.run_until(READY_S)
         world.hooks.append(self._watch_step)
         self._plan_traffic()
-        world.run_for(STRIKE_LIMIT_S)
+        self._run_to_strike()
         if not self.struck:
             self._strike('')
         self._plan_probes()
-        world.run_for(FAULT_S + TAIL_S + SETTLE_S)
+        world.run_for(self.fault_s + TAIL_S + SETTLE_S)
         world.settled = True
         found = _invariants.violations(world)
         recovery_s = self._recovery_s()
@@ -157,9 +174,17 @@
             found.append('recovery: requests still fail after the faults')
         return CaseResult(self.case, self.struck, tuple(found), recovery_s)
 
+    def _run_to_strike(self) -> None:
+        """Run until the fault has struck, a while at the least."""
+        world = self.world
+        limit = world.now + self.strike_limit_s
+        world.run_for(STRIKE_LIMIT_S)
+        while not self.struck and world.now < limit:
+            world.run_for(PROBE_GAP_S)
+
     def _plan_probes(self) -> None:
         """Send requests all the time, to see when service is back."""
-        count = int((FAULT_S + TAIL_S) / PROBE_GAP_S)
+        count = int((self.fault_s + TAIL_S) / PROBE_GAP_S)
         for index in range(count):
             probe = Probe(CLASSES[index % len(CLASSES)], f'probe {index}')
             self.probes.append(probe)
@@ -283,8 +308,8 @@
             for name in self.case.faults
         ]
         for heal in heals:
-            self.world.after(FAULT_S, heal)
-        self.healed_at = self.world.now + FAULT_S
+            self.world.after(self.fault_s, heal)
+        self.healed_at = self.world.now + self.fault_s
 
     def _step_service(self) -> str:
         service = self.case.step.partition(':')[2]
--- a/libs/ragwort_lab/ragwort_lab/_mutations.py
+++ b/libs/ragwort_lab/ragwort_lab/_mutations.py
@@ -193,3 +193,10 @@
         mock.patch.object(membership, 'elected', lambda *_: False),
     ):
         yield
+
+
+@mutation('fenced-orders', ('orders-delayed', 'node-paused'), 'order')
+def let_orders_live() -> Iterator[None]:
+    """Give orders no expiry, so that a late one is still obeyed."""
+    with mock.patch.object(state, 'ORDER_EXPIRY_S', 1000.0):
+        yield
--- a/libs/ragwort_lab/ragwort_lab/_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_world.py
@@ -127,6 +127,7 @@
         self.pauses: list[tuple[str, float]] = []
         self.resumed_at: dict[str, float] = {}
         self.settled = False
+        self.order_delays: dict[str, float] = {}
         shapes = runners or default_runners(shape)
         self.runners = {
             name: RunnerSlot(
@@ -360,6 +361,10 @@
                     self._cancel_later(effect)
                 case model.StoreCall():
                     self._call_store(name, slot, effect)
+                case model.ReadLoad():
+                    self._read_load(name, slot, effect)
+                case model.SendOrder():
+                    self._send_order(name, effect)
                 case model.AnswerCaller():
                     self._answer(effect)
                 case node.RefuseCaller():
@@ -505,6 +510,46 @@
             replies = runner.core.cancel(attempt, self.now)
             self._send_replies(runner.core.name, replies)
 
+    def _read_load(
+        self, name: str, slot: NodeSlot, effect: model.ReadLoad
+    ) -> None:
+        runner = self.runners[effect.runner.name]
+        report = None
+        if runner.alive:
+            record = runner.core.load(self.now)
+            report = wire.decode_load(wire.encode_json(record))
+        event = model.LoadRead(effect.runner.name, report)
+        epoch = slot.epoch
+        self.after(
+            2 * RUNNER_DELAY_S,
+            lambda: self.on_node(
+                name, epoch, lambda s: s.core.on_load(event, self.clock(s))
+            ),
+        )
+
+    def _send_order(self, name: str, effect: model.SendOrder) -> None:
+        self.after(RUNNER_DELAY_S, lambda: self._arrive_order(name, effect))
+
+    def _arrive_order(self, name: str, effect: model.SendOrder) -> None:
+        delay_s = self.order_delays.get(name)
+        if delay_s is not None:
+            self.after(delay_s, lambda: self._obey(effect))
+        else:
+            self._obey(effect)
+
+    def _obey(self, effect: model.SendOrder) -> None:
+        runner = self.runners[effect.runner.name]
+        if not runner.alive:
+            return
+        core = runner.core
+        highest = max((o.fencing for o in core.orders), default=0)
+        obeyed = core.order(effect.order, self.now, self.wall())
+        if obeyed and effect.order.fencing < highest:
+            self.trace.order_violations.append(
+                f'{effect.runner.name} obeyed fencing '
+                f'{effect.order.fencing} after {highest}'
+            )
+
     def kill_runner(self, name: str) -> None:
         """End a runner at once; its open calls break off."""
         slot = self.runners[name]
@@ -731,5 +776,6 @@
                 shape.service_s,
                 deviation=shape.deviation,
                 report_lag_s=shape.report_lag_s,
+                checks_fencing=index % 2 == 1,
             )
     return shapes
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -9,6 +9,7 @@
 from ragwort_model._documents import Name
 from ragwort_model._documents import parse_document
 from ragwort_model._documents import PipelineDocument
+from ragwort_model._documents import PlacementDocument
 from ragwort_model._documents import runner
 from ragwort_model._documents import RunnerDocument
 from ragwort_model._documents import service
@@ -80,13 +81,18 @@
 from ragwort_model._stage import Chunk
 from ragwort_model._stage import End
 from ragwort_model._stage import Heartbeat
+from ragwort_model._stage import LoadRead
 from ragwort_model._stage import LoadReport
 from ragwort_model._stage import NOT_RUN_FAILURES
+from ragwort_model._stage import ReadLoad
+from ragwort_model._stage import RunnerOrder
+from ragwort_model._stage import SendOrder
 from ragwort_model._stage import StageAlive
 from ragwort_model._stage import StageCall
 from ragwort_model._stage import StageChunk
 from ragwort_model._stage import StageEnd
 from ragwort_model._stage import StageFailed
+from ragwort_model._stage import WantedState
 from ragwort_model._store import StoreCall
 from ragwort_model._store import StoredObject
 from ragwort_model._store import StoreResult
@@ -132,6 +138,7 @@
     'is_finite',
     'LimitSettings',
     'load_settings',
+    'LoadRead',
     'LoadReport',
     'MAX_DEADLINE_S',
     'MemberStatus',
@@ -152,8 +159,10 @@
     'Ping',
     'Pipeline',
     'PipelineDocument',
+    'PlacementDocument',
     'PlatformSettings',
     'RagwortError',
+    'ReadLoad',
     'rendezvous',
     'Request',
     'request_key_at',
@@ -162,8 +171,10 @@
     'Runner',
     'runner',
     'RunnerDocument',
+    'RunnerOrder',
     'RunnerSettings',
     'select_settings',
+    'SendOrder',
     'SendPeer',
     'Service',
     'service',
@@ -192,6 +203,7 @@
     'TargetConflictError',
     'TargetDocument',
     'VersionConflictError',
+    'WantedState',
     'WireError',
     'WorkspaceDocument',
 ]
--- a/libs/ragwort_model/ragwort_model/_documents.py
+++ b/libs/ragwort_model/ragwort_model/_documents.py
@@ -74,12 +74,21 @@
     state: _domain.HostState = _domain.HostState.LIVE
 
 
+class PlacementDocument(Document):
+    """Runners of a service that are kept out of use for now."""
+
+    name: Name
+    standby: list[Name] = pydantic.Field(default_factory=list)
+    fencing: int = pydantic.Field(default=0, ge=0)
+
+
 _DOCUMENTS: dict[str, type[Document]] = {
     'class': ClassDocument,
     'service': ServiceDocument,
     'pipeline': PipelineDocument,
     'workspace': WorkspaceDocument,
     'runner': RunnerDocument,
+    'placement': PlacementDocument,
 }
 
 
--- a/libs/ragwort_model/ragwort_model/_stage.py
+++ b/libs/ragwort_model/ragwort_model/_stage.py
@@ -41,6 +41,7 @@
     age_s: float
     draining: bool
     state_version: int
+    loaded: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +76,49 @@
     attempt: _ids.AttemptId
 
 
+class WantedState(enum.StrEnum):
+    """What an order wants a runner to be."""
+
+    LOADED = 'loaded'
+    UNLOADED = 'unloaded'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerOrder:
+    """A wanted state, repeated until it is read back.
+
+    fencing orders the holders of the lease; expires_wall is the time of
+    day in seconds after which the order must not be obeyed.
+    """
+
+    fencing: int
+    wanted: WantedState
+    expires_wall: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrder:
+    """Effect: send an order to a runner; its effect is read back."""
+
+    runner: _domain.Runner
+    order: RunnerOrder
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadLoad:
+    """Effect: ask a runner for its load report."""
+
+    runner: _domain.Runner
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadRead:
+    """Event: the answer to ReadLoad, None if there was none."""
+
+    runner: str
+    report: LoadReport | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageChunk:
     """Event: one chunk as read from a runner, echo still unchecked."""
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -13,6 +13,7 @@
 from ragwort_node import _engine
 from ragwort_node import _execution
 from ragwort_node import _options
+from ragwort_node import _placement
 from ragwort_node import _relays
 import ragwort_policy as policy
 import ragwort_state as state
@@ -100,6 +101,7 @@
         self.control = _control.ControlPlane(options, rng, now, wall)
         self.dispatcher = _dispatcher.Dispatcher(options, self.control, rng)
         self.engine = _engine.Engine(self.dispatcher, rng, self.out)
+        self.keepers: dict[str, _placement.PlacementKeeper] = {}
         self.relays = _relays.RelayTable(options.host.name, self.out)
         self.state = NodeState.STARTING
         self.accept_until = 0.0
@@ -137,6 +139,7 @@
         if now >= self.next_tick:
             self.next_tick = now + _control.TICK_S
             self._run_control(self.control.tick(now, wall), now)
+            self._tick_placement(now, wall)
             self._note_changes(now)
             self._update_state(now)
             self.engine.heartbeats(now)
@@ -146,6 +149,44 @@
                 self.engine.pump(service, now)
         return self._flush()
 
+    def _tick_placement(self, now: float, wall: float) -> None:
+        """Look after the placement of the services assigned to this node."""
+        if self.state == NodeState.STARTING:
+            return
+        for service in self.control.catalog.services:
+            keeper = self.keepers.get(service)
+            if keeper is None:
+                keeper = _placement.PlacementKeeper(
+                    service, self.name, self.control.replica, self.rng
+                )
+                self.keepers[service] = keeper
+            role = f'placement/{service}'
+            wanted = membership.elected(self.control.members, role, 1, None)
+            shortfall = self._shortfall(service, now) if wanted else 0.0
+            self.out += keeper.tick(now, wall, wanted, shortfall)
+
+    def _shortfall(self, service: str, now: float) -> float:
+        """Return the largest shortfall of the classes that use a service."""
+        catalog = self.control.catalog
+        tracker = self.dispatcher.attainment
+        shortfalls = [
+            tracker.shortfall(work.target, work.name, now)
+            for work in catalog.classes.values()
+            if work.pipeline in catalog.pipelines
+            and service in catalog.pipelines[work.pipeline].stages
+        ]
+        return max(shortfalls, default=0.0)
+
+    def on_load(
+        self, event: model.LoadRead, now: float
+    ) -> list[_effects.Effect]:
+        """Take a load report that placement asked for."""
+        runner = self.control.catalog.runners.get(event.runner)
+        keeper = runner and self.keepers.get(runner.service)
+        if keeper:
+            keeper.on_load(event, now)
+        return self._flush()
+
     def _run_control(
         self, effects: list[_control.ControlEffect], now: float
     ) -> None:
@@ -526,6 +567,11 @@
         self, result: model.StoreResult, now: float
     ) -> list[_effects.Effect]:
         """Take the end of a store call."""
+        service = _placement.service_of(result.op)
+        if service is not None:
+            if service in self.keepers:
+                self.keepers[service].result(result, now)
+            return self._flush()
         self._run_control(self.control.on_store_result(result, now), now)
         return self._flush()
 
--- a/libs/ragwort_node/ragwort_node/_daemon.py
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -44,7 +44,9 @@
             self.wall(),
         )
         self.http = _http_client.HttpClient(reactor)
-        self.runners = _runner_client.RunnerClient(self.http, self._on_runner)
+        self.runners = _runner_client.RunnerClient(
+            reactor, self.http, self._on_runner, self._on_load
+        )
         self.store = _store_client.StoreClient(
             reactor, self.http, settings.platform, self._on_store
         )
@@ -148,6 +150,10 @@
                     self.peers.send(effect, self.now())
                 case model.StoreCall():
                     self.store.call(effect)
+                case model.SendOrder():
+                    self.runners.send_order(effect)
+                case model.ReadLoad():
+                    self.runners.read_load(effect)
                 case _effects.Decision():
                     _logs.log_decision(self.logger, effect)
                 case _effects.Count():
@@ -192,6 +198,9 @@
     def _on_runner(self, event: _runner_client.RunnerEvent) -> None:
         self.perform(self.core.on_runner(event, self.now()))
 
+    def _on_load(self, event: model.LoadRead) -> None:
+        self.perform(self.core.on_load(event, self.now()))
+
     def _on_store(self, result: model.StoreResult) -> None:
         self.perform(self.core.on_store(result, self.now()))
 
--- a/libs/ragwort_node/ragwort_node/_dispatcher.py
+++ b/libs/ragwort_node/ragwort_node/_dispatcher.py
@@ -111,6 +111,7 @@
             and state.runner.name in catalog.runners
             and catalog.runners[state.runner.name].state
             == model.HostState.LIVE
+            and not catalog.is_standby(state.runner)
         ]
 
     def typical_s(self, service: str, now: float) -> float:
--- a/libs/ragwort_node/ragwort_node/_effects.py
+++ b/libs/ragwort_node/ragwort_node/_effects.py
@@ -90,6 +90,8 @@
     | model.AnswerCaller
     | model.SendPeer
     | model.StoreCall
+    | model.SendOrder
+    | model.ReadLoad
     | Decision
     | Count
     | Timing
--- a/libs/ragwort_node/ragwort_node/_runner_client.py
+++ b/libs/ragwort_node/ragwort_node/_runner_client.py
@@ -1,15 +1,19 @@
 """Stage calls over HTTP."""
 
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet import defer
 from twisted.python import failure
+from twisted.web import client
 from twisted.web import iweb
 
 import ragwort_model as model
 from ragwort_node import _http_client
 import ragwort_wire as wire
 
+REPORT_TIMEOUT_S = 1.0
+
 RunnerEvent = (
     model.StageChunk | model.StageAlive | model.StageEnd | model.StageFailed
 )
@@ -73,15 +77,19 @@
 
 
 class RunnerClient:
-    """Carry out CallRunner and CancelCall."""
+    """Carry out CallRunner, CancelCall, ReadLoad and SendOrder."""
 
     def __init__(
         self,
+        reactor: Any,
         http: _http_client.HttpClient,
         on_event: Callable[[RunnerEvent], None],
+        on_load: Callable[[model.LoadRead], None],
     ) -> None:
-        """Report events of all calls to on_event."""
+        """Report events of all calls to on_event, reports to on_load."""
+        self.reactor = reactor
         self.http = http
+        self.on_load = on_load
         self.on_event = on_event
         self.calls: dict[str, _OpenCall] = {}
 
@@ -107,3 +115,29 @@
         opened = self.calls.pop(str(effect.attempt), None)
         if opened is not None:
             opened.cancel()
+
+    def read_load(self, effect: model.ReadLoad) -> None:
+        """Ask a runner for its load report."""
+        name = effect.runner.name
+        url = f'http://{effect.runner.address}/v1/load'
+        answered = self._load(url)
+        answered.addTimeout(REPORT_TIMEOUT_S, self.reactor)
+        answered.addErrback(lambda _: None)
+        answered.addCallback(
+            lambda report: self.on_load(model.LoadRead(name, report))
+        )
+
+    @defer.inlineCallbacks
+    def _load(self, url: str) -> Any:
+        response = yield self.http.request(b'GET', url)
+        content = yield client.readBody(response)
+        return wire.decode_load(content)
+
+    def send_order(self, effect: model.SendOrder) -> None:
+        """Send an order; whether it was obeyed is read back."""
+        url = f'http://{effect.runner.address}/v1/orders'
+        body = wire.encode_order(effect.order)
+        answered = self.http.request(b'POST', url, body, fresh=True)
+        answered.addCallback(client.readBody)
+        answered.addTimeout(REPORT_TIMEOUT_S, self.reactor)
+        answered.addErrback(lambda _: None)
--- a/libs/ragwort_policy/ragwort_policy/__init__.py
+++ b/libs/ragwort_policy/ragwort_policy/__init__.py
@@ -17,6 +17,11 @@
 from ragwort_policy._outliers import judge
 from ragwort_policy._outliers import may_probe
 from ragwort_policy._outliers import on_probe_result
+from ragwort_policy._placement import PlacementDecision
+from ragwort_policy._placement import PlacementHistory
+from ragwort_policy._placement import PlacementStep
+from ragwort_policy._placement import plan_placement
+from ragwort_policy._placement import RunnerLoad
 from ragwort_policy._retry import Budget
 from ragwort_policy._retry import hedge_budget
 from ragwort_policy._retry import HEDGE_QUANTILE
@@ -54,10 +59,15 @@
     'may_probe',
     'MIN_CHANCE',
     'on_probe_result',
+    'PlacementDecision',
+    'PlacementHistory',
+    'PlacementStep',
+    'plan_placement',
     'QueuedCall',
     'retry_budget',
     'RoutingContext',
     'RoutingDecision',
+    'RunnerLoad',
     'RunnerState',
     'stage_budget_s',
     'STRATEGIES',
--- a/libs/ragwort_state/ragwort_state/_catalog.py
+++ b/libs/ragwort_state/ragwort_state/_catalog.py
@@ -33,6 +33,7 @@
         self.runners: dict[str, model.Runner] = {}
         self.runners_by_service: dict[str, dict[str, model.Runner]] = {}
         self.draining_runners: set[str] = set()
+        self.standby: dict[str, frozenset[str]] = {}
         self.problems: dict[str, ObjectProblem] = {}
         self.in_force: dict[str, int] = {}
         self.generation = 0
@@ -55,6 +56,10 @@
         self.problems.pop(name, None)
         self.in_force[name] = item.version
 
+    def is_standby(self, runner: model.Runner) -> bool:
+        """Tell whether placement keeps a runner out of use."""
+        return runner.name in self.standby.get(runner.service, frozenset())
+
     def _apply_sign(self, item: model.StoredObject) -> None:
         runner = item.name.removeprefix(SIGN_PREFIX)
         if item.value == DRAINING_SIGN:
@@ -74,6 +79,8 @@
                 self.services[document.name] = model.service(document)
             case model.WorkspaceDocument():
                 self.workspaces.add(document.name)
+            case model.PlacementDocument():
+                self.standby[document.name] = frozenset(document.standby)
             case model.RunnerDocument():
                 self._remove(name)
                 runner = model.runner(document)
@@ -91,6 +98,8 @@
                 self.pipelines.pop(rest, None)
             case 'service':
                 self.services.pop(rest, None)
+            case 'placement':
+                self.standby.pop(rest, None)
             case 'workspace':
                 self.workspaces.discard(rest)
             case 'runner':
--- a/libs/ragwort_wire/ragwort_wire/__init__.py
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -25,10 +25,14 @@
 from ragwort_wire._platform_http import WriteRecord
 from ragwort_wire._runner_http import CallRecord
 from ragwort_wire._runner_http import decode_call
+from ragwort_wire._runner_http import decode_load
+from ragwort_wire._runner_http import decode_order
 from ragwort_wire._runner_http import decode_result
 from ragwort_wire._runner_http import encode_call
+from ragwort_wire._runner_http import encode_order
 from ragwort_wire._runner_http import encode_result
 from ragwort_wire._runner_http import LoadRecord
+from ragwort_wire._runner_http import OrderRecord
 from ragwort_wire._runner_http import result_event
 from ragwort_wire._runner_http import ResultAlive
 from ragwort_wire._runner_http import ResultChunk
@@ -48,6 +52,8 @@
     'decode_addresses',
     'decode_call',
     'decode_event',
+    'decode_load',
+    'decode_order',
     'decode_peer',
     'decode_result',
     'decode_store_result',
@@ -55,6 +61,7 @@
     'encode_call',
     'encode_event',
     'encode_json',
+    'encode_order',
     'encode_peer',
     'encode_result',
     'encode_store_result',
@@ -62,6 +69,7 @@
     'EntryRecord',
     'LoadRecord',
     'MAX_FRAME_BYTES',
+    'OrderRecord',
     'parse_request',
     'PeerFrame',
     'Problem',
--- a/libs/ragwort_wire/ragwort_wire/_runner_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -26,6 +26,15 @@
     age_s: float
     draining: bool
     state_version: int
+    loaded: bool = True
+
+
+class OrderRecord(msgspec.Struct):
+    """Body of POST /v1/orders."""
+
+    fencing: int
+    wanted: str
+    expires_wall: float
 
 
 class ResultChunk(msgspec.Struct, tag='chunk', tag_field='type'):
@@ -112,6 +121,31 @@
         raise model.WireError(f'damaged result line: {error}') from None
 
 
+def encode_order(order: model.RunnerOrder) -> bytes:
+    """Return the body of an order."""
+    return _ENCODER.encode(
+        OrderRecord(order.fencing, order.wanted.value, order.expires_wall)
+    )
+
+
+def decode_order(body: bytes) -> model.RunnerOrder:
+    """Return the order of a body; raise WireError if it is not one."""
+    try:
+        record = msgspec.json.decode(body, type=OrderRecord)
+        wanted = model.WantedState(record.wanted)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged order: {error}') from None
+    return model.RunnerOrder(record.fencing, wanted, record.expires_wall)
+
+
+def decode_load(body: bytes) -> model.LoadReport:
+    """Return the load report of a body; raise WireError."""
+    try:
+        return load_report(msgspec.json.decode(body, type=LoadRecord))
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise model.WireError(f'damaged load report: {error}') from None
+
+
 def load_report(record: LoadRecord) -> model.LoadReport:
     """Return the data class for a load record."""
     return model.LoadReport(
@@ -121,6 +155,7 @@
         record.age_s,
         record.draining,
         record.state_version,
+        record.loaded,
     )
 
 
