--- a/libs/ragwort_fakes/ragwort_fakes/_runner.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_runner.py
@@ -234,11 +234,13 @@
             factor *= 20.0
         first_s = self._service_s(text) * factor
         chunk_s = self.shape.chunk_s * factor
-        wanted = range(call.record.resume_from, len(call.chunks))
-        for index, seq in enumerate(wanted):
-            self._at(now + first_s + index * chunk_s, f'c{seq}', attempt)
-        call.busy_s = first_s + max(0, len(wanted) - 1) * chunk_s
-        self._at(now + call.busy_s, 'end', attempt)
+        due = now + first_s
+        for seq in range(call.record.resume_from, len(call.chunks)):
+            self._at(due, f'c{seq}', attempt)
+            due += chunk_s
+        count = max(1, len(call.chunks) - call.record.resume_from)
+        call.busy_s = first_s + (count - 1) * chunk_s
+        self._at(due, 'end', attempt)
 
     def _service_s(self, text: str) -> float:
         base = self.shape.service_s
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -30,8 +30,19 @@
     differ for a while after a change, so a role may be held by more or
     fewer nodes than count; every role must bear that.
     """
-    names = _role_names(members, region)
-    return members.self_name in model.rendezvous(role, names, count)
+    return members.self_name in _holders(members, role, count, region)
+
+
+def _holders(
+    members: _membership.Membership, role: str, count: int, region: str | None
+) -> list[str]:
+    members.refresh_caches()
+    known = members.role_cache.get((role, count, region))
+    if known is None:
+        names = _role_names(members, region)
+        known = model.rendezvous(role, names, count)
+        members.role_cache[role, count, region] = known
+    return known
 
 
 def _role_names(
@@ -44,8 +55,8 @@
 
 def owner_address(members: _membership.Membership, key: str) -> str | None:
     """Return the peer address of a key's owner, None if this node is it."""
-    names = _role_names(members, None)
-    owner = model.rendezvous(key, names)[0]
-    if owner == members.self_name:
+    holders = _holders(members, key, 1, None)
+    if not holders or holders[0] == members.self_name:
         return None
+    owner = holders[0]
     return members.members[owner].update.peer_address
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -110,6 +110,9 @@
         self.next_join = now
         self.changes: list[MemberChanged] = []
         self.version = 0
+        self.cache_version = -1
+        self.live_cache: dict[str | None, list[model.MemberUpdate]] = {}
+        self.role_cache: dict[tuple[str, int, str | None], list[str]] = {}
         self.offsets: dict[str, float] = {}
         self._queue(host.name)
 
@@ -120,12 +123,24 @@
 
     def live(self, region: str | None = None) -> list[model.MemberUpdate]:
         """Return the records of live nodes, sorted by name."""
-        return [
-            self.members[name].update
-            for name in sorted(self.members)
-            if self.members[name].is_alive
-            and region in (None, self.members[name].update.region)
-        ]
+        self.refresh_caches()
+        known = self.live_cache.get(region)
+        if known is None:
+            known = [
+                self.members[name].update
+                for name in sorted(self.members)
+                if self.members[name].is_alive
+                and region in (None, self.members[name].update.region)
+            ]
+            self.live_cache[region] = known
+        return known
+
+    def refresh_caches(self) -> None:
+        """Drop what was derived from an earlier version of the list."""
+        if self.cache_version != self.version:
+            self.cache_version = self.version
+            self.live_cache.clear()
+            self.role_cache.clear()
 
     def peers(self) -> list[str]:
         """Return the peer addresses of the other live nodes."""
@@ -336,6 +351,7 @@
                     self._store(dead, now)
             elif status >= model.MemberStatus.DEAD and age >= FORGET_S:
                 del self.members[name]
+                self.version += 1
                 self.pending.pop(name, None)
                 self.offsets.pop(name, None)
         for sequence, relay in list(self.relays.items()):
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -23,6 +23,7 @@
 STORE_RETRY_S = 2.0
 RESUME_FOLLOW_S = 60.0
 DRAIN_MARGIN_S = 2.0
+PLACEMENT_TICK_S = 0.5
 PEER_SUBSCRIBER = 'peer|'
 MAX_LOGGED_OBJECTS = 20
 
@@ -106,6 +107,7 @@
         self.state = NodeState.STARTING
         self.accept_until = 0.0
         self.next_tick = now
+        self.next_placement = now
 
     @property
     def name(self) -> str:
@@ -153,6 +155,9 @@
         """Look after the placement of the services assigned to this node."""
         if self.state == NodeState.STARTING:
             return
+        if now < self.next_placement:
+            return
+        self.next_placement = now + PLACEMENT_TICK_S
         for service in self.control.catalog.services:
             keeper = self.keepers.get(service)
             if keeper is None:
