Keep queues where fairness decides, and give up early

Nodes let up to eight calls each wait at a runner with two slots, where the runner's own order by age overruled the fair queue; late calls went on until their deadline; the admission estimate counted a large workspace's whole queue against small ones.

Room up to twice the slots, equal priorities, giving up calls that can no longer be in time, waits counted per workspace.

--- a/libs/ragwort_lab/ragwort_lab/_policy_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_policy_bench.py
@@ -192,6 +192,13 @@
     )
 
 
+def _no_giving_up() -> Any:
+    def enqueue_forever(call: policy.QueuedCall, now: float) -> bool:
+        return False
+
+    return mock.patch.object(policy, 'is_hopeless', enqueue_forever)
+
+
 def _no_placement() -> Any:
     return mock.patch.object(policy, 'plan_placement', lambda *_: None)
 
@@ -212,6 +219,7 @@
     _no_economy,
     _no_fairness,
     _no_placement,
+    _no_giving_up,
 )
 BASELINES = (
     Variant('round-robin', 'round-robin', PLAIN),
@@ -229,6 +237,7 @@
     Variant('no-affinity', without=(_no_affinity,)),
     Variant('fixed-limits', without=(_fixed_limits,)),
     Variant('no-placement', without=(_no_placement,)),
+    Variant('no-giving-up', without=(_no_giving_up,)),
 )
 
 
--- a/libs/ragwort_node/ragwort_node/_admission.py
+++ b/libs/ragwort_node/ragwort_node/_admission.py
@@ -133,10 +133,7 @@
             return Refusal(overloaded, detail, BUSY_RETRY_S)
     estimate = dispatcher.estimate(execution, now)
     if estimate.known and estimate.chance < policy.MIN_CHANCE:
-        wait_s = sum(
-            dispatcher.queue_wait_s(name, now)
-            for name in execution.remaining_services
-        )
+        wait_s = dispatcher.total_wait_s(execution, now)
         return Refusal(
             _effects.RefusalKind.TOO_LATE,
             f'it would take {estimate.mean_s:.2f} s of the '
--- a/libs/ragwort_node/ragwort_node/_dispatcher.py
+++ b/libs/ragwort_node/ragwort_node/_dispatcher.py
@@ -121,24 +121,33 @@
             return policy.UNKNOWN_BUSY_S
         return sum(times) / len(times)
 
-    def queue_wait_s(self, service: str, now: float) -> float:
-        """Return how long a call joining the queue now would wait."""
+    def queue_wait_s(self, service: str, workspace: str, now: float) -> float:
+        """Return how long a workspace's next call would wait for its turn."""
         queue = self.queue(service)
         if not queue.size:
             return 0.0
         room = sum(int(s.limit) for s in self.in_service(service, now))
-        return queue.work_s / max(room, 1)
+        return queue.work_ahead_s(workspace) / max(room, 1)
+
+    def total_wait_s(
+        self, execution: _execution.Execution, now: float
+    ) -> float:
+        """Return how long an execution would wait in all its queues."""
+        workspace = execution.request.workspace
+        return sum(
+            self.queue_wait_s(service, workspace, now)
+            for service in execution.remaining_services
+        )
 
     def estimate(
         self, execution: _execution.Execution, now: float
     ) -> policy.FinishEstimate:
         """Estimate whether an execution can finish in time."""
-        services = execution.remaining_services
         return policy.estimate_finish(
             self.latencies,
             execution.class_of_work.name,
-            services,
-            sum(self.queue_wait_s(service, now) for service in services),
+            execution.remaining_services,
+            self.total_wait_s(execution, now),
             execution.deadline_at - now,
             now,
         )
@@ -162,7 +171,7 @@
             execution.key,
             execution.request.workspace,
             execution.class_of_work.name,
-            execution.deadline_at - estimate.mean_s,
+            execution.deadline_at - estimate.safe_s,
             now,
             cost_s,
         )
@@ -201,7 +210,7 @@
         usable = [
             state
             for state in states
-            if state.has_room and not policy.is_ejected(state, now)
+            if state.has_room(now) and not policy.is_ejected(state, now)
         ]
         untried = [
             state
--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -13,7 +13,9 @@
 PROGRESS_TIMEOUT_S = 1.0
 HEARTBEAT_S = 1.0
 RESUME_RETENTION_S = 30.0
-MAX_PRIORITY = 9
+CALL_PRIORITY = 5
+HEDGE_PRIORITY = 2
+LATE_RETRY_S = 1.0
 
 
 class Engine:
@@ -69,16 +71,25 @@
             execution = self.active.get(call.ident)
             if execution is None or execution.service.name != service:
                 continue
+            if policy.is_hopeless(call, now):
+                self._give_up(execution, now)
+                continue
             choice = self.dispatcher.choose(execution, now)
             if choice is None:
                 self.dispatcher.enqueue(execution, now)
                 return
             self._dispatch(execution, choice, now)
 
+    def _give_up(self, execution: _execution.Execution, now: float) -> None:
+        """End a waiting request at once that can no longer be in time."""
+        outcome = execution.failure_outcome()
+        reason = f'too late to start stage {execution.service.name}'
+        self.finish(execution, outcome, reason, now, LATE_RETRY_S)
+
     def _has_room(self, service: str, now: float) -> bool:
         return any(
             policy.may_probe(state, now)
-            or (state.has_room and not policy.is_ejected(state, now))
+            or (state.has_room(now) and not policy.is_ejected(state, now))
             for state in self.dispatcher.in_service(service, now)
         )
 
@@ -158,13 +169,12 @@
         now: float,
     ) -> model.StageCall:
         remaining_s = execution.deadline_at - now
-        slack = remaining_s / max(execution.request.deadline_s, 0.001)
         return model.StageCall(
             attempt.ident,
             execution.service.name,
             execution.input,
             remaining_s,
-            int(MAX_PRIORITY * (1.0 - min(1.0, max(0.0, slack)))),
+            HEDGE_PRIORITY if attempt.is_hedge else CALL_PRIORITY,
             attempt.resume_from,
             ''.join(execution.delivered),
         )
--- a/libs/ragwort_policy/ragwort_policy/__init__.py
+++ b/libs/ragwort_policy/ragwort_policy/__init__.py
@@ -7,6 +7,7 @@
 from ragwort_policy._deadline import MIN_CHANCE
 from ragwort_policy._deadline import stage_budget_s
 from ragwort_policy._fair_queue import FairQueue
+from ragwort_policy._fair_queue import is_hopeless
 from ragwort_policy._fair_queue import QueuedCall
 from ragwort_policy._latency import DecayedHistogram
 from ragwort_policy._latency import LatencyModel
@@ -54,6 +55,7 @@
     'hedge_budget',
     'HEDGE_QUANTILE',
     'is_ejected',
+    'is_hopeless',
     'judge',
     'LatencyModel',
     'may_probe',
--- a/libs/ragwort_policy/ragwort_policy/_deadline.py
+++ b/libs/ragwort_policy/ragwort_policy/_deadline.py
@@ -9,6 +9,7 @@
 UNKNOWN_STAGE_S = 0.1
 MIN_CHANCE = 0.05
 MIN_DEVIATION_S = 0.001
+SAFE_DEVIATIONS = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +24,11 @@
     chance: float
     known: bool
 
+    @property
+    def safe_s(self) -> float:
+        """Return a time that most such requests do not exceed."""
+        return self.mean_s + SAFE_DEVIATIONS * self.deviation_s
+
 
 def stage_budget_s(
     latencies: _latency.LatencyModel,
--- a/libs/ragwort_policy/ragwort_policy/_fair_queue.py
+++ b/libs/ragwort_policy/ragwort_policy/_fair_queue.py
@@ -21,6 +21,11 @@
     cost_s: float
 
 
+def is_hopeless(call: QueuedCall, now: float) -> bool:
+    """Tell whether a call can no longer be in time."""
+    return now > call.latest_start
+
+
 class FairQueue:
     """Start-time fair queuing over workspaces.
 
@@ -51,6 +56,18 @@
         """Return how many calls of a workspace wait."""
         return len(self.calls.get(workspace, ()))
 
+    def work_ahead_s(self, workspace: str) -> float:
+        """Return the work that goes before a new call of a workspace.
+
+        Other workspaces take turns with it, so that the queue of a large
+        one does not count in full.
+        """
+        if not self.size:
+            return 0.0
+        typical_s = self.work_s / self.size
+        turns = (self.queued(workspace) + 1) * max(1, len(self.calls))
+        return min(self.work_s, turns * typical_s)
+
     def remove(self, ident: str, workspace: str) -> QueuedCall | None:
         """Take out a call that waits no longer."""
         waiting = self.calls.get(workspace)
--- a/libs/ragwort_policy/ragwort_policy/_runners.py
+++ b/libs/ragwort_policy/ragwort_policy/_runners.py
@@ -6,6 +6,7 @@
 import ragwort_model as model
 
 REPORT_DECAY_S = 1.0
+QUEUE_FACTOR = 2.0
 AVERAGE_WEIGHT = 0.1
 UNKNOWN_SLOTS = 4
 UNKNOWN_BUSY_S = 0.05
@@ -47,10 +48,19 @@
         """Return how many calls the runner works on at once."""
         return self.report.slots if self.report else UNKNOWN_SLOTS
 
-    @property
-    def has_room(self) -> bool:
-        """Tell whether the concurrency limit admits one more call."""
-        return self.inflight < int(self.limit)
+    def has_room(self, now: float) -> bool:
+        """Tell whether one more call would start at the runner soon.
+
+        Beyond its slots a runner gets only what keeps it busy until the
+        next call arrives; the rest waits here, where fairness and slack
+        decide what goes first.
+        """
+        if self.inflight >= int(self.limit):
+            return False
+        # Without a call of its own a node would hear of no free slot.
+        if not self.inflight:
+            return True
+        return self.occupancy(now) < self.slots * QUEUE_FACTOR
 
     def occupancy(self, now: float) -> float:
         """Return the calls at the runner, other nodes' included.
