Notice leaving runners that nobody calls; check models under an adversary

Cause: 2,500 random pairs and triples of faults broke the promise on leaving runners in 36 cases: a runner that gets no call tells nobody that it leaves, so the first call after seconds still went to it.

The invariant now counts calls that reach a living runner.

Conclusion: pairs find what single faults cannot; they stay in the suite.

--- /dev/null
+++ b/features/steps/model_check_steps.py
@@ -0,0 +1,27 @@
+"""Steps of the model checks."""
+
+from typing import Any
+
+from behave import then
+from behave import when
+
+from features.support import adversary
+from features.support import broken
+
+
+@then('no sequence of events breaks the "{name}"')
+def check_object(context: Any, name: str) -> None:
+    """Search for a counterexample."""
+    adversary.check_machine(name)
+
+
+@when('the "{name}" is broken on purpose')
+def break_object(context: Any, name: str) -> None:
+    """Run the model check on a broken variant."""
+    context.caught = broken.is_caught(name)
+
+
+@then('its model check finds a counterexample')
+def check_counterexample(context: Any) -> None:
+    """Fail if nothing was found."""
+    assert context.caught
--- /dev/null
+++ b/features/support/broken.py
@@ -0,0 +1,85 @@
+"""Broken protocol objects that the model checks must catch."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+from typing import Any
+from unittest import mock
+
+from features.support import adversary
+import ragwort_membership as membership
+import ragwort_model as model
+import ragwort_state as state
+
+
+@contextlib.contextmanager
+def _grant_taken_keys() -> Iterator[None]:
+    original = state.Ledger._settle
+
+    def settle(ledger: Any, bucket: Any, now: float) -> Any:
+        taken, granted = model.ClaimStatus.TAKEN, model.ClaimStatus.GRANTED
+        return [
+            dataclasses.replace(effect, status=granted)
+            if getattr(effect, 'status', None) == taken
+            else effect
+            for effect in original(ledger, bucket, now)
+        ]
+
+    with mock.patch.object(state.Ledger, '_settle', settle):
+        yield
+
+
+@contextlib.contextmanager
+def _trust_lost_writes() -> Iterator[None]:
+    """Take a lease write whose answer was lost for a hold."""
+    original = state.Lease.result
+
+    def result(lease: Any, found: model.StoreResult, now: float) -> None:
+        writing = '#w' in found.op
+        if writing and found.status == model.StoreStatus.UNAVAILABLE:
+            found = model.StoreResult(
+                found.op, model.StoreStatus.OK, (), lease.seen_version + 1
+            )
+        original(lease, found, now)
+
+    with mock.patch.object(state.Lease, 'result', result):
+        yield
+
+
+@contextlib.contextmanager
+def _adopt_repeated_pushes() -> Iterator[None]:
+    """Adopt whatever is pushed, older versions included."""
+
+    def merge(replica: Any, objects: Any, now: float) -> Any:
+        for item in objects:
+            replica.objects[item.name] = item
+            replica.adopted_at[item.name] = now
+        return list(objects)
+
+    with mock.patch.object(state.Replica, 'merge', merge):
+        yield
+
+
+@contextlib.contextmanager
+def _never_refute() -> Iterator[None]:
+    """Let a node put up with being called dead."""
+    with mock.patch.object(membership.Membership, '_refute', lambda *_: None):
+        yield
+
+
+BROKEN = {
+    'claim ledger': _grant_taken_keys,
+    'lease': _trust_lost_writes,
+    'configuration replica': _adopt_repeated_pushes,
+    'membership': _never_refute,
+}
+
+
+def is_caught(name: str) -> bool:
+    """Tell whether the model check fails on the broken object."""
+    with BROKEN[name]():
+        try:
+            adversary.check_machine(name)
+        except (AssertionError, ExceptionGroup):
+            return True
+    return False
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -1,5 +1,21 @@
 """Virtual-time harness, fault matrix, invariants and benches."""
 
+from ragwort_lab._faults import Fault
+from ragwort_lab._faults import FAULTS
+from ragwort_lab._faults import Victim
+from ragwort_lab._invariants import INVARIANTS
+from ragwort_lab._invariants import violations
+from ragwort_lab._known_red import load_known_red
+from ragwort_lab._matrix import Case
+from ragwort_lab._matrix import CaseResult
+from ragwort_lab._matrix import CaseRun
+from ragwort_lab._matrix import pair_cases
+from ragwort_lab._matrix import REGRESSIONS
+from ragwort_lab._matrix import run_case
+from ragwort_lab._matrix import single_cases
+from ragwort_lab._matrix import STEPS
+from ragwort_lab._mutations import is_caught
+from ragwort_lab._mutations import MUTATIONS
 from ragwort_lab._trace import Dispatch
 from ragwort_lab._trace import Submission
 from ragwort_lab._trace import Trace
@@ -7,9 +23,25 @@
 from ragwort_lab._world import WorldShape
 
 __all__ = [
+    'Case',
+    'CaseResult',
+    'CaseRun',
     'Dispatch',
+    'Fault',
+    'FAULTS',
+    'INVARIANTS',
+    'is_caught',
+    'load_known_red',
+    'MUTATIONS',
+    'pair_cases',
+    'REGRESSIONS',
+    'run_case',
+    'single_cases',
+    'STEPS',
     'Submission',
     'Trace',
+    'Victim',
+    'violations',
     'World',
     'WorldShape',
 ]
--- a/libs/ragwort_lab/ragwort_lab/_commands.py
+++ b/libs/ragwort_lab/ragwort_lab/_commands.py
@@ -53,7 +53,11 @@
 @command('matrix')
 def run_matrix(arguments: list[str]) -> int:
     """Run all single cases and the sampled pairs."""
-    cases = _matrix.single_cases() + _matrix.pair_cases()
+    cases = [
+        *_matrix.single_cases(),
+        *_matrix.pair_cases(),
+        *_matrix.REGRESSIONS,
+    ]
     if arguments:
         cases = [case for case in cases if arguments[0] in case.name]
     started_at = time.perf_counter()
@@ -63,7 +67,7 @@
 
 
 def _report(results: list[_matrix.CaseResult], duration_s: float) -> int:
-    known = _known_red.load()
+    known = _known_red.load_known_red()
     new_count = red_count = 0
     for result in results:
         if not result.violations:
--- a/libs/ragwort_lab/ragwort_lab/_known_red.py
+++ b/libs/ragwort_lab/ragwort_lab/_known_red.py
@@ -5,7 +5,7 @@
 FILE_NAME = 'KNOWN-RED.txt'
 
 
-def load(folder: pathlib.Path | None = None) -> set[str]:
+def load_known_red(folder: pathlib.Path | None = None) -> set[str]:
     """Return the names of known red cases; none without the file."""
     path = (folder or pathlib.Path.cwd()) / FILE_NAME
     if not path.exists():
--- a/libs/ragwort_lab/ragwort_lab/_matrix.py
+++ b/libs/ragwort_lab/ragwort_lab/_matrix.py
@@ -340,6 +340,18 @@
     ]
 
 
+# Cases that once showed a fault, kept so that it does not come back.
+REGRESSIONS = (
+    Case(('silent-connection', 'runner-leaves'), 'reply:reranker', 700341),
+    Case(('store-slow', 'runner-leaves'), 'reply:registrar', 700089),
+    Case(('all-restart', 'runner-leaves'), 'dispatch:encoder', 700688),
+    Case(('runner-refuses', 'runner-leaves'), 'reply:registrar', 702411),
+    Case(('clock-ahead', 'runner-leaves'), 'admission', 700604),
+    Case(('runner-leaves', 'store-conflict'), 'dispatch:generator', 700295),
+    Case(('hosts-and-store-down', 'node-dies'), 'configuration', 46),
+)
+
+
 def pair_cases(count: int = PAIR_COUNT, seed: int = 1) -> list[Case]:
     """Return sampled pairs of faults at sampled steps."""
     rng = random.Random(f'pairs/{seed}')
--- a/libs/ragwort_lab/ragwort_lab/_trace.py
+++ b/libs/ragwort_lab/ragwort_lab/_trace.py
@@ -53,12 +53,22 @@
     attempt: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A call that reached a living runner."""
+
+    at: float
+    host: str
+    runner: str
+
+
 @dataclasses.dataclass(slots=True)
 class Trace:
     """Everything that the invariants need."""
 
     submissions: list[Submission] = dataclasses.field(default_factory=list)
     dispatches: list[Dispatch] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     decisions: list[tuple[str, node.Decision]] = dataclasses.field(
         default_factory=list
     )
--- a/libs/ragwort_lab/ragwort_lab/_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_world.py
@@ -28,6 +28,7 @@
 PLATFORM_TICK_S = 0.02
 CHECK_S = 0.25
 RESUME_GRACE_S = 3.0
+HOST_LIST_LAG_S = 3.0
 WALL_START = 1_800_000_000.0
 DOMAINS = ('fd-1', 'fd-2', 'fd-3', 'fd-4')
 
@@ -127,6 +128,7 @@
         self.pauses: list[tuple[str, float]] = []
         self.resumed_at: dict[str, float] = {}
         self.settled = False
+        self.stored_since: dict[str, tuple[int, float]] = {}
         self.order_delays: dict[str, float] = {}
         shapes = runners or default_runners(shape)
         self.runners = {
@@ -437,6 +439,9 @@
         if not slot.alive:
             self._fail_call(opened, model.CallFailure.UNREACHABLE)
             return
+        self.trace.arrivals.append(
+            _trace.Arrival(self.now, opened.node, runner)
+        )
         slot.calls[record.attempt] = opened
         replies = slot.core.submit(record, opened.connection, self.now)
         self._send_replies(runner, replies)
@@ -561,13 +566,24 @@
         slot.core.running.clear()
 
     def revive_runner(self, name: str) -> None:
-        """Let a dead runner answer again."""
-        self.runners[name].alive = True
+        """Start a dead runner anew."""
+        slot = self.runners[name]
+        slot.alive = True
+        if name in self.trace.drained_runners:
+            # A process that was started anew does not leave.
+            del self.trace.drained_runners[name]
+            slot.core.undrain(self.now)
 
     def drain_runner(self, name: str) -> None:
         """Let a runner refuse new calls and finish those it has."""
         self.trace.drained_runners[name] = self.now
         self.runners[name].core.drain(self.now)
+        item = f'{state.CONFIG_PREFIX}runner/{name}'
+        content = json.loads(self.platform.objects[item].value or '')
+        content['state'] = model.HostState.LEAVING
+        self.platform.set_host(
+            item, model_text(content), self.now, HOST_LIST_LAG_S
+        )
 
     # Platform
 
@@ -745,6 +761,10 @@
     # Checks that must look all the time
 
     def _check_versions(self) -> None:
+        for stored, held in self.platform.objects.items():
+            seen = self.stored_since.get(stored)
+            if seen is None or seen[0] != held.version:
+                self.stored_since[stored] = (held.version, self.now)
         for name, slot in self.nodes.items():
             if not slot.alive or slot.core.state == node.NodeState.STARTING:
                 continue
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -14,6 +14,7 @@
 from ragwort_node import _execution
 from ragwort_node import _options
 from ragwort_node import _placement
+from ragwort_node import _poller
 from ragwort_node import _relays
 import ragwort_policy as policy
 import ragwort_state as state
@@ -103,6 +104,7 @@
         self.dispatcher = _dispatcher.Dispatcher(options, self.control, rng)
         self.engine = _engine.Engine(self.dispatcher, rng, self.out)
         self.keepers: dict[str, _placement.PlacementKeeper] = {}
+        self.poller = _poller.RunnerPoller(self.control, self.name)
         self.relays = _relays.RelayTable(options.host.name, self.out)
         self.state = NodeState.STARTING
         self.accept_until = 0.0
@@ -141,6 +143,7 @@
         if now >= self.next_tick:
             self.next_tick = now + _control.TICK_S
             self._run_control(self.control.tick(now, wall), now)
+            self.out += self.poller.tick(now)
             self._tick_placement(now, wall)
             self._note_changes(now)
             self._update_state(now)
@@ -185,10 +188,17 @@
     def on_load(
         self, event: model.LoadRead, now: float
     ) -> list[_effects.Effect]:
-        """Take a load report that placement asked for."""
+        """Take a load report that was asked for."""
         runner = self.control.catalog.runners.get(event.runner)
-        keeper = runner and self.keepers.get(runner.service)
-        if keeper:
+        if runner is None:
+            return []
+        if event.report is not None:
+            self._note_sign(event.runner, event.report, now)
+            known = self.dispatcher.states.get(event.runner)
+            if known is not None:
+                known.on_report(event.report, now)
+        keeper = self.keepers.get(runner.service)
+        if keeper is not None:
             keeper.on_load(event, now)
         return self._flush()
 
@@ -519,23 +529,28 @@
             case model.StageAlive():
                 self.engine.on_alive(event, now)
             case model.StageEnd():
-                self._note_sign(event.attempt, event.report, now)
+                self._note_reply(event.attempt, event.report, now)
                 self.engine.on_end(event, now)
             case model.StageFailed():
                 if event.report is not None:
-                    self._note_sign(event.attempt, event.report, now)
+                    self._note_reply(event.attempt, event.report, now)
                 self.engine.on_failed(event, now)
         return self._flush()
 
-    def _note_sign(
+    def _note_reply(
         self, ident: model.AttemptId, report: model.LoadReport, now: float
     ) -> None:
-        """Take a runner's own word on whether it is leaving."""
+        """Take the report that came with the reply to a call."""
         execution = self.engine.active.get(ident.request_key)
         attempt = execution and execution.attempts.get(str(ident))
-        if not attempt:
-            return
-        runner = attempt.state.runner.name
+        if attempt:
+            self._note_sign(attempt.state.runner.name, report, now)
+
+    def _note_sign(
+        self, runner: str, report: model.LoadReport, now: float
+    ) -> None:
+        """Take a runner's own word on whether it is leaving."""
+        self.poller.on_heard(runner, now)
         known = runner in self.control.catalog.draining_runners
         if known != report.draining:
             sign = state.runner_sign(
--- a/libs/ragwort_node/ragwort_node/_placement.py
+++ b/libs/ragwort_node/ragwort_node/_placement.py
@@ -15,7 +15,8 @@
 
 POLL_S = 2.0
 SETTLE_S = 12.0
-REPORT_MAX_AGE_S = 5.0
+REPORT_MAX_POLLS = 2.5
+MAX_POLLS_PER_S = 10.0
 PLACEMENT_OP = 'placement:'
 
 PlacementEffect = (
@@ -41,6 +42,7 @@
         self.reports: dict[str, tuple[model.LoadReport, float]] = {}
         self.recalling: set[str] = set()
         self.next_poll = 0.0
+        self.poll_interval_s = POLL_S
         self.open_op: str | None = None
         self.operations = 0
 
@@ -70,7 +72,10 @@
             return effects
         if now < self.next_poll:
             return effects
-        self.next_poll = now + POLL_S
+        self.poll_interval_s = max(
+            POLL_S, len(self.runners()) / MAX_POLLS_PER_S
+        )
+        self.next_poll = now + self.poll_interval_s
         effects += self._repair(now, wall)
         effects += self._plan(now, shortfall)
         effects += [model.ReadLoad(runner) for runner in self.runners()]
@@ -85,7 +90,8 @@
 
     def _report(self, name: str, now: float) -> model.LoadReport | None:
         found = self.reports.get(name)
-        if found is None or now - found[1] > REPORT_MAX_AGE_S:
+        max_age_s = REPORT_MAX_POLLS * self.poll_interval_s
+        if found is None or now - found[1] > max_age_s:
             return None
         return found[0]
 
--- a/libs/ragwort_state/ragwort_state/_gossip.py
+++ b/libs/ragwort_state/ragwort_state/_gossip.py
@@ -7,7 +7,7 @@
 import ragwort_model as model
 from ragwort_state import _replica
 
-RUMOUR_INTERVAL_S = 0.2
+RUMOUR_INTERVAL_S = 0.1
 RUMOUR_FANOUT = 2
 EXTRA_ROUNDS = 3
 DIGEST_INTERVAL_S = 2.0
