Hold the sizes in a peer's frame against its bytes

The codec library believes the sizes in a frame; one damaged byte announced a list of 2**31 elements and kept the reader busy for 20 s, a larger one ended the process for memory.

Change: a check walks each frame first and holds every size against the bytes left. Converters between data classes and thrift are built once per type rather than looked up for each value.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -28,3 +28,6 @@
 
   Scenario: parsers raise nothing but their typed error
     Then no bytes make a parser raise anything but its typed error
+
+  Scenario: a damaged size in a peer's frame is not believed
+    Then no damaged frame keeps a node busy
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -18,6 +18,7 @@
 
 YEAR_MS = 365 * 24 * 3600 * 1000
 EXAMPLES = 300
+DAMAGED_FRAMES = 5000
 
 
 def bad_body(what: str) -> bytes:
@@ -154,6 +155,25 @@
 )
 
 
+@then('no damaged frame keeps a node busy')
+def check_damaged_frames(context: Any) -> None:
+    """Damage frames in many places; sizes must never be believed."""
+    rng = random.Random(1)
+    base = wire.encode_peer('a:1', model.StateWant(['x', 'y']))
+    for _ in range(DAMAGED_FRAMES):
+        damaged = bytearray(base)
+        for _ in range(3):
+            damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        expect_typed_error(wire.decode_peer, bytes(damaged))
+    huge_list = base.replace(b'\x0b\x00\x00\x00\x02', b'\x0e\x7f\xff\xff\xff')
+    assert huge_list != base
+    try:
+        wire.decode_peer(huge_list)
+    except model.WireError:
+        return
+    raise AssertionError('a list of 2**31 elements was believed')
+
+
 @then('no bytes make a parser raise anything but its typed error')
 def fuzz_parsers(context: Any) -> None:
     """Feed random and damaged bytes to every parser."""
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -1,7 +1,9 @@
 """Thrift codec of the messages between nodes."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
+import functools
 import pathlib
 import re
 import types
@@ -13,6 +15,7 @@
 from thriftpy2.transport.memory import cymemory
 
 import ragwort_model as model
+from ragwort_wire import _frame_check
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -32,6 +35,7 @@
     message: model.PeerMessage
 
 
+@functools.cache
 def _field_name(message_type: type) -> str:
     return re.sub(r'(?<!^)(?=[A-Z])', '_', message_type.__name__).lower()
 
@@ -44,7 +48,11 @@
 def encode_peer(sender: str, message: model.PeerMessage) -> bytes:
     """Return one frame's bytes, without the length prefix."""
     envelope = _IDL.Envelope(version=WIRE_VERSION, sender=sender)
-    setattr(envelope, _field_name(type(message)), _to_thrift(message))
+    setattr(
+        envelope,
+        _field_name(type(message)),
+        _to_thrift(type(message))(message),
+    )
     buffer = cymemory.TCyMemoryBuffer()
     _new_protocol(buffer).write_struct(envelope)
     return bytes(buffer.getvalue())
@@ -54,6 +62,7 @@
     """Return the message of one frame; raise WireError if it is not one."""
     if len(data) > MAX_FRAME_BYTES:
         raise model.WireError(f'frame of {len(data)} bytes is too long')
+    _frame_check.check_frame(data)
     envelope = _IDL.Envelope()
     try:
         buffer = cymemory.TCyMemoryBuffer(data)
@@ -74,52 +83,95 @@
     for name, kind in _MESSAGE_TYPES.items():
         struct = getattr(envelope, name)
         if struct is not None:
-            return PeerFrame(envelope.sender, _from_thrift(struct, kind))
+            return PeerFrame(envelope.sender, _from_thrift(kind)(struct))
     raise model.WireError('frame of an unknown kind')
 
 
-def _to_thrift(value: Any) -> Any:
-    if isinstance(value, enum.IntEnum):
-        return int(value)
-    if isinstance(value, list):
-        return [_to_thrift(item) for item in value]
-    if not dataclasses.is_dataclass(value):
-        return value
-    struct = getattr(_IDL, type(value).__name__)()
-    for name in _hints(type(value)):
-        setattr(struct, name, _to_thrift(getattr(value, name)))
-    return struct
+Converter = Callable[[Any], Any]
+
 
+def _same(value: Any) -> Any:
+    return value
 
-_HINTS: dict[type, dict[str, Any]] = {}
 
+@functools.cache
+def _to_thrift(kind: Any) -> Converter:
+    """Return the function that turns a value of a type into thrift's."""
+    origin = typing.get_origin(kind)
+    if origin is types.UnionType:
+        return _optional(_to_thrift(typing.get_args(kind)[0]))
+    if origin is list:
+        inner = _to_thrift(typing.get_args(kind)[0])
+        if inner is _same:
+            return _same
+        return lambda value: [inner(item) for item in value]
+    if dataclasses.is_dataclass(kind):
+        return _struct_writer(typing.cast(type, kind))
+    if issubclass(kind, enum.IntEnum):
+        return int
+    return _same
 
-def _hints(kind: type) -> dict[str, Any]:
-    known = _HINTS.get(kind)
-    if known is None:
-        known = _HINTS[kind] = typing.get_type_hints(kind)
-    return known
 
+def _optional(inner: Converter) -> Converter:
+    return lambda value: None if value is None else inner(value)
 
-def _from_thrift(value: Any, kind: Any) -> Any:
+
+def _struct_writer(kind: type) -> Converter:
+    struct_type = getattr(_IDL, kind.__name__)
+    fields = [
+        (name, _to_thrift(hint))
+        for name, hint in typing.get_type_hints(kind).items()
+    ]
+
+    def convert(value: Any) -> Any:
+        struct = struct_type()
+        for name, inner in fields:
+            setattr(struct, name, inner(getattr(value, name)))
+        return struct
+
+    return convert
+
+
+@functools.cache
+def _from_thrift(kind: Any) -> Converter:
+    """Return the function that checks and converts a thrift value."""
     origin = typing.get_origin(kind)
     if origin is types.UnionType:
-        if value is None:
-            return None
-        return _from_thrift(value, typing.get_args(kind)[0])
-    if value is None:
-        raise model.WireError('a required field is missing')
+        return _optional(_from_thrift(typing.get_args(kind)[0]))
     if origin is list:
-        inner = typing.get_args(kind)[0]
-        return [_from_thrift(item, inner) for item in value]
+        inner = _from_thrift(typing.get_args(kind)[0])
+        return lambda value: [inner(item) for item in _present(value)]
     if dataclasses.is_dataclass(kind):
-        fields = {
-            name: _from_thrift(getattr(value, name), hint)
-            for name, hint in _hints(typing.cast(type, kind)).items()
-        }
-        return typing.cast(Any, kind)(**fields)
-    if isinstance(kind, type) and issubclass(kind, enum.IntEnum):
-        return kind(value)
-    if not isinstance(value, kind):
-        raise model.WireError(f'expected {kind.__name__}, got {value!r}')
+        return _struct_reader(typing.cast(type, kind))
+    if issubclass(kind, enum.IntEnum):
+        return lambda value: kind(_present(value))
+    return _scalar_reader(kind)
+
+
+def _present(value: Any) -> Any:
+    if value is None:
+        raise model.WireError('a required field is missing')
     return value
+
+
+def _struct_reader(kind: type) -> Converter:
+    fields = [
+        (name, _from_thrift(hint))
+        for name, hint in typing.get_type_hints(kind).items()
+    ]
+
+    def convert(struct: Any) -> Any:
+        _present(struct)
+        return kind(*[inner(getattr(struct, name)) for name, inner in fields])
+
+    return convert
+
+
+def _scalar_reader(kind: type) -> Converter:
+    def convert(value: Any) -> Any:
+        # Text that is not UTF-8 comes out of the library as bytes.
+        if type(value) is not kind:
+            raise model.WireError(f'expected {kind.__name__}, got {value!r}')
+        return value
+
+    return convert
