Let all nodes find each other, and read before deleting claims

Nodes that start together each joined one seed and stopped; the groups never met. Each group had its own janitor, which deleted claim buckets that never existed.

Change: a node goes on contacting any seed that is not among the live nodes; a hash of the member list rides on every probe, and unequal hashes lead to an exchange of full lists at a bounded rate. The janitor reads a bucket before it deletes it.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,6 +1,7 @@
 """A system of separate processes on loopback."""
 
 from collections.abc import Callable
+import http.client
 import json
 import pathlib
 import signal
@@ -44,6 +45,8 @@
             return response.status, response.read()
     except urllib.error.HTTPError as error:
         return error.code, error.read()
+    except http.client.HTTPException as error:
+        raise ConnectionError(f'the answer broke off: {error!r}') from None
 
 
 def wait_until(condition: Callable[[], bool], timeout_s: float) -> None:
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -20,7 +20,7 @@
 from ragwort_lab._trace import Submission
 from ragwort_lab._trace import Trace
 from ragwort_lab._world import World
-from ragwort_lab._world import WorldShape
+from ragwort_lab._world_parts import WorldShape
 
 __all__ = [
     'Case',
--- a/libs/ragwort_lab/ragwort_lab/_commands.py
+++ b/libs/ragwort_lab/ragwort_lab/_commands.py
@@ -5,10 +5,13 @@
 import statistics
 import time
 
+from ragwort_lab import _bench_report
+from ragwort_lab import _capacity
 from ragwort_lab import _invariants
 from ragwort_lab import _known_red
 from ragwort_lab import _matrix
 from ragwort_lab import _mutations
+from ragwort_lab import _relay_bench
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {}
 
@@ -50,6 +53,26 @@
     return 1 if missed or unproved else 0
 
 
+@command('capacity')
+def run_capacity(arguments: list[str]) -> int:
+    """Print the slopes of docs/CAPACITY.md; a missed limit is shown."""
+    _capacity.report()
+    return 0
+
+
+@command('bench')
+def run_bench(arguments: list[str]) -> int:
+    """Print the policy's figures and the relay's; missed aims are shown."""
+    _bench_report.report(arguments)
+    return _relay_bench.report()
+
+
+@command('relay')
+def run_relay(arguments: list[str]) -> int:
+    """Print the relay's figures alone."""
+    return _relay_bench.report()
+
+
 @command('matrix')
 def run_matrix(arguments: list[str]) -> int:
     """Run all single cases and the sampled pairs."""
--- a/libs/ragwort_lab/ragwort_lab/_faults.py
+++ b/libs/ragwort_lab/ragwort_lab/_faults.py
@@ -87,14 +87,14 @@
 @fault('runner-dies')
 def kill_runner(world: _world.World, victim: Victim) -> Heal:
     """End the runner; it comes back later."""
-    world.kill_runner(victim.runner)
-    return lambda: world.revive_runner(victim.runner)
+    world.runner_side.kill(victim.runner)
+    return lambda: world.runner_side.revive(victim.runner)
 
 
 @fault('runner-leaves')
 def drain_runner(world: _world.World, victim: Victim) -> Heal:
     """Let the runner leave for good."""
-    world.drain_runner(victim.runner)
+    world.runner_side.drain(victim.runner)
     return _nothing
 
 
@@ -261,9 +261,9 @@
 @fault('orders-delayed')
 def delay_orders(world: _world.World, victim: Victim) -> Heal:
     """Let the node's orders to runners arrive very late."""
-    world.order_delays[victim.node] = ORDER_DELAY_S
+    world.runner_side.order_delays[victim.node] = ORDER_DELAY_S
 
     def heal() -> None:
-        world.order_delays.pop(victim.node, None)
+        world.runner_side.order_delays.pop(victim.node, None)
 
     return heal
--- a/libs/ragwort_lab/ragwort_lab/_matrix.py
+++ b/libs/ragwort_lab/ragwort_lab/_matrix.py
@@ -202,7 +202,9 @@
         name = listed[probe.tries % len(listed)] if listed else live[0]
         probe.at = probe.at or self.world.now
         probe.tries += 1
-        probe.sent = self.world.submit(name, probe.class_of_work, probe.text)
+        probe.sent = self.world.callers.submit(
+            name, probe.class_of_work, probe.text
+        )
         self.world.after(PROBE_GAP_S, lambda: self._check_probe(probe))
 
     def _check_probe(self, probe: 'Probe') -> None:
@@ -235,14 +237,14 @@
     def _send(self, index: int) -> None:
         name = self.rng.choice(sorted(self.world.nodes))
         chosen = CLASSES[index % len(CLASSES)]
-        sent = self.world.submit(name, chosen, f'traffic {index}')
+        sent = self.world.callers.submit(name, chosen, f'traffic {index}')
         self._care_for(sent)
 
     def _send_target(self) -> None:
         """Send the request whose steps are watched, to two nodes at once."""
         self.target_key = model.request_key_at(self.world.wall(), self.rng)
         for name in (TARGET_NODE, 'node-3'):
-            sent = self.world.submit(
+            sent = self.world.callers.submit(
                 name, TARGET_CLASS, 'rip current', key=self.target_key
             )
             self._care_for(sent)
@@ -281,9 +283,9 @@
         self.resumes[sent.key] = count + 1
         name = self.rng.choice(live)
         if sent.accepted_host and not sent.resumed:
-            self._care_for(world.resume_stream(name, sent))
+            self._care_for(world.callers.resume_stream(name, sent))
         else:
-            again = world.submit(
+            again = world.callers.submit(
                 name, sent.class_of_work, sent.text, key=sent.key
             )
             self._care_for(again)
--- a/libs/ragwort_lab/ragwort_lab/_policy_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_policy_bench.py
@@ -13,6 +13,7 @@
 from ragwort_lab import _trace
 from ragwort_lab import _workload
 from ragwort_lab import _world
+from ragwort_lab import _world_parts
 import ragwort_model as model
 from ragwort_node import _dispatcher
 from ragwort_node import _engine
@@ -66,12 +67,12 @@
     def lose() -> None:
         world.kill('node-1')
         for name in names:
-            world.kill_runner(name)
+            world.runner_side.kill(name)
 
     def regain() -> None:
         world.restart('node-1')
         for name in names:
-            world.revive_runner(name)
+            world.runner_side.revive(name)
 
     world.at(FAULT_FROM_S, lose)
     world.at(FAULT_UNTIL_S, regain)
@@ -286,7 +287,7 @@
     workload = scenario.workload
     world = _world.World(
         job.seed,
-        _world.WorldShape(NODE_COUNT, strategy=job.variant.strategy),
+        _world_parts.WorldShape(NODE_COUNT, strategy=job.variant.strategy),
         runners,
         _workload.bench_objects(workload),
         costs,
--- /dev/null
+++ b/libs/ragwort_lab/ragwort_lab/_scale_bench.py
@@ -0,0 +1,175 @@
+"""Slopes of the control plane over the number of nodes."""
+
+import dataclasses
+import json
+import statistics
+from typing import Any
+
+import ragwort_fakes as fakes
+from ragwort_lab import _world
+from ragwort_lab import _world_parts
+import ragwort_model as model
+import ragwort_state as state
+
+SIZES = (8, 40, 110, 330)
+REGIONS = 4
+SETTLE_S = 30.0
+STEADY_S = 20.0
+STEP_S = 0.05
+WAIT_S = 30.0
+LOSS = 0.1
+RUNNERS_PER_SERVICE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlFigures:
+    """Steady state of one node that serves no requests, per second."""
+
+    nodes: int
+    bytes_per_s: float
+    messages_per_s: float
+    core_s: float
+    store_reads_per_s: float
+    store_writes_per_s: float
+    watches: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SpreadFigures:
+    """Seconds until a change was in force on every node."""
+
+    nodes: int
+    plain_s: float
+    watcher_dead_s: float
+    loss_s: float
+
+
+def scale_world(nodes: int, seed: int = 1) -> _world.World:
+    """Return a world of idle nodes in four regions, settled."""
+    shape = _world_parts.WorldShape(
+        nodes,
+        RUNNERS_PER_SERVICE,
+        regions=REGIONS,
+        count_bytes=True,
+    )
+    world = _world.World(seed, shape)
+    world.run_until(SETTLE_S)
+    return world
+
+
+def measure_control(nodes: int) -> ControlFigures:
+    """Measure a settled system without requests."""
+    world = scale_world(nodes)
+    for tally in (world.peer_bytes, world.peer_messages):
+        tally.clear()
+    reads = world.platform.read_count
+    writes = world.platform.write_count
+    world.node_time_s = 0.0
+    world.run_for(STEADY_S)
+    total = nodes * STEADY_S
+    return ControlFigures(
+        nodes,
+        sum(world.peer_bytes.values()) / total,
+        sum(world.peer_messages.values()) / total,
+        world.node_time_s / total,
+        (world.platform.read_count - reads) / STEADY_S,
+        (world.platform.write_count - writes) / STEADY_S,
+        len(world.platform.watches),
+    )
+
+
+def measure_spread(nodes: int) -> SpreadFigures:
+    """Measure how long a change takes, alone and under faults."""
+    return SpreadFigures(
+        nodes,
+        _spread_s(scale_world(nodes)),
+        _spread_s(_without_watchers(scale_world(nodes))),
+        _spread_s(_with_loss(scale_world(nodes))),
+    )
+
+
+def _without_watchers(world: _world.World) -> _world.World:
+    """Kill the watchers at the moment of the change, one node stays."""
+    for name, slot in world.nodes.items():
+        watching = slot.core.control.watcher.open_op is not None
+        if watching and len(world.live_nodes()) > 1:
+            world.kill(name)
+    return world
+
+
+def _with_loss(world: _world.World) -> _world.World:
+    world.loss = LOSS
+    return world
+
+
+def _spread_s(world: _world.World) -> float:
+    """Change a target; return when all living nodes have it in force."""
+    name = 'class/tide-question'
+    pipeline, attainment, deadline_s, _ = fakes.HOULE_CLASSES['tide-question']
+    content: dict[str, Any] = {
+        'pipeline': pipeline,
+        'target': {
+            'attainment': attainment,
+            'deadline_s': deadline_s,
+            'cost': 7.0,
+        },
+    }
+    version = world.put_object(name, content)
+    began_at = world.now
+    while world.now - began_at < WAIT_S:
+        world.run_for(STEP_S)
+        versions = [
+            world.nodes[host].core.control.catalog.in_force.get(name, 0)
+            for host in world.live_nodes()
+        ]
+        if min(versions) >= version:
+            return world.now - began_at
+    return float('inf')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fit:
+    """Straight line through measured points, and its largest miss."""
+
+    base: float
+    slope: float
+    worst_error: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value."""
+        return self.base + self.slope * size
+
+
+def fit_line(sizes: list[float], values: list[float]) -> Fit:
+    """Fit a line by least squares; the error is relative."""
+    slope, base = statistics.linear_regression(sizes, values)
+    errors = [
+        abs(base + slope * size - value) / max(abs(value), 1e-12)
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    return Fit(base, slope, max(errors))
+
+
+def sample_runner(index: int, services: int, domains: int) -> fakes.Objects:
+    """Return the configuration object of one runner of a large fleet."""
+    name = f'runner-{index:05d}'
+    content = {
+        'service': f'model-{index % services:02d}',
+        'address': f'10.{index // 62500}.{index // 250 % 250}.{index % 250}'
+        ':8000',
+        'failure_domain': f'domain-{index % domains:02d}',
+        'cost_rate': 1.0,
+    }
+    return {f'runner/{name}': content}
+
+
+def stored_objects(objects: fakes.Objects) -> list[model.StoredObject]:
+    """Return configuration objects as a store would hand them out."""
+    return [
+        model.StoredObject(
+            state.CONFIG_PREFIX + name,
+            index + 1,
+            json.dumps(fakes.named(name, content), sort_keys=True),
+        )
+        for index, (name, content) in enumerate(objects.items())
+    ]
--- a/libs/ragwort_lab/ragwort_lab/_workload.py
+++ b/libs/ragwort_lab/ragwort_lab/_workload.py
@@ -153,7 +153,7 @@
         live = world.live_nodes()
         name = live[rng.randrange(len(live))]
         deadline_s = CLASSES[arrival.class_of_work][2]
-        submission = world.submit(
+        submission = world.callers.submit(
             name,
             arrival.class_of_work,
             arrival.text,
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -24,8 +24,10 @@
 RETRANSMIT_FACTOR = 3
 URGENT_PEERS = 8
 DEAD_PROBE_INTERVAL_S = 5.0
-SYNC_INTERVAL_S = 5.0
+MIN_SYNC_S = 1.0
+SYNC_S_PER_MEMBER = 0.04
 JOIN_INTERVAL_S = 1.0
+REJOIN_INTERVAL_S = 5.0
 FORGET_S = 3600.0
 CLOCK_SAMPLES = 16
 
@@ -111,6 +113,8 @@
         self.changes: list[MemberChanged] = []
         self.version = 0
         self.cache_version = -1
+        self.view_version = -1
+        self.view_hash = 0
         self.live_cache: dict[str | None, list[model.MemberUpdate]] = {}
         self.role_cache: dict[tuple[str, int, str | None], list[str]] = {}
         self.offsets: dict[str, float] = {}
@@ -229,9 +233,23 @@
         if not sequence:
             self.sequence += 1
             sequence = self.sequence
-        message = model.Ping(sequence, wall, self._take_updates())
+        updates = self._take_updates()
+        message = model.Ping(sequence, wall, self.view(), updates)
         return model.SendPeer(address, message, fresh)
 
+    def view(self) -> int:
+        """Return a hash over the nodes not known to be gone.
+
+        Piggybacked updates may all be lost, above all when many nodes
+        join at once; unequal hashes show that and lead to an exchange.
+        """
+        if self.view_version != self.version:
+            self.view_version = self.version
+            self.view_hash = 0
+            for member in self.members.values():
+                self.view_hash ^= _view_part(member.update)
+        return self.view_hash
+
     def tick(self, now: float, wall: float) -> list[model.SendPeer]:
         """Return the messages due now."""
         messages = self._join(now)
@@ -244,13 +262,22 @@
         return messages
 
     def _join(self, now: float) -> list[model.SendPeer]:
-        if len(self.live()) > 1 or now < self.next_join:
+        """Contact a seed that is not among the live nodes.
+
+        Nodes that start together may each find another seed first; without
+        this their groups would never hear of each other.
+        """
+        if now < self.next_join:
             return []
-        self.next_join = now + JOIN_INTERVAL_S * self.rng.uniform(0.75, 1.25)
-        if not self.seeds:
+        live = {update.peer_address for update in self.live()}
+        missing = [seed for seed in self.seeds if seed not in live]
+        alone = len(live) == 1
+        pause_s = JOIN_INTERVAL_S if alone else REJOIN_INTERVAL_S
+        self.next_join = now + pause_s * self.rng.uniform(0.75, 1.25)
+        if not missing:
             return []
         message = model.MemberSync(self._records(), True)
-        return [model.SendPeer(self.rng.choice(self.seeds), message)]
+        return [model.SendPeer(self.rng.choice(missing), message, True)]
 
     def _records(self) -> list[model.MemberUpdate]:
         return [self.members[name].update for name in sorted(self.members)]
@@ -371,7 +398,7 @@
             return []
         update = self.rng.choice(dead)
         self.sequence += 1
-        message = model.Ping(self.sequence, wall, [update])
+        message = model.Ping(self.sequence, wall, self.view(), [update])
         return [model.SendPeer(update.peer_address, message, True)]
 
     def on_ping(
@@ -382,20 +409,20 @@
         self.merge(message.updates, now)
         ack = model.Ack(message.sequence, wall, self._take_updates())
         replies = [model.SendPeer(sender, ack)]
-        return replies + self._greet(sender, now)
+        return replies + self._reconcile(sender, message.view, now)
 
-    def _greet(self, sender: str, now: float) -> list[model.SendPeer]:
-        """Exchange full lists with a node thought dead or unknown."""
-        member = self.members.get(self.by_address.get(sender, ''))
-        known = member is not None and (
-            member.update.status <= model.MemberStatus.SUSPECT
-        )
-        left = member is not None and (
-            member.update.status == model.MemberStatus.LEFT
-        )
-        if known or left or now < self.next_sync:
+    def _reconcile(
+        self, sender: str, view: int, now: float
+    ) -> list[model.SendPeer]:
+        """Exchange full lists, now and then, with a node that sees others.
+
+        The pause grows with the list, so that the bytes per second stay
+        bounded while nodes come and go.
+        """
+        if view == self.view() or now < self.next_sync:
             return []
-        self.next_sync = now + SYNC_INTERVAL_S
+        pause_s = max(MIN_SYNC_S, len(self.members) * SYNC_S_PER_MEMBER)
+        self.next_sync = now + pause_s * self.rng.uniform(0.75, 1.25)
         return [
             model.SendPeer(sender, model.MemberSync(self._records(), True))
         ]
@@ -414,7 +441,7 @@
         if probe is not None and probe.sequence == message.sequence:
             self.probe = None
             self.health_penalty = max(self.health_penalty - 1, 0)
-        return self._greet(sender, now)
+        return []
 
     def on_indirect(
         self, sender: str, message: model.IndirectPing, now: float, wall: float
@@ -454,6 +481,10 @@
                 self._refute(update, now)
                 continue
             known = self.members.get(update.name)
+            gone = update.status >= model.MemberStatus.DEAD
+            if known is None and gone:
+                # Nothing is lost by never having known it.
+                continue
             if known is None or _is_newer(update, known.update):
                 self._store(update, now)
 
@@ -474,3 +505,10 @@
     if update.incarnation != known.incarnation:
         return update.incarnation > known.incarnation
     return update.status > known.status
+
+
+def _view_part(update: model.MemberUpdate) -> int:
+    if update.status >= model.MemberStatus.DEAD:
+        return 0
+    text = f'{update.incarnation}/{update.status}'
+    return model.stable_hash(update.name, text) >> 1
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -43,10 +43,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping:
-    """Probe; wall lets the receiver compare clocks (seconds)."""
+    """Probe; wall lets the receiver compare clocks (seconds).
+
+    view is a hash over the sender's list of nodes.
+    """
 
     sequence: int
     wall: float
+    view: int
     updates: list[MemberUpdate]
 
 
--- a/libs/ragwort_node/ragwort_node/_control.py
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -93,6 +93,8 @@
             return []
         if result.op.startswith(state.LEDGER_OP):
             return list(self.ledger.result(result, now))
+        if result.op.startswith(state.JANITOR_OP):
+            return list(self.janitor.result(result))
         return []
 
     def on_peer(
--- a/libs/ragwort_policy/ragwort_policy/_runners.py
+++ b/libs/ragwort_policy/ragwort_policy/_runners.py
@@ -94,7 +94,9 @@
         self.inflight += 1
 
     def on_report(self, report: model.LoadReport, now: float) -> None:
-        """Take a load report."""
+        """Take a load report; the first one tells the runner's size."""
+        if self.report is None:
+            self.limit = max(self.limit, float(report.slots))
         self.report = report
         self.report_at = now
         self.inflight_at_report = self.inflight
--- a/libs/ragwort_state/ragwort_state/_ledger.py
+++ b/libs/ragwort_state/ragwort_state/_ledger.py
@@ -24,7 +24,6 @@
 MAX_BACKOFF_S = 1.0
 OUTAGE_MEMORY_S = 1.0
 JANITOR_WINDOW_BUCKETS = 40
-JANITOR_BATCH = 4
 IDLE_BUCKET_S = 60.0
 
 
@@ -294,7 +293,11 @@
 
 
 class Janitor:
-    """Delete claim buckets that no key inside retention can name."""
+    """Delete claim buckets that no key inside retention can name.
+
+    Whether a bucket exists is read first: reads are far cheaper to the
+    store than writes, and most buckets never come to be.
+    """
 
     def __init__(self, retention_s: float, skew_s: float) -> None:
         """Keep buckets for the retention and twice the clock skew."""
@@ -304,23 +307,26 @@
         self.operations = 0
 
     def tick(self, wall: float) -> list[model.StoreCall]:
-        """Return a few deletions for the elected janitor to make."""
+        """Return the next read for the elected janitor to make."""
         last = int(wall - self.keep_s) // BUCKET_S - 1
         if self.next_bucket is None:
             self.next_bucket = last - JANITOR_WINDOW_BUCKETS
-        calls: list[model.StoreCall] = []
-        while self.next_bucket <= last and len(calls) < JANITOR_BATCH:
-            calls.append(self._delete(self.next_bucket, self.next_shard))
-            self.next_shard += 1
-            if self.next_shard == SHARD_COUNT:
-                self.next_shard = 0
-                self.next_bucket += 1
-        return calls
-
-    def _delete(self, bucket: int, shard: int) -> model.StoreCall:
+        if self.next_bucket > last:
+            return []
+        name = bucket_name(self.next_shard, self.next_bucket * BUCKET_S)
+        self.next_shard += 1
+        if self.next_shard == SHARD_COUNT:
+            self.next_shard = 0
+            self.next_bucket += 1
+        return [self._call(model.StoreVerb.GET, name)]
+
+    def result(self, result: model.StoreResult) -> list[model.StoreCall]:
+        """Return the deletion of a bucket that was found."""
+        return [
+            self._call(model.StoreVerb.DELETE, item.name)
+            for item in result.objects
+        ]
+
+    def _call(self, verb: model.StoreVerb, name: str) -> model.StoreCall:
         self.operations += 1
-        return model.StoreCall(
-            f'{JANITOR_OP}{self.operations}',
-            model.StoreVerb.DELETE,
-            bucket_name(shard, bucket * BUCKET_S),
-        )
+        return model.StoreCall(f'{JANITOR_OP}{self.operations}', verb, name)
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -47,12 +47,9 @@
 
 def encode_peer(sender: str, message: model.PeerMessage) -> bytes:
     """Return one frame's bytes, without the length prefix."""
+    kind = typing.cast(type, type(message))
     envelope = _IDL.Envelope(version=WIRE_VERSION, sender=sender)
-    setattr(
-        envelope,
-        _field_name(type(message)),
-        _to_thrift(type(message))(message),
-    )
+    setattr(envelope, _field_name(kind), _to_thrift(kind)(message))
     buffer = cymemory.TCyMemoryBuffer()
     _new_protocol(buffer).write_struct(envelope)
     return bytes(buffer.getvalue())
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -16,6 +16,7 @@
   1: i64 sequence
   2: double wall
   3: list<MemberUpdate> updates
+  4: i64 view
 }
 
 struct Ack {
