--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -167,6 +167,8 @@
 
     def set_accepting(self, accepting: bool, now: float) -> None:
         """Announce whether this node takes new requests."""
+        if self.own.accepting == accepting:
+            return
         self._replace_own(
             now,
             incarnation=self.own.incarnation + 1,
@@ -458,7 +460,14 @@
         self, sender: str, message: model.MemberSync, now: float
     ) -> list[model.SendPeer]:
         """Merge a full list and answer with ours if asked."""
+        # What came in a full list spreads by full lists; as rumours, the
+        # start of a large fleet would go on for minutes.
+        rumours = dict(self.pending)
         self.merge(message.members, now)
+        own = self.pending.get(self.self_name)
+        self.pending = rumours
+        if own is not None:
+            self.pending[self.self_name] = own
         if not message.reply:
             return []
         return [
