--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -16,6 +16,13 @@
 from ragwort_lab._matrix import STEPS
 from ragwort_lab._mutations import is_caught
 from ragwort_lab._mutations import MUTATIONS
+from ragwort_lab._scale_bench import cold_start_s
+from ragwort_lab._scale_bench import measure_control
+from ragwort_lab._scale_bench import scale_world
+from ragwort_lab._scale_bench import spread_s
+from ragwort_lab._scale_bench import with_loss
+from ragwort_lab._scale_bench import without_watchers
+from ragwort_lab._state_bench import LedgerRun
 from ragwort_lab._trace import Dispatch
 from ragwort_lab._trace import Submission
 from ragwort_lab._trace import Trace
@@ -26,22 +33,29 @@
     'Case',
     'CaseResult',
     'CaseRun',
+    'cold_start_s',
     'Dispatch',
     'Fault',
     'FAULTS',
     'INVARIANTS',
     'is_caught',
+    'LedgerRun',
     'load_known_red',
+    'measure_control',
     'MUTATIONS',
     'pair_cases',
     'REGRESSIONS',
     'run_case',
+    'scale_world',
     'single_cases',
+    'spread_s',
     'STEPS',
     'Submission',
     'Trace',
     'Victim',
     'violations',
+    'with_loss',
+    'without_watchers',
     'World',
     'WorldShape',
 ]
--- a/libs/ragwort_lab/ragwort_lab/_scale_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_scale_bench.py
@@ -111,13 +111,13 @@
     """Measure how long a change takes, alone and under faults."""
     return SpreadFigures(
         nodes,
-        _spread_s(scale_world(nodes)),
-        _spread_s(_without_watchers(scale_world(nodes))),
-        _spread_s(_with_loss(scale_world(nodes))),
+        spread_s(scale_world(nodes)),
+        spread_s(without_watchers(scale_world(nodes))),
+        spread_s(with_loss(scale_world(nodes))),
     )
 
 
-def _without_watchers(world: _world.World) -> _world.World:
+def without_watchers(world: _world.World) -> _world.World:
     """Kill the watchers at the moment of the change, one node stays."""
     for name, slot in world.nodes.items():
         watching = slot.core.control.watcher.open_op is not None
@@ -126,12 +126,13 @@
     return world
 
 
-def _with_loss(world: _world.World) -> _world.World:
+def with_loss(world: _world.World) -> _world.World:
+    """Lose one message in ten between nodes."""
     world.loss = LOSS
     return world
 
 
-def _spread_s(world: _world.World) -> float:
+def spread_s(world: _world.World) -> float:
     """Change a target; return when all living nodes have it in force."""
     name = 'class/tide-question'
     pipeline, attainment, deadline_s, _ = fakes.HOULE_CLASSES['tide-question']
