Match a runner's record to its attempt in one place

Cause: chunks and end records each carried the same check of echo and attempt. No behaviour changed.

--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -233,14 +233,22 @@
         attempt = execution.attempts.get(str(ident))
         return None if attempt is None else (execution, attempt)
 
-    def on_chunk(self, event: model.StageChunk, now: float) -> None:
-        """Take a chunk if it is the next one of a current attempt."""
+    def _match(
+        self, event: model.StageChunk | model.StageEnd
+    ) -> tuple[_execution.Execution, _execution.Attempt] | None:
+        """Return the current attempt that a record names, and count others."""
         if event.echo != str(event.attempt):
             self.out.append(_effects.Count('reply.crossed'))
-            return
+            return None
         found = self._find(event.attempt)
         if found is None:
             self.out.append(_effects.Count('reply.late'))
+        return found
+
+    def on_chunk(self, event: model.StageChunk, now: float) -> None:
+        """Take a chunk if it is the next one of a current attempt."""
+        found = self._match(event)
+        if found is None:
             return
         execution, attempt = found
         match attempt.take_chunk(event.seq, event.data):
@@ -288,12 +296,8 @@
 
     def on_end(self, event: model.StageEnd, now: float) -> None:
         """Accept a stage result if it is whole."""
-        if event.echo != str(event.attempt):
-            self.out.append(_effects.Count('reply.crossed'))
-            return
-        found = self._find(event.attempt)
+        found = self._match(event)
         if found is None:
-            self.out.append(_effects.Count('reply.late'))
             return
         execution, attempt = found
         if not execution.is_whole(attempt, event):
