--- a/features/operators.feature
+++ b/features/operators.feature
@@ -25,6 +25,18 @@
     Then the command succeeds and says "serving"
     And the command succeeds and says "0 not yet the same on all nodes"
 
+  Scenario Outline: data can be had as JSON from "<command>"
+    When an operator runs "<command> --output json"
+    Then the command succeeds and prints JSON that holds "<key>"
+
+    Examples:
+      | command                                 | key     |
+      | target set fault-diagnosis --cost 0.07  | version |
+      | target list                             | target  |
+      | settings check examples/campbell/nodes.yaml | peers |
+      | addresses                               | ttl_s   |
+      | status                                  | members |
+
   Scenario Outline: bad input gets one plain line and its exit code
     When an operator runs "<command>"
     Then it ends with exit code <code> and one line that says "<text>"
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -64,6 +64,15 @@
     assert text in context.done.stdout, context.done.stdout
 
 
+@then('the command succeeds and prints JSON that holds "{key}"')
+def check_json(context: Any, key: str) -> None:
+    """Parse the output and look for a key."""
+    assert context.done.returncode == 0, context.done
+    data = json.loads(context.done.stdout)
+    first = data[0] if isinstance(data, list) else data
+    assert key in first, first
+
+
 @then('it ends with exit code {code:d} and one line that says "{text}"')
 def check_failure(context: Any, code: int, text: str) -> None:
     """Check exit code and the one line on standard error."""
--- a/libs/ragwort_cli/ragwort_cli/_commands.py
+++ b/libs/ragwort_cli/ragwort_cli/_commands.py
@@ -156,6 +156,7 @@
     cost: Annotated[
         float | None, typer.Option(help='Most to spend per request, units.')
     ] = None,
+    output: OutputOption = TEXT,
 ) -> None:
     """Change a target; fields that are not given stay as they are."""
     wanted: dict[str, float] = {}
@@ -173,7 +174,16 @@
     version = _loop.run_command(
         lambda reactor: _operator.set_target(reactor, address, name, wanted)
     )
-    typer.echo(f'{name}: accepted as version {version}')
+    _print_version(name, 'accepted', version, output)
+
+
+def _print_version(
+    name: str, verb: str, version: int, output: _output.OutputForm
+) -> None:
+    if output == _output.OutputForm.JSON:
+        _output.print_json({'class': name, 'version': version})
+        return
+    typer.echo(f'{name}: {verb} as version {version}')
 
 
 def _duration(text: str) -> float:
@@ -199,6 +209,7 @@
     attainment: Annotated[float, typer.Option(help='Share, 0 to 1.')],
     deadline: Annotated[str, typer.Option(help='Such as 800ms or 8s.')],
     cost: Annotated[float, typer.Option(help='Units per request.')],
+    output: OutputOption = TEXT,
 ) -> None:
     """Create a class of work with its target."""
     target = {
@@ -212,13 +223,17 @@
             reactor, address, name, pipeline, target
         )
     )
-    typer.echo(f'{name}: created as version {version}')
+    _print_version(name, 'created', version, output)
 
 
 @settings_app.command('check')
-def check_settings(path: pathlib.Path) -> None:
+def check_settings(path: pathlib.Path, output: OutputOption = TEXT) -> None:
     """Check a settings file and list what it describes."""
-    for found in model.load_settings(path):
+    described = model.load_settings(path)
+    if output == _output.OutputForm.JSON:
+        _output.print_json([s.model_dump(mode='json') for s in described])
+        return
+    for found in described:
         typer.echo(f'{path}: {found.kind} {found.name}: valid')
 
 
