Make pieces in the failure domain where their inputs lie

A group now names the domain of its inputs, or of the engine its request will likely go to, and waits for a runner there while its slack allows.

Ruled out: choosing the engine by the results' domain alone; it would read a session's prompt again (0.25 per 1000 tokens against 0.05 per GB moved).

--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -1,5 +1,6 @@
 """One request on its way: stages, sends to runners, the answer."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 from typing import Any
@@ -288,9 +289,26 @@
             self.ends_at - after_s,
             self.rank,
             spec.result_bytes,
-            self.context.failure_domain,
+            self._stage_domain(run, stage),
         )
 
+    def _stage_domain(self, run: relay.StageRun, stage: int) -> str:
+        """Return where a stage's inputs lie or its results will be read."""
+        domains = collections.Counter(
+            self._handle_domain(handle)
+            for needed in self.route.stages[stage].after
+            for handle in run.results(needed)
+        )
+        if domains:
+            return domains.most_common(1)[0][0]
+        if stage not in run.followed:
+            runner = self._choose(
+                self.route.service_for(self.facts.request_id), set()
+            )
+            if runner is not None:
+                return runner.entry.runner.failure_domain
+        return self.context.failure_domain
+
     def _on_stage(
         self,
         outcomes: '_stage_service.Outcomes',
@@ -350,9 +368,12 @@
         if not fresh:
             return None
         if self.facts.prompt:
-            domains = [self._handle_domain(h) for h in self.inputs]
             runner, estimates = relay.choose_engine(
-                fresh, self.facts.prompt, context.catalog.memory, domains, now
+                fresh,
+                self.facts.prompt,
+                context.catalog.memory,
+                self._input_bytes(),
+                now,
             )
         else:
             runner, estimates = relay.choose_plain(
@@ -364,6 +385,20 @@
         }
         return runner
 
+    def _input_bytes(self) -> dict[str, float]:
+        """Return the bytes of results to be read, by failure domain."""
+        amounts: dict[str, float] = {}
+        run = self.stage_run
+        if run is None:
+            return amounts
+        for stage in range(len(run)):
+            if stage not in run.followed:
+                for handle in run.results(stage):
+                    domain = self._handle_domain(handle)
+                    size = self.route.stages[stage].result_bytes
+                    amounts[domain] = amounts.get(domain, 0.0) + size
+        return amounts
+
     def _handle_domain(self, handle: str) -> str:
         address = self.context.dialect.handle_address(handle)
         for runner in self.context.catalog.fleet.runners.values():
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import math
 
 from ragwort_relay import _fleet
 from ragwort_relay import _routes
@@ -16,8 +17,10 @@
 # A runner this much slower than usual gets a call only if the others
 # could not have done it by then.
 SLOWNESS_WEIGHT = 0.3
-# Room kept free of results at a runner, for what this host cannot see.
-ROOM_SHARE = 0.9
+# Part of a runner's room for results that is used.
+ROOM_SHARE = 1.0
+# Time to spare beyond the wait for a runner in the wanted failure domain.
+NEAR_MARGIN_S = 0.1
 # Urgency of a rank in seconds of slack.
 RANK_S = 0.25
 # Patience with a call, as a multiple of its expected time and at least.
@@ -31,6 +34,7 @@
 class PieceGroup:
     """The pieces of one stage of one request, wanted by one host.
 
+    failure_domain is where the inputs lie or the results will be read.
     target_at and deadline_at are when the stage has to be done to meet the
     request's target and its deadline, in seconds of this host's clock.
     """
@@ -44,6 +48,10 @@
     failure_domain: str
     sends: int = 0
 
+    def slack_s(self, now: float, work_s: float) -> float:
+        """Return the time to spare before the target, in seconds."""
+        return self.target_at - now - work_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueuedPiece:
@@ -74,6 +82,26 @@
         return sum(piece.group.result_bytes for piece in self.pieces)
 
 
+@dataclasses.dataclass(slots=True)
+class _FormingCall:
+    """A call to an idle runner while its pieces are chosen."""
+
+    runner: _fleet.FleetRunner
+    free_bytes: float
+    pieces: list[QueuedPiece] = dataclasses.field(default_factory=list)
+
+    @property
+    def failure_domain(self) -> str:
+        return self.runner.entry.runner.failure_domain
+
+    def holds(self, group: PieceGroup) -> bool:
+        return any(piece.group is group for piece in self.pieces)
+
+    def add(self, piece: QueuedPiece) -> None:
+        self.pieces.append(piece)
+        self.free_bytes -= piece.group.result_bytes
+
+
 class Gatherer:
     """Queue of pieces for one service, and the calls made of it."""
 
@@ -118,20 +146,73 @@
         usable = {runner.name: runner for runner in runners}
         busy = {call.runner.name for call in self.calls.values()}
         idle = [r for name, r in usable.items() if name not in busy]
-        idle.sort(key=lambda runner: (runner.slowness, runner.name))
-        calls: list[BatchCall] = []
         if not self.queue or not idle:
-            return calls
+            return []
         self.queue.sort(key=lambda piece: self._urgency(piece, now))
-        for runner in idle:
-            if not self.queue:
-                break
-            if not self._is_worth(runner, usable, now):
-                continue
-            call = self._form(runner, now)
-            if call is not None:
-                calls.append(call)
-        return calls
+        forming = [
+            _FormingCall(runner, self._free_bytes(runner))
+            for runner in sorted(idle, key=lambda r: (r.slowness, r.name))
+            if self._is_worth(runner, usable, now)
+        ]
+        waiting: list[QueuedPiece] = []
+        for piece in self.queue:
+            place = self._place(piece, forming, usable, now)
+            if place is None:
+                waiting.append(piece)
+            else:
+                place.add(piece)
+        self.queue = waiting
+        return [self._start(call, now) for call in forming if call.pieces]
+
+    def _place(
+        self,
+        piece: QueuedPiece,
+        forming: list['_FormingCall'],
+        usable: dict[str, _fleet.FleetRunner],
+        now: float,
+    ) -> '_FormingCall | None':
+        """Return the call for a piece, None if it had better wait.
+
+        Results that cross failure domains are slow and dear, so that a
+        piece with time to spare waits for a runner of its own.
+        """
+        group = piece.group
+        places = [
+            call
+            for call in forming
+            if len(call.pieces) < self.limits.batch
+            and call.free_bytes >= group.result_bytes
+        ]
+        if not places:
+            return None
+        domain = group.failure_domain
+        near = [c for c in places if c.failure_domain == domain]
+        if near:
+            return near[0]
+        free_in_s = self._near_free_in_s(domain, usable, now)
+        work_s = self.limits.duration_s(self.limits.batch)
+        if free_in_s + NEAR_MARGIN_S < group.slack_s(now, work_s):
+            return None
+        # Pieces of one request stay together: they share their inputs.
+        mine = [c for c in places if c.holds(group)]
+        return mine[0] if mine else min(places, key=lambda c: len(c.pieces))
+
+    def _near_free_in_s(
+        self,
+        domain: str,
+        usable: dict[str, _fleet.FleetRunner],
+        now: float,
+    ) -> float:
+        """Return when a busy runner of a failure domain is free."""
+        return min(
+            (
+                max(call.sent_at + call.expected_s - now, 0.0)
+                for call in self.calls.values()
+                if call.runner.name in usable
+                and call.runner.entry.runner.failure_domain == domain
+            ),
+            default=math.inf,
+        )
 
     def _urgency(
         self, piece: QueuedPiece, now: float
@@ -173,25 +254,20 @@
             return True
         return here <= max(others[ahead], usual_s) * (1 + SLOWNESS_WEIGHT)
 
-    def _form(
-        self, runner: _fleet.FleetRunner, now: float
-    ) -> BatchCall | None:
+    def _free_bytes(self, runner: _fleet.FleetRunner) -> float:
         room = self.limits.room_bytes * ROOM_SHARE
-        free = room - self.used_bytes.get(runner.name, 0.0)
-        chosen: list[QueuedPiece] = []
-        for piece in self.queue:
-            if len(chosen) == self.limits.batch:
-                break
-            if piece.group.result_bytes > free:
-                continue
-            free -= piece.group.result_bytes
-            chosen.append(piece)
-        if not chosen:
-            return None
-        taken = {id(piece) for piece in chosen}
-        self.queue = [p for p in self.queue if id(p) not in taken]
-        expected_s = self.limits.duration_s(len(chosen)) * runner.slowness
-        call = BatchCall(next(self.call_ids), runner, chosen, now, expected_s)
+        return room - self.used_bytes.get(runner.name, 0.0)
+
+    def _start(self, forming: '_FormingCall', now: float) -> BatchCall:
+        runner = forming.runner
+        usual_s = self.limits.duration_s(len(forming.pieces))
+        call = BatchCall(
+            next(self.call_ids),
+            runner,
+            forming.pieces,
+            now,
+            usual_s * runner.slowness,
+        )
         self.calls[call.call_id] = call
         self._use(runner.name, call.result_bytes)
         return call
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -18,8 +18,10 @@
 CALL_S = 0.006
 # Parts remembered per runner; about what a runner's memory holds.
 MAX_PARTS = 512
-# Cost of fetching stage results from another failure domain.
-REMOTE_RESULT_S = 0.004
+# Cost of fetching a byte of stage results from another failure domain.
+REMOTE_S_PER_BYTE = 2.7e-9
+# Cost of a plain call to another failure domain.
+REMOTE_CALL_S = 0.004
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,11 +75,12 @@
     runners: Sequence[_fleet.FleetRunner],
     prompt: Sequence[PromptPart],
     memory: PromptMemory,
-    result_domains: Sequence[str],
+    input_bytes: Mapping[str, float],
     now: float,
 ) -> tuple[_fleet.FleetRunner, dict[str, float]]:
     """Return the runner expected to begin first, and all estimates.
 
+    input_bytes is the size of the results to fetch, by failure domain.
     A session that no runner is known to hold goes where all hosts would
     send it, by rendezvous over its part of the prompt.
     """
@@ -94,10 +97,11 @@
             missing * PREFILL_S_PER_TOKEN
             + running * CALL_S
             + runner.state.failure_share
-            + REMOTE_RESULT_S
+            + REMOTE_S_PER_BYTE
             * sum(
-                domain != runner.entry.runner.failure_domain
-                for domain in result_domains
+                size
+                for domain, size in input_bytes.items()
+                if domain != runner.entry.runner.failure_domain
             )
         )
     best = min(runners, key=lambda r: (estimates[r.name], r.name))
@@ -117,7 +121,7 @@
         estimates[runner.name] = (
             busy_s * crowding
             + state.failure_share * busy_s
-            + REMOTE_RESULT_S * is_remote
+            + REMOTE_CALL_S * is_remote
         )
     best = min(runners, key=lambda r: (estimates[r.name], r.name))
     return best, estimates
