Gather stage work so that room for results is never held in vain

Calls went out with one or two pieces of four. Also hosts gathered for themselves when the owner's answer took longer than its forecast (53 calls found runners full), and sessions were hashed by a part of the prompt that is each request's own (302 thousand tokens read again).

Changed: a group that was begun goes first and starts only where it fits whole; a runner that had no room is passed over for 0.3 s; an owner is asked for a sign every 0.4 s and given up only when it gives none; results are freed within 15 ms; the session is the part before the request's own. Conclusion: room, not time, is what runs out first; it is now kept for requests that can use it.

--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -19,10 +19,9 @@
 ACKNOWLEDGE_S = 0.12
 # Time to pass over an owner that did not acknowledge.
 AVOID_OWNER_S = 1.0
-# Patience with an owner beyond the time that it said.
-OWNER_PATIENCE_S = 0.6
-OWNER_PATIENCE_FACTOR = 2.0
-RELEASE_DELAY_S = 0.06
+# Time after which an owner that brought nothing is asked for a sign.
+OWNER_CHECK_S = 0.4
+RELEASE_DELAY_S = 0.015
 RELEASE_TIMEOUT_S = 1.0
 MAX_SENDS = 3
 # How long a runner that turned a call away is passed over.
@@ -137,6 +136,7 @@
         return done
 
     def _ask(self, wanted: _Wanted, owner: str) -> None:
+        """Send a group to its owner; once more is a check for a sign."""
         group = wanted.group
         now = self.reactor.seconds()
         wanted.owner = owner
@@ -148,6 +148,7 @@
                     w.request_id, w.stage, w.piece, w.key, list(w.inputs)
                 )
                 for w in group.work
+                if w.piece not in wanted.outcomes
             ],
             group.target_at - now,
             group.deadline_at - now,
@@ -156,9 +157,7 @@
             group.failure_domain,
         )
         self.send_peer(model.SendPeer(owner, message))
-        wanted.timer = self.reactor.callLater(
-            ACKNOWLEDGE_S, self._on_silent_owner, group.group_id
-        )
+        self._set_timer(wanted, ACKNOWLEDGE_S, self._on_silent_owner)
 
     def on_taken(self, message: model.StageTaken) -> None:
         """Take an owner's word that it has a group."""
@@ -167,18 +166,22 @@
             return
         now = self.reactor.seconds()
         self.waits[wanted.service] = (message.wait_s, now)
+        self._set_timer(wanted, OWNER_CHECK_S, self._check_owner)
+
+    def _check_owner(self, group_id: str) -> None:
+        wanted = self.wanted.get(group_id)
+        if wanted is not None and wanted.owner is not None:
+            self._ask(wanted, wanted.owner)
+
+    def _set_timer(
+        self,
+        wanted: _Wanted,
+        delay_s: float,
+        on_time: Callable[[str], None],
+    ) -> None:
         self._stop_timer(wanted)
-        gatherer = self._gatherer(wanted.service)
-        call_s = (
-            gatherer.limits.duration_s(gatherer.limits.batch)
-            if (gatherer)
-            else 0.0
-        )
-        patience_s = OWNER_PATIENCE_S + OWNER_PATIENCE_FACTOR * (
-            message.wait_s + call_s
-        )
         wanted.timer = self.reactor.callLater(
-            patience_s, self._on_silent_owner, message.group
+            delay_s, on_time, wanted.group.group_id
         )
 
     def _on_silent_owner(self, group_id: str) -> None:
@@ -261,8 +264,13 @@
     # The gathering side.
 
     def on_ask(self, sender: str, message: model.StageAsk) -> None:
-        """Take a group from another host."""
+        """Take a group from another host, or say that it is here."""
         now = self.reactor.seconds()
+        wait_s = self._wait_here(message.service_name)
+        taken = model.StageTaken(message.group, wait_s)
+        self.send_peer(model.SendPeer(sender, taken))
+        if message.group in self.owned:
+            return
         group = relay.PieceGroup(
             message.group,
             [
@@ -277,9 +285,6 @@
             message.result_bytes,
             message.failure_domain,
         )
-        wait_s = self._wait_here(message.service_name)
-        taken = model.StageTaken(message.group, wait_s)
-        self.send_peer(model.SendPeer(sender, taken))
         self._gather(message.service_name, group, sender)
 
     def on_drop(self, message: model.StageDrop) -> None:
@@ -351,6 +356,7 @@
         call.runner.state.on_dispatch()
         for piece in call.pieces:
             piece.group.sends += 1
+        self._log_call(service, gatherer, call)
         done = _client.fetch(
             self.caller, call.runner.address, request, call.patience_s
         )
@@ -362,6 +368,23 @@
         )
         done.addErrback(self._on_defect)
 
+    def _log_call(
+        self, service: str, gatherer: relay.Gatherer, call: relay.BatchCall
+    ) -> None:
+        domain = call.runner.entry.runner.failure_domain
+        now = self.reactor.seconds()
+        self.logger.info(
+            'stage-call',
+            service=service,
+            runner=call.runner.name,
+            pieces=len(call.pieces),
+            near=sum(p.group.failure_domain == domain for p in call.pieces),
+            late=sum(p.group.target_at < now for p in call.pieces),
+            waiting=len(gatherer.queue),
+            used_bytes=int(gatherer.used_bytes.get(call.runner.name, 0)),
+            slowness=round(call.runner.slowness, 2),
+        )
+
     def _on_defect(self, failure: Any) -> None:
         self.logger.error('defect', detail=failure.getTraceback()[-1500:])
 
@@ -412,6 +435,9 @@
                 if result.handle:
                     unwanted.append(result.handle)
             elif result.result in retry:
+                if result.result == _dialect.PieceResult.ROOM:
+                    now = self.reactor.seconds()
+                    gatherer.on_no_room(call.runner, now)
                 again.append(piece)
             else:
                 reason = None if result.handle else str(result.result)
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -19,6 +19,8 @@
 SLOWNESS_WEIGHT = 0.3
 # Part of a runner's room for results that is used.
 ROOM_SHARE = 1.0
+# Time to pass over a runner without room: about the life of a result.
+FULL_S = 0.3
 # Time to spare beyond the wait for a runner in the wanted failure domain.
 NEAR_MARGIN_S = 0.1
 # Urgency of a rank in seconds of slack.
@@ -113,6 +115,7 @@
         self.call_ids = itertools.count(1)
         self.kept: dict[str, tuple[str, float, float]] = {}
         self.used_bytes: dict[str, float] = {}
+        self.full_until: dict[str, float] = {}
 
     def add(self, group: PieceGroup) -> None:
         """Queue the pieces of a group."""
@@ -150,7 +153,7 @@
             return []
         self.queue.sort(key=lambda piece: self._urgency(piece, now))
         forming = [
-            _FormingCall(runner, self._free_bytes(runner))
+            _FormingCall(runner, self._free_bytes(runner, now))
             for runner in sorted(idle, key=lambda r: (r.slowness, r.name))
             if self._is_worth(runner, usable, now)
         ]
@@ -177,12 +180,7 @@
         piece with time to spare waits for a runner of its own.
         """
         group = piece.group
-        places = [
-            call
-            for call in forming
-            if len(call.pieces) < self.limits.batch
-            and call.free_bytes >= group.result_bytes
-        ]
+        places = [call for call in forming if self._fits(call, group)]
         if not places:
             return None
         domain = group.failure_domain
@@ -197,6 +195,22 @@
         mine = [c for c in places if c.holds(group)]
         return mine[0] if mine else min(places, key=lambda c: len(c.pieces))
 
+    def _fits(self, call: '_FormingCall', group: PieceGroup) -> bool:
+        """Tell whether a call can take a piece of a group.
+
+        A group that was not begun starts only in a call that can hold all
+        of it, or as much of it as any call can.
+        """
+        free = self.limits.batch - len(call.pieces)
+        if free < 1 or call.free_bytes < group.result_bytes:
+            return False
+        if group.sends or call.holds(group):
+            return True
+        whole = min(len(group.work), self.limits.batch)
+        return free >= whole and (
+            call.free_bytes >= whole * group.result_bytes
+        )
+
     def _near_free_in_s(
         self,
         domain: str,
@@ -216,12 +230,19 @@
 
     def _urgency(
         self, piece: QueuedPiece, now: float
-    ) -> tuple[bool, float, str, int, int]:
+    ) -> tuple[bool, bool, float, str, int, int]:
+        """Return the order of pieces.
+
+        A group that was begun goes first: what is made of it takes room
+        at a runner until the rest is made. What can only be late goes
+        after what can be in time.
+        """
         group = piece.group
         is_late = now + self.limits.duration_s(1) > group.target_at
         due = group.deadline_at if is_late else group.target_at
         work = piece.work
         return (
+            not group.sends,
             is_late,
             due + RANK_S * group.rank,
             work.request_id,
@@ -254,7 +275,11 @@
             return True
         return here <= max(others[ahead], usual_s) * (1 + SLOWNESS_WEIGHT)
 
-    def _free_bytes(self, runner: _fleet.FleetRunner) -> float:
+    def _free_bytes(
+        self, runner: _fleet.FleetRunner, now: float
+    ) -> float:
+        if now < self.full_until.get(runner.name, now):
+            return 0.0
         room = self.limits.room_bytes * ROOM_SHARE
         return room - self.used_bytes.get(runner.name, 0.0)
 
@@ -293,6 +318,14 @@
                 size = piece.group.result_bytes
                 self.kept[handle] = (runner.name, size, until)
 
+    def on_no_room(self, runner: _fleet.FleetRunner, now: float) -> None:
+        """Pass over a runner that had no room for a result.
+
+        Its room is taken by results that this host does not count: of an
+        owner before it, or of hosts that gather for themselves.
+        """
+        self.full_until[runner.name] = now + FULL_S
+
     def on_failure(self, call: BatchCall) -> None:
         """Forget a call that brought no answer."""
         self.calls.pop(call.call_id, None)
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -15,7 +15,9 @@
 # Usual prefill time of a prompt token; only its ratio to CALL_S matters.
 PREFILL_S_PER_TOKEN = 1.0 / 75_000.0
 # Time that each call running at a runner adds to a new one.
-CALL_S = 0.006
+CALL_S = 0.0015
+# Prompts of so many parts end in one that only the request itself has.
+OWN_PART_FROM = 3
 # Parts remembered per runner; about what a runner's memory holds.
 MAX_PARTS = 512
 # Cost of fetching a byte of stage results from another failure domain.
@@ -63,12 +65,12 @@
         return total
 
 
-def _is_preferred(
-    runner: str, session: str | None, names: Sequence[str]
-) -> bool:
-    if session is None:
-        return False
-    return model.rendezvous(session, names)[0] == runner
+def _session_parts(prompt: Sequence[PromptPart]) -> Sequence[PromptPart]:
+    """Return the parts that other requests of the session share.
+
+    The last of three and more parts is the request's own.
+    """
+    return prompt[:-1] if len(prompt) >= OWN_PART_FROM else prompt
 
 
 def choose_engine(
@@ -84,14 +86,18 @@
     A session that no runner is known to hold goes where all hosts would
     send it, by rendezvous over its part of the prompt.
     """
-    names = [runner.name for runner in runners]
-    session = prompt[-1].part if prompt else None
+    shared = _session_parts(prompt)
+    home = None
+    if shared:
+        names = [runner.name for runner in runners]
+        home = model.rendezvous(shared[-1].part, names)[0]
+    own_tokens = sum(part.tokens for part in prompt[len(shared) :])
     estimates: dict[str, float] = {}
     for runner in runners:
         missing = memory.missing_tokens(runner.name, prompt)
-        if _is_preferred(runner.name, session, names) and missing:
-            # Another host may have sent the session there.
-            missing -= prompt[-1].tokens // 2
+        if runner.name == home:
+            # Other hosts send the session there.
+            missing = min(missing, own_tokens)
         running = runner.state.occupancy(now)
         estimates[runner.name] = (
             missing * PREFILL_S_PER_TOKEN
