Ask an owner twice without making or freeing anything twice

A host asks the owner of a stage for a sign every 0.4 s. The owner now keeps the outcomes of 256 finished groups and answers with them; the asking host frees only handles that the first answer lacked. Ruled out: results outliving their 4 s (all were under 1 s old). Conclusion: a repeated question is safe.

--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -1,5 +1,6 @@
 """Making pieces of stages: at the service's owner, or here without one."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
@@ -24,6 +25,8 @@
 RELEASE_DELAY_S = 0.015
 RELEASE_TIMEOUT_S = 1.0
 MAX_SENDS = 3
+# Groups whose outcomes an owner keeps to answer a second question.
+MAX_FINISHED = 256
 # How long a runner that turned a call away is passed over.
 FULL_PAUSE_S = 0.15
 # Age after which an owner's word on its queue is no longer used.
@@ -51,6 +54,9 @@
     service: str
     origin: str | None
     left: int
+    outcomes: list[model.PieceOutcome] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class StageService:
@@ -88,6 +94,12 @@
         self.prefix = f'{name}/{reactor.seconds():.3f}'
         self.wanted: dict[str, _Wanted] = {}
         self.owned: dict[str, _Owned] = {}
+        self.received: collections.OrderedDict[str, frozenset[str]] = (
+            collections.OrderedDict()
+        )
+        self.finished: collections.OrderedDict[str, _Owned] = (
+            collections.OrderedDict()
+        )
         self.gatherers: dict[str, relay.Gatherer] = {}
         self.avoided: dict[str, float] = {}
         self.waits: dict[str, tuple[float, float]] = {}
@@ -218,7 +230,11 @@
     ) -> None:
         wanted = self.wanted.get(group_id)
         if wanted is None:
-            self._release_unwanted(outcomes)
+            # An answer that came twice names results that are in use.
+            used = self.received.get(group_id, frozenset())
+            self._release_unwanted(
+                [o for o in outcomes if o.handle not in used]
+            )
             return
         for outcome in outcomes:
             wanted.outcomes.setdefault(outcome.piece, outcome)
@@ -226,6 +242,11 @@
         if pieces <= wanted.outcomes.keys():
             self._stop_timer(wanted)
             del self.wanted[group_id]
+            self.received[group_id] = frozenset(
+                o.handle for o in wanted.outcomes.values() if o.handle
+            )
+            while len(self.received) > MAX_FINISHED:
+                self.received.popitem(last=False)
             wanted.done.callback(wanted.outcomes)
 
     def _release_unwanted(self, outcomes: list[model.PieceOutcome]) -> None:
@@ -271,6 +292,11 @@
         self.send_peer(model.SendPeer(sender, taken))
         if message.group in self.owned:
             return
+        finished = self.finished.get(message.group)
+        if finished is not None:
+            # The question crossed the answer, or the answer was lost.
+            self._reply(message.group, finished, finished.outcomes)
+            return
         group = relay.PieceGroup(
             message.group,
             [
@@ -430,6 +456,17 @@
         for piece, result in zip(call.pieces, results, strict=True):
             self.metrics.pieces.labels(service, result.result).inc()
             group_id = piece.group.group_id
+            if result.result != _dialect.PieceResult.MADE:
+                self.logger.info(
+                    'piece-not-made',
+                    request=piece.work.request_id,
+                    service=service,
+                    stage=piece.work.stage,
+                    piece=piece.work.piece,
+                    runner=call.runner.name,
+                    result=result.result,
+                    wanted=group_id in self.owned,
+                )
             retry = (_dialect.PieceResult.ROOM, _dialect.PieceResult.ERROR)
             if group_id not in self.owned:
                 if result.handle:
@@ -522,14 +559,28 @@
         if owned is None:
             return
         owned.left -= len(outcomes)
+        owned.outcomes += outcomes
         if owned.left <= 0:
             del self.owned[group_id]
         if owned.origin is None:
             self._on_outcomes(group_id, outcomes)
             return
-        reply = model.StageReply(
-            group_id, owned.service, outcomes, self._wait_here(owned.service)
-        )
+        if owned.left <= 0:
+            self.finished[group_id] = owned
+            while len(self.finished) > MAX_FINISHED:
+                self.finished.popitem(last=False)
+        self._reply(group_id, owned, outcomes)
+
+    def _reply(
+        self,
+        group_id: str,
+        owned: _Owned,
+        outcomes: list[model.PieceOutcome],
+    ) -> None:
+        if owned.origin is None:
+            return
+        wait_s = self._wait_here(owned.service)
+        reply = model.StageReply(group_id, owned.service, outcomes, wait_s)
         self.send_peer(model.SendPeer(owned.origin, reply))
 
     def _queue_release(self, handles: list[str]) -> None:
