Count room for results as free once its runner has freed it

The owner of a stage service counted a result's room as free when it was told to release it, 16 ms and a link before the runner did so; the next call then found no room, and each such call costs 150 ms and more. Ruled out: waiting for a near runner (same figures without it).

--- a/features/steps/workspace_steps.py
+++ b/features/steps/workspace_steps.py
@@ -50,6 +50,8 @@
         'membership',
         'wire',
         'node',
+        'relay',
+        'edge',
         'fakes',
     },
     'cli': set(ORDER) - {'cli'},
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -322,11 +322,7 @@
 
     def on_release(self, message: model.StageRelease) -> None:
         """Free results at their runners."""
-        gatherer = self._gatherer(message.service_name)
-        if gatherer is not None:
-            gatherer.release(message.handles)
         self._queue_release(message.handles)
-        self.pump_soon(message.service_name, 0.0)
 
     def _gatherer(self, service: str) -> relay.Gatherer | None:
         configuration = self.catalog.configuration
@@ -482,7 +478,6 @@
                     model.PieceOutcome(piece.work.piece, result.handle, reason)
                 )
         if unwanted:
-            gatherer.release(unwanted)
             self._queue_release(unwanted)
         for group_id, outcomes in made.items():
             self._deliver(group_id, outcomes)
@@ -587,9 +582,11 @@
         for handle in handles:
             address = self.dialect.handle_address(handle)
             self.releases.setdefault(address, []).append(handle)
+        is_awaited = any(g.queue for g in self.gatherers.values())
+        delay_s = 0.0 if is_awaited else RELEASE_DELAY_S
         if self.release_timer is None:
             self.release_timer = self.reactor.callLater(
-                RELEASE_DELAY_S, self._send_releases
+                delay_s, self._send_releases
             )
 
     def _send_releases(self) -> None:
@@ -606,3 +603,11 @@
                     'release-failed', detail=failure.getErrorMessage()
                 )
             )
+            done.addCallback(self._on_released, handles)
+
+    def _on_released(self, _: object, handles: list[str]) -> None:
+        """Count room as free once its runner has freed it, not before."""
+        for service, gatherer in self.gatherers.items():
+            gatherer.release(handles)
+            if gatherer.queue:
+                self.pump_soon(service, 0.0)
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -18,15 +18,22 @@
 from ragwort_lab._mutations import MUTATIONS
 from ragwort_lab._policy_bench import Figures
 from ragwort_lab._policy_bench import OURS
-from ragwort_lab._policy_bench import Run
 from ragwort_lab._policy_bench import run
+from ragwort_lab._policy_bench import Run
 from ragwort_lab._policy_bench import SCENARIOS
+from ragwort_lab._relay_fakes import LabExchange
+from ragwort_lab._relay_fakes import LabStageRunner
+from ragwort_lab._relay_fakes import ScriptedRunner
+from ragwort_lab._relay_world import RelayWorld
 from ragwort_lab._scale_bench import cold_start_s
 from ragwort_lab._scale_bench import measure_control
 from ragwort_lab._scale_bench import scale_world
 from ragwort_lab._scale_bench import spread_s
 from ragwort_lab._scale_bench import with_loss
 from ragwort_lab._scale_bench import without_watchers
+from ragwort_lab._stage_bench import PATTERNS
+from ragwort_lab._stage_bench import run_stage_pattern
+from ragwort_lab._stage_bench import StageFigures
 from ragwort_lab._state_bench import LedgerRun
 from ragwort_lab._trace import Dispatch
 from ragwort_lab._trace import Submission
@@ -45,20 +52,27 @@
     'Figures',
     'INVARIANTS',
     'is_caught',
+    'LabExchange',
+    'LabStageRunner',
     'LedgerRun',
     'load_known_red',
     'measure_control',
     'MUTATIONS',
     'OURS',
     'pair_cases',
+    'PATTERNS',
     'REGRESSIONS',
-    'Run',
+    'RelayWorld',
     'run',
+    'Run',
     'run_case',
+    'run_stage_pattern',
     'scale_world',
     'SCENARIOS',
+    'ScriptedRunner',
     'single_cases',
     'spread_s',
+    'StageFigures',
     'STEPS',
     'Submission',
     'Trace',
--- a/libs/ragwort_lab/ragwort_lab/_commands.py
+++ b/libs/ragwort_lab/ragwort_lab/_commands.py
@@ -12,6 +12,7 @@
 from ragwort_lab import _matrix
 from ragwort_lab import _mutations
 from ragwort_lab import _relay_bench
+from ragwort_lab import _stage_bench
 
 COMMANDS: dict[str, Callable[[list[str]], int]] = {}
 
@@ -67,6 +68,13 @@
     return _relay_bench.report()
 
 
+@command('stages')
+def run_stages(arguments: list[str]) -> int:
+    """Print the load patterns on a stage service, rule by rule."""
+    _stage_bench.stage_report()
+    return 0
+
+
 @command('relay')
 def run_relay(arguments: list[str]) -> int:
     """Print the relay's figures alone."""
--- /dev/null
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -0,0 +1,439 @@
+"""Stand-ins for the relay's surroundings: dialect, runners, callers.
+
+Everything runs on one virtual clock. The dialect is the plainest that can
+carry what the relay asks; runners follow the rules of real ones closely
+enough for the relay's promises: one call at a time, a short queue, room
+for results, work that ends when its connection closes.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import json
+from typing import Any
+
+from twisted.internet import task
+
+import ragwort_edge as edge
+import ragwort_model as model
+import ragwort_relay as relay
+
+ONE_WAY_S = 0.001
+QUEUE = 2
+HTTP_OK = 200
+HTTP_FULL = 503
+EVENT_STREAM: edge.Headers = ((b'content-type', b'text/event-stream'),)
+
+
+class LabDialect:
+    """Messages as JSON, facts of a call in headers of that name."""
+
+    def is_configuration(self, name: str) -> bool:
+        """Tell whether the object holds the configuration."""
+        return name == 'config/main'
+
+    def is_runner(self, name: str) -> bool:
+        """Tell whether the object is a runner's entry."""
+        return name.startswith('runner/')
+
+    def decode_configuration(self, value: str) -> relay.RelayConfiguration:
+        """Refuse: lab worlds set the configuration directly."""
+        raise model.ConfigurationError('not in the lab')
+
+    def decode_runner(self, name: str, value: str) -> relay.RunnerEntry:
+        """Return a runner's entry."""
+        try:
+            fields = json.loads(value)
+            runner = model.Runner(
+                name,
+                fields['service'],
+                fields['address'],
+                fields['domain'],
+                state=model.HostState(fields['state']),
+            )
+            return relay.RunnerEntry(runner, fields['born'], fields['slots'])
+        except (ValueError, KeyError, TypeError) as error:
+            raise model.ConfigurationError(f'{name}: {error}') from None
+
+    def read_call(self, request: edge.HttpRequest) -> edge.CallFacts:
+        """Return the facts as the caller stated them."""
+        return edge.CallFacts(**json.loads(request.header(b'facts') or b'{}'))
+
+    def main_request(self, call: edge.MainCall) -> edge.HttpRequest:
+        """Return the request with what a runner needs to know."""
+        told = {
+            'id': call.facts.request_id,
+            'runner': call.runner.name,
+            'left_s': call.left_s,
+            'inputs': call.inputs,
+            'last_event': call.last_event,
+            'workspace': call.workspace,
+        }
+        headers = ((b'call', json.dumps(told).encode()),)
+        request = call.request
+        return edge.HttpRequest(
+            request.method, request.target, headers, request.body
+        )
+
+    def read_reply(
+        self, response: edge.HttpResponse, request_id: str
+    ) -> edge.RunnerReply:
+        """Return what a runner's response says."""
+        echoed = (response.header(b'echo') or b'').decode()
+        not_run = response.header(b'not-run') is not None
+        return edge.RunnerReply(
+            echoed == request_id,
+            not_run,
+            response.status == 421,
+            response.status == 409,
+            None,
+        )
+
+    def stage_request(
+        self, batch: relay.BatchCall, now: float
+    ) -> edge.HttpRequest:
+        """Return the call that makes pieces."""
+        items = [
+            dataclasses.asdict(piece.work) | {'size': piece.group.result_bytes}
+            for piece in batch.pieces
+        ]
+        body = json.dumps(items).encode()
+        return edge.HttpRequest(b'POST', b'/make', (), body)
+
+    def read_stage_reply(
+        self, response: edge.HttpResponse, count: int
+    ) -> Sequence[edge.PieceReply]:
+        """Return the results in order."""
+        made = json.loads(response.body)
+        if len(made) != count:
+            raise model.WireError(f'{len(made)} results for {count} pieces')
+        return [
+            edge.PieceReply(edge.PieceResult(result), handle)
+            for result, handle in made
+        ]
+
+    def release_request(
+        self, address: str, handles: Sequence[str]
+    ) -> edge.HttpRequest:
+        """Return the call that frees results."""
+        body = json.dumps(list(handles)).encode()
+        return edge.HttpRequest(b'POST', b'/free', (), body)
+
+    def handle_address(self, handle: str) -> str:
+        """Return the address of the runner that keeps a result."""
+        return handle.partition('/')[0]
+
+    def own_answer(
+        self, status: int, retry_after_s: float | None, reason: str
+    ) -> edge.HttpResponse:
+        """Return an answer of the relay's own."""
+        headers: edge.Headers = ()
+        if retry_after_s is not None:
+            headers = ((b'retry-after', b'%.2f' % retry_after_s),)
+        return edge.HttpResponse(status, headers, reason.encode())
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A request as it reached a runner, and what became of it there."""
+
+    at: float
+    runner: str
+    request: edge.HttpRequest
+    told: dict[str, Any]
+    ran: bool = False
+    closed_at: float | None = None
+
+
+class LabRunner:
+    """Base of runners: answers by script or by its kind's rule."""
+
+    def __init__(
+        self, clock: task.Clock, name: str, address: str, domain: str
+    ) -> None:
+        """Start idle and sound."""
+        self.clock = clock
+        self.name = name
+        self.address = address
+        self.domain = domain
+        self.arrivals: list[Arrival] = []
+
+    def serve(self, request: edge.HttpRequest, open_call: 'LabCall') -> None:
+        """Take a request that has arrived."""
+        raise NotImplementedError
+
+
+class LabCall(edge.OpenCall):
+    """A call on its way in the lab."""
+
+    def __init__(self, clock: task.Clock, reader: edge.ResponseReader) -> None:
+        """Hand what the runner sends to reader, a link's delay later."""
+        self.clock = clock
+        self.reader = reader
+        self.is_over = False
+        self.sent = False
+        self.on_close: Callable[[], None] = lambda: None
+
+    @property
+    def was_sent(self) -> bool:
+        """Tell whether the request has gone out."""
+        return self.sent
+
+    def cancel(self) -> None:
+        """Close the connection; the runner hears of it."""
+        if not self.is_over:
+            self.is_over = True
+            self.clock.callLater(ONE_WAY_S, self.on_close)
+
+    def send(self, name: str, *arguments: Any, ends: bool = False) -> None:
+        """Let the reader hear something, unless the call is over."""
+
+        def deliver() -> None:
+            if self.is_over:
+                return
+            self.is_over = ends
+            getattr(self.reader, name)(*arguments)
+
+        self.clock.callLater(ONE_WAY_S, deliver)
+
+    def respond(
+        self, status: int, headers: edge.Headers = (), body: bytes = b''
+    ) -> None:
+        """Send a whole response."""
+        self.send('on_head', edge.HttpResponse(status, headers))
+        if body:
+            self.send('on_data', body)
+        self.send('on_end', ends=True)
+
+    def fail(self, problem: edge.CallProblem) -> None:
+        """End the call without a whole response."""
+        self.send('on_problem', edge.CallError(problem, 'lab'), ends=True)
+
+
+class LabNetwork:
+    """Stands in for the HTTP client; addresses lead to lab runners."""
+
+    def __init__(self, clock: task.Clock) -> None:
+        """Start without runners."""
+        self.reactor = clock
+        self.runners: dict[str, LabRunner] = {}
+
+    def open(
+        self,
+        address: str,
+        request: edge.HttpRequest,
+        reader: edge.ResponseReader,
+        connect_timeout_s: float = 0.4,
+    ) -> LabCall:
+        """Send a request."""
+        call = LabCall(self.reactor, reader)
+        runner = self.runners.get(address)
+        if runner is None:
+            call.fail(edge.CallProblem.NOT_CONNECTED)
+            return call
+        call.sent = True
+        self.reactor.callLater(ONE_WAY_S, self._arrive, runner, request, call)
+        return call
+
+    def _arrive(
+        self, runner: LabRunner, request: edge.HttpRequest, call: LabCall
+    ) -> None:
+        if not call.is_over:
+            runner.serve(request, call)
+
+
+class ScriptedRunner(LabRunner):
+    """Answers each request by the next step of a script, then by OK.
+
+    Steps: ok, error (its own failure), full (not run), reset (ran, answer
+    lost), refused (not run, 421), silent, foreign (another's answer),
+    events:N (a stream of N events), cut:N (a stream reset behind event N).
+    """
+
+    def __init__(
+        self, clock: task.Clock, name: str, address: str, domain: str
+    ) -> None:
+        """Start with an empty script."""
+        super().__init__(clock, name, address, domain)
+        self.script: list[str] = []
+        self.work_s = 0.01
+        self.events = 0
+
+    def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
+        """Take a request that has arrived."""
+        told = json.loads(request.header(b'call') or b'{}')
+        arrival = Arrival(self.clock.seconds(), self.name, request, told)
+        self.arrivals.append(arrival)
+        default = f'events:{self.events}' if self.events else 'ok'
+        step = self.script.pop(0) if self.script else default
+        arrival.ran = step not in ('full', 'refused')
+
+        def close() -> None:
+            arrival.closed_at = self.clock.seconds()
+
+        open_call.on_close = close
+        self.clock.callLater(self.work_s, self._answer, step, told, open_call)
+
+    def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
+        echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
+        kind, _, count = step.partition(':')
+        if kind == 'ok':
+            call.respond(HTTP_OK, echo, b'whole')
+        elif kind == 'error':
+            call.respond(500, echo, b'own failure')
+        elif kind == 'full':
+            call.respond(HTTP_FULL, ((b'not-run', b'1'),))
+        elif kind == 'refused':
+            call.respond(421, ((b'not-run', b'1'),))
+        elif kind == 'reset':
+            call.fail(edge.CallProblem.CLOSED)
+        elif kind == 'foreign':
+            call.respond(HTTP_OK, ((b'echo', b'other'),), b'not yours')
+        elif kind in ('events', 'cut'):
+            self._stream(kind, int(count), told, echo, call)
+
+    def _stream(
+        self,
+        kind: str,
+        last: int,
+        told: dict[str, Any],
+        echo: edge.Headers,
+        call: LabCall,
+    ) -> None:
+        call.send('on_head', edge.HttpResponse(HTTP_OK, EVENT_STREAM + echo))
+        first = (told['last_event'] or 0) + 1
+        for number in range(first, last + 1):
+            call.send('on_data', b'id: %d\ndata: e%d\n\n' % (number, number))
+        if kind == 'events':
+            call.send('on_end', ends=True)
+        else:
+            call.send('on_data', b'id: %d\nda' % (last + 1))
+            call.fail(edge.CallProblem.CLOSED)
+
+
+class LabStageRunner(LabRunner):
+    """Makes pieces: one call at a time, a queue of two, room for results."""
+
+    def __init__(
+        self,
+        clock: task.Clock,
+        name: str,
+        address: str,
+        domain: str,
+        limits: relay.BatchLimits,
+    ) -> None:
+        """Start empty."""
+        super().__init__(clock, name, address, domain)
+        self.limits = limits
+        self.waiting: list[tuple[edge.HttpRequest, LabCall]] = []
+        self.is_busy = False
+        self.results: dict[str, float] = {}
+        self.count = 0
+        self.calls = 0
+        self.turned_away = 0
+        self.no_room = 0
+        self.made: list[tuple[str, int, int]] = []
+
+    def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
+        """Take a call that makes pieces or frees results."""
+        if request.target == b'/free':
+            for handle in json.loads(request.body):
+                self.results.pop(handle, None)
+            open_call.respond(HTTP_OK)
+            return
+        if len(self.waiting) >= QUEUE:
+            self.turned_away += 1
+            open_call.respond(HTTP_FULL, ((b'not-run', b'1'),))
+            return
+        self.waiting.append((request, open_call))
+        self._next()
+
+    def _next(self) -> None:
+        if self.is_busy or not self.waiting:
+            return
+        request, call = self.waiting.pop(0)
+        if call.is_over:
+            self._next()
+            return
+        self.is_busy = True
+        self.calls += 1
+        items = json.loads(request.body)
+        made = [self._make(item) for item in items]
+        self.clock.callLater(
+            self.limits.duration_s(len(items)), self._finish, made, call
+        )
+
+    def _make(self, item: dict[str, Any]) -> tuple[str, str | None]:
+        if sum(self.results.values()) + item['size'] > self.limits.room_bytes:
+            self.no_room += 1
+            return 'room', None
+        self.count += 1
+        handle = f'{self.address}/{self.count}'
+        self.results[handle] = item['size']
+        self.made.append((item['request_id'], item['stage'], item['piece']))
+        self.clock.callLater(
+            self.limits.result_life_s, self.results.pop, handle, None
+        )
+        return 'made', handle
+
+    def _finish(
+        self, made: list[tuple[str, str | None]], call: LabCall
+    ) -> None:
+        self.is_busy = False
+        call.respond(HTTP_OK, (), json.dumps(made).encode())
+        self._next()
+
+
+class LabExchange:
+    """A caller's request and what it got."""
+
+    def __init__(self, clock: task.Clock, request: edge.HttpRequest) -> None:
+        """Wait for an answer."""
+        self.clock = clock
+        self.request = request
+        self.on_gone: Callable[[], None] | None = None
+        self.is_started = False
+        self.is_over = False
+        self.status: int | None = None
+        self.headers: edge.Headers = ()
+        self.body = b''
+        self.is_whole = False
+        self.ended_at: float | None = None
+
+    def answer(self, response: edge.HttpResponse) -> None:
+        """Take a whole answer."""
+        if not self.is_over:
+            self.start(response.status, response.headers)
+            self.body = response.body
+            self.finish()
+
+    def start(self, status: int, headers: edge.Headers) -> None:
+        """Take status and headers."""
+        self.is_started = True
+        self.status, self.headers = status, headers
+
+    def write(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
+    def finish(self) -> None:
+        """Take the end of a whole answer."""
+        if not self.is_over:
+            self.is_whole = True
+            self._end()
+
+    def abort(self) -> None:
+        """Take the end of an answer that is not whole."""
+        if not self.is_over:
+            self._end()
+
+    def _end(self) -> None:
+        self.is_over = True
+        self.ended_at = self.clock.seconds()
+
+    def leave(self) -> None:
+        """Close the connection as a caller that wants no answer."""
+        if not self.is_over:
+            self._end()
+            if self.on_gone is not None:
+                self.on_gone()
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -275,9 +275,7 @@
             return True
         return here <= max(others[ahead], usual_s) * (1 + SLOWNESS_WEIGHT)
 
-    def _free_bytes(
-        self, runner: _fleet.FleetRunner, now: float
-    ) -> float:
+    def _free_bytes(self, runner: _fleet.FleetRunner, now: float) -> float:
         if now < self.full_until.get(runner.name, now):
             return 0.0
         room = self.limits.room_bytes * ROOM_SHARE
