--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import pathlib
+import sys
 import tempfile
 from typing import Any
 
@@ -10,6 +11,9 @@
 
 from features.support import processes
 
+# The adapter's folder is no package: it would hide Python's own platform.
+sys.path.insert(0, str(pathlib.Path('platform').resolve()))
+
 
 @fixture
 def process_system(context: Any) -> Iterator[processes.ProcessSystem]:
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,111 @@
+Feature: The adapter translates the users' platform and decides nothing
+  Everything is played on stand-ins; no kit is needed.
+
+  Scenario Outline: settings with <mistake> are refused and name the key
+    When platform settings hold "<line>"
+    Then they are refused with "<text>"
+
+    Examples:
+      | mistake         | line                  | text       |
+      | a host name     | store: store.local:80 | store      |
+      | no slack        | retries: {ratio: 0.2} | slack      |
+      | an unknown key  | colour: red           | colour     |
+      | a negative time | grace_s: -1           | grace_s    |
+      | no name         | name: ''              | name       |
+
+  Scenario: the template gives settings that are valid
+    When the settings template is filled in with an example
+    Then the settings name that host and its store
+
+  Scenario: a configuration becomes routes, services and workspaces
+    When the example configuration is read
+    Then its staged route has two services, a target and three stages
+    And its keys lead to their workspace and an unknown field is ignored
+
+  Scenario Outline: a configuration with <mistake> leaves the last in force
+    When a configuration with <mistake> follows a valid one
+    Then the valid one stays in force and the problem is noted
+
+    Examples:
+      | mistake            |
+      | bytes not readable |
+      | an unknown kind    |
+      | no services        |
+      | a text for a time  |
+
+  Scenario Outline: a runner's entry with <mistake> names no runner
+    When a runner's entry has <mistake>
+    Then it is refused as a configuration error
+
+    Examples:
+      | mistake           |
+      | no address        |
+      | an odd state      |
+      | a text for slots  |
+      | no slots          |
+      | an odd address    |
+      | bytes not text    |
+
+  Scenario: a request's headers become facts
+    When a request names its id, time, key, event, prompt and pieces
+    Then the facts hold them in the project's units
+
+  Scenario Outline: a request with <mistake> is bad input
+    When a request has <mistake>
+    Then it is refused as bad input
+
+    Examples:
+      | mistake             |
+      | no id               |
+      | two different ids   |
+      | a time of minus one |
+      | pieces of letters   |
+
+  Scenario: what only the system sets does not come from a caller
+    When a caller sends every header that the system sets
+    Then a runner gets only the system's own values
+
+  Scenario Outline: a runner's response with <what> is read as <meaning>
+    When a runner's response has <what>
+    Then it is read as <meaning>
+
+    Examples:
+      | what                   | meaning          |
+      | its seal and the id    | own              |
+      | no seal                | not own          |
+      | another request's id   | not own          |
+      | an encoded body        | not own          |
+      | the mark for not run   | not run          |
+      | status 421             | not run          |
+      | its load               | load             |
+
+  Scenario: a stage reply is read in order, a wrong number is an error
+    When a runner answers for three pieces
+    Then each has its handle or reason, and two answers for three are refused
+
+  Scenario: the store is listed page by page
+    When the store lists runners on two pages
+    Then all of them come back with the store's revision
+
+  Scenario: a watch brings the last state of each object
+    When a watch brings a change, a deletion and a return
+    Then the changed and the returned object have their values
+    And a deleted one has none and the store's revision
+
+  Scenario Outline: a store that answers <answer> ends the call as <status>
+    When the store answers a watch with <answer>
+    Then the call ends as <status>
+
+    Examples:
+      | answer          | status       |
+      | 410             | gone         |
+      | 429             | rate_limited |
+      | 503             | unavailable  |
+      | nothing         | unavailable  |
+      | unreadable text | unavailable  |
+
+  Scenario: no name of the platform stands outside the adapter
+    Then no library holds a header, path or field of the platform
+
+  Scenario: no rule on what is repeated, refused or placed stands inside it
+    Then the adapter uses no deciding function of the relay
--- /dev/null
+++ b/features/relay_calls.feature
@@ -0,0 +1,107 @@
+Feature: A relayed request keeps its promises whatever its runners do
+  In virtual time: real calls and stage services, scripted runners.
+
+  Scenario Outline: a <kind> call whose runner does "<script>"
+    Given 2 runners, of which the first chosen does "<script>"
+    When a <kind> request is sent
+    Then the caller gets <status> after <runs> runs
+
+    Examples:
+      | kind       | script | status | runs |
+      | once       | ok     | 200    | 1    |
+      | once       | error  | 500    | 1    |
+      | once       | reset  | 502    | 1    |
+      | once       | foreign | 502   | 1    |
+      | once       | full   | 200    | 1    |
+      | once       | refused | 200   | 1    |
+      | once       | silent | 504    | 1    |
+      | repeatable | error  | 200    | 2    |
+      | repeatable | reset  | 200    | 2    |
+      | repeatable | foreign | 200   | 2    |
+      | repeatable | silent | 200    | 2    |
+
+  Scenario: a call that no runner took is refused, with a time to come back
+    Given 2 runners that all do "full"
+    When a once request is sent
+    Then the caller gets 503 after 0 runs
+    And it is told when to come back
+
+  Scenario: a repeatable call runs on no more runners than its route allows
+    Given 4 runners that all do "reset"
+    When a repeatable request is sent
+    Then the caller gets 502 after 2 runs
+
+  Scenario: every request to a runner carries what is left of its time
+    Given 2 runners, of which the first chosen does "reset"
+    When a repeatable request is sent
+    Then each send is told at most the time that was left
+
+  Scenario: a stream that breaks goes on behind its last event
+    Given 2 stream runners of 6 events, the first chosen does "cut:3"
+    When a resumable request is sent
+    Then the caller gets events 1 to 6 once each and a whole answer
+
+  Scenario: a stream that may not be resumed ends as broken
+    Given 2 stream runners of 6 events, the first chosen does "cut:3"
+    When a stream request is sent
+    Then the caller gets events 1 to 3 and no whole answer
+
+  Scenario: a runner works no longer for a caller who left
+    Given 2 stream runners of 6 events, the first chosen does "silent"
+    When a stream request is sent
+    And the caller leaves after 0.3 s
+    Then its runner's connection closes within 0.5 s and nothing more is sent
+
+  Scenario: a request waits no longer than its route allows
+    Given 1 runners that all do "silent"
+    When a once request is sent on a route with a timeout of 1 s
+    Then it has its final answer after 1 s
+
+  Scenario: stages are made before the main call, which gets their results
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    When a staged request is sent
+    Then each piece was made once and the main call got 4 results
+    And all results are freed once they were read
+
+  Scenario: results that are gone are made again
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the main runner says once that its inputs are gone
+    When a staged request is sent
+    Then the caller gets 200 and the main call was sent twice
+
+  Scenario: pieces with the wrong count are bad input
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    When a staged request with 2 counts is sent
+    Then the caller gets 400 after 0 runs
+
+  Scenario Outline: the owner of a stage service <fault>
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the owner of the stage services <fault>
+    When a staged request is sent from another host
+    Then the caller gets 200 after 1 runs
+    And all results are freed once they were read
+
+    Examples:
+      | fault                     |
+      | is another host           |
+      | is dead                   |
+      | answers late              |
+      | loses its first answer    |
+
+  Scenario: a question that crosses the answer makes nothing twice
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the owner of the stage services is asked again all the time
+    When a staged request is sent from another host
+    Then the caller gets 200 after 1 runs
+    And each piece was made once
+
+  Scenario Outline: gathering keeps <pattern> load in time
+    When stage load "<pattern>" is played
+    Then at least <share> are made within the target and none lack room
+    And that is at least as many as with each host for itself
+
+    Examples:
+      | pattern       | share |
+      | calm          | 0.95  |
+      | burst         | 0.75  |
+      | long-overload | 0.45  |
--- /dev/null
+++ b/features/relay_decisions.feature
@@ -0,0 +1,53 @@
+Feature: The relay's decisions hold by themselves
+  Pure objects, the present time an argument.
+
+  Scenario Outline: a request finds the route with the longest prefix
+    Given routes for "/a/" and "/a/b/" of host "one.example"
+    Then host "<host>" and path "<path>" lead to "<route>"
+
+    Examples:
+      | host        | path    | route |
+      | one.example | /a/x    | /a/   |
+      | one.example | /a/b/x  | /a/b/ |
+      | one.example | /a/bc/x | /a/   |
+      | one.example | /c      | none  |
+      | two.example | /a/x    | none  |
+
+  Scenario: shares of a split route follow the weights
+    Then of 4000 requests on a route split 90 to 10 about 400 go to the lesser
+
+  Scenario: hosts together never exceed the retry budget
+    Then for any load on any hosts the repeats stay within the bound
+
+  Scenario: events are whole however their bytes arrive
+    Then for any cut of a stream the same whole events come out
+
+  Scenario: a stream's progress passes each event once and notices a gap
+    Then events 1 2 2 3 pass as 1 2 3 and a step to 5 is an error
+
+  Scenario: stages are made in order, each piece once
+    Then for any stage graph every piece gets exactly the results it needs
+
+  Scenario: a runner that starts again is a new one
+    Given a fleet with runner "a" born at 1
+    When its entry comes again born at 2
+    Then nothing of the first is kept
+
+  Scenario: an entry that vanishes right after an outage is doubted first
+    Given a fleet with runner "a" born at 1
+    When the store is back and the entry of "a" is gone
+    Then "a" is used only if nobody else is, and forgotten after 2 s
+
+  Scenario: an entry that can't be read names no runner to use
+    Given a fleet with runner "a" born at 1
+    When the entry of "a" becomes unreadable
+    Then no runner is usable
+
+  Scenario: a session's calls go to one runner from every host
+    Then hosts that know nothing of each other choose the same engine
+
+  Scenario: what can't be done by its deadline is refused with a time
+    Then a forecast of 6 s with 5 s left is refused and one of 3 s admitted
+
+  Scenario: callers that are refused don't return together
+    Then 50 refusals give at least 40 different times to come back
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,530 @@
+"""Steps of the adapter between the platform and the relay."""
+
+import json
+import pathlib
+import re
+from typing import Any
+
+from behave import then
+from behave import when
+from twisted.internet import task
+import yaml
+
+import ragwort_edge as edge
+import ragwort_lab as lab
+import ragwort_model as model
+import ragwort_platform as platform
+import ragwort_relay as relay
+
+TEMPLATE = pathlib.Path('deploy/host.yaml.template')
+STORE = '10.0.0.9:80'
+EXAMPLE = {
+    'node': 'host-1',
+    'zone': 'north',
+    'region': 'here',
+    'listen.front': '10.0.0.1:81',
+    'listen.ready': '10.0.0.1:82',
+    'listen.directory': '10.0.0.1:83',
+    'listen.control': '10.0.0.1:84',
+    'seeds|json': '["10.0.0.2:84"]',
+    'platform.address': STORE,
+    'bounds.graceS': '8',
+    'bounds.retryBudgetRatio': '0.2',
+    'bounds.retryBudgetSlack': '52',
+    'bounds.budgetWindowS': '10',
+}
+ROUTE = {
+    'name': 'briefing',
+    'host': 'One.example',
+    'pathPrefix': '/a/',
+    'kind': 'streaming',
+    'timeoutMs': 6000,
+    'targetLatencyMs': 920,
+    'priority': 0,
+    'attempts': 2,
+    'split': [
+        {'service': 'engine', 'weight': 90},
+        {'service': 'other', 'weight': 10},
+    ],
+    'stages': [
+        {'service': 'portal', 'after': [], 'bytes': 3000000},
+        {'service': 'portal', 'after': [], 'bytes': 8000},
+        {'service': 'portal', 'after': [1], 'bytes': 6000},
+    ],
+    'resumeStreams': True,
+    'targetGapMs': 250,
+    'comingField': {'x': 1},
+}
+CONFIGURATION: dict[str, Any] = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [
+        {'name': 'engine', 'healthPath': '/health', 'engine': {}},
+        {
+            'name': 'portal',
+            'pieces': {
+                'batch': 4,
+                'callMs': 150.0,
+                'itemMs': 32.0,
+                'headroomMb': 22.0,
+                'handleS': 4.0,
+            },
+        },
+    ],
+    'limits': {
+        'headerBytes': 16384,
+        'bodyBytes': 4194304,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
+    'tenants': [{'name': 'school', 'accessKeys': ['k1', 'k2'], 'priority': 1}],
+}
+SERVER = {
+    'service': 'engine',
+    'address': '10.0.1.1:80',
+    'zone': 'north',
+    'state': 'ready',
+    'slots': 64,
+    'born': 1700000000000,
+}
+
+
+def template_settings(**changes: str) -> Any:
+    """Return the template filled in, as the file's content."""
+    values = EXAMPLE | changes
+    text = re.sub(r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text())
+    return yaml.safe_load(text)
+
+
+@when('platform settings hold "{line}"')
+def set_line(context: Any, line: str) -> None:
+    """Change one line of valid settings."""
+    content = template_settings() | yaml.safe_load(line)
+    context.refusal = ''
+    try:
+        platform.parse_settings(content, 'node.yaml')
+    except model.SettingsError as error:
+        context.refusal = str(error)
+
+
+@when('the settings template is filled in with an example')
+def fill_template(context: Any) -> None:
+    """Read the template's result."""
+    content = template_settings()
+    context.settings = platform.parse_settings(content, 'host.yaml')
+
+
+@then('the settings name that host and its store')
+def check_settings(context: Any) -> None:
+    """Compare a few values."""
+    settings = context.settings
+    assert settings.name == 'host-1'
+    assert settings.store == STORE
+    assert settings.seeds == ['10.0.0.2:84']
+    assert settings.retries.slack == 52
+
+
+def catalog_with(value: str) -> relay.RelayCatalog:
+    """Return a catalog that was given a configuration."""
+    catalog = relay.RelayCatalog(platform.PlatformDialect())
+    catalog.apply(model.StoredObject('config/main', 1, value))
+    return catalog
+
+
+@when('the example configuration is read')
+def read_configuration(context: Any) -> None:
+    """Apply the example."""
+    context.catalog = catalog_with(json.dumps(CONFIGURATION))
+    assert not context.catalog.problems, context.catalog.problems
+
+
+@then('its staged route has two services, a target and three stages')
+def check_configuration(context: Any) -> None:
+    """Compare the route."""
+    configuration = context.catalog.configuration
+    route = configuration.find_route('one.example', '/a/x')
+    assert route is not None
+    assert route.kind == relay.CallKind.STREAM
+    assert route.may_repeat
+    assert abs(route.target_s - 0.92) < 1e-9
+    assert [s.service for s in route.shares] == ['engine', 'other']
+    assert [s.after for s in route.stages] == [(), (), (1,)]
+    assert configuration.services['portal'].batch.room_bytes == 22e6
+
+
+@then('its keys lead to their workspace and an unknown field is ignored')
+def check_keys(context: Any) -> None:
+    """Look a key up."""
+    keys = context.catalog.configuration.workspaces_by_key
+    assert keys['k2'].name == 'school'
+    assert 'k3' not in keys
+
+
+@when('a configuration with {mistake} follows a valid one')
+def follow_invalid(context: Any, mistake: str) -> None:
+    """Apply an invalid version."""
+    broken = json.loads(json.dumps(CONFIGURATION))
+    if mistake == 'an unknown kind':
+        broken['routes'][0]['kind'] = 'odd'
+    elif mistake == 'no services':
+        del broken['services']
+    elif mistake == 'a text for a time':
+        broken['routes'][0]['timeoutMs'] = 'soon'
+    value = json.dumps(broken)
+    if mistake == 'bytes not readable':
+        value = value[:-9]
+    context.catalog = catalog_with(json.dumps(CONFIGURATION))
+    context.catalog.apply(model.StoredObject('config/main', 2, value))
+
+
+@then('the valid one stays in force and the problem is noted')
+def check_last(context: Any) -> None:
+    """Look at what is in force."""
+    assert context.catalog.configuration.version == 7
+    assert context.catalog.problems['config/main']
+
+
+@when("a runner's entry has {mistake}")
+def read_entry(context: Any, mistake: str) -> None:
+    """Decode an entry."""
+    entry: dict[str, Any] = dict(SERVER)
+    changes: dict[str, Any] = {
+        'an odd state': {'state': 'resting'},
+        'a text for slots': {'slots': 'many'},
+        'no slots': {'slots': 0},
+        'an odd address': {'address': 'engine.local:80'},
+    }
+    entry |= changes.get(mistake, {})
+    if mistake == 'no address':
+        del entry['address']
+    value = json.dumps(entry)
+    if mistake == 'bytes not text':
+        value = '\ufffd\ufffd{'
+    dialect = platform.PlatformDialect()
+    assert dialect.decode_runner('servers/a', json.dumps(SERVER))
+    context.error = None
+    try:
+        dialect.decode_runner('servers/a', value)
+    except model.ConfigurationError as error:
+        context.error = error
+
+
+@then('it is refused as a configuration error')
+def check_entry(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None
+
+
+def request(*headers: tuple[bytes, bytes]) -> edge.HttpRequest:
+    """Return a request with an id and more headers."""
+    return edge.HttpRequest(
+        b'POST', b'/a/1', ((b'request-id', b'abc'), *headers), b'body'
+    )
+
+
+@when('a request names its id, time, key, event, prompt and pieces')
+def read_facts(context: Any) -> None:
+    """Read a request with everything."""
+    context.facts = platform.PlatformDialect().read_call(
+        request(
+            (b'deadline-milliseconds', b'4500'),
+            (b'authorization', b'Bearer k1'),
+            (b'last-event-id', b'12'),
+            (b'prompt-prefix', b'5c1e:800,91bd:410'),
+            (b'pieces', b'2,0,1'),
+            (b'piece-key', b'7c1e'),
+        )
+    )
+
+
+@then("the facts hold them in the project's units")
+def check_facts(context: Any) -> None:
+    """Compare the facts."""
+    prompt = (relay.PromptPart('5c1e', 800), relay.PromptPart('91bd', 410))
+    assert context.facts == edge.CallFacts(
+        'abc', 4.5, 'k1', 12, prompt, (2, 0, 1), '7c1e'
+    )
+
+
+@when('a request has {mistake}')
+def read_bad(context: Any, mistake: str) -> None:
+    """Read a request with a mistake."""
+    bad = {
+        'no id': edge.HttpRequest(b'GET', b'/', ()),
+        'two different ids': request((b'request-id', b'xyz')),
+        'a time of minus one': request((b'deadline-milliseconds', b'-1')),
+        'pieces of letters': request((b'pieces', b'two')),
+    }
+    context.error = None
+    try:
+        platform.PlatformDialect().read_call(bad[mistake])
+    except model.InvalidInputError as error:
+        context.error = error
+
+
+@then('it is refused as bad input')
+def check_bad(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None
+
+
+def fleet_runner() -> relay.FleetRunner:
+    """Return a runner of the example."""
+    catalog = catalog_with(json.dumps(CONFIGURATION))
+    item = model.StoredObject('servers/i-1', 1, json.dumps(SERVER))
+    catalog.apply(item)
+    return catalog.fleet.runners['servers/i-1']
+
+
+@when('a caller sends every header that the system sets')
+def send_forged(context: Any) -> None:
+    """Forward a request full of forged headers."""
+    names = (
+        b'tenant hold pin-milliseconds key-value-backup kv-from kv-fetch '
+        b'expected-instance expected-version request-priority inputs '
+        b'connection x-secret'
+    ).split()
+    forged = [(name, b'forged') for name in names]
+    forged[-2] = (b'connection', b'x-secret')
+    incoming = request(*forged, (b'authorization', b'Bearer k1'))
+    dialect = platform.PlatformDialect()
+    call = edge.MainCall(
+        incoming,
+        dialect.read_call(incoming),
+        'school',
+        fleet_runner(),
+        2.5,
+        1,
+        ('10.0.1.1:80/1',),
+        None,
+    )
+    context.sent = dialect.main_request(call)
+
+
+@then("a runner gets only the system's own values")
+def check_forged(context: Any) -> None:
+    """Compare what is sent."""
+    headers = dict(context.sent.headers)
+    assert b'forged' not in headers.values(), headers
+    assert headers == {
+        b'request-id': b'abc',
+        b'deadline-milliseconds': b'2500',
+        b'expected-instance': b'i-1',
+        b'tenant': b'school',
+        b'inputs': b'10.0.1.1:80/1',
+    }, headers
+    assert context.sent.body == b'body'
+
+
+@when("a runner's response has {what}")
+def read_response(context: Any, what: str) -> None:
+    """Read a response with one thing about it."""
+    sealed = ((b'request-id', b'abc'), (b'response-seal', b's'))
+    responses = {
+        'its seal and the id': edge.HttpResponse(200, sealed),
+        'no seal': edge.HttpResponse(200, sealed[:1]),
+        "another request's id": edge.HttpResponse(
+            200, ((b'request-id', b'xyz'), sealed[1])
+        ),
+        'an encoded body': edge.HttpResponse(
+            200, (*sealed, (b'content-encoding', b'gzip'))
+        ),
+        'the mark for not run': edge.HttpResponse(
+            503, ((b'not-executed', b'1'),)
+        ),
+        'status 421': edge.HttpResponse(421),
+        'its load': edge.HttpResponse(
+            200, (*sealed, (b'server-load', b'3,1,8'))
+        ),
+    }
+    dialect = platform.PlatformDialect()
+    context.reply = dialect.read_reply(responses[what], 'abc')
+
+
+@then('it is read as {meaning}')
+def check_reply(context: Any, meaning: str) -> None:
+    """Compare the reading."""
+    reply = context.reply
+    if meaning == 'load':
+        assert (reply.load.running, reply.load.queued) == (3, 1)
+    elif meaning == 'not run':
+        assert reply.is_not_run
+    else:
+        assert reply.is_own == (meaning == 'own')
+        assert not reply.is_not_run
+
+
+@when('a runner answers for three pieces')
+def answer_pieces(context: Any) -> None:
+    """Keep the answer."""
+    items = [{'handle': 'a/1'}, {'reason': 'room'}, {'reason': 'odd'}]
+    body = json.dumps({'items': items}).encode()
+    context.reply = edge.HttpResponse(200, (), body)
+
+
+@then('each has its handle or reason, and two answers for three are refused')
+def check_pieces(context: Any) -> None:
+    """Read the answer."""
+    dialect = platform.PlatformDialect()
+    found = dialect.read_stage_reply(context.reply, 3)
+    assert [f.handle for f in found] == ['a/1', None, None]
+    assert found[1].result == edge.PieceResult.ROOM
+    assert found[2].result == edge.PieceResult.ERROR
+    try:
+        dialect.read_stage_reply(context.reply, 2)
+    except model.WireError:
+        return
+    raise AssertionError('a wrong number passed')
+
+
+class StoreServer(lab.LabRunner):
+    """Answers store calls by a list of responses."""
+
+    def __init__(self, clock: task.Clock, *answers: Any) -> None:
+        """Answer in turn; None stays silent."""
+        super().__init__(clock, 'store', STORE, 'north')
+        self.answers = list(answers)
+        self.targets: list[bytes] = []
+
+    def serve(self, request: edge.HttpRequest, open_call: Any) -> None:
+        """Answer one call."""
+        self.targets.append(request.target)
+        answer = self.answers.pop(0)
+        if isinstance(answer, int):
+            open_call.respond(answer)
+        elif isinstance(answer, bytes):
+            open_call.respond(200, (), answer)
+        elif answer is not None:
+            open_call.respond(200, (), json.dumps(answer).encode())
+
+
+def call_store(context: Any, effect: model.StoreCall, *answers: Any) -> None:
+    """Make one call to a store with answers."""
+    world = lab.RelayWorld(hosts=1)
+    context.store = StoreServer(world.clock, *answers)
+    world.network.runners[STORE] = context.store
+    context.results = []
+    network: Any = world.network
+    logger = world.hosts[0].context.logger
+    store = platform.ObjectStore(
+        network, STORE, logger, context.results.append
+    )
+    store.call(effect)
+    world.run(30.0)
+    (context.result,) = context.results
+
+
+def stored(name: str, revision: int) -> dict[str, Any]:
+    """Return an object as the store sends it."""
+    return {
+        'metadata': {'name': name, 'revision': revision, 'created': 1},
+        'specification': {'value': revision},
+        'status': None,
+    }
+
+
+LIST = model.StoreCall('op', model.StoreVerb.LIST, 'servers/')
+WATCH = model.StoreCall(
+    'op', model.StoreVerb.WATCH, 'servers/', since=9, wait_s=20.0
+)
+
+
+@when('the store lists runners on two pages')
+def list_pages(context: Any) -> None:
+    """List."""
+    first = {'items': [stored('a', 3)], 'hasMore': True, 'storeRevision': 8}
+    second = {'items': [stored('b', 4)], 'hasMore': False, 'storeRevision': 9}
+    call_store(context, LIST, first, second)
+
+
+@then("all of them come back with the store's revision")
+def check_list(context: Any) -> None:
+    """Compare the result."""
+    result = context.result
+    assert [o.name for o in result.objects] == ['servers/a', 'servers/b']
+    assert [o.version for o in result.objects] == [3, 4]
+    assert result.revision == 9
+    assert context.store.targets[1].endswith(b'?after=a')
+
+
+@when('a watch brings a change, a deletion and a return')
+def watch_events(context: Any) -> None:
+    """Watch."""
+    events = [
+        {'object': stored('changed', 10), 'deleted': False},
+        {'object': stored('deleted', 5), 'deleted': True},
+        {'object': stored('returned', 6), 'deleted': True},
+        {'object': stored('returned', 12), 'deleted': False},
+    ]
+    call_store(context, WATCH, {'events': events, 'storeRevision': 12})
+
+
+@then('the changed and the returned object have their values')
+def check_changed(context: Any) -> None:
+    """Compare two objects."""
+    found = {o.name: o for o in context.result.objects}
+    assert found['servers/changed'].version == 10
+    assert json.loads(found['servers/returned'].value) == {'value': 12}
+
+
+@then("a deleted one has none and the store's revision")
+def check_deleted(context: Any) -> None:
+    """Compare the deletion."""
+    found = {o.name: o for o in context.result.objects}
+    assert found['servers/deleted'].value is None
+    assert found['servers/deleted'].version == 12
+
+
+@when('the store answers a watch with {answer}')
+def watch_answer(context: Any, answer: str) -> None:
+    """Watch a store in trouble."""
+    answers: dict[str, Any] = {'nothing': None, 'unreadable text': b'{"ev'}
+    value = answers[answer] if answer in answers else int(answer)
+    call_store(context, WATCH, value)
+
+
+@then('the call ends as {status}')
+def check_status(context: Any, status: str) -> None:
+    """Compare the status of a store call, or of an HTTP call."""
+    if hasattr(context, 'recorder'):
+        assert context.recorder.ends == [status], context.recorder.ends
+        if status == 'whole':
+            assert context.recorder.body == b'abc', context.recorder.body
+    else:
+        assert context.result.status == status, context.result
+
+
+NAMES = re.compile(
+    r'Deadline-Milliseconds|Expected-Instance|Prompt-Prefix|Token-Counts'
+    r'|Not-Executed|Response-Seal|Server-Load|Piece-Key|kvCache|stage-run'
+    r'|stage-free|api/objects|api/resolution|api/readiness'
+    r'|RAGWORTWORKS_SETTINGS|pathPrefix|stickySessions|remainingMs'
+    r'|storeRevision|targetLatencyMs|accessKeys|headroomMb',
+    re.IGNORECASE,
+)
+DECIDING = re.compile(
+    r'relay\.(admit|forecast|next_step|Attempts|RetryBudget|Gatherer'
+    r'|choose_\w+|retry_after_s|StageRun|PromptMemory)\b'
+)
+
+
+@then('no library holds a header, path or field of the platform')
+def check_names(context: Any) -> None:
+    """Search the libraries."""
+    paths = sorted(pathlib.Path('libs').glob('*/ragwort_*/*.py'))
+    assert len(paths) > 100
+    for path in paths:
+        found = NAMES.search(path.read_text())
+        assert not found, (path, found)
+    adapter = pathlib.Path('platform/ragwort_platform').glob('*.py')
+    assert any(NAMES.search(path.read_text()) for path in adapter)
+
+
+@then('the adapter uses no deciding function of the relay')
+def check_decisions(context: Any) -> None:
+    """Search the adapter."""
+    paths = list(pathlib.Path('platform').glob('**/*.py'))
+    assert paths
+    for path in paths:
+        found = DECIDING.search(path.read_text())
+        assert not found, (path, found)
--- /dev/null
+++ b/features/steps/relay_call_steps.py
@@ -0,0 +1,325 @@
+"""Steps of relayed requests in virtual time."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import relay_decision_steps
+import ragwort_edge as edge
+import ragwort_lab as lab
+import ragwort_model as model
+import ragwort_relay as relay
+
+KINDS = {
+    'once': {'kind': relay.CallKind.ONCE, 'attempts': 1},
+    'repeatable': {'kind': relay.CallKind.REPEATABLE, 'attempts': 2},
+    'stream': {'kind': relay.CallKind.STREAM, 'attempts': 1},
+    'resumable': {
+        'kind': relay.CallKind.STREAM,
+        'attempts': 2,
+        'is_resumable': True,
+    },
+}
+ROUTE_S = 4.0
+LIMITS = relay.BatchLimits(4, 0.05, 0.01, 1e6, 4.0)
+PIECES = (2, 3, 1)
+GONE = 409
+
+
+def start_world(context: Any, count: int, hosts: int = 1) -> None:
+    """Create hosts and main runners."""
+    context.world = lab.RelayWorld(hosts)
+    context.runners = context.world.add_scripted('main', count)
+    context.world.configure(relay_decision_steps.make_configuration([]))
+
+
+@given('{count:d} runners, of which the first chosen does "{step}"')
+def script_first(context: Any, count: int, step: str) -> None:
+    """Give the runner that will be chosen first one step."""
+    start_world(context, count)
+    context.runners[0].script = [step]
+
+
+@given('{count:d} runners that all do "{step}"')
+def script_all(context: Any, count: int, step: str) -> None:
+    """Let every runner do the same, however often it is asked."""
+    start_world(context, count)
+    for runner in context.runners:
+        runner.script = [step] * 20
+
+
+@given(
+    '{count:d} stream runners of {events:d} events, '
+    'the first chosen does "{step}"'
+)
+def script_streams(context: Any, count: int, events: int, step: str) -> None:
+    """Create stream runners."""
+    start_world(context, count)
+    for runner in context.runners:
+        runner.events = events
+    context.runners[0].script = [step]
+
+
+def send(context: Any, host: int = 0, **fields: Any) -> None:
+    """Send one request and let its time pass."""
+    facts = edge.CallFacts('request-1', fields.pop('deadline_s', ROUTE_S))
+    route = relay_decision_steps.make_route(timeout_s=ROUTE_S, **fields)
+    world = context.world
+    context.exchange = world.submit(world.hosts[host], route, facts)
+
+
+@when('a {kind} request is sent')
+def send_kind(context: Any, kind: str) -> None:
+    """Send a request of a kind."""
+    if kind == 'staged':
+        send_staged(context, 0, PIECES)
+    else:
+        send(context, **KINDS[kind])
+        seconds = 0.3 if context.runners[0].events else ROUTE_S + 1
+        context.world.run(seconds)
+
+
+def arrivals(context: Any) -> list[Any]:
+    """Return what reached the main runners, in order."""
+    found = [a for runner in context.runners for a in runner.arrivals]
+    return sorted(found, key=lambda arrival: arrival.at)
+
+
+@then('the caller gets {status:d} after {runs:d} runs')
+def check_answer(context: Any, status: int, runs: int) -> None:
+    """Compare the answer with what ran."""
+    assert context.exchange.status == status, context.exchange.status
+    assert context.exchange.is_whole
+    ran = [arrival for arrival in arrivals(context) if arrival.ran]
+    assert len(ran) == runs, ran
+
+
+@then('it is told when to come back')
+def check_retry_after(context: Any) -> None:
+    """Look for the time."""
+    value = edge.find_header(context.exchange.headers, b'retry-after')
+    assert value is not None
+    assert float(value) > 0
+
+
+@then('each send is told at most the time that was left')
+def check_left(context: Any) -> None:
+    """Compare the times told with those of arrival."""
+    found = arrivals(context)
+    assert len(found) == 2, found
+    for arrival in found:
+        assert 0 < arrival.told['left_s'] <= ROUTE_S - arrival.at + 0.01
+
+
+@then(
+    'the caller gets events {first:d} to {last:d} once each and a whole answer'
+)
+def check_events(context: Any, first: int, last: int) -> None:
+    """Compare the body with the events."""
+    context.world.run(ROUTE_S)
+    expected = b''.join(
+        b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(first, last + 1)
+    )
+    assert context.exchange.body == expected, context.exchange.body
+    assert context.exchange.is_whole
+
+
+@then('the caller gets events {first:d} to {last:d} and no whole answer')
+def check_broken(context: Any, first: int, last: int) -> None:
+    """Compare the body with the events."""
+    expected = b''.join(
+        b'id: %d\ndata: e%d\n\n' % (n, n) for n in range(first, last + 1)
+    )
+    assert context.exchange.body == expected, context.exchange.body
+    assert context.exchange.is_over
+    assert not context.exchange.is_whole
+    assert len(arrivals(context)) == 1
+
+
+@when('the caller leaves after 0.3 s')
+def leave(context: Any) -> None:
+    """Close the caller's connection."""
+    context.left_at = context.world.clock.seconds()
+    context.exchange.leave()
+    context.world.run(ROUTE_S)
+
+
+@then("its runner's connection closes within 0.5 s and nothing more is sent")
+def check_closed(context: Any) -> None:
+    """Look at the runner's side."""
+    found = arrivals(context)
+    assert len(found) == 1, found
+    assert found[0].closed_at is not None
+    assert found[0].closed_at - context.left_at <= 0.5
+    assert not context.world.hosts[0].open
+
+
+@when('a once request is sent on a route with a timeout of 1 s')
+def send_short(context: Any) -> None:
+    """Send a request with more time than its route allows."""
+    facts = edge.CallFacts('request-1', 9.0)
+    fields = KINDS['once'] | {'timeout_s': 1.0}
+    route = relay_decision_steps.make_route(**fields)
+    host = context.world.hosts[0]
+    context.exchange = context.world.submit(host, route, facts)
+    context.world.run(2.0)
+
+
+@then('it has its final answer after 1 s')
+def check_timeout(context: Any) -> None:
+    """Compare the time of the answer."""
+    assert context.exchange.status == 504, context.exchange.status
+    assert 0.9 <= context.exchange.ended_at <= 1.05
+
+
+@given('a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces')
+def set_stages(context: Any) -> None:
+    """Create a world with stage services."""
+    start_world(context, 2, hosts=2)
+    world = context.world
+    context.stage_runners = [
+        *world.add_stage_runners('first', LIMITS, 2),
+        *world.add_stage_runners('second', LIMITS, 2),
+    ]
+    stages = (
+        relay.StageSpec('first', (), 1000.0),
+        relay.StageSpec('second', (0,), 1000.0),
+        relay.StageSpec('first', (), 1000.0),
+    )
+    context.route = relay_decision_steps.make_route(
+        stages=stages, kind=relay.CallKind.ONCE, attempts=1
+    )
+    world.configure(
+        relay_decision_steps.make_configuration(
+            [context.route], first=LIMITS, second=LIMITS
+        )
+    )
+
+
+@given('the main runner says once that its inputs are gone')
+def lose_inputs(context: Any) -> None:
+    """Let the first main call fail for its inputs."""
+    for runner in context.runners:
+        runner.events = 2
+    context.runners[0].script = ['gone']
+    context.route = relay_decision_steps.make_route(
+        stages=context.route.stages, kind=relay.CallKind.STREAM, attempts=1
+    )
+
+
+@given('the owner of the stage services {fault}')
+def break_owner(context: Any, fault: str) -> None:
+    """Let the owner, host 0, misbehave."""
+    world = context.world
+    lost: list[Any] = []
+
+    def lose_first_reply(message: Any) -> bool:
+        if isinstance(message, model.StageReply) and not lost:
+            lost.append(message)
+            return True
+        return False
+
+    if fault == 'is dead':
+        world.hosts[0].is_alive = False
+    elif fault == 'loses its first answer':
+        world.lose_message = lose_first_reply
+    elif fault == 'answers late':
+        for runner in context.stage_runners:
+            runner.limits = relay.BatchLimits(4, 0.5, 0.01, 1e6, 4.0)
+    elif fault == 'is asked again all the time':
+        context.pester = True
+
+
+def send_staged(context: Any, host: int, pieces: tuple[int, ...]) -> None:
+    """Send a request with stages."""
+    facts = edge.CallFacts(
+        'request-1', ROUTE_S, pieces=pieces, piece_key='key'
+    )
+    world = context.world
+    context.exchange = world.submit(world.hosts[host], context.route, facts)
+    if getattr(context, 'pester', False):
+        for _ in range(100):
+            ask_again(context)
+            world.run(0.01)
+    world.run(ROUTE_S + 1.0)
+
+
+def ask_again(context: Any) -> None:
+    """Let the asking host ask about every group once more."""
+    stages = context.world.hosts[1].stages
+    for wanted in list(stages.wanted.values()):
+        stages._check_owner(wanted.group.group_id)
+
+
+@when('a staged request is sent from another host')
+def send_from_other(context: Any) -> None:
+    """Send a request to a host that owns no stage service."""
+    send_staged(context, 1, PIECES)
+
+
+@when('a staged request with 2 counts is sent')
+def send_miscounted(context: Any) -> None:
+    """Send a request whose counts don't fit its stages."""
+    send_staged(context, 0, (2, 3))
+
+
+@then('each piece was made once')
+def check_made(context: Any) -> None:
+    """Compare the pieces made with those asked for."""
+    made = sorted(
+        piece for runner in context.stage_runners for piece in runner.made
+    )
+    expected = sorted(
+        ('request-1', stage, piece)
+        for stage, count in enumerate(PIECES)
+        for piece in range(count)
+    )
+    assert made == expected, made
+
+
+@then('each piece was made once and the main call got 4 results')
+def check_stages_made(context: Any) -> None:
+    """Compare the pieces, and the main call's inputs."""
+    check_made(context)
+    (main,) = arrivals(context)
+    assert len(set(main.told['inputs'])) == 4, main.told
+
+
+@then('all results are freed once they were read')
+def check_freed(context: Any) -> None:
+    """Look for results that are left."""
+    left = [r.results for r in context.stage_runners if r.results]
+    assert not left, left
+
+
+@then('the caller gets 200 and the main call was sent twice')
+def check_remade(context: Any) -> None:
+    """Look at the answer and the sends."""
+    assert context.exchange.status == 200, context.exchange.status
+    found = arrivals(context)
+    assert len(found) == 2, found
+    first, second = (set(a.told['inputs']) for a in found)
+    assert not first & second
+
+
+@when('stage load "{pattern}" is played')
+def play_pattern(context: Any, pattern: str) -> None:
+    """Play a load pattern under both rules."""
+    context.gathered = lab.run_stage_pattern(pattern)
+    context.scattered = lab.run_stage_pattern(pattern, gathered=False)
+
+
+@then('at least {share:f} are made within the target and none lack room')
+def check_pattern(context: Any, share: float) -> None:
+    """Check the figures of the rule in force."""
+    figures = context.gathered
+    assert figures.share_in_target >= share, figures
+    assert figures.no_room == 0, figures
+
+
+@then('that is at least as many as with each host for itself')
+def check_gain(context: Any) -> None:
+    """Compare with the earlier rule in the same run."""
+    assert context.gathered.in_target >= context.scattered.in_target
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -22,6 +22,7 @@
 from ragwort_lab._policy_bench import Run
 from ragwort_lab._policy_bench import SCENARIOS
 from ragwort_lab._relay_fakes import LabExchange
+from ragwort_lab._relay_fakes import LabRunner
 from ragwort_lab._relay_fakes import LabStageRunner
 from ragwort_lab._relay_fakes import ScriptedRunner
 from ragwort_lab._relay_world import RelayWorld
@@ -53,6 +54,7 @@
     'INVARIANTS',
     'is_caught',
     'LabExchange',
+    'LabRunner',
     'LabStageRunner',
     'LedgerRun',
     'load_known_red',
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -247,7 +247,8 @@
 
     Steps: ok, error (its own failure), full (not run), reset (ran, answer
     lost), refused (not run, 421), silent, foreign (another's answer),
-    events:N (a stream of N events), cut:N (a stream reset behind event N).
+    gone (not run, its inputs are gone), events:N (a stream of N events),
+    cut:N (a stream reset behind event N).
     """
 
     def __init__(
@@ -266,7 +267,7 @@
         self.arrivals.append(arrival)
         default = f'events:{self.events}' if self.events else 'ok'
         step = self.script.pop(0) if self.script else default
-        arrival.ran = step not in ('full', 'refused')
+        arrival.ran = step not in ('full', 'refused', 'gone')
 
         def close() -> None:
             arrival.closed_at = self.clock.seconds()
@@ -285,6 +286,8 @@
             call.respond(HTTP_FULL, ((b'not-run', b'1'),))
         elif kind == 'refused':
             call.respond(421, ((b'not-run', b'1'),))
+        elif kind == 'gone':
+            call.respond(409, ((b'not-run', b'1'),))
         elif kind == 'reset':
             call.fail(edge.CallProblem.CLOSED)
         elif kind == 'foreign':
