Wait for a near runner only where much would cross, and not for long

Now only where over 0.5 MB would cross, and for at most a quarter of the slack. A runner without room still gets smaller results. A host tells the store's return by a watch that answers at once, so that runners are doubted from the right moment.

--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -26,6 +26,8 @@
 # Pause before a call that runners turned away is sent again.
 TURNED_AWAY_PAUSE_S = 0.03
 DEFAULT_RETRY_AFTER_S = 0.5
+# Bytes between failure domains that are worth waiting to avoid.
+MIN_NEAR_BYTES = 500_000
 HTTP_BAD_REQUEST = 400
 HTTP_REFUSED = 503
 HTTP_FAILED = 502
@@ -293,21 +295,27 @@
         )
 
     def _stage_domain(self, run: relay.StageRun, stage: int) -> str:
-        """Return where a stage's inputs lie or its results will be read."""
-        domains = collections.Counter(
-            self._handle_domain(handle)
-            for needed in self.route.stages[stage].after
-            for handle in run.results(needed)
-        )
-        if domains:
-            return domains.most_common(1)[0][0]
+        """Return where a stage's inputs lie or its results will be read.
+
+        Return nothing where too little would cross to be worth a wait.
+        """
+        spec = self.route.stages[stage]
+        read: collections.Counter[str] = collections.Counter()
+        for needed in spec.after:
+            size = self.route.stages[needed].result_bytes
+            for handle in run.results(needed):
+                domain = self._handle_domain(handle)
+                read[domain] += int(size * run.pieces[stage])
         if stage not in run.followed:
-            runner = self._choose(
-                self.route.service_for(self.facts.request_id), set()
-            )
+            service = self.route.service_for(self.facts.request_id)
+            runner = self._choose(service, set())
             if runner is not None:
-                return runner.entry.runner.failure_domain
-        return self.context.failure_domain
+                domain = runner.entry.runner.failure_domain
+                read[domain] += int(spec.result_bytes * run.pieces[stage])
+        most = read.most_common(1)
+        if not most or most[0][1] < MIN_NEAR_BYTES:
+            return ''
+        return most[0][0]
 
     def _on_stage(
         self,
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -470,7 +470,8 @@
             elif result.result in retry:
                 if result.result == _dialect.PieceResult.ROOM:
                     now = self.reactor.seconds()
-                    gatherer.on_no_room(call.runner, now)
+                    size = piece.group.result_bytes
+                    gatherer.on_no_room(call, size, now)
                 again.append(piece)
             else:
                 reason = None if result.handle else str(result.result)
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -22,7 +22,7 @@
 # Time to pass over a runner without room: about the life of a result.
 FULL_S = 0.3
 # Time to spare beyond the wait for a runner in the wanted failure domain.
-NEAR_MARGIN_S = 0.1
+NEAR_SLACK_SHARE = 0.25
 # Urgency of a rank in seconds of slack.
 RANK_S = 0.25
 # Patience with a call, as a multiple of its expected time and at least.
@@ -36,7 +36,8 @@
 class PieceGroup:
     """The pieces of one stage of one request, wanted by one host.
 
-    failure_domain is where the inputs lie or the results will be read.
+    failure_domain is where the inputs lie or the results will be read,
+    empty where that does not matter.
     target_at and deadline_at are when the stage has to be done to meet the
     request's target and its deadline, in seconds of this host's clock.
     """
@@ -115,7 +116,7 @@
         self.call_ids = itertools.count(1)
         self.kept: dict[str, tuple[str, float, float]] = {}
         self.used_bytes: dict[str, float] = {}
-        self.full_until: dict[str, float] = {}
+        self.full_until: dict[str, tuple[float, float]] = {}
 
     def add(self, group: PieceGroup) -> None:
         """Queue the pieces of a group."""
@@ -189,7 +190,7 @@
             return near[0]
         free_in_s = self._near_free_in_s(domain, usable, now)
         work_s = self.limits.duration_s(self.limits.batch)
-        if free_in_s + NEAR_MARGIN_S < group.slack_s(now, work_s):
+        if free_in_s < NEAR_SLACK_SHARE * group.slack_s(now, work_s):
             return None
         # Pieces of one request stay together: they share their inputs.
         mine = [c for c in places if c.holds(group)]
@@ -276,10 +277,10 @@
         return here <= max(others[ahead], usual_s) * (1 + SLOWNESS_WEIGHT)
 
     def _free_bytes(self, runner: _fleet.FleetRunner, now: float) -> float:
-        if now < self.full_until.get(runner.name, now):
-            return 0.0
+        until, known_free = self.full_until.get(runner.name, (now, 0.0))
         room = self.limits.room_bytes * ROOM_SHARE
-        return room - self.used_bytes.get(runner.name, 0.0)
+        free = room - self.used_bytes.get(runner.name, 0.0)
+        return min(free, known_free) if now < until else free
 
     def _start(self, forming: '_FormingCall', now: float) -> BatchCall:
         runner = forming.runner
@@ -316,13 +317,13 @@
                 size = piece.group.result_bytes
                 self.kept[handle] = (runner.name, size, until)
 
-    def on_no_room(self, runner: _fleet.FleetRunner, now: float) -> None:
-        """Pass over a runner that had no room for a result.
+    def on_no_room(self, call: BatchCall, size: float, now: float) -> None:
+        """Send a runner only smaller results for a while.
 
         Its room is taken by results that this host does not count: of an
         owner before it, or of hosts that gather for themselves.
         """
-        self.full_until[runner.name] = now + FULL_S
+        self.full_until[call.runner.name] = (now + FULL_S, size / 2)
 
     def on_failure(self, call: BatchCall) -> None:
         """Forget a call that brought no answer."""
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -59,7 +59,10 @@
         if self.open_op is not None or now < self.not_before:
             return []
         if elected:
-            return [self._watch(WATCH_WAIT_S) if self.listed else self._list()]
+            # Right after an outage a watch that returns at once tells that
+            # the store is back; one that waits would tell with its events.
+            wait_s = 0.0 if self.is_store_away else WATCH_WAIT_S
+            return [self._watch(wait_s) if self.listed else self._list()]
         if not self.replica.synced and now >= self.cold_list_at:
             return [] if self.listed else [self._list()]
         if self.replica.synced and now >= self.next_poll:
