--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -194,7 +194,7 @@
             return None
         # Pieces of one request stay together: they share their inputs.
         mine = [c for c in places if c.holds(group)]
-        return mine[0] if mine else min(places, key=lambda c: len(c.pieces))
+        return mine[0] if mine else max(places, key=lambda c: len(c.pieces))
 
     def _fits(self, call: '_FormingCall', group: PieceGroup) -> bool:
         """Tell whether a call can take a piece of a group.
