Make stages again when results vanish with their runner

It now makes its stages once more within its own time, and is refused only after a second loss. Ruled out: keeping copies (results hold the room that runs out first).

--- /dev/null
+++ b/features/evidence.feature
@@ -0,0 +1,27 @@
+Feature: Operators can follow a request and compare runs
+
+  Scenario: a request's lines are found in the logs of all hosts
+    Given logs of two hosts with a prefix, noise and lines of request "r7"
+    When the logs are searched for "r7"
+    Then its lines of both hosts come in order of time
+
+  Scenario: a request that no log knows is an error in one line
+    Given logs of two hosts with a prefix, noise and lines of request "r7"
+    When the command follows "r9"
+    Then it fails with one line that names "r9"
+
+  Scenario: two runs are shown side by side
+    Given a journal of two runs with one day in common
+    When the command compares them
+    Then the table has that day with both figures and the change
+
+  Scenario Outline: <what> is an error in one line
+    Given a journal of two runs with one day in common
+    When the command compares <what>
+    Then it fails with one line that names "<text>"
+
+    Examples:
+      | what               | text  |
+      | a run not there    | zzz   |
+      | a broken entry     | .json |
+      | a folder not there | no such folder |
--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -69,6 +69,18 @@
     When a staged request is sent
     Then the caller gets 200 and the main call was sent twice
 
+  Scenario Outline: results that vanish between stages <times> times
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the inputs of stage 1 are gone <times> times
+    When a staged request is sent
+    Then the caller gets <status> after <runs> runs
+    And all results are freed once they were read
+
+    Examples:
+      | times | status | runs |
+      | 1     | 200    | 1    |
+      | 2     | 503    | 0    |
+
   Scenario: pieces with the wrong count are bad input
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     When a staged request with 2 counts is sent
--- /dev/null
+++ b/features/steps/evidence_steps.py
@@ -0,0 +1,131 @@
+"""Steps of following requests and comparing runs."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+import ragwort_cli as cli
+
+
+def command(*arguments: str) -> 'subprocess.CompletedProcess[str]':
+    """Run the command line."""
+    return subprocess.run(
+        [sys.executable, '-c', 'import ragwort_cli; ragwort_cli.main()']
+        + list(arguments),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@given('logs of two hosts with a prefix, noise and lines of request "{name}"')
+def write_logs(context: Any, name: str) -> None:
+    """Write two log files."""
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.add_cleanup(lambda: [p.unlink() for p in folder.iterdir()])
+    context.logs = []
+    for host, times in (('a', (1, 4)), ('b', (2, 3))):
+        lines = ['no JSON at all', '{"broken": ']
+        for time in times:
+            entry = {
+                'request': name,
+                'node': host,
+                'event': f'event-{time}',
+                'timestamp': f'2026-01-01T00:00:0{time}Z',
+            }
+            lines.append(f'12.5 host-{host} {json.dumps(entry)}')
+        lines.append(json.dumps({'request': 'other', 'why': name}))
+        path = folder / f'{host}.log'
+        path.write_text('\n'.join(lines))
+        context.logs.append(path)
+
+
+@when('the logs are searched for "{name}"')
+def search_logs(context: Any, name: str) -> None:
+    """Search both files."""
+    context.found = cli.request_lines(context.logs, name)
+
+
+@then('its lines of both hosts come in order of time')
+def check_lines(context: Any) -> None:
+    """Compare events and hosts."""
+    events = [line.event for line in context.found]
+    assert events == ['event-1', 'event-2', 'event-3', 'event-4'], events
+    assert {line.host for line in context.found} == {'a', 'b'}
+
+
+@when('the command follows "{name}"')
+def follow(context: Any, name: str) -> None:
+    """Run the command."""
+    context.done = command('follow', name, *map(str, context.logs))
+
+
+@then('it fails with one line that names "{text}"')
+def check_failure(context: Any, text: str) -> None:
+    """Look at the exit code and the error."""
+    assert context.done.returncode != 0
+    lines = context.done.stderr.strip().splitlines()
+    assert len(lines) == 1, lines
+    assert text in lines[0], lines
+
+
+def run_entry(ident: str, figure: float) -> dict[str, Any]:
+    """Return a journal entry with two days."""
+    days = [
+        {'name': name, 'G': figure, 'served': 0.9, 'rules': {}}
+        for name in ('shared', f'only-{ident}')
+    ]
+    return {
+        'id': ident,
+        'at': ['2026-01-01T00:00:00Z'],
+        'cmd': 'score',
+        'why': None,
+        'site': None,
+        'days': days,
+        'coming': 1,
+    }
+
+
+@given('a journal of two runs with one day in common')
+def write_journal(context: Any) -> None:
+    """Write two entries."""
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.add_cleanup(lambda: [p.unlink() for p in folder.iterdir()])
+    for ident, figure in (('aaa', 0.5), ('bbb', 0.75)):
+        path = folder / f'{ident}.json'
+        path.write_text(json.dumps(run_entry(ident, figure)))
+    context.journal = folder
+
+
+@when('the command compares {what}')
+def compare(context: Any, what: str) -> None:
+    """Run the command."""
+    names = ['aaa', 'bbb']
+    folder = context.journal
+    if what == 'a run not there':
+        names = ['aaa', 'zzz']
+    elif what == 'a broken entry':
+        (folder / 'ccc.json').write_text('{"id": 3}')
+    elif what == 'a folder not there':
+        folder = folder / 'nowhere'
+    context.done = command(
+        'journal', 'compare', *names, '--journal', str(folder)
+    )
+
+
+@then('the table has that day with both figures and the change')
+def check_table(context: Any) -> None:
+    """Look at the table."""
+    assert context.done.returncode == 0, context.done.stderr
+    rows = context.done.stdout.splitlines()
+    assert len(rows) == 2, rows
+    cells = rows[1].split()
+    assert cells[:4] == ['shared', '0.500', '0.750', '+0.250'], cells
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -209,6 +209,14 @@
     )
 
 
+@given('the inputs of stage 1 are gone {times:d} times')
+def lose_stage_inputs(context: Any, times: int) -> None:
+    """Let calls for the second stage find no inputs."""
+    lost = [True] * times
+    for runner in context.stage_runners:
+        runner.lost_inputs = lost
+
+
 @given('the owner of the stage services {fault}')
 def break_owner(context: Any, fault: str) -> None:
     """Let the owner, host 0, misbehave."""
--- /dev/null
+++ b/libs/ragwort_cli/ragwort_cli/_evidence_commands.py
@@ -0,0 +1,93 @@
+"""Commands that read the journal of bench runs and the logs."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from ragwort_cli import _journal
+from ragwort_cli import _logs
+from ragwort_cli import _options
+from ragwort_cli import _output
+from ragwort_cli import _plot
+import ragwort_model as model
+
+journal_app = typer.Typer(help='Read the journal of bench runs.')
+JournalOption = Annotated[
+    pathlib.Path, typer.Option('--journal', help='Folder of the journal.')
+]
+JOURNAL = pathlib.Path('journal')
+COMPARE_HEADINGS = (
+    'day',
+    'worth of first',
+    'of second',
+    'change',
+    'served in first',
+    'in second',
+    'rules broken',
+)
+
+
+@journal_app.command('list')
+def list_runs(
+    journal: JournalOption = JOURNAL,
+    output: _options.OutputOption = _options.TEXT,
+) -> None:
+    """Print all runs with what they were for."""
+    entries = _journal.read_journal(journal)
+    if output == _output.OutputForm.JSON:
+        _output.print_json(
+            [{'id': e.id, 'site': e.site, 'why': e.why} for e in entries]
+        )
+        return
+    rows = [
+        [
+            entry.id,
+            entry.at[0],
+            entry.cmd,
+            entry.site or '-',
+            len(entry.days),
+            _output.number(entry.score),
+            entry.why or '-',
+        ]
+        for entry in entries
+    ]
+    headings = ('run', 'at', 'command', 'site', 'days', 'score', 'why')
+    _output.print_table(headings, rows)
+
+
+@journal_app.command('compare')
+def compare_runs(
+    first: str,
+    second: str,
+    journal: JournalOption = JOURNAL,
+    plot: Annotated[
+        pathlib.Path | None, typer.Option(help='Write a PNG of both runs.')
+    ] = None,
+) -> None:
+    """Print two runs side by side, day by day."""
+    entries = _journal.read_journal(journal)
+    one = _journal.find_entry(entries, first)
+    two = _journal.find_entry(entries, second)
+    rows = _journal.compare_rows(one, two)
+    if not rows:
+        raise model.InvalidInputError(
+            f'runs {first} and {second} have no day in common'
+        )
+    _output.print_table(COMPARE_HEADINGS, rows)
+    if plot is not None:
+        _plot.plot_runs(one, two, plot)
+
+
+def follow(
+    request: Annotated[str, typer.Argument(help='Id of the request.')],
+    logs: Annotated[
+        list[pathlib.Path], typer.Argument(help='Log files of hosts.')
+    ],
+) -> None:
+    """Print everything that hosts logged about a request, in order."""
+    lines = _logs.request_lines(logs, request)
+    if not lines:
+        raise model.RequestError(f'no log has a line about {request!r}')
+    for line in lines:
+        typer.echo(line.text())
--- a/libs/ragwort_cli/ragwort_cli/_main.py
+++ b/libs/ragwort_cli/ragwort_cli/_main.py
@@ -9,10 +9,13 @@
 from twisted.internet import defer
 import typer
 
-from ragwort_cli import _commands
+from ragwort_cli import _call_commands
 from ragwort_cli import _demo
+from ragwort_cli import _evidence_commands
 from ragwort_cli import _loop
 from ragwort_cli import _output
+from ragwort_cli import _status_commands
+from ragwort_cli import _target_commands
 import ragwort_fakes as fakes
 import ragwort_model as model
 import ragwort_node as node
@@ -30,14 +33,20 @@
     pretty_exceptions_enable=False,
 )
 
-app.add_typer(_commands.target_app, name='target', no_args_is_help=True)
-app.add_typer(_commands.class_app, name='class', no_args_is_help=True)
-app.add_typer(_commands.settings_app, name='settings', no_args_is_help=True)
-app.command('addresses')(_commands.show_addresses)
-app.command('status')(_commands.show_status)
-app.command('explain')(_commands.explain)
-app.command('request')(_commands.send_request)
-app.command('load')(_commands.run_load)
+app.add_typer(_target_commands.target_app, name='target', no_args_is_help=True)
+app.add_typer(_target_commands.class_app, name='class', no_args_is_help=True)
+app.add_typer(
+    _target_commands.settings_app, name='settings', no_args_is_help=True
+)
+app.command('addresses')(_status_commands.show_addresses)
+app.command('status')(_status_commands.show_status)
+app.command('explain')(_status_commands.explain)
+app.command('request')(_call_commands.send_request)
+app.command('load')(_call_commands.run_load)
+app.command('follow')(_evidence_commands.follow)
+app.add_typer(
+    _evidence_commands.journal_app, name='journal', no_args_is_help=True
+)
 
 SettingsOption = Annotated[
     pathlib.Path,
--- a/libs/ragwort_cli/ragwort_cli/_plot.py
+++ b/libs/ragwort_cli/ragwort_cli/_plot.py
@@ -1,7 +1,8 @@
-"""Plot of a load run."""
+"""Plots of load runs and bench runs."""
 
 import pathlib
 
+from ragwort_cli import _journal
 from ragwort_cli import _load
 
 PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9)
@@ -27,3 +28,30 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path)
+
+
+def plot_runs(
+    first: _journal.JournalEntry,
+    second: _journal.JournalEntry,
+    path: pathlib.Path,
+) -> None:
+    """Write the worth of each day in two runs as a PNG."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    others = {day.name: day for day in second.days}
+    names = [day.name for day in first.days if day.name in others]
+    width = 0.4
+    for offset, entry in ((0.0, first), (width, second)):
+        days = {day.name: day for day in entry.days}
+        places = [index + offset for index in range(len(names))]
+        heights = [days[name].worth or 0.0 for name in names]
+        axes.bar(places, heights, width, label=entry.id)
+    axes.set_xticks([i + width / 2 for i in range(len(names))], names)
+    axes.set_ylabel('worth')
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -6,6 +6,7 @@
 from ragwort_edge._client import HttpCaller
 from ragwort_edge._client import OpenCall
 from ragwort_edge._client import ResponseReader
+from ragwort_edge._context import RelayContext
 from ragwort_edge._dialect import CallFacts
 from ragwort_edge._dialect import Dialect
 from ragwort_edge._dialect import MainCall
@@ -24,7 +25,6 @@
 from ragwort_edge._messages import HttpResponse
 from ragwort_edge._metrics import Metrics
 from ragwort_edge._relay_call import RelayCall
-from ragwort_edge._relay_call import RelayContext
 from ragwort_edge._server import Exchange
 from ragwort_edge._server import Site
 from ragwort_edge._stage_service import StageService
--- /dev/null
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -0,0 +1,237 @@
+"""The stages of one request: asking for their pieces, freeing results."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+from typing import Any
+
+from twisted.internet import defer
+
+from ragwort_edge import _context
+from ragwort_edge import _dialect
+from ragwort_edge import _stage_service
+import ragwort_model as model
+import ragwort_relay as relay
+
+# Bytes between failure domains that are worth waiting to avoid.
+MIN_NEAR_BYTES = 500_000
+# How often all stages are made when results vanish with their runners.
+MAX_ROUNDS = 2
+GONE = str(_dialect.PieceResult.GONE)
+
+
+class ResultsGoneError(model.RagwortError):
+    """Raise when results vanished before the next stage read them."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageTimes:
+    """When a request came, what it aims at, and when its time ends.
+
+    In seconds of the host's clock; rank 0 goes first.
+    """
+
+    started_at: float
+    target_at: float
+    ends_at: float
+    rank: int
+
+
+class CallStages:
+    """Makes the stages of one request."""
+
+    def __init__(
+        self,
+        context: _context.RelayContext,
+        facts: _dialect.CallFacts,
+        route: relay.Route,
+        configuration: relay.RelayConfiguration,
+        times: StageTimes,
+        likely_domain: Callable[[], str],
+    ) -> None:
+        """Start with nothing made.
+
+        likely_domain returns where the main call will likely run.
+        """
+        self.context = context
+        self.facts = facts
+        self.route = route
+        self.configuration = configuration
+        self.times = times
+        self.likely_domain = likely_domain
+        self.run: relay.StageRun | None = None
+        self.pending: dict[int, Any] = {}
+        self.inputs: tuple[str, ...] = ()
+
+    def new_run(self) -> relay.StageRun:
+        """Return a run with nothing made; raise InvalidInputError."""
+        try:
+            return relay.StageRun(
+                self.facts.request_id,
+                self.route.stages,
+                self.facts.pieces,
+                self.facts.piece_key,
+            )
+        except ValueError as error:
+            raise model.InvalidInputError(str(error)) from None
+
+    def admit(self) -> relay.Admission:
+        """Decide whether the request can be done in its time."""
+        waits = {
+            spec.service: self.context.stages.wait_s(spec.service)
+            for spec in self.route.stages
+        }
+        expected = relay.forecast(
+            self.new_run(), self.configuration.services, waits
+        )
+        left_s = self.times.ends_at - self.context.reactor.seconds()
+        return relay.admit(expected, left_s, self.context.rng)
+
+    async def make(self) -> None:
+        """Make all stages; raise Refusal if that can't be done."""
+        for _ in range(MAX_ROUNDS):
+            self.release_all()
+            try:
+                await self._make_round(self.new_run())
+            except ResultsGoneError:
+                continue
+            return
+        raise self._refusal('results vanished with their runners')
+
+    async def _make_round(self, run: relay.StageRun) -> None:
+        self.run = run
+        if not run.is_done:
+            done: defer.Deferred[None] = defer.Deferred()
+            self._start_ready(run, done)
+            await done
+        self.inputs = tuple(run.final_inputs())
+
+    def _start_ready(
+        self, run: relay.StageRun, done: 'defer.Deferred[None]'
+    ) -> None:
+        for stage in run.start_ready():
+            group = self._group(run, stage)
+            made = self.context.stages.make(
+                self.route.stages[stage].service, group
+            )
+            self.pending[stage] = made
+            made.addCallback(self._on_stage, run, stage, done)
+            made.addErrback(self._on_stage_error, done)
+
+    def _on_stage_error(
+        self, failure: Any, done: 'defer.Deferred[None]'
+    ) -> None:
+        if not failure.check(defer.CancelledError) and not done.called:
+            done.errback(failure)
+
+    def _group(self, run: relay.StageRun, stage: int) -> relay.PieceGroup:
+        usual_s = [
+            self._usual_s(spec.service, run.pieces[index])
+            for index, spec in enumerate(self.route.stages)
+        ]
+        after_s = relay.stage_targets(run, stage, usual_s)
+        after_s += relay.FIRST_EVENT_S
+        return relay.PieceGroup(
+            '',
+            run.work(stage),
+            self.times.target_at - after_s,
+            self.times.ends_at - after_s,
+            self.times.rank,
+            self.route.stages[stage].result_bytes,
+            self._wanted_domain(run, stage),
+        )
+
+    def _usual_s(self, service: str, pieces: int) -> float:
+        spec = self.configuration.services.get(service)
+        if spec is None or spec.batch is None:
+            return 0.0
+        return spec.batch.duration_s(min(pieces, spec.batch.batch))
+
+    def _wanted_domain(self, run: relay.StageRun, stage: int) -> str:
+        """Return where a stage's inputs lie or its results will be read.
+
+        Return nothing where too little would cross to be worth a wait.
+        """
+        spec = self.route.stages[stage]
+        read: collections.Counter[str] = collections.Counter()
+        for needed in spec.after:
+            size = self.route.stages[needed].result_bytes
+            for handle in run.results(needed):
+                domain = self.context.domain_of(handle)
+                read[domain] += int(size * run.pieces[stage])
+        if stage not in run.followed:
+            amount = int(spec.result_bytes * run.pieces[stage])
+            read[self.likely_domain()] += amount
+        most = read.most_common(1)
+        if not most or most[0][1] < MIN_NEAR_BYTES:
+            return ''
+        return most[0][0]
+
+    def _on_stage(
+        self,
+        outcomes: _stage_service.Outcomes,
+        run: relay.StageRun,
+        stage: int,
+        done: 'defer.Deferred[None]',
+    ) -> None:
+        self.pending.pop(stage, None)
+        failed = [o.reason for o in outcomes.values() if o.handle is None]
+        for outcome in outcomes.values():
+            if outcome.handle is not None:
+                run.on_made(stage, outcome.piece, outcome.handle)
+        if done.called:
+            return
+        if failed:
+            done.errback(self._stage_error(stage, failed))
+            return
+        for needed in self.route.stages[stage].after:
+            if run.is_spent(needed):
+                self._release(needed, run.results(needed))
+        if run.is_done:
+            done.callback(None)
+        else:
+            self._start_ready(run, done)
+
+    def _stage_error(
+        self, stage: int, reasons: list[str | None]
+    ) -> model.RagwortError:
+        if GONE in reasons:
+            return ResultsGoneError(f'stage {stage}')
+        return self._refusal(f'stage {stage}: {reasons[0]}')
+
+    def _refusal(self, reason: str) -> _context.Refusal:
+        again_s = relay.retry_after_s(
+            _context.DEFAULT_RETRY_AFTER_S, self.context.rng
+        )
+        return _context.Refusal(reason, again_s)
+
+    def input_bytes(self) -> dict[str, float]:
+        """Return the bytes the main call reads, by failure domain."""
+        amounts: dict[str, float] = {}
+        run = self.run
+        if run is None:
+            return amounts
+        for stage in range(len(run)):
+            if stage in run.followed:
+                continue
+            size = self.route.stages[stage].result_bytes
+            for handle in run.results(stage):
+                domain = self.context.domain_of(handle)
+                amounts[domain] = amounts.get(domain, 0.0) + size
+        return amounts
+
+    def _release(self, stage: int, handles: list[str]) -> None:
+        service = self.route.stages[stage].service
+        self.context.stages.release(service, handles)
+
+    def release_all(self) -> None:
+        """Free the results that nothing will read any more."""
+        for pending in list(self.pending.values()):
+            pending.cancel()
+        self.pending.clear()
+        run, self.run = self.run, None
+        if run is None:
+            return
+        for stage in range(len(run)):
+            if not run.is_spent(stage):
+                self._release(stage, run.results(stage))
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ragwort_edge import _client
+from ragwort_edge import _context
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
@@ -126,7 +127,7 @@
             self._send_peer,
             self._stage_owner,
         )
-        self.context = _relay_call.RelayContext(
+        self.context = _context.RelayContext(
             reactor,
             self.rng,
             self.caller,
--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -1,18 +1,17 @@
 """One request on its way: stages, sends to runners, the answer."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 from typing import Any
 
 from twisted.internet import defer
 
+from ragwort_edge import _call_stages
 from ragwort_edge import _client
+from ragwort_edge import _context
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
-from ragwort_edge import _metrics
 from ragwort_edge import _server
-from ragwort_edge import _stage_service
 from ragwort_edge import _stream
 import ragwort_model as model
 import ragwort_relay as relay
@@ -25,40 +24,12 @@
 MIN_PATIENCE_S = 0.7
 # Pause before a call that runners turned away is sent again.
 TURNED_AWAY_PAUSE_S = 0.03
-DEFAULT_RETRY_AFTER_S = 0.5
-# Bytes between failure domains that are worth waiting to avoid.
-MIN_NEAR_BYTES = 500_000
 HTTP_BAD_REQUEST = 400
 HTTP_REFUSED = 503
 HTTP_FAILED = 502
 HTTP_TIMEOUT = 504
 
 
-class Refusal(model.RagwortError):
-    """Raise to end a request that has not run."""
-
-    def __init__(self, reason: str, retry_after_s: float) -> None:
-        """Keep when the caller should come back."""
-        super().__init__(reason)
-        self.retry_after_s = retry_after_s
-
-
-@dataclasses.dataclass(slots=True)
-class RelayContext:
-    """What all calls of a host share."""
-
-    reactor: Any
-    rng: Any
-    caller: _client.HttpCaller
-    dialect: _dialect.Dialect
-    catalog: relay.RelayCatalog
-    budget: relay.RetryBudget
-    stages: _stage_service.StageService
-    metrics: _metrics.Metrics
-    logger: Any
-    failure_domain: str
-
-
 @dataclasses.dataclass(slots=True)
 class _Send:
     """How one send to a runner ended."""
@@ -74,7 +45,7 @@
 
     def __init__(
         self,
-        context: RelayContext,
+        context: _context.RelayContext,
         exchange: _server.Exchange,
         facts: _dialect.CallFacts,
         route: relay.Route,
@@ -100,10 +71,20 @@
         self.running: Any = None
         self.timer: Any = None
         self.is_timed_out = False
-        self.inputs: tuple[str, ...] = ()
-        self.stage_run: relay.StageRun | None = None
-        self.pending_stages: dict[int, Any] = {}
         self.notes: dict[str, Any] = {}
+        self.stages = _call_stages.CallStages(
+            context,
+            facts,
+            route,
+            configuration,
+            _call_stages.StageTimes(
+                self.started_at,
+                self.started_at + route.target_s,
+                self.ends_at,
+                self.rank,
+            ),
+            self._likely_domain,
+        )
 
     @property
     def rank(self) -> int:
@@ -138,14 +119,11 @@
     def _finish(self, _: Any) -> None:
         if self.timer.active():
             self.timer.cancel()
-        for pending in list(self.pending_stages.values()):
-            pending.cancel()
-        self.pending_stages.clear()
-        self._release_all()
+        self.stages.release_all()
         self.on_end(self)
 
     def _on_failure(self, failure: Any) -> None:
-        if failure.check(Refusal):
+        if failure.check(_context.Refusal):
             self._refuse(str(failure.value), failure.value.retry_after_s)
         elif failure.check(defer.CancelledError, _client.CallError):
             self._on_stopped()
@@ -162,7 +140,7 @@
         elif self.attempts.ran:
             self._fail(HTTP_TIMEOUT, 'no answer in time')
         else:
-            self._refuse('no runner in time', DEFAULT_RETRY_AFTER_S)
+            self._refuse('no runner in time', _context.DEFAULT_RETRY_AFTER_S)
 
     def _refuse(self, reason: str, retry_after_s: float) -> None:
         if self.attempts.ran:
@@ -215,154 +193,24 @@
             await self._run_plain(service)
 
     async def _run_stages(self) -> None:
-        context = self.context
-        try:
-            run = relay.StageRun(
-                self.facts.request_id,
-                self.route.stages,
-                self.facts.pieces,
-                self.facts.piece_key,
-            )
-        except ValueError as error:
-            raise model.InvalidInputError(str(error)) from None
-        waits = {
-            spec.service: context.stages.wait_s(spec.service)
-            for spec in self.route.stages
-        }
-        expected = relay.forecast(run, self.configuration.services, waits)
-        admission = relay.admit(expected, self.left_s(), context.rng)
-        self.notes['forecast_s'] = round(expected.total_s, 3)
-        self.notes['queue_s'] = round(expected.queue_s, 3)
+        admission = self.stages.admit()
+        self.notes['forecast_s'] = round(admission.forecast.total_s, 3)
+        self.notes['queue_s'] = round(admission.forecast.queue_s, 3)
         if admission.verdict != relay.Verdict.ADMIT:
-            raise Refusal('queues are too long', admission.retry_after_s)
-        await self._make_stages(run)
-        elapsed_s = context.reactor.seconds() - self.started_at
-        self.notes['stages_s'] = round(elapsed_s, 3)
-
-    async def _remake_stages(self) -> None:
-        """Make the stages again: their results were freed or are gone."""
-        self._release_all()
-        self.notes['remade'] = True
-        run = relay.StageRun(
-            self.facts.request_id,
-            self.route.stages,
-            self.facts.pieces,
-            self.facts.piece_key,
-        )
-        await self._make_stages(run)
-
-    async def _make_stages(self, run: relay.StageRun) -> None:
-        self.stage_run = run
-        if not run.is_done:
-            await self._wait_stages(run)
-        self.inputs = tuple(run.final_inputs())
-
-    async def _wait_stages(self, run: relay.StageRun) -> None:
-        done: defer.Deferred[None] = defer.Deferred()
-        self._start_stages(run, done)
-        await done
-
-    def _start_stages(
-        self, run: relay.StageRun, done: 'defer.Deferred[None]'
-    ) -> None:
-        for stage in run.start_ready():
-            group = self._group(run, stage)
-            made = self.context.stages.make(
-                self.route.stages[stage].service, group
-            )
-            self.pending_stages[stage] = made
-            made.addCallback(self._on_stage, run, stage, done)
-            made.addErrback(lambda failure: failure.trap(defer.CancelledError))
-
-    def _group(self, run: relay.StageRun, stage: int) -> relay.PieceGroup:
-        spec = self.route.stages[stage]
-        services = self.configuration.services
-        usual_s = []
-        for index, other in enumerate(self.route.stages):
-            batch = services[other.service].batch
-            count = min(run.pieces[index], batch.batch) if batch else 0
-            usual_s.append(batch.duration_s(count) if batch else 0.0)
-        after_s = relay.stage_targets(run, stage, usual_s)
-        after_s += relay.FIRST_EVENT_S
-        return relay.PieceGroup(
-            '',
-            run.work(stage),
-            self.started_at + self.route.target_s - after_s,
-            self.ends_at - after_s,
-            self.rank,
-            spec.result_bytes,
-            self._stage_domain(run, stage),
-        )
-
-    def _stage_domain(self, run: relay.StageRun, stage: int) -> str:
-        """Return where a stage's inputs lie or its results will be read.
-
-        Return nothing where too little would cross to be worth a wait.
-        """
-        spec = self.route.stages[stage]
-        read: collections.Counter[str] = collections.Counter()
-        for needed in spec.after:
-            size = self.route.stages[needed].result_bytes
-            for handle in run.results(needed):
-                domain = self._handle_domain(handle)
-                read[domain] += int(size * run.pieces[stage])
-        if stage not in run.followed:
-            service = self.route.service_for(self.facts.request_id)
-            runner = self._choose(service, set())
-            if runner is not None:
-                domain = runner.entry.runner.failure_domain
-                read[domain] += int(spec.result_bytes * run.pieces[stage])
-        most = read.most_common(1)
-        if not most or most[0][1] < MIN_NEAR_BYTES:
-            return ''
-        return most[0][0]
-
-    def _on_stage(
-        self,
-        outcomes: '_stage_service.Outcomes',
-        run: relay.StageRun,
-        stage: int,
-        done: 'defer.Deferred[None]',
-    ) -> None:
-        self.pending_stages.pop(stage, None)
-        failed = [o.reason for o in outcomes.values() if o.handle is None]
-        for outcome in outcomes.values():
-            if outcome.handle is not None:
-                run.on_made(stage, outcome.piece, outcome.handle)
-        if done.called:
-            return
-        if failed:
-            self.notes['stage'] = stage
-            reason = f'stage {stage}: {failed[0]}'
-            done.errback(
-                Refusal(
-                    reason,
-                    relay.retry_after_s(
-                        DEFAULT_RETRY_AFTER_S, self.context.rng
-                    ),
-                )
+            raise _context.Refusal(
+                'queues are too long', admission.retry_after_s
             )
-            return
-        for needed in self.route.stages[stage].after:
-            if run.is_spent(needed):
-                self._release(needed, run.results(needed))
-        if run.is_done:
-            done.callback(None)
-        else:
-            self._start_stages(run, done)
-
-    def _release(self, stage: int, handles: list[str]) -> None:
-        service = self.route.stages[stage].service
-        self.context.stages.release(service, handles)
+        await self.stages.make()
+        elapsed_s = self.context.reactor.seconds() - self.started_at
+        self.notes['stages_s'] = round(elapsed_s, 3)
 
-    def _release_all(self) -> None:
-        """Free the results that nothing will read any more."""
-        run, self.stage_run = self.stage_run, None
-        if run is None:
-            return
-        for stage in range(len(run)):
-            if not run.is_spent(stage):
-                self._release(stage, run.results(stage))
+    def _likely_domain(self) -> str:
+        """Return the failure domain where the main call will likely run."""
+        service = self.route.service_for(self.facts.request_id)
+        runner = self._choose(service, set())
+        if runner is None:
+            return self.context.failure_domain
+        return runner.entry.runner.failure_domain
 
     # The main call.
 
@@ -380,7 +228,7 @@
                 fresh,
                 self.facts.prompt,
                 context.catalog.memory,
-                self._input_bytes(),
+                self.stages.input_bytes(),
                 now,
             )
         else:
@@ -393,27 +241,6 @@
         }
         return runner
 
-    def _input_bytes(self) -> dict[str, float]:
-        """Return the bytes of results to be read, by failure domain."""
-        amounts: dict[str, float] = {}
-        run = self.stage_run
-        if run is None:
-            return amounts
-        for stage in range(len(run)):
-            if stage not in run.followed:
-                for handle in run.results(stage):
-                    domain = self._handle_domain(handle)
-                    size = self.route.stages[stage].result_bytes
-                    amounts[domain] = amounts.get(domain, 0.0) + size
-        return amounts
-
-    def _handle_domain(self, handle: str) -> str:
-        address = self.context.dialect.handle_address(handle)
-        for runner in self.context.catalog.fleet.runners.values():
-            if runner.address == address:
-                return runner.entry.runner.failure_domain
-        return ''
-
     def _main_request(
         self, runner: relay.FleetRunner, last_event: int | None
     ) -> _messages.HttpRequest:
@@ -426,7 +253,7 @@
                 runner,
                 self.left_s(),
                 self.rank,
-                self.inputs,
+                self.stages.inputs,
                 last_event,
             )
         )
@@ -462,7 +289,9 @@
         while True:
             runner = self._choose(service, tried)
             if runner is None:
-                raise Refusal('no runner', DEFAULT_RETRY_AFTER_S)
+                raise _context.Refusal(
+                    'no runner', _context.DEFAULT_RETRY_AFTER_S
+                )
             tried.add(runner.name)
             send = await self._send_plain(service, runner)
             self._note_send(service, runner, send)
@@ -472,7 +301,9 @@
             if step == relay.NextStep.DELIVER and send.response is not None:
                 self._deliver(send.response)
             elif step == relay.NextStep.REFUSE:
-                raise Refusal(send.detail, DEFAULT_RETRY_AFTER_S)
+                raise _context.Refusal(
+                    send.detail, _context.DEFAULT_RETRY_AFTER_S
+                )
             else:
                 self._fail(HTTP_FAILED, send.detail)
             return
@@ -568,7 +399,7 @@
     def on_first_event(self) -> None:
         """Note that the answer begins."""
         self._observe_latency()
-        self._release_all()
+        self.stages.release_all()
 
     def send_ended(self, result: relay.SendResult, detail: str) -> '_Send':
         """Return the end of a send that brought no whole response."""
@@ -580,14 +411,17 @@
         while True:
             runner = self._choose(service, tried)
             if runner is None:
-                raise Refusal('no runner', DEFAULT_RETRY_AFTER_S)
+                raise _context.Refusal(
+                    'no runner', _context.DEFAULT_RETRY_AFTER_S
+                )
             tried.add(runner.name)
             send = await self._send_stream(runner, progress)
             self._note_send(service, runner, send)
             step = self._next_step(service, send)
             if step == relay.NextStep.SEND_AGAIN:
-                if self.stage_run is None or send.is_input_gone:
-                    await self._remake_stages()
+                if self.stages.run is None or send.is_input_gone:
+                    self.notes['remade'] = True
+                    await self.stages.make()
                 continue
             if step == relay.NextStep.DELIVER:
                 if send.result == relay.SendResult.DONE:
@@ -600,7 +434,9 @@
                 else:
                     self._fail(HTTP_FAILED, send.detail)
             elif step == relay.NextStep.REFUSE:
-                raise Refusal(send.detail, DEFAULT_RETRY_AFTER_S)
+                raise _context.Refusal(
+                    send.detail, _context.DEFAULT_RETRY_AFTER_S
+                )
             else:
                 self._fail(HTTP_FAILED, send.detail)
             return
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -336,6 +336,8 @@
         self.turned_away = 0
         self.no_room = 0
         self.made: list[tuple[str, int, int]] = []
+        # Calls that will find no inputs; runners may share the list.
+        self.lost_inputs: list[bool] = []
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a call that makes pieces or frees results."""
@@ -361,7 +363,11 @@
         self.is_busy = True
         self.calls += 1
         items = json.loads(request.body)
-        made = [self._make(item) for item in items]
+        if self.lost_inputs and items[0]['inputs']:
+            self.lost_inputs.pop()
+            made: list[tuple[str, str | None]] = [('gone', None)] * len(items)
+        else:
+            made = [self._make(item) for item in items]
         self.clock.callLater(
             self.limits.duration_s(len(items)), self._finish, made, call
         )
