Keep stage work going when its owner dies

For three seconds each survivor then gathered for itself, and what the dead owner had made was freed by nobody: 705 pieces found no room, because releases were sent to the host that had just died.

--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -99,6 +99,14 @@
       | is dead                   |
       | answers late              |
       | loses its first answer    |
+      | is dead and has a second  |
+
+  Scenario: results are freed though the owner that made them is silent
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the owner of the stage services dies once the main call runs
+    When a staged request is sent from another host
+    Then the caller gets 200 after 1 runs
+    And all results are freed once they were read
 
   Scenario: a question that crosses the answer makes nothing twice
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -25,6 +25,9 @@
 ROUTE_S = 4.0
 LIMITS = relay.BatchLimits(4, 0.05, 0.01, 1e6, 4.0)
 PIECES = (2, 3, 1)
+MAIN_S = 0.3
+# The stages take about 0.2 s, so that the main call runs by then.
+DEATH_S = 0.4
 GONE = 409
 
 
@@ -177,8 +180,10 @@
 @given('a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces')
 def set_stages(context: Any) -> None:
     """Create a world with stage services."""
-    start_world(context, 2, hosts=2)
+    start_world(context, 2, hosts=3)
     world = context.world
+    for runner in context.runners:
+        runner.work_s = MAIN_S
     context.stage_runners = [
         *world.add_stage_runners('first', LIMITS, 2),
         *world.add_stage_runners('second', LIMITS, 2),
@@ -231,6 +236,11 @@
 
     if fault == 'is dead':
         world.hosts[0].is_alive = False
+    elif fault == 'is dead and has a second':
+        world.hosts[0].is_alive = False
+        world.owners = lambda service: ['host-0', 'host-2']
+    elif fault == 'dies once the main call runs':
+        world.clock.callLater(DEATH_S, kill_owner, context)
     elif fault == 'loses its first answer':
         world.lose_message = lose_first_reply
     elif fault == 'answers late':
@@ -240,6 +250,14 @@
         context.pester = True
 
 
+def kill_owner(context: Any) -> None:
+    """Let the owner die, noticed by its silence."""
+    world = context.world
+    assert arrivals(context), 'the main call runs not yet'
+    world.hosts[0].is_alive = False
+    world.hosts[1].stages.avoided['host-0'] = world.clock.seconds() + 9.0
+
+
 def send_staged(context: Any, host: int, pieces: tuple[int, ...]) -> None:
     """Send a request with stages."""
     facts = edge.CallFacts(
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -108,6 +108,12 @@
     ) -> _messages.HttpRequest:
         """Return the call that frees results."""
 
+    def room_request(self, address: str) -> _messages.HttpRequest:
+        """Return the question for a runner's room for results."""
+
+    def read_room(self, response: _messages.HttpResponse) -> float:
+        """Return the free bytes for results; raise WireError."""
+
     def handle_address(self, handle: str) -> str:
         """Return the address of the runner that keeps a result."""
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -125,7 +125,7 @@
             logger,
             options.host.name,
             self._send_peer,
-            self._stage_owner,
+            self._stage_owners,
         )
         self.context = _context.RelayContext(
             reactor,
@@ -338,8 +338,12 @@
     def _send_peer(self, effect: model.SendPeer) -> None:
         self.peers.send(effect, self.reactor.seconds())
 
-    def _stage_owner(self, service: str) -> str | None:
-        return membership.owner_address(self.members, f'stage/{service}')
+    def _stage_owners(self, service: str) -> list[str | None]:
+        return membership.owner_addresses(
+            self.members,
+            f'stage/{service}',
+            _stage_service.OWNER_CANDIDATES,
+        )
 
     def _on_peer_problem(self, detail: str) -> None:
         self.logger.warning('peer-problem', detail=detail)
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -2,8 +2,10 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import itertools
+import math
 from typing import Any
 
 from twisted.internet import defer
@@ -24,9 +26,15 @@
 OWNER_CHECK_S = 0.4
 RELEASE_DELAY_S = 0.015
 RELEASE_TIMEOUT_S = 1.0
+# Pause between questions for a runner's room: results live for seconds.
+ROOM_CHECK_S = 0.4
 MAX_SENDS = 3
 # Groups whose outcomes an owner keeps to answer a second question.
 MAX_FINISHED = 256
+# Results of which a host remembers who made them.
+MAX_MAKERS = 8192
+# Hosts that take over a stage service in turn when its owner is silent.
+OWNER_CANDIDATES = 3
 # How long a runner that turned a call away is passed over.
 FULL_PAUSE_S = 0.15
 # Age after which an owner's word on its queue is no longer used.
@@ -73,12 +81,12 @@
         logger: Any,
         name: str,
         send_peer: Callable[[model.SendPeer], None],
-        owner_of: Callable[[str], str | None],
+        owners_of: Callable[[str], Sequence[str | None]],
     ) -> None:
         """Bind to what calls runners and peers.
 
-        owner_of returns the peer address of a service's owner, None if it
-        is this host.
+        owners_of returns the peer addresses of the hosts that may own a
+        service, best first, None for this host.
         """
         self.reactor = reactor
         self.caller = caller
@@ -89,7 +97,7 @@
         self.logger = logger
         self.name = name
         self.send_peer = send_peer
-        self.owner_of = owner_of
+        self.owners_of = owners_of
         self.ids = itertools.count(1)
         self.prefix = f'{name}/{reactor.seconds():.3f}'
         self.wanted: dict[str, _Wanted] = {}
@@ -103,8 +111,12 @@
         self.gatherers: dict[str, relay.Gatherer] = {}
         self.avoided: dict[str, float] = {}
         self.waits: dict[str, tuple[float, float]] = {}
+        self.makers: collections.OrderedDict[str, str | None] = (
+            collections.OrderedDict()
+        )
         self.releases: dict[str, list[str]] = {}
         self.release_timer: Any = None
+        self.room_checks: dict[str, float] = {}
         self.pump_timers: dict[str, Any] = {}
 
     @property
@@ -115,12 +127,22 @@
     def wait_s(self, service: str) -> float:
         """Return the queueing time of a service as last heard."""
         gatherer = self.gatherers.get(service)
-        if gatherer is not None and self.owner_of(service) is None:
+        if gatherer is not None and self._owner(service) is None:
             return self._wait_here(service)
         wait_s, at = self.waits.get(service, (0.0, 0.0))
         age_s = self.reactor.seconds() - at
         return max(wait_s - age_s, 0.0) if age_s < WAIT_MAX_AGE_S else 0.0
 
+    def _owner(self, service: str) -> str | None:
+        """Return the first owner that is not silent, None for this host."""
+        for owner in self.owners_of(service):
+            if owner is None or not self._is_avoided(owner):
+                return owner
+        return None
+
+    def _is_avoided(self, owner: str) -> bool:
+        return bool(self.avoided.get(owner, 0.0) > self.reactor.seconds())
+
     def _wait_here(self, service: str) -> float:
         now = self.reactor.seconds()
         runners = self.catalog.fleet.usable(service, now)
@@ -139,9 +161,8 @@
         )
         wanted = _Wanted(group, service, done)
         self.wanted[group.group_id] = wanted
-        owner = self.owner_of(service)
-        now = self.reactor.seconds()
-        if owner is None or self.avoided.get(owner, 0.0) > now:
+        owner = self._owner(service)
+        if owner is None:
             self._make_here(wanted)
         else:
             self._ask(wanted, owner)
@@ -211,7 +232,11 @@
         )
         drop = model.StageDrop(group_id, wanted.service)
         self.send_peer(model.SendPeer(owner, drop, True))
-        self._make_here(wanted)
+        another = self._owner(wanted.service)
+        if another is None:
+            self._make_here(wanted)
+        else:
+            self._ask(wanted, another)
 
     def _make_here(self, wanted: _Wanted) -> None:
         wanted.owner = None
@@ -238,6 +263,10 @@
             return
         for outcome in outcomes:
             wanted.outcomes.setdefault(outcome.piece, outcome)
+            if outcome.handle:
+                self.makers[outcome.handle] = wanted.owner
+        while len(self.makers) > MAX_MAKERS:
+            self.makers.popitem(last=False)
         pieces = {work.piece for work in wanted.group.work}
         if pieces <= wanted.outcomes.keys():
             self._stop_timer(wanted)
@@ -272,15 +301,22 @@
         wanted.timer = None
 
     def release(self, service: str, handles: list[str]) -> None:
-        """Give results up, through the owner that counts their room."""
-        if not handles:
-            return
-        owner = self.owner_of(service)
-        if owner is None:
-            self.on_release(model.StageRelease(service, handles))
-        else:
-            message = model.StageRelease(service, handles)
-            self.send_peer(model.SendPeer(owner, message))
+        """Give results up, through the host that counts their room.
+
+        A host that went silent would never free them.
+        """
+        by_maker: dict[str | None, list[str]] = {}
+        for handle in handles:
+            maker = self.makers.pop(handle, None)
+            if maker is not None and self._is_avoided(maker):
+                maker = None
+            by_maker.setdefault(maker, []).append(handle)
+        for maker, made in by_maker.items():
+            message = model.StageRelease(service, made)
+            if maker is None:
+                self.on_release(message)
+            else:
+                self.send_peer(model.SendPeer(maker, message))
 
     # The gathering side.
 
@@ -358,6 +394,46 @@
             delay_s, self._pump, service
         )
 
+    def _check_room(self, gatherer: relay.Gatherer, runners: Any) -> None:
+        """Ask runners for their room where others' results may lie."""
+        now = self.reactor.seconds()
+        for runner in runners:
+            due = self.room_checks.get(runner.name, -math.inf)
+            if now < due or not gatherer.is_room_unclear(runner.name, now):
+                continue
+            self.room_checks[runner.name] = now + ROOM_CHECK_S
+            request = self.dialect.room_request(runner.address)
+            done = _client.fetch(
+                self.caller, runner.address, request, ROOM_CHECK_S
+            )
+            done.addCallback(self._on_room, gatherer, runner)
+            done.addErrback(self._on_room_error, runner)
+
+    def _on_room(
+        self,
+        response: _messages.HttpResponse,
+        gatherer: relay.Gatherer,
+        runner: relay.FleetRunner,
+    ) -> None:
+        free_bytes = self.dialect.read_room(response)
+        gatherer.on_room(runner.name, free_bytes)
+        foreign = gatherer.foreign_bytes[runner.name]
+        if foreign:
+            self.logger.info(
+                'foreign-results',
+                runner=runner.name,
+                free_bytes=int(free_bytes),
+                foreign_bytes=int(foreign),
+            )
+
+    def _on_room_error(self, failure: Any, runner: relay.FleetRunner) -> None:
+        failure.trap(_client.CallError, model.WireError)
+        self.logger.info(
+            'room-unknown',
+            runner=runner.name,
+            detail=failure.getErrorMessage(),
+        )
+
     def _pump(self, service: str) -> None:
         gatherer = self._gatherer(service)
         if gatherer is None:
@@ -366,6 +442,8 @@
         for piece in gatherer.take_expired(now):
             self._settle(piece.group, [piece.work.piece], 'late')
         runners = self.catalog.fleet.usable(service, now)
+        if gatherer.queue:
+            self._check_room(gatherer, runners)
         for call in gatherer.next_calls(runners, now):
             self._send(service, gatherer, call)
         if gatherer.queue:
@@ -469,9 +547,8 @@
                     unwanted.append(result.handle)
             elif result.result in retry:
                 if result.result == _dialect.PieceResult.ROOM:
-                    now = self.reactor.seconds()
                     size = piece.group.result_bytes
-                    gatherer.on_no_room(call, size, now)
+                    gatherer.on_no_room(call, size, self.reactor.seconds())
                 again.append(piece)
             else:
                 reason = None if result.handle else str(result.result)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -119,6 +119,17 @@
         body = json.dumps(list(handles)).encode()
         return edge.HttpRequest(b'POST', b'/free', (), body)
 
+    def room_request(self, address: str) -> edge.HttpRequest:
+        """Return the question for a runner's room."""
+        return edge.HttpRequest(b'GET', b'/room', ())
+
+    def read_room(self, response: edge.HttpResponse) -> float:
+        """Return the free bytes."""
+        try:
+            return float(response.body)
+        except ValueError as error:
+            raise model.WireError(str(error)) from None
+
     def handle_address(self, handle: str) -> str:
         """Return the address of the runner that keeps a result."""
         return handle.partition('/')[0]
@@ -346,6 +357,11 @@
                 self.results.pop(handle, None)
             open_call.respond(HTTP_OK)
             return
+        if request.target == b'/room':
+            used = sum(self.results.values())
+            free = self.limits.room_bytes - used
+            open_call.respond(HTTP_OK, (), str(free).encode())
+            return
         if len(self.waiting) >= QUEUE:
             self.turned_away += 1
             open_call.respond(HTTP_FULL, ((b'not-run', b'1'),))
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -46,7 +46,7 @@
         self.rng = random.Random(seed)
         self.network = fakes.LabNetwork(self.clock)
         self.hosts: list[LabHost] = []
-        self.owner: Callable[[str], str | None] = lambda service: 'host-0'
+        self.owners: Callable[[str], list[str]] = lambda service: ['host-0']
         self.lose_message: Callable[[Any], bool] = lambda message: False
         self.messages: list[Any] = []
         for index in range(hosts):
@@ -60,9 +60,9 @@
         metrics = edge.Metrics()
         logger = structlog.wrap_logger(structlog.ReturnLogger())
 
-        def owner_of(service: str) -> str | None:
-            owner = self.owner(service)
-            return None if owner == name else owner
+        def owners_of(service: str) -> list[str | None]:
+            owners = self.owners(service)
+            return [None if owner == name else owner for owner in owners]
 
         def send_peer(effect: model.SendPeer) -> None:
             self._send_peer(name, effect)
@@ -78,7 +78,7 @@
             logger,
             name,
             send_peer,
-            owner_of,
+            owners_of,
         )
         context = edge.RelayContext(
             self.clock,
--- a/libs/ragwort_lab/ragwort_lab/_stage_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_stage_bench.py
@@ -79,7 +79,7 @@
         )
     )
     if not gathered:
-        world.owner = lambda service: None
+        world.owners = lambda service: []
     figures = StageFigures()
     at = 0.0
     index = 0
--- a/libs/ragwort_membership/ragwort_membership/__init__.py
+++ b/libs/ragwort_membership/ragwort_membership/__init__.py
@@ -3,6 +3,7 @@
 from ragwort_membership._directory import elected
 from ragwort_membership._directory import entry_addresses
 from ragwort_membership._directory import owner_address
+from ragwort_membership._directory import owner_addresses
 from ragwort_membership._membership import Member
 from ragwort_membership._membership import MemberChanged
 from ragwort_membership._membership import Membership
@@ -15,5 +16,6 @@
     'MemberChanged',
     'Membership',
     'owner_address',
+    'owner_addresses',
     'PROBE_INTERVAL_S',
 ]
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -53,10 +53,22 @@
     return accepting or [update.name for update in live]
 
 
+def owner_addresses(
+    members: _membership.Membership, key: str, count: int
+) -> list[str | None]:
+    """Return the peer addresses of a key's owners, best first.
+
+    None stands for this node.
+    """
+    return [
+        None
+        if name == members.self_name
+        else members.members[name].update.peer_address
+        for name in _holders(members, key, count, None)
+    ]
+
+
 def owner_address(members: _membership.Membership, key: str) -> str | None:
     """Return the peer address of a key's owner, None if this node is it."""
-    holders = _holders(members, key, 1, None)
-    if not holders or holders[0] == members.self_name:
-        return None
-    owner = holders[0]
-    return members.members[owner].update.peer_address
+    owners = owner_addresses(members, key, 1)
+    return owners[0] if owners else None
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -17,12 +17,12 @@
 # A runner this much slower than usual gets a call only if the others
 # could not have done it by then.
 SLOWNESS_WEIGHT = 0.3
-# Part of a runner's room for results that is used.
-ROOM_SHARE = 1.0
-# Time to pass over a runner without room: about the life of a result.
-FULL_S = 0.3
 # Time to spare beyond the wait for a runner in the wanted failure domain.
 NEAR_SLACK_SHARE = 0.25
+# Time to send a runner without room only smaller results.
+FULL_S = 0.3
+# Smallest room that runners tell precisely enough to count by.
+MIN_TOLD_ROOM_BYTES = 8e6
 # Urgency of a rank in seconds of slack.
 RANK_S = 0.25
 # Patience with a call, as a multiple of its expected time and at least.
@@ -117,6 +117,7 @@
         self.kept: dict[str, tuple[str, float, float]] = {}
         self.used_bytes: dict[str, float] = {}
         self.full_until: dict[str, tuple[float, float]] = {}
+        self.foreign_bytes: dict[str, float] = {}
 
     def add(self, group: PieceGroup) -> None:
         """Queue the pieces of a group."""
@@ -277,10 +278,11 @@
         return here <= max(others[ahead], usual_s) * (1 + SLOWNESS_WEIGHT)
 
     def _free_bytes(self, runner: _fleet.FleetRunner, now: float) -> float:
-        until, known_free = self.full_until.get(runner.name, (now, 0.0))
-        room = self.limits.room_bytes * ROOM_SHARE
-        free = room - self.used_bytes.get(runner.name, 0.0)
-        return min(free, known_free) if now < until else free
+        until, least = self.full_until.get(runner.name, (now, 0.0))
+        used = self.used_bytes.get(runner.name, 0.0)
+        foreign = self.foreign_bytes.get(runner.name, 0.0)
+        free = self.limits.room_bytes - used - foreign
+        return min(free, least) if now < until else free
 
     def _start(self, forming: '_FormingCall', now: float) -> BatchCall:
         runner = forming.runner
@@ -325,6 +327,23 @@
         """
         self.full_until[call.runner.name] = (now + FULL_S, size / 2)
 
+    def on_room(self, runner: str, free_bytes: float) -> None:
+        """Take a runner's own word on its room."""
+        used = self.used_bytes.get(runner, 0.0)
+        foreign = self.limits.room_bytes - free_bytes - used
+        self.foreign_bytes[runner] = max(foreign, 0.0)
+        self.full_until.pop(runner, None)
+
+    def is_room_unclear(self, runner: str, now: float) -> bool:
+        """Tell whether others' results may lie at a runner.
+
+        A runner tells its room too coarsely for small rooms.
+        """
+        if self.limits.room_bytes < MIN_TOLD_ROOM_BYTES:
+            return False
+        until, _ = self.full_until.get(runner, (now, 0.0))
+        return now < until or self.foreign_bytes.get(runner, 0.0) > 0.0
+
     def on_failure(self, call: BatchCall) -> None:
         """Forget a call that brought no answer."""
         self.calls.pop(call.call_id, None)
