--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -29,6 +29,11 @@
     When the store turns host 2 away and runner "a" is leaving
     Then within 2 s no host sends to runner "a"
 
+  Scenario: the return of a store in which nothing changes is noticed
+    Given 1 relay hosts whose store answers
+    When the store turns host 0 away for 3 s and nothing changes
+    Then host 0 knows within 2 s that the store is back
+
   Scenario: an older version never comes back into force
     Given 2 relay hosts whose store answers
     When key "k1" is withdrawn and a peer repeats the first version
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -76,6 +76,27 @@
     world.set_runner(leaving, 'leaving')
 
 
+@when('the store turns host {index:d} away for 3 s and nothing changes')
+def turn_away_for_a_while(context: Any, index: int) -> None:
+    """Let a host reach the store no more, then again."""
+    context.world.turn_away(index)
+    context.world.run(3.0)
+    context.world.let_in(index)
+
+
+@then('host {index:d} knows within 2 s that the store is back')
+def check_back(context: Any, index: int) -> None:
+    """Look at the watchers and the fleet."""
+    host = context.world.hosts[index]
+    assert any(w.is_store_away for w in host.watchers.values())
+    back_by = context.world.clock.seconds() + 2.0
+    context.world.run(2.0)
+    assert not any(w.is_store_away for w in host.watchers.values())
+    back_at = host.catalog.fleet.store_back_at
+    assert back_at is not None
+    assert back_at <= back_by
+
+
 @when('key "{key}" is withdrawn and a peer repeats the first version')
 def repeat_old(context: Any, key: str) -> None:
     """Push the first version again after a newer one."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -66,6 +66,8 @@
             clock.callLater(LINK_S, self.on_result, failed)
         elif effect.verb == model.StoreVerb.LIST:
             clock.callLater(LINK_S, self._answer, effect, 0)
+        elif effect.wait_s == 0:
+            clock.callLater(LINK_S, self._answer, effect, effect.since)
         else:
             self.open.append(effect)
             self.notify()
@@ -243,6 +245,10 @@
         way.is_away = True
         way.notify()
 
+    def let_in(self, index: int) -> None:
+        """Let the store answer a host again."""
+        self.objects.ways[index].is_away = False
+
     def ask(self, index: int, path: str, key: str) -> fakes.LabExchange:
         """Let a caller send a request to a host."""
         facts = json.dumps({'request_id': 'r1', 'access_key': key})
--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -236,6 +236,9 @@
                 fresh, context.failure_domain, now
             )
         self.notes['runner'] = runner.name
+        if runner.state.report is not None:
+            age_s = now - runner.state.report_at
+            self.notes['report_age_s'] = round(age_s, 3)
         self.notes['estimates'] = {
             name: round(value, 3) for name, value in estimates.items()
         }
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -50,6 +50,7 @@
     group: relay.PieceGroup
     service: str
     done: 'defer.Deferred[Outcomes]'
+    asked_at: float
     outcomes: Outcomes = dataclasses.field(default_factory=dict)
     owner: str | None = None
     timer: Any = None
@@ -159,7 +160,7 @@
         done: defer.Deferred[Outcomes] = defer.Deferred(
             lambda _: self._abandon(group.group_id)
         )
-        wanted = _Wanted(group, service, done)
+        wanted = _Wanted(group, service, done, self.reactor.seconds())
         self.wanted[group.group_id] = wanted
         owner = self._owner(service)
         if owner is None:
@@ -270,6 +271,7 @@
         pieces = {work.piece for work in wanted.group.work}
         if pieces <= wanted.outcomes.keys():
             self._stop_timer(wanted)
+            self._log_made(wanted)
             del self.wanted[group_id]
             self.received[group_id] = frozenset(
                 o.handle for o in wanted.outcomes.values() if o.handle
@@ -278,6 +280,24 @@
                 self.received.popitem(last=False)
             wanted.done.callback(wanted.outcomes)
 
+    def _log_made(self, wanted: _Wanted) -> None:
+        group = wanted.group
+        waited_s, heard_at = self.waits.get(wanted.service, (0.0, 0.0))
+        now = self.reactor.seconds()
+        self.logger.info(
+            'stage-done',
+            request=group.work[0].request_id,
+            stage=group.work[0].stage,
+            service=wanted.service,
+            pieces=len(wanted.outcomes),
+            made=sum(o.handle is not None for o in wanted.outcomes.values()),
+            owner=wanted.owner or self.name,
+            took_s=round(now - wanted.asked_at, 3),
+            slack_s=round(group.target_at - now, 3),
+            queue_s=round(waited_s, 3),
+            queue_age_s=round(now - heard_at, 3) if heard_at else None,
+        )
+
     def _release_unwanted(self, outcomes: list[model.PieceOutcome]) -> None:
         handles = [o.handle for o in outcomes if o.handle]
         if handles:
