Give up pieces at once that can't be made before their deadline

The owner now reckons the rounds ahead of each piece. Ruled out: refusing at the target; late answers are still worth something. Kept because callers hear earlier.

--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -459,9 +459,9 @@
         if gatherer is None:
             return
         now = self.reactor.seconds()
-        for piece in gatherer.take_expired(now):
-            self._settle(piece.group, [piece.work.piece], 'late')
         runners = self.catalog.fleet.usable(service, now)
+        for piece in gatherer.take_hopeless(len(runners), now):
+            self._settle(piece.group, [piece.work.piece], 'late')
         if gatherer.queue:
             self._check_room(gatherer, runners)
         for call in gatherer.next_calls(runners, now):
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -131,17 +131,25 @@
         ]
         return before - len(self.queue)
 
-    def take_expired(self, now: float) -> list[QueuedPiece]:
-        """Take out the pieces that can't be made before their deadline."""
+    def take_hopeless(self, runners: int, now: float) -> list[QueuedPiece]:
+        """Take out the pieces that can't be made before their deadline.
+
+        Those behind them in the queue move up, so that waiting for the
+        deadline to pass would help nobody.
+        """
+        self.queue.sort(key=lambda piece: self._urgency(piece, now))
+        full_s = self.limits.duration_s(self.limits.batch)
+        round_size = self.limits.batch * max(runners, 1)
         least_s = self.limits.duration_s(1)
-        late = [
-            piece
-            for piece in self.queue
-            if now + least_s > piece.group.deadline_at
-        ]
-        if late:
-            self.queue = [piece for piece in self.queue if piece not in late]
-        return late
+        kept: list[QueuedPiece] = []
+        hopeless: list[QueuedPiece] = []
+        for piece in self.queue:
+            rounds = len(kept) // round_size
+            ready_at = now + rounds * full_s + least_s
+            is_late = ready_at > piece.group.deadline_at
+            (hopeless if is_late else kept).append(piece)
+        self.queue = kept
+        return hopeless
 
     def next_calls(
         self, runners: Iterable[_fleet.FleetRunner], now: float
