--- a/features/platform.feature
+++ b/features/platform.feature
@@ -17,6 +17,23 @@
     When the settings template is filled in with an example
     Then the settings name that host and its store
 
+  Scenario Outline: a deploy file with <mistake> is refused and names the place
+    When the deploy file has <mistake>
+    Then they are refused with "<text>"
+
+    Examples:
+      | mistake            | text          |
+      | no build           | build         |
+      | a share of two     | roles.relay.share |
+      | an unknown service | serves        |
+      | no such template   | template      |
+      | metrics elsewhere  | PORT/PATH     |
+      | no directory       | no role serves directory |
+      | text that is no TOML | node.yaml   |
+
+  Scenario: the project's own deploy file is valid
+    Then the deploy file in the repository has one role on every machine
+
   Scenario: a configuration becomes routes, services and workspaces
     When the example configuration is read
     Then its staged route has two services, a target and three stages
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 import re
+import shutil
+import tempfile
 from typing import Any
 
 from behave import then
@@ -124,6 +126,46 @@
     assert settings.retries.slack == 52
 
 
+DEPLOY = pathlib.Path('deploy/system.toml')
+DEPLOY_CHANGES = {
+    'no build': ('build =', 'built ='),
+    'a share of two': ('share = 1.0', 'share = 2.0'),
+    'an unknown service': ('"control"]', '"control", "disk"]'),
+    'no such template': ('host.yaml.template', 'none.template'),
+    'metrics elsewhere': ('"9464/metrics"', '"/metrics"'),
+    'no directory': ('"directory", ', ''),
+    'text that is no TOML': ('[roles.relay]', '[roles.relay'),
+}
+
+
+@when('the deploy file has {mistake}')
+def check_deploy(context: Any, mistake: str) -> None:
+    """Check a changed copy of the deploy file."""
+    before, after = DEPLOY_CHANGES[mistake]
+    text = DEPLOY.read_text()
+    assert before in text
+    folder = pathlib.Path(tempfile.mkdtemp())
+    (folder / 'deploy').mkdir()
+    template = folder / 'deploy' / TEMPLATE.name
+    template.write_text(TEMPLATE.read_text())
+    path = folder / 'deploy' / 'system.toml'
+    path.write_text(text.replace(before, after))
+    context.refusal = ''
+    try:
+        platform.check_deploy(path)
+    except model.SettingsError as error:
+        context.refusal = f'node.yaml {error}'
+    shutil.rmtree(folder)
+
+
+@then('the deploy file in the repository has one role on every machine')
+def check_own_deploy(context: Any) -> None:
+    """Check the real file."""
+    (role,) = platform.check_deploy(DEPLOY).roles.values()
+    assert role.share == 1.0
+    assert pathlib.Path(role.run.split()[1]).is_file()
+
+
 def catalog_with(value: str) -> relay.RelayCatalog:
     """Return a catalog that was given a configuration."""
     catalog = relay.RelayCatalog(platform.PlatformDialect())
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -28,6 +28,9 @@
 ALL_WATCH_HOSTS = 12
 WATCHERS = 3
 WATCHER_ROLE = 'store-watcher'
+# Pause between tries of a host that knows no other: while it is alone it
+# gathers stage work for itself.
+JOIN_INTERVAL_S = 0.25
 # Time for the store's own word before peers' word alone is served by.
 PEER_WORD_GRACE_S = 2.0
 # Time that a leaving host goes on taking connections, for callers that
@@ -106,7 +109,12 @@
             for prefix in options.prefixes
         }
         self.members = membership.Membership(
-            options.host, options.seeds, self.rng, now, time.time()
+            options.host,
+            options.seeds,
+            self.rng,
+            now,
+            time.time(),
+            JOIN_INTERVAL_S,
         )
         self.peers = peers.PeerLinks(reactor, options.host.peer_address)
         self.store = store_factory(self._on_store)
--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -244,6 +244,14 @@
         }
         return runner
 
+    def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
+        """Return a runner and mark it tried; raise Refusal without one."""
+        runner = self._choose(service, tried)
+        if runner is None:
+            raise _context.Refusal('no runner', _context.DEFAULT_RETRY_AFTER_S)
+        tried.add(runner.name)
+        return runner
+
     def _main_request(
         self, runner: relay.FleetRunner, last_event: int | None
     ) -> _messages.HttpRequest:
@@ -290,12 +298,7 @@
     async def _run_plain(self, service: str) -> None:
         tried: set[str] = set()
         while True:
-            runner = self._choose(service, tried)
-            if runner is None:
-                raise _context.Refusal(
-                    'no runner', _context.DEFAULT_RETRY_AFTER_S
-                )
-            tried.add(runner.name)
+            runner = self._take_runner(service, tried)
             send = await self._send_plain(service, runner)
             self._note_send(service, runner, send)
             step = self._next_step(service, send)
@@ -412,12 +415,7 @@
         progress = relay.StreamProgress(self.facts.last_event)
         tried: set[str] = set()
         while True:
-            runner = self._choose(service, tried)
-            if runner is None:
-                raise _context.Refusal(
-                    'no runner', _context.DEFAULT_RETRY_AFTER_S
-                )
-            tried.add(runner.name)
+            runner = self._take_runner(service, tried)
             send = await self._send_stream(runner, progress)
             self._note_send(service, runner, send)
             step = self._next_step(service, send)
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -26,7 +26,7 @@
 DEAD_PROBE_INTERVAL_S = 5.0
 MIN_SYNC_S = 1.0
 SYNC_S_PER_MEMBER = 0.04
-JOIN_INTERVAL_S = 0.25
+JOIN_INTERVAL_S = 1.0
 REJOIN_INTERVAL_S = 5.0
 FORGET_S = 3600.0
 CLOCK_SAMPLES = 16
@@ -80,11 +80,14 @@
         rng: random.Random,
         now: float,
         wall: float,
+        join_interval_s: float = JOIN_INTERVAL_S,
     ) -> None:
         """Start with only this node, not yet accepting requests.
 
-        Wall time seeds the incarnation.
+        Wall time seeds the incarnation. A node that knows no other
+        contacts a seed every join_interval_s.
         """
+        self.join_interval_s = join_interval_s
         self.rng = rng
         self.seeds = [s for s in seeds if s != host.peer_address]
         self.self_name = host.name
@@ -274,7 +277,7 @@
         live = {update.peer_address for update in self.live()}
         missing = [seed for seed in self.seeds if seed not in live]
         alone = len(live) == 1
-        pause_s = JOIN_INTERVAL_S if alone else REJOIN_INTERVAL_S
+        pause_s = self.join_interval_s if alone else REJOIN_INTERVAL_S
         self.next_join = now + pause_s * self.rng.uniform(0.75, 1.25)
         if not missing:
             return []
