--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -21,6 +21,7 @@
 from ragwort_lab._policy_bench import run
 from ragwort_lab._policy_bench import Run
 from ragwort_lab._policy_bench import SCENARIOS
+from ragwort_lab._relay_fakes import Arrival
 from ragwort_lab._relay_fakes import LabExchange
 from ragwort_lab._relay_fakes import LabRunner
 from ragwort_lab._relay_fakes import LabStageRunner
@@ -43,6 +44,7 @@
 from ragwort_lab._world_parts import WorldShape
 
 __all__ = [
+    'Arrival',
     'Case',
     'CaseResult',
     'CaseRun',
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -423,6 +423,7 @@
         self.headers: edge.Headers = ()
         self.body = b''
         self.is_whole = False
+        self.started_at = clock.seconds()
         self.ended_at: float | None = None
 
     def answer(self, response: edge.HttpResponse) -> None:
