Write hosts into the store, and read others there while alone

A host knew others by its seeds alone, at most three machines that may be gone for good; a host started then would have gathered, listed and spread for itself for ever. It now writes one entry at its start and lists the entries once and, while it knows nobody, every 3 s; an elected host removes entries of hosts that are gone for 60 s. Ruled out: registering anew at intervals (nothing would be learned by it). Before: hosts with dead seeds never met (new scenario).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -109,6 +109,18 @@
     Then the changed and the returned object have their values
     And a deleted one has none and the store's revision
 
+  Scenario Outline: the store is asked to <change> an object
+    When the project wants to <change> an object and the store says <answer>
+    Then it was asked by "<call>" and the call ends as <status>
+
+    Examples:
+      | change  | answer | call                              | status      |
+      | create  | 200    | POST /api/objects/entry-hosts     | ok          |
+      | create  | 409    | POST /api/objects/entry-hosts     | conflict    |
+      | replace | 200    | PUT /api/objects/entry-hosts/h-1  | ok          |
+      | remove  | 404    | DELETE /api/objects/entry-hosts/h-1 | not_found |
+      | create  | 503    | POST /api/objects/entry-hosts     | unavailable |
+
   Scenario Outline: a store that answers <answer> ends the call as <status>
     When the store answers a watch with <answer>
     Then the call ends as <status>
--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -39,6 +39,15 @@
     When key "k1" is withdrawn and a peer repeats the first version
     Then within 2 s every host answers key "k1" with 401
 
+  Scenario: hosts whose seeds are gone for good find each other
+    Given 3 relay hosts with seeds that are gone
+    Then each host knows 3 hosts within 5 s
+
+  Scenario: a host that is gone for good leaves the store
+    Given 3 relay hosts whose store answers
+    When host 2 loses power and does not return for 90 s
+    Then the store holds the entries of 2 hosts
+
   Scenario: a host that starts while the store is away serves by its peers' word
     Given 2 relay hosts whose store answers
     When the store goes away and host 1 starts anew
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -427,10 +427,12 @@
         super().__init__(clock, 'store', STORE, 'north')
         self.answers = list(answers)
         self.targets: list[bytes] = []
+        self.requests: list[edge.HttpRequest] = []
 
     def serve(self, request: edge.HttpRequest, open_call: Any) -> None:
         """Answer one call."""
         self.targets.append(request.target)
+        self.requests.append(request)
         answer = self.answers.pop(0)
         if isinstance(answer, int):
             open_call.respond(answer)
@@ -517,6 +519,36 @@
     assert found['servers/deleted'].version == 12
 
 
+CHANGES = {
+    'create': (model.StoreVerb.PUT, 0),
+    'replace': (model.StoreVerb.PUT, 7),
+    'remove': (model.StoreVerb.DELETE, 0),
+}
+
+
+@when('the project wants to {change} an object and the store says {answer:d}')
+def change_object(context: Any, change: str, answer: int) -> None:
+    """Make one change."""
+    verb, version = CHANGES[change]
+    name = 'entry-hosts/h-1'
+    effect = model.StoreCall('op', verb, name, '{"a":1}', version)
+    call_store(context, effect, answer)
+
+
+@then('it was asked by "{call}" and the call ends as {status}')
+def check_change(context: Any, call: str, status: str) -> None:
+    """Compare the request and the result."""
+    (request,) = context.store.requests
+    assert f'{request.method.decode()} {request.target.decode()}' == call
+    if request.body:
+        body = json.loads(request.body)
+        assert body['metadata']['name'] == 'h-1'
+        assert body['specification'] == {'a': 1}
+        expected = 7 if request.method == b'PUT' else None
+        assert body['metadata'].get('revision') == expected
+    assert context.result.status == status, context.result
+
+
 @when('the store answers a watch with {answer}')
 def watch_answer(context: Any, answer: str) -> None:
     """Watch a store in trouble."""
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -25,6 +25,36 @@
     context.world = relay_hosts.HostWorld(count)
 
 
+@given('{count:d} relay hosts with seeds that are gone')
+def start_seedless(context: Any, count: int) -> None:
+    """Start hosts whose seeds don't exist."""
+    seeds = ('10.9.9.1:84', '10.9.9.2:84')
+    context.world = relay_hosts.HostWorld(count, seeds=seeds)
+
+
+@then('each host knows {count:d} hosts within 5 s')
+def check_members(context: Any, count: int) -> None:
+    """Count the members once the time is over."""
+    context.world.run(5.0)
+    known = [len(host.members.live()) for host in context.world.hosts]
+    assert known == [count] * count, known
+
+
+@when('host {index:d} loses power and does not return for {seconds:d} s')
+def lose_host(context: Any, index: int, seconds: int) -> None:
+    """Stop a host for good."""
+    context.world.stop_for_good(index)
+    context.world.run(seconds)
+
+
+@then('the store holds the entries of {count:d} hosts')
+def check_entries(context: Any, count: int) -> None:
+    """Count the entries."""
+    items = context.world.objects.items
+    entries = [name for name in items if name.startswith('entry-hosts/')]
+    assert len(entries) == count, entries
+
+
 @given('runners take {seconds:g} s')
 def slow_runners(context: Any, seconds: float) -> None:
     """Slow all runners."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -64,6 +64,14 @@
                 effect.op, model.StoreStatus.UNAVAILABLE
             )
             clock.callLater(LINK_S, self.on_result, failed)
+        elif effect.verb == model.StoreVerb.PUT:
+            self.objects.put(effect.name, effect.value or '')
+            done = model.StoreResult(effect.op, model.StoreStatus.OK)
+            clock.callLater(LINK_S, self.on_result, done)
+        elif effect.verb == model.StoreVerb.DELETE:
+            self.objects.items.pop(effect.name, None)
+            done = model.StoreResult(effect.op, model.StoreStatus.OK)
+            clock.callLater(LINK_S, self.on_result, done)
         elif effect.verb == model.StoreVerb.LIST:
             clock.callLater(LINK_S, self._answer, effect, 0)
         elif effect.wait_s == 0:
@@ -148,8 +156,14 @@
 class HostWorld:
     """Some hosts, their runners and their store."""
 
-    def __init__(self, count: int, is_away: bool = False) -> None:
+    def __init__(
+        self,
+        count: int,
+        is_away: bool = False,
+        seeds: tuple[str, ...] = ('10.0.0.1:84', '10.0.1.1:84'),
+    ) -> None:
         """Start hosts whose store answers or not."""
+        self.seeds = seeds
         self.clock = MemoryReactorClock()
         self.network = fakes.LabNetwork(self.clock)
         self.objects = StoreObjects(self.clock, is_away)
@@ -196,7 +210,7 @@
             f'{base}:82',
             f'{base}:83',
             None,
-            ('10.0.0.1:84', '10.0.1.1:84'),
+            self.seeds,
             ('config/', 'runner/'),
             8.0,
             0.2,
@@ -232,6 +246,13 @@
         self.hosts[index] = self._host(index)
         self.hosts[index].start()
 
+    def stop_for_good(self, index: int) -> None:
+        """Let a host lose power and never return."""
+        links: Any = FakeLinks(self, 'nowhere')
+        links.send = lambda effect, now: None
+        self.hosts[index].peers = links
+        self.stopped[index] = self.clock.seconds()
+
     def deliver(self, address: str, frame: Any) -> None:
         """Hand a frame to the host at an address."""
         for index, host in enumerate(self.hosts):
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -28,6 +28,9 @@
 ALL_WATCH_HOSTS = 12
 WATCHERS = 3
 WATCHER_ROLE = 'store-watcher'
+JANITOR_ROLE = 'host-janitor'
+# Time after which a host that is down is taken out of the store.
+GONE_FOR_GOOD_S = 60.0
 # Pause between tries of a host that knows no other: while it is alone it
 # gathers stage work for itself.
 JOIN_INTERVAL_S = 0.25
@@ -116,6 +119,7 @@
             time.time(),
             JOIN_INTERVAL_S,
         )
+        self.registry = state.HostRegistry(options.host, self.rng, now)
         self.peers = peers.PeerLinks(reactor, options.host.peer_address)
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
@@ -258,6 +262,7 @@
         for message in messages:
             self._send_peer(message)
         self._watch(now)
+        self._register(now)
         self.budget.on_hosts(len(self.members.live()), now)
         self.peers.close_idle(now)
         self._note_readiness(now)
@@ -298,9 +303,27 @@
                 named = dataclasses.replace(call, op=f'{prefix}{call.op}')
                 self.store.call(named)
 
+    def _register(self, now: float) -> None:
+        """Keep this host's entry in the store, and read others' if alone."""
+        is_alone = len(self.members.live()) == 1
+        gone: list[str] = []
+        if membership.elected(self.members, JANITOR_ROLE, 1, None):
+            gone = self.members.gone_for(GONE_FOR_GOOD_S, now)
+        for call in self.registry.tick(now, is_alone, gone):
+            self.store.call(call)
+
+    def _on_registry(self, result: model.StoreResult, now: float) -> None:
+        found = self.registry.result(result, now)
+        own = self.options.host.peer_address
+        known = set(self.members.seeds) | {own}
+        self.members.seeds += [a for a in found if a not in known]
+
     def _on_store(self, result: model.StoreResult) -> None:
         now = self.reactor.seconds()
         self.catalog.now = now
+        if result.op.startswith(state.HOSTS_OP):
+            self._on_registry(result, now)
+            return
         for prefix, watcher in self.watchers.items():
             if not result.op.startswith(prefix):
                 continue
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -157,6 +157,15 @@
             if update.name != self.self_name
         ]
 
+    def gone_for(self, seconds: float, now: float) -> list[str]:
+        """Return the nodes that are dead or left for so long."""
+        return [
+            name
+            for name, member in sorted(self.members.items())
+            if member.update.status >= model.MemberStatus.DEAD
+            and now - member.since >= seconds
+        ]
+
     def is_alive(self, name: str) -> bool:
         """Tell whether the named node is known and not suspected."""
         member = self.members.get(name)
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -25,6 +25,9 @@
 from ragwort_state._ledger import LedgerEffect
 from ragwort_state._ledger import SHARD_COUNT
 from ragwort_state._ledger import shard_of
+from ragwort_state._registry import HostRegistry
+from ragwort_state._registry import HOSTS_OP
+from ragwort_state._registry import HOSTS_PREFIX
 from ragwort_state._replica import Replica
 from ragwort_state._targets import apply_change
 from ragwort_state._targets import is_applied
@@ -46,6 +49,9 @@
     'CONFIG_PREFIX',
     'decode_claims',
     'Gossip',
+    'HostRegistry',
+    'HOSTS_OP',
+    'HOSTS_PREFIX',
     'is_applied',
     'Janitor',
     'JANITOR_OP',
