--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -314,6 +314,32 @@
     assert in_time.verdict == relay.Verdict.ADMIT
 
 
+@given(
+    'two groups with one target, '
+    'of a prompt of {long:d} and of {short:d} tokens'
+)
+def queue_groups(context: Any, long: int, short: int) -> None:
+    """Queue the short prompt's group first."""
+    limits = relay.BatchLimits(2, 0.1, 0.01, 1e9, 4.0)
+    context.gatherer = relay.Gatherer(limits)
+    for name, tokens in (('short', short), ('long', long)):
+        prompt = (relay.PromptPart('a', tokens),)
+        due = 2.0 - relay.first_event_s(prompt)
+        work = [relay.PieceWork(name, 0, piece, 'k', ()) for piece in (0, 1)]
+        group = relay.PieceGroup(name, work, due, 5.0, 1, 1.0, '')
+        context.gatherer.add(group)
+
+
+@then("the long prompt's pieces are in the first call")
+def check_first(context: Any) -> None:
+    """Form a call for one idle runner."""
+    world = lab.RelayWorld(hosts=1)
+    world.add_scripted('main', 1)
+    runners = world.hosts[0].catalog.fleet.usable('main', 0.0)
+    (call,) = context.gatherer.next_calls(runners, 0.0)
+    assert [p.work.request_id for p in call.pieces] == ['long', 'long']
+
+
 @then('50 refusals give at least 40 different times to come back')
 def check_spread(context: Any) -> None:
     """Count the times."""
--- a/libs/ragwort_edge/ragwort_edge/_call_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -82,7 +82,10 @@
             for spec in self.route.stages
         }
         expected = relay.forecast(
-            self.new_run(), self.configuration.services, waits
+            self.new_run(),
+            self.configuration.services,
+            waits,
+            relay.first_event_s(self.facts.prompt),
         )
         left_s = self.times.ends_at - self.context.reactor.seconds()
         return relay.admit(expected, left_s, self.context.rng)
@@ -130,7 +133,7 @@
             for index, spec in enumerate(self.route.stages)
         ]
         after_s = relay.stage_targets(run, stage, usual_s)
-        after_s += relay.FIRST_EVENT_S
+        after_s += relay.first_event_s(self.facts.prompt)
         return relay.PieceGroup(
             '',
             run.work(stage),
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -2,7 +2,7 @@
 
 from ragwort_relay._admission import Admission
 from ragwort_relay._admission import admit
-from ragwort_relay._admission import FIRST_EVENT_S
+from ragwort_relay._admission import first_event_s
 from ragwort_relay._admission import Forecast
 from ragwort_relay._admission import forecast
 from ragwort_relay._admission import retry_after_s
@@ -53,7 +53,7 @@
     'choose_engine',
     'choose_plain',
     'EventCutter',
-    'FIRST_EVENT_S',
+    'first_event_s',
     'Fleet',
     'FleetRunner',
     'Forecast',
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -10,6 +10,7 @@
 import enum
 import random
 
+from ragwort_relay import _prompts
 from ragwort_relay import _routes
 from ragwort_relay import _stages
 
@@ -18,8 +19,10 @@
 FORECAST_SHARE = 0.9
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 4.0
-# Usual time from a main call's send to its first event.
-FIRST_EVENT_S = 0.25
+# Usual time from a main call's send to its first event, and what each
+# token of the prompt adds to it.
+FIRST_EVENT_S = 0.1
+FIRST_EVENT_S_PER_TOKEN = 1.0 / 40_000.0
 
 
 class Verdict(enum.StrEnum):
@@ -47,12 +50,22 @@
     retry_after_s: float = 0.0
 
 
+def first_event_s(prompt: Sequence[_prompts.PromptPart]) -> float:
+    """Return the usual time from the main call to its first event."""
+    tokens = sum(part.tokens for part in prompt)
+    return FIRST_EVENT_S + tokens * FIRST_EVENT_S_PER_TOKEN
+
+
 def forecast(
     run: _stages.StageRun,
     services: Mapping[str, _routes.ServiceSpec],
     waits_s: Mapping[str, float],
+    first_s: float,
 ) -> Forecast:
-    """Return the time along the longest path through the stages."""
+    """Return the time along the longest path through the stages.
+
+    first_s is the time that the main call will take to its first event.
+    """
     work_s: list[float] = []
     queue_s: list[float] = []
     for index, spec in enumerate(run.stages):
@@ -63,7 +76,7 @@
         queue_s.append(waits_s.get(spec.service, 0.0))
     both = [a + b for a, b in zip(work_s, queue_s, strict=True)]
     total_s = run.path_s(both)
-    return Forecast(total_s + FIRST_EVENT_S, total_s - run.path_s(work_s))
+    return Forecast(total_s + first_s, total_s - run.path_s(work_s))
 
 
 def admit(expected: Forecast, left_s: float, rng: random.Random) -> Admission:
