Split the stage service: asking for pieces, gathering them

_stage_service.py (715 lines) held both sides of the conversation between hosts. _stage_owner.py now gathers, calls runners and counts their room; _stage_service.py asks an owner and frees results through it. No rule changed.

--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -227,7 +227,8 @@
             logger,
         )
         caller: Any = self.network
-        host.caller = host.context.caller = host.stages.caller = caller
+        host.caller = host.context.caller = caller
+        host.stages.owner.caller = caller
         links: Any = FakeLinks(self, entry.peer_address)
         host.peers = links
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -358,8 +358,8 @@
                 problem=self.catalog.problems.get(item.name),
                 in_force=configuration.version if configuration else None,
             )
-        for service in list(self.stages.gatherers):
-            self.stages.pump_soon(service, 0.0)
+        for service in list(self.stages.owner.gatherers):
+            self.stages.owner.pump_soon(service, 0.0)
 
     def _gossip_now(self) -> None:
         now = self.reactor.seconds()
@@ -409,15 +409,15 @@
                 count = len(members.peers())
                 self._adopted(gossip.on_push(message, now, count), 'peer')
             case model.StageAsk():
-                stages.on_ask(sender, message)
+                stages.owner.on_ask(sender, message)
             case model.StageTaken():
                 stages.on_taken(message)
             case model.StageReply():
                 stages.on_reply(message)
             case model.StageDrop():
-                stages.on_drop(message)
+                stages.owner.on_drop(message)
             case model.StageRelease():
-                stages.on_release(message)
+                stages.owner.on_release(message)
         return []
 
     # Callers.
--- /dev/null
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -0,0 +1,455 @@
+"""Gathering the pieces of all hosts into calls to stage runners."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import math
+from typing import Any
+
+from ragwort_edge import _client
+from ragwort_edge import _dialect
+from ragwort_edge import _messages
+from ragwort_edge import _metrics
+import ragwort_model as model
+import ragwort_relay as relay
+
+RELEASE_DELAY_S = 0.015
+RELEASE_TIMEOUT_S = 1.0
+# Pause between questions for a runner's room: results live for seconds.
+ROOM_CHECK_S = 0.4
+MAX_SENDS = 3
+# Groups whose outcomes an owner keeps to answer a second question.
+MAX_FINISHED = 256
+# How long a runner that turned a call away is passed over.
+FULL_PAUSE_S = 0.15
+# Pause between looks at a queue that no event empties.
+PUMP_S = 0.05
+
+OnOutcomes = Callable[[str, list[model.PieceOutcome]], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Owned:
+    """Where the outcomes of a group gathered here go."""
+
+    service: str
+    origin: str | None
+    left: int
+    outcomes: list[model.PieceOutcome] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class StageOwner:
+    """Gathers pieces, calls runners, and keeps count of their room."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        caller: _client.HttpCaller,
+        dialect: _dialect.Dialect,
+        catalog: relay.RelayCatalog,
+        budget: relay.RetryBudget,
+        metrics: _metrics.Metrics,
+        logger: Any,
+        send_peer: Callable[[model.SendPeer], None],
+        on_outcomes: OnOutcomes,
+    ) -> None:
+        """Bind to what calls runners; on_outcomes takes this host's own."""
+        self.reactor = reactor
+        self.caller = caller
+        self.dialect = dialect
+        self.catalog = catalog
+        self.budget = budget
+        self.metrics = metrics
+        self.logger = logger
+        self.send_peer = send_peer
+        self.on_outcomes = on_outcomes
+        self.owned: dict[str, _Owned] = {}
+        self.finished: collections.OrderedDict[str, _Owned] = (
+            collections.OrderedDict()
+        )
+        self.gatherers: dict[str, relay.Gatherer] = {}
+        self.releases: dict[str, list[str]] = {}
+        self.release_timer: Any = None
+        self.room_checks: dict[str, float] = {}
+        self.pump_timers: dict[str, Any] = {}
+
+    def wait_s(self, service: str) -> float:
+        """Return the queueing time of a service at this host."""
+        now = self.reactor.seconds()
+        runners = self.catalog.fleet.usable(service, now)
+        gatherer = self._gatherer(service)
+        return gatherer.wait_s(len(runners), now) if gatherer else 0.0
+
+    def on_ask(self, sender: str, message: model.StageAsk) -> None:
+        """Take a group from another host, or say that it is here."""
+        now = self.reactor.seconds()
+        wait_s = self.wait_s(message.service_name)
+        taken = model.StageTaken(message.group, wait_s)
+        self.send_peer(model.SendPeer(sender, taken))
+        if message.group in self.owned:
+            return
+        finished = self.finished.get(message.group)
+        if finished is not None:
+            # The question crossed the answer, or the answer was lost.
+            self._reply(message.group, finished, finished.outcomes)
+            return
+        group = relay.PieceGroup(
+            message.group,
+            [
+                relay.PieceWork(
+                    w.request_id, w.stage, w.piece, w.key, tuple(w.inputs)
+                )
+                for w in message.work
+            ],
+            now + message.target_s,
+            now + message.deadline_s,
+            message.rank,
+            message.result_bytes,
+            message.failure_domain,
+        )
+        self.gather(message.service_name, group, sender)
+
+    def on_drop(self, message: model.StageDrop) -> None:
+        """Drop a group that nobody wants any more."""
+        self.owned.pop(message.group, None)
+        gatherer = self._gatherer(message.service_name)
+        if gatherer is not None:
+            gatherer.drop(message.group)
+
+    def on_release(self, message: model.StageRelease) -> None:
+        """Free results at their runners."""
+        self.queue_release(message.handles)
+
+    def _gatherer(self, service: str) -> relay.Gatherer | None:
+        configuration = self.catalog.configuration
+        spec = configuration.services.get(service) if configuration else None
+        if spec is None or spec.batch is None:
+            return self.gatherers.get(service)
+        known = self.gatherers.get(service)
+        if known is None:
+            known = self.gatherers[service] = relay.Gatherer(spec.batch)
+        known.limits = spec.batch
+        return known
+
+    def gather(
+        self, service: str, group: relay.PieceGroup, origin: str | None
+    ) -> None:
+        """Queue a group; its outcomes go to origin, None for this host."""
+        gatherer = self._gatherer(service)
+        self.owned[group.group_id] = _Owned(service, origin, len(group.work))
+        if gatherer is None:
+            self._settle(group, [w.piece for w in group.work], 'error')
+            return
+        self.budget.on_request(service, self.reactor.seconds())
+        gatherer.add(group)
+        self.pump_soon(service, 0.0)
+
+    def pump_soon(self, service: str, delay_s: float) -> None:
+        """Form calls of what waits for a service after a delay."""
+        timer = self.pump_timers.get(service)
+        if timer is not None and timer.active():
+            if timer.getTime() <= self.reactor.seconds() + delay_s:
+                return
+            timer.cancel()
+        self.pump_timers[service] = self.reactor.callLater(
+            delay_s, self._pump, service
+        )
+
+    def _check_room(self, gatherer: relay.Gatherer, runners: Any) -> None:
+        """Ask runners for their room where others' results may lie."""
+        now = self.reactor.seconds()
+        for runner in runners:
+            due = self.room_checks.get(runner.name, -math.inf)
+            if now < due or not gatherer.is_room_unclear(runner.name, now):
+                continue
+            self.room_checks[runner.name] = now + ROOM_CHECK_S
+            request = self.dialect.room_request(runner.address)
+            done = _client.fetch(
+                self.caller, runner.address, request, ROOM_CHECK_S
+            )
+            done.addCallback(self._on_room, gatherer, runner)
+            done.addErrback(self._on_room_error, runner)
+
+    def _on_room(
+        self,
+        response: _messages.HttpResponse,
+        gatherer: relay.Gatherer,
+        runner: relay.FleetRunner,
+    ) -> None:
+        free_bytes = self.dialect.read_room(response)
+        gatherer.on_room(runner.name, free_bytes)
+        foreign = gatherer.foreign_bytes[runner.name]
+        if foreign:
+            self.logger.info(
+                'foreign-results',
+                runner=runner.name,
+                free_bytes=int(free_bytes),
+                foreign_bytes=int(foreign),
+            )
+
+    def _on_room_error(self, failure: Any, runner: relay.FleetRunner) -> None:
+        failure.trap(_client.CallError, model.WireError)
+        self.logger.info(
+            'room-unknown',
+            runner=runner.name,
+            detail=failure.getErrorMessage(),
+        )
+
+    def _pump(self, service: str) -> None:
+        gatherer = self._gatherer(service)
+        if gatherer is None:
+            return
+        now = self.reactor.seconds()
+        runners = self.catalog.fleet.usable(service, now)
+        for piece in gatherer.take_hopeless(len(runners), now):
+            self._settle(piece.group, [piece.work.piece], 'late')
+        if gatherer.queue:
+            self._check_room(gatherer, runners)
+        for call in gatherer.next_calls(runners, now):
+            self._send(service, gatherer, call)
+        if gatherer.queue:
+            self.pump_soon(service, PUMP_S)
+
+    def _send(
+        self, service: str, gatherer: relay.Gatherer, call: relay.BatchCall
+    ) -> None:
+        request = self.dialect.stage_request(call, self.reactor.seconds())
+        call.runner.state.on_dispatch()
+        for piece in call.pieces:
+            piece.group.sends += 1
+        self._log_call(service, gatherer, call)
+        done = _client.fetch(
+            self.caller, call.runner.address, request, call.patience_s
+        )
+        done.addCallbacks(
+            self._on_answer,
+            self._on_error,
+            callbackArgs=(service, gatherer, call),
+            errbackArgs=(service, gatherer, call),
+        )
+        done.addErrback(self._on_defect)
+
+    def _log_call(
+        self, service: str, gatherer: relay.Gatherer, call: relay.BatchCall
+    ) -> None:
+        domain = call.runner.entry.runner.failure_domain
+        now = self.reactor.seconds()
+        self.logger.info(
+            'stage-call',
+            service=service,
+            runner=call.runner.name,
+            pieces=len(call.pieces),
+            near=sum(p.group.failure_domain == domain for p in call.pieces),
+            late=sum(p.group.target_at < now for p in call.pieces),
+            waiting=len(gatherer.queue),
+            used_bytes=int(gatherer.used_bytes.get(call.runner.name, 0)),
+            slowness=round(call.runner.slowness, 2),
+        )
+
+    def _on_defect(self, failure: Any) -> None:
+        self.logger.error('defect', detail=failure.getTraceback()[-1500:])
+
+    def _on_answer(
+        self,
+        response: _messages.HttpResponse,
+        service: str,
+        gatherer: relay.Gatherer,
+        call: relay.BatchCall,
+    ) -> None:
+        now = self.reactor.seconds()
+        reply = self.dialect.read_reply(response, '')
+        state = call.runner.state
+        if reply.load is not None:
+            state.on_report(reply.load, now)
+        if response.status != 200:
+            if reply.is_misdirected:
+                call.runner.is_misdirected = True
+            state.on_failure(model.CallFailure.OVERLOADED, now)
+            state.avoid_until = max(state.avoid_until, now + FULL_PAUSE_S)
+            self._again(service, gatherer, call, f'status {response.status}')
+            return
+        try:
+            results = self.dialect.read_stage_reply(response, len(call.pieces))
+        except model.WireError as error:
+            state.on_failure(model.CallFailure.PROTOCOL, now)
+            self._again(service, gatherer, call, str(error))
+            return
+        state.on_result(now - call.sent_at, now - call.sent_at, now)
+        gatherer.on_answer(call, [r.handle for r in results], now)
+        self._on_results(service, gatherer, call, results)
+
+    def _on_results(
+        self,
+        service: str,
+        gatherer: relay.Gatherer,
+        call: relay.BatchCall,
+        results: Any,
+    ) -> None:
+        made: dict[str, list[model.PieceOutcome]] = {}
+        again: list[relay.QueuedPiece] = []
+        unwanted: list[str] = []
+        for piece, result in zip(call.pieces, results, strict=True):
+            self.metrics.pieces.labels(service, result.result).inc()
+            group_id = piece.group.group_id
+            if result.result != _dialect.PieceResult.MADE:
+                self.logger.info(
+                    'piece-not-made',
+                    request=piece.work.request_id,
+                    service=service,
+                    stage=piece.work.stage,
+                    piece=piece.work.piece,
+                    runner=call.runner.name,
+                    result=result.result,
+                    wanted=group_id in self.owned,
+                )
+            retry = (_dialect.PieceResult.ROOM, _dialect.PieceResult.ERROR)
+            if group_id not in self.owned:
+                if result.handle:
+                    unwanted.append(result.handle)
+            elif result.result in retry:
+                if result.result == _dialect.PieceResult.ROOM:
+                    size = piece.group.result_bytes
+                    gatherer.on_no_room(call, size, self.reactor.seconds())
+                again.append(piece)
+            else:
+                reason = None if result.handle else str(result.result)
+                made.setdefault(group_id, []).append(
+                    model.PieceOutcome(piece.work.piece, result.handle, reason)
+                )
+        if unwanted:
+            self.queue_release(unwanted)
+        for group_id, outcomes in made.items():
+            self._deliver(group_id, outcomes)
+        self._requeue(service, gatherer, again, 'room or error')
+        self.pump_soon(service, 0.0)
+
+    def _on_error(
+        self,
+        failure: Any,
+        service: str,
+        gatherer: relay.Gatherer,
+        call: relay.BatchCall,
+    ) -> None:
+        failure.trap(_client.CallError)
+        now = self.reactor.seconds()
+        problem = failure.value.problem
+        if problem == _client.CallProblem.NOT_CONNECTED:
+            kind = model.CallFailure.UNREACHABLE
+        elif problem == _client.CallProblem.CANCELLED:
+            kind = model.CallFailure.SILENT
+            call.runner.slowness = min(call.runner.slowness * 2, 16.0)
+            call.runner.state.avoid_until = now + call.patience_s
+        else:
+            kind = model.CallFailure.LOST
+            call.runner.state.avoid_until = now + FULL_PAUSE_S
+        call.runner.state.on_failure(kind, now)
+        self._again(service, gatherer, call, str(failure.value))
+
+    def _again(
+        self,
+        service: str,
+        gatherer: relay.Gatherer,
+        call: relay.BatchCall,
+        reason: str,
+    ) -> None:
+        gatherer.on_failure(call)
+        self.logger.info(
+            'stage-call-failed',
+            service=service,
+            runner=call.runner.name,
+            pieces=len(call.pieces),
+            reason=reason,
+        )
+        wanted = [p for p in call.pieces if p.group.group_id in self.owned]
+        self._requeue(service, gatherer, wanted, reason)
+        self.pump_soon(service, 0.0)
+
+    def _requeue(
+        self,
+        service: str,
+        gatherer: relay.Gatherer,
+        pieces: list[relay.QueuedPiece],
+        reason: str,
+    ) -> None:
+        now = self.reactor.seconds()
+        for piece in pieces:
+            group = piece.group
+            within = group.sends < MAX_SENDS * len(group.work)
+            if within and self.budget.take(service, now):
+                gatherer.queue.append(piece)
+            else:
+                self._settle(group, [piece.work.piece], 'error')
+
+    def _settle(
+        self, group: relay.PieceGroup, pieces: list[int], reason: str
+    ) -> None:
+        outcomes = [model.PieceOutcome(p, None, reason) for p in pieces]
+        self._deliver(group.group_id, outcomes)
+
+    def _deliver(
+        self, group_id: str, outcomes: list[model.PieceOutcome]
+    ) -> None:
+        owned = self.owned.get(group_id)
+        if owned is None:
+            return
+        owned.left -= len(outcomes)
+        owned.outcomes += outcomes
+        if owned.left <= 0:
+            del self.owned[group_id]
+        if owned.origin is None:
+            self.on_outcomes(group_id, outcomes)
+            return
+        if owned.left <= 0:
+            self.finished[group_id] = owned
+            while len(self.finished) > MAX_FINISHED:
+                self.finished.popitem(last=False)
+        self._reply(group_id, owned, outcomes)
+
+    def _reply(
+        self,
+        group_id: str,
+        owned: _Owned,
+        outcomes: list[model.PieceOutcome],
+    ) -> None:
+        if owned.origin is None:
+            return
+        wait_s = self.wait_s(owned.service)
+        reply = model.StageReply(group_id, owned.service, outcomes, wait_s)
+        self.send_peer(model.SendPeer(owned.origin, reply))
+
+    def queue_release(self, handles: list[str]) -> None:
+        """Free results at their runners, several with one call."""
+        for handle in handles:
+            address = self.dialect.handle_address(handle)
+            self.releases.setdefault(address, []).append(handle)
+        is_awaited = any(g.queue for g in self.gatherers.values())
+        delay_s = 0.0 if is_awaited else RELEASE_DELAY_S
+        if self.release_timer is None:
+            self.release_timer = self.reactor.callLater(
+                delay_s, self._send_releases
+            )
+
+    def _send_releases(self) -> None:
+        self.release_timer = None
+        releases, self.releases = self.releases, {}
+        for address, handles in releases.items():
+            request = self.dialect.release_request(address, handles)
+            done = _client.fetch(
+                self.caller, address, request, RELEASE_TIMEOUT_S
+            )
+            # A result that is not freed goes by itself in a few seconds.
+            done.addErrback(
+                lambda failure: self.logger.info(
+                    'release-failed', detail=failure.getErrorMessage()
+                )
+            )
+            done.addCallback(self._on_released, handles)
+
+    def _on_released(self, _: object, handles: list[str]) -> None:
+        """Count room as free once its runner has freed it, not before."""
+        for service, gatherer in self.gatherers.items():
+            gatherer.release(handles)
+            if gatherer.queue:
+                self.pump_soon(service, 0.0)
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -117,15 +117,15 @@
         stages = target.stages
         match message:
             case model.StageAsk():
-                stages.on_ask(sender, message)
+                stages.owner.on_ask(sender, message)
             case model.StageTaken():
                 stages.on_taken(message)
             case model.StageReply():
                 stages.on_reply(message)
             case model.StageDrop():
-                stages.on_drop(message)
+                stages.owner.on_drop(message)
             case model.StageRelease():
-                stages.on_release(message)
+                stages.owner.on_release(message)
 
     def add_runner(
         self, runner: fakes.LabRunner, service: str, slots: int = 4
