Tell refused callers different times; one place takes stage messages

Refusals without a known queue all said 0.5 s, so that their callers would return together; they are spread by 0.7 to 1.3 like the others. The hosts' and the lab's match over stage messages stood twice and is now StageService.on_peer. An unused constant and attribute are gone.

--- a/libs/ragwort_edge/ragwort_edge/_call_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -99,7 +99,7 @@
             except ResultsGoneError:
                 continue
             return
-        raise self._refusal('results vanished with their runners')
+        raise self.context.refusal('results vanished with their runners')
 
     async def _make_round(self, run: relay.StageRun) -> None:
         self.run = run
@@ -200,13 +200,7 @@
     ) -> model.RagwortError:
         if GONE in reasons:
             return ResultsGoneError(f'stage {stage}')
-        return self._refusal(f'stage {stage}: {reasons[0]}')
-
-    def _refusal(self, reason: str) -> _context.Refusal:
-        again_s = relay.retry_after_s(
-            _context.DEFAULT_RETRY_AFTER_S, self.context.rng
-        )
-        return _context.Refusal(reason, again_s)
+        return self.context.refusal(f'stage {stage}: {reasons[0]}')
 
     def input_bytes(self) -> dict[str, float]:
         """Return the bytes the main call reads, by failure domain."""
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -10,7 +10,8 @@
 import ragwort_model as model
 import ragwort_relay as relay
 
-DEFAULT_RETRY_AFTER_S = 0.5
+# When to come back if nothing is known of a queue, in the mean.
+RETRY_AFTER_S = 0.5
 
 
 class Refusal(model.RagwortError):
@@ -37,6 +38,10 @@
     logger: Any
     failure_domain: str
 
+    def refusal(self, reason: str) -> Refusal:
+        """Return a refusal; callers are told different times."""
+        return Refusal(reason, relay.retry_after_s(RETRY_AFTER_S, self.rng))
+
     def domain_of(self, handle: str) -> str:
         """Return the failure domain where a stage's result lies."""
         address = self.dialect.handle_address(handle)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -389,7 +389,7 @@
         self, sender: str, message: model.PeerMessage, now: float, wall: float
     ) -> list[model.SendPeer]:
         """Hand a peer's message to whoever it is for."""
-        members, gossip, stages = self.members, self.gossip, self.stages
+        members, gossip = self.members, self.gossip
         match message:
             case model.Ping():
                 return members.on_ping(sender, message, now, wall)
@@ -408,16 +408,8 @@
             case model.StatePush():
                 count = len(members.peers())
                 self._adopted(gossip.on_push(message, now, count), 'peer')
-            case model.StageAsk():
-                stages.owner.on_ask(sender, message)
-            case model.StageTaken():
-                stages.on_taken(message)
-            case model.StageReply():
-                stages.on_reply(message)
-            case model.StageDrop():
-                stages.owner.on_drop(message)
-            case model.StageRelease():
-                stages.owner.on_release(message)
+            case _:
+                self.stages.on_peer(sender, message)
         return []
 
     # Callers.
--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -22,8 +22,6 @@
 # a share of the time left, and at least so much.
 PATIENCE_SHARE = 0.45
 MIN_PATIENCE_S = 0.7
-# Pause before a call that runners turned away is sent again.
-TURNED_AWAY_PAUSE_S = 0.03
 HTTP_BAD_REQUEST = 400
 HTTP_REFUSED = 503
 HTTP_FAILED = 502
@@ -67,7 +65,6 @@
             limit_s = min(limit_s, facts.deadline_s)
         self.ends_at = self.started_at + limit_s - ANSWER_MARGIN_S
         self.attempts = relay.Attempts(route)
-        self.open_call: _client.OpenCall | None = None
         self.running: Any = None
         self.timer: Any = None
         self.is_timed_out = False
@@ -140,7 +137,8 @@
         elif self.attempts.ran:
             self._fail(HTTP_TIMEOUT, 'no answer in time')
         else:
-            self._refuse('no runner in time', _context.DEFAULT_RETRY_AFTER_S)
+            refusal = self.context.refusal('no runner in time')
+            self._refuse(str(refusal), refusal.retry_after_s)
 
     def _refuse(self, reason: str, retry_after_s: float) -> None:
         if self.attempts.ran:
@@ -248,7 +246,7 @@
         """Return a runner and mark it tried; raise Refusal without one."""
         runner = self._choose(service, tried)
         if runner is None:
-            raise _context.Refusal('no runner', _context.DEFAULT_RETRY_AFTER_S)
+            raise self.context.refusal('no runner')
         tried.add(runner.name)
         return runner
 
@@ -307,9 +305,7 @@
             if step == relay.NextStep.DELIVER and send.response is not None:
                 self._deliver(send.response)
             elif step == relay.NextStep.REFUSE:
-                raise _context.Refusal(
-                    send.detail, _context.DEFAULT_RETRY_AFTER_S
-                )
+                raise self.context.refusal(send.detail)
             else:
                 self._fail(HTTP_FAILED, send.detail)
             return
@@ -435,9 +431,7 @@
                 else:
                     self._fail(HTTP_FAILED, send.detail)
             elif step == relay.NextStep.REFUSE:
-                raise _context.Refusal(
-                    send.detail, _context.DEFAULT_RETRY_AFTER_S
-                )
+                raise self.context.refusal(send.detail)
             else:
                 self._fail(HTTP_FAILED, send.detail)
             return
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -214,6 +214,20 @@
         group.work = [w for w in group.work if w.piece not in wanted.outcomes]
         self.owner.gather(wanted.service, group, None)
 
+    def on_peer(self, sender: str, message: model.PeerMessage) -> None:
+        """Take a peer's message if it is about stages."""
+        match message:
+            case model.StageAsk():
+                self.owner.on_ask(sender, message)
+            case model.StageTaken():
+                self.on_taken(message)
+            case model.StageReply():
+                self.on_reply(message)
+            case model.StageDrop():
+                self.owner.on_drop(message)
+            case model.StageRelease():
+                self.owner.on_release(message)
+
     def on_reply(self, message: model.StageReply) -> None:
         """Take outcomes from an owner."""
         now = self.reactor.seconds()
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -112,20 +112,8 @@
         )
 
     def _deliver(self, sender: str, target: LabHost, message: Any) -> None:
-        if not target.is_alive:
-            return
-        stages = target.stages
-        match message:
-            case model.StageAsk():
-                stages.owner.on_ask(sender, message)
-            case model.StageTaken():
-                stages.on_taken(message)
-            case model.StageReply():
-                stages.on_reply(message)
-            case model.StageDrop():
-                stages.owner.on_drop(message)
-            case model.StageRelease():
-                stages.owner.on_release(message)
+        if target.is_alive:
+            target.stages.on_peer(sender, message)
 
     def add_runner(
         self, runner: fakes.LabRunner, service: str, slots: int = 4
