Move what a node reports out of its core

_core.py (693 lines) held the data classes of the status page and their assembly beside the decisions. Before and after: operators, thin path, workspace, process faults and the fault matrix pass (86 scenarios).

--- a/features/steps/workspace_steps.py
+++ b/features/steps/workspace_steps.py
@@ -67,6 +67,7 @@
     '_placement',
     '_poller',
     '_relays',
+    '_status',
     '_timers',
 )
 IMPURE = re.compile(
--- a/libs/ragwort_node/ragwort_node/__init__.py
+++ b/libs/ragwort_node/ragwort_node/__init__.py
@@ -2,11 +2,7 @@
 
 from ragwort_node._caller_http import HTTP_OF_REFUSAL
 from ragwort_node._control import TICK_S
-from ragwort_node._core import ClassStatus
 from ragwort_node._core import NodeCore
-from ragwort_node._core import NodeState
-from ragwort_node._core import NodeStatus
-from ragwort_node._core import RunnerStatus
 from ragwort_node._daemon import NodeDaemon
 from ragwort_node._effects import Count
 from ragwort_node._effects import Decision
@@ -18,6 +14,10 @@
 from ragwort_node._logs import configure_logs
 from ragwort_node._options import NodeOptions
 from ragwort_node._options import options_from_settings
+from ragwort_node._status import ClassStatus
+from ragwort_node._status import NodeState
+from ragwort_node._status import NodeStatus
+from ragwort_node._status import RunnerStatus
 from ragwort_node._store_client import store_method
 from ragwort_node._store_client import store_url
 from ragwort_node._store_client import StoreClient
--- a/libs/ragwort_node/ragwort_node/_caller_http.py
+++ b/libs/ragwort_node/ragwort_node/_caller_http.py
@@ -16,6 +16,7 @@
 import ragwort_model as model
 from ragwort_node import _core
 from ragwort_node import _effects
+from ragwort_node import _status
 import ragwort_wire as wire
 
 HTTP_OF_REFUSAL = {
@@ -252,8 +253,8 @@
         version = str(core.control.members.version).encode()
         request.setHeader(VERSION_HEADER, version)
         if core.state in (
-            _core.NodeState.DRAINING,
-            _core.NodeState.REFUSING,
+            _status.NodeState.DRAINING,
+            _status.NodeState.REFUSING,
         ):
             request.setHeader(b'connection', b'close')
         return super().render(request)
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -1,7 +1,5 @@
 """The node as a plain object: events and the time in, effects out."""
 
-import dataclasses
-import enum
 import random
 
 import ragwort_membership as membership
@@ -16,7 +14,7 @@
 from ragwort_node import _placement
 from ragwort_node import _poller
 from ragwort_node import _relays
-import ragwort_policy as policy
+from ragwort_node import _status
 import ragwort_state as state
 import ragwort_wire as wire
 
@@ -29,59 +27,6 @@
 MAX_LOGGED_OBJECTS = 20
 
 
-class NodeState(enum.StrEnum):
-    """What a node does with new requests."""
-
-    STARTING = 'starting'
-    SERVING = 'serving'
-    DRAINING = 'draining'
-    REFUSING = 'refusing'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClassStatus:
-    """Attainment and cost of one class of work against its target."""
-
-    name: str
-    target: model.Target
-    attainment: float
-    cost_per_request: float
-    ended: int
-    attained: int
-    stage_costs: dict[str, float]
-    wasted_costs: dict[str, float]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerStatus:
-    """A runner as this node sees it."""
-
-    name: str
-    service: str
-    inflight: int
-    limit: float
-    busy_s: float
-    failure_share: float
-    ejected: bool
-    draining: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NodeStatus:
-    """What a node reports of itself."""
-
-    name: str
-    state: NodeState
-    not_ready: str
-    members: list[model.MemberUpdate]
-    in_force: dict[str, int]
-    in_force_since_s: dict[str, float]
-    problems: dict[str, str]
-    classes: list[ClassStatus]
-    runners: list[RunnerStatus]
-    open_requests: int
-
-
 class NodeCore:
     """One node without sockets, clocks or logs.
 
@@ -106,7 +51,7 @@
         self.keepers: dict[str, _placement.PlacementKeeper] = {}
         self.poller = _poller.RunnerPoller(self.control, self.name)
         self.relays = _relays.RelayTable(options.host.name, self.out)
-        self.state = NodeState.STARTING
+        self.state = _status.NodeState.STARTING
         self.accept_until = 0.0
         self.next_tick = now
         self.next_placement = now
@@ -156,7 +101,7 @@
 
     def _tick_placement(self, now: float, wall: float) -> None:
         """Look after the placement of the services assigned to this node."""
-        if self.state == NodeState.STARTING:
+        if self.state == _status.NodeState.STARTING:
             return
         if now < self.next_placement:
             return
@@ -248,12 +193,15 @@
         return ''
 
     def _update_state(self, now: float) -> None:
-        if self.state == NodeState.STARTING and not self.not_ready():
-            self.state = NodeState.SERVING
+        if self.state == _status.NodeState.STARTING and not self.not_ready():
+            self.state = _status.NodeState.SERVING
             self.control.members.set_accepting(True, now)
             self._log_state(now, 'ready')
-        elif self.state == NodeState.DRAINING and now >= self.accept_until:
-            self.state = NodeState.REFUSING
+        elif (
+            self.state == _status.NodeState.DRAINING
+            and now >= self.accept_until
+        ):
+            self.state = _status.NodeState.REFUSING
             self._log_state(now, 'address-ttl-over')
 
     def _log_state(self, now: float, rule: str) -> None:
@@ -331,13 +279,13 @@
         return None
 
     def _check_state(self) -> _admission.Refusal | None:
-        if self.state == NodeState.STARTING:
+        if self.state == _status.NodeState.STARTING:
             return _admission.Refusal(
                 _effects.RefusalKind.NOT_READY,
                 self.not_ready() or 'starting',
                 _admission.BUSY_RETRY_S,
             )
-        if self.state == NodeState.REFUSING:
+        if self.state == _status.NodeState.REFUSING:
             return _admission.Refusal(
                 _effects.RefusalKind.DRAINING,
                 'this node is leaving; ask for addresses again',
@@ -597,9 +545,12 @@
 
     def begin_drain(self, now: float, wall: float) -> list[_effects.Effect]:
         """Stop being listed; go on accepting while old answers are in use."""
-        if self.state in (NodeState.DRAINING, NodeState.REFUSING):
+        if self.state in (
+            _status.NodeState.DRAINING,
+            _status.NodeState.REFUSING,
+        ):
             return []
-        self.state = NodeState.DRAINING
+        self.state = _status.NodeState.DRAINING
         self.accept_until = now + self.options.address_ttl_s + DRAIN_MARGIN_S
         self.control.members.set_accepting(False, now)
         self.out += self.control.members.announce(wall)
@@ -609,7 +560,7 @@
     def is_drained(self) -> bool:
         """Tell whether nothing is left to finish."""
         return (
-            self.state == NodeState.REFUSING
+            self.state == _status.NodeState.REFUSING
             and not self.engine.active
             and not self.relays.relays
         )
@@ -632,12 +583,12 @@
         execution = self.engine.executions.get(key)
         return None if execution is None else list(execution.history)
 
-    def status(self, now: float) -> NodeStatus:
+    def status(self, now: float) -> _status.NodeStatus:
         """Return what this node reports of itself."""
         catalog = self.control.catalog
         adopted_at = self.control.replica.adopted_at
         prefix = state.CONFIG_PREFIX
-        return NodeStatus(
+        return _status.NodeStatus(
             self.name,
             self.state,
             self.not_ready(),
@@ -649,45 +600,22 @@
                 if prefix + name in adopted_at
             },
             {name: p.text for name, p in sorted(catalog.problems.items())},
-            [self._class_status(work, now) for work in self._classes()],
-            [self._runner_status(s, now) for s in self._runner_states()],
+            self._class_statuses(now),
+            self._runner_statuses(now),
             len(self.engine.active),
         )
 
-    def _classes(self) -> list[model.ClassOfWork]:
+    def _class_statuses(self, now: float) -> list[_status.ClassStatus]:
         classes = self.control.catalog.classes
-        return [classes[name] for name in sorted(classes)]
-
-    def _runner_states(self) -> list[policy.RunnerState]:
-        states = self.dispatcher.states
-        return [states[name] for name in sorted(states)]
-
-    def _class_status(
-        self, work: model.ClassOfWork, now: float
-    ) -> ClassStatus:
-        record = self.dispatcher.attainment.record(work.name, now)
-        return ClassStatus(
-            work.name,
-            work.target,
-            record.attainment,
-            record.cost_per_request,
-            record.total_ended,
-            record.total_attained,
-            dict(record.stage_costs),
-            dict(record.wasted_costs),
-        )
+        attainment = self.dispatcher.attainment
+        return [
+            _status.class_status(work, attainment.record(name, now))
+            for name, work in sorted(classes.items())
+        ]
 
-    def _runner_status(
-        self, known: policy.RunnerState, now: float
-    ) -> RunnerStatus:
-        name = known.runner.name
-        return RunnerStatus(
-            name,
-            known.runner.service,
-            known.inflight,
-            known.limit,
-            known.busy_s,
-            known.failure_share,
-            policy.is_ejected(known, now),
-            name in self.control.catalog.draining_runners,
-        )
+    def _runner_statuses(self, now: float) -> list[_status.RunnerStatus]:
+        draining = self.control.catalog.draining_runners
+        return [
+            _status.runner_status(known, name in draining, now)
+            for name, known in sorted(self.dispatcher.states.items())
+        ]
--- a/libs/ragwort_node/ragwort_node/_daemon.py
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -17,6 +17,7 @@
 from ragwort_node import _metrics
 from ragwort_node import _options
 from ragwort_node import _runner_client
+from ragwort_node import _status
 from ragwort_node import _store_client
 import ragwort_peers as peers
 import ragwort_wire as wire
@@ -93,7 +94,7 @@
 
     def drain(self) -> None:
         """Begin to leave; a second call stops at once."""
-        states = (_core.NodeState.DRAINING, _core.NodeState.REFUSING)
+        states = (_status.NodeState.DRAINING, _status.NodeState.REFUSING)
         if self.core.state in states:
             self._stop()
             return
