--- /dev/null
+++ b/features/relay_host.feature
@@ -0,0 +1,54 @@
+Feature: Relay hosts share what they know and leave without loss
+  Hosts on one virtual clock, with a store and links that tests control.
+
+  Scenario: a host that knows no configuration promises nothing
+    Given 1 relay hosts whose store is silent
+    When a caller asks host 0 for "/work/1" with key "k1"
+    Then it is answered 503 and told when to come back
+    And host 0 is not ready
+
+  Scenario Outline: a caller of <path> with key <key>
+    Given 1 relay hosts whose store answers
+    When a caller asks host 0 for "<path>" with key "<key>"
+    Then it is answered <status>
+
+    Examples:
+      | path    | key | status |
+      | /work/1 | k1  | 200    |
+      | /work/1 | odd | 401    |
+      | /none/1 | k1  | 404    |
+      | /open/1 | odd | 200    |
+
+  Scenario: a change reaches a host that the store turns away
+    Given 3 relay hosts whose store answers
+    When the store turns host 2 away and key "k1" is withdrawn
+    Then within 2 s every host answers key "k1" with 401
+
+  Scenario: a leaving runner gets nothing new from any host
+    Given 3 relay hosts whose store answers
+    When the store turns host 2 away and runner "a" is leaving
+    Then within 2 s no host sends to runner "a"
+
+  Scenario: an older version never comes back into force
+    Given 2 relay hosts whose store answers
+    When key "k1" is withdrawn and a peer repeats the first version
+    Then within 2 s every host answers key "k1" with 401
+
+  Scenario: a host that starts while the store is away serves by its peers' word
+    Given 2 relay hosts whose store answers
+    When the store goes away and host 1 starts anew
+    Then within 4 s host 1 is ready
+    And a caller with key "k1" is answered 200 there
+
+  Scenario: a leaving host finishes what it took and is listed no more
+    Given 2 relay hosts whose store answers
+    And runners take 1.5 s
+    When a caller asks host 0 for "/work/1" with key "k1"
+    And host 0 is told to leave
+    Then host 0 is not ready and no host lists it
+    And the caller is answered 200 before host 0 stops
+    And host 0 stops within 8 s
+
+  Scenario: callers find every ready host, those of their own domain first
+    Given 3 relay hosts whose store answers
+    Then the directory of each host lists 3 addresses, "north" first
--- /dev/null
+++ b/features/steps/relay_host_steps.py
@@ -0,0 +1,188 @@
+"""Steps of whole relay hosts."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import relay_hosts
+import ragwort_edge as edge
+import ragwort_model as model
+
+ANSWER_S = 0.5
+
+
+@given('{count:d} relay hosts whose store is silent')
+def start_silent(context: Any, count: int) -> None:
+    """Start hosts without a store."""
+    context.world = relay_hosts.HostWorld(count, is_away=True)
+
+
+@given('{count:d} relay hosts whose store answers')
+def start_hosts(context: Any, count: int) -> None:
+    """Start hosts."""
+    context.world = relay_hosts.HostWorld(count)
+
+
+@given('runners take {seconds:g} s')
+def slow_runners(context: Any, seconds: float) -> None:
+    """Slow all runners."""
+    for runner in context.world.runners:
+        runner.work_s = seconds
+
+
+@when('a caller asks host {index:d} for "{path}" with key "{key}"')
+def ask(context: Any, index: int, path: str, key: str) -> None:
+    """Send a request."""
+    context.asked = context.world.ask(index, path, key)
+    context.world.run(ANSWER_S)
+
+
+@then('it is answered {status:d}')
+def check_status(context: Any, status: int) -> None:
+    """Compare the status."""
+    assert context.asked.status == status, context.asked.status
+
+
+@then('it is answered {status:d} and told when to come back')
+def check_retry(context: Any, status: int) -> None:
+    """Compare the status and look for the time."""
+    assert context.asked.status == status, context.asked.status
+    value = edge.find_header(context.asked.headers, b'retry-after')
+    assert value is not None
+    assert float(value) > 0
+
+
+@then('host {index:d} is not ready')
+def check_unready(context: Any, index: int) -> None:
+    """Look at the readiness."""
+    assert not context.world.hosts[index].is_ready
+
+
+@when('the store turns host {index:d} away and key "{key}" is withdrawn')
+def withdraw(context: Any, index: int, key: str) -> None:
+    """Withdraw a key that one host can't read of."""
+    context.world.turn_away(index)
+    context.world.keep_keys(['other'])
+
+
+@when('the store turns host {index:d} away and runner "{name}" is leaving')
+def drain_runner(context: Any, index: int, name: str) -> None:
+    """Let a runner leave that one host can't read of."""
+    world = context.world
+    world.turn_away(index)
+    (leaving,) = (r for r in world.runners if r.name == name)
+    world.set_runner(leaving, 'leaving')
+
+
+@when('key "{key}" is withdrawn and a peer repeats the first version')
+def repeat_old(context: Any, key: str) -> None:
+    """Push the first version again after a newer one."""
+    world = context.world
+    old = world.objects.items['config/main']
+    world.keep_keys(['other'])
+    world.run(1.0)
+    push = model.StatePush([old], True)
+    for host in world.hosts:
+        host._on_message('10.0.1.1:84', push, world.clock.seconds(), 0.0)
+
+
+@then('within {seconds:g} s every host answers key "{key}" with {status:d}')
+def check_keys(context: Any, seconds: float, key: str, status: int) -> None:
+    """Ask every host once the time is over."""
+    world = context.world
+    world.run(seconds)
+    asked = [world.ask(n, '/work/1', key) for n in range(len(world.hosts))]
+    world.run(ANSWER_S)
+    assert [e.status for e in asked] == [status] * len(asked)
+
+
+@then('within {seconds:g} s no host sends to runner "{name}"')
+def check_drained(context: Any, seconds: float, name: str) -> None:
+    """Ask every host several times and look at the runner."""
+    world = context.world
+    (leaving,) = (r for r in world.runners if r.name == name)
+    world.run(seconds)
+    before = len(leaving.arrivals)
+    for index in range(len(world.hosts)):
+        for _ in range(5):
+            world.ask(index, '/work/1', 'k1')
+    world.run(ANSWER_S)
+    assert len(leaving.arrivals) == before
+    sound = sum(len(r.arrivals) for r in world.runners)
+    assert sound >= 5 * len(world.hosts)
+
+
+@when('the store goes away and host {index:d} starts anew')
+def restart_alone(context: Any, index: int) -> None:
+    """Restart a host while nobody reaches the store."""
+    world = context.world
+    world.objects.is_away = True
+    for number in range(len(world.hosts)):
+        world.turn_away(number)
+    world.restart(index)
+    assert not world.hosts[index].is_ready
+
+
+@then('within {seconds:g} s host {index:d} is ready')
+def check_ready(context: Any, seconds: float, index: int) -> None:
+    """Look at the readiness once the time is over."""
+    context.world.run(seconds)
+    assert context.world.hosts[index].is_ready
+
+
+@then('a caller with key "{key}" is answered {status:d} there')
+def check_there(context: Any, key: str, status: int) -> None:
+    """Ask the host that started anew."""
+    asked = context.world.ask(1, '/work/1', key)
+    context.world.run(ANSWER_S)
+    assert asked.status == status, asked.status
+
+
+@when('host {index:d} is told to leave')
+def leave(context: Any, index: int) -> None:
+    """Begin to leave."""
+    context.world.hosts[index].leave()
+    context.left_at = context.world.clock.seconds()
+
+
+@then('host {index:d} is not ready and no host lists it')
+def check_unlisted(context: Any, index: int) -> None:
+    """Ask every directory."""
+    world = context.world
+    world.run(ANSWER_S)
+    address = world.hosts[index].options.host.caller_address
+    assert not world.hosts[index].is_ready
+    for host in world.hosts:
+        assert address not in host.addresses('north', 'caller')
+
+
+@then('the caller is answered {status:d} before host {index:d} stops')
+def check_finished(context: Any, status: int, index: int) -> None:
+    """Wait for the answer."""
+    context.world.run(1.5)
+    assert context.asked.status == status, context.asked.status
+    assert index not in context.world.stopped
+
+
+@then('host {index:d} stops within {seconds:d} s')
+def check_stopped(context: Any, index: int, seconds: int) -> None:
+    """Wait for the end."""
+    context.world.run(seconds)
+    assert context.world.stopped[index] - context.left_at <= seconds
+
+
+@then('the directory of each host lists {count:d} addresses, "{first}" first')
+def check_directory(context: Any, count: int, first: str) -> None:
+    """Ask every directory."""
+    world = context.world
+    for host in world.hosts:
+        listed = host.addresses(first, 'caller')
+        assert len(listed) == len(set(listed)) == count, listed
+        own = [
+            h.options.host.caller_address
+            for h in world.hosts
+            if h.options.host.failure_domain == first
+        ]
+        assert listed[: len(own)] == own, listed
--- /dev/null
+++ b/features/support/relay_hosts.py
@@ -0,0 +1,263 @@
+"""Whole relay hosts on one virtual clock, with a store under control."""
+
+from collections.abc import Callable
+import json
+from typing import Any
+
+import structlog
+from twisted.internet.testing import MemoryReactorClock
+
+from features.steps import relay_decision_steps
+import ragwort_edge as edge
+import ragwort_lab as lab
+from ragwort_lab import _relay_fakes as fakes
+import ragwort_model as model
+import ragwort_relay as relay
+import ragwort_wire as wire
+
+DOMAINS = ('north', 'east', 'south')
+LINK_S = 0.002
+STEP_S = 0.01
+
+
+class Decoder(fakes.LabDialect):
+    """Reads configurations that list the keys in force."""
+
+    def decode_configuration(self, value: str) -> relay.RelayConfiguration:
+        """Return two routes, one of them public, and one workspace."""
+        fields = json.loads(value)
+        make = relay_decision_steps.make_route
+        once = {'kind': relay.CallKind.ONCE, 'attempts': 1}
+        return relay.RelayConfiguration(
+            fields['version'],
+            (
+                make(path_prefix='/work/', **once),
+                make(path_prefix='/open/', is_public=True, **once),
+            ),
+            {},
+            (relay.Workspace('school', frozenset(fields['keys'])),),
+            relay.CallerLimits(),
+        )
+
+
+class FakeStore(edge.Store):
+    """One host's way to the store, which may turn it away."""
+
+    def __init__(
+        self,
+        objects: 'StoreObjects',
+        on_result: Callable[[model.StoreResult], None],
+    ) -> None:
+        """Answer from the shared objects."""
+        self.objects = objects
+        self.on_result = on_result
+        self.is_away = objects.is_away
+        self.watch: model.StoreCall | None = None
+        objects.ways.append(self)
+        self.open: list[model.StoreCall] = []
+
+    def call(self, effect: model.StoreCall) -> None:
+        """Answer at once, or when something changes."""
+        clock = self.objects.clock
+        if self.is_away:
+            failed = model.StoreResult(
+                effect.op, model.StoreStatus.UNAVAILABLE
+            )
+            clock.callLater(LINK_S, self.on_result, failed)
+        elif effect.verb == model.StoreVerb.LIST:
+            clock.callLater(LINK_S, self._answer, effect, 0)
+        else:
+            self.open.append(effect)
+            self.notify()
+
+    def notify(self) -> None:
+        """Answer the open watches that have something to hear."""
+        for effect in list(self.open):
+            if self.is_away:
+                self.open.remove(effect)
+                self.call(effect)
+            elif self.objects.changed(effect.name, effect.since):
+                self.open.remove(effect)
+                self.objects.clock.callLater(
+                    LINK_S, self._answer, effect, effect.since
+                )
+
+    def _answer(self, effect: model.StoreCall, since: int) -> None:
+        self.on_result(
+            model.StoreResult(
+                effect.op,
+                model.StoreStatus.OK,
+                tuple(self.objects.changed(effect.name, since)),
+                self.objects.revision,
+            )
+        )
+
+
+class StoreObjects:
+    """What the store holds."""
+
+    def __init__(self, clock: Any, is_away: bool) -> None:
+        """Start empty."""
+        self.clock = clock
+        self.is_away = is_away
+        self.revision = 0
+        self.items: dict[str, model.StoredObject] = {}
+        self.ways: list[FakeStore] = []
+
+    def put(self, name: str, value: str) -> model.StoredObject:
+        """Write an object."""
+        self.revision += 1
+        item = model.StoredObject(name, self.revision, value)
+        self.items[name] = item
+        for way in self.ways:
+            way.notify()
+        return item
+
+    def changed(self, prefix: str, since: int) -> list[model.StoredObject]:
+        """Return the objects below prefix that are newer than since."""
+        return [
+            item
+            for name, item in self.items.items()
+            if name.startswith(prefix) and item.version > since
+        ]
+
+
+class FakeLinks:
+    """Links between hosts that carry every message."""
+
+    def __init__(self, world: 'HostWorld', address: str) -> None:
+        """Send for one host."""
+        self.world = world
+        self.address = address
+
+    def send(self, effect: model.SendPeer, now: float) -> None:
+        """Deliver a message a link's delay later."""
+        frame = wire.decode_peer(
+            wire.encode_peer(self.address, effect.message)
+        )
+        self.world.clock.callLater(
+            LINK_S, self.world.deliver, effect.address, frame
+        )
+
+    def close_idle(self, now: float) -> None:
+        """Keep all links."""
+
+
+class HostWorld:
+    """Some hosts, their runners and their store."""
+
+    def __init__(self, count: int, is_away: bool = False) -> None:
+        """Start hosts whose store answers or not."""
+        self.clock = MemoryReactorClock()
+        self.network = fakes.LabNetwork(self.clock)
+        self.objects = StoreObjects(self.clock, is_away)
+        self.runners: list[lab.ScriptedRunner] = []
+        self.stopped: dict[int, float] = {}
+        for index, name in enumerate('ab'):
+            self._add_runner(name, f'10.0.9.{index + 1}:80')
+        self.keep_keys(['k1'])
+        self.hosts = [self._host(index) for index in range(count)]
+        for host in self.hosts:
+            host.start()
+        self.run(6.0)
+
+    def _add_runner(self, name: str, address: str) -> None:
+        runner = lab.ScriptedRunner(self.clock, name, address, 'north')
+        self.network.runners[address] = runner
+        self.runners.append(runner)
+        self.set_runner(runner, 'live')
+
+    def set_runner(self, runner: lab.ScriptedRunner, state: str) -> None:
+        """Write a runner's entry."""
+        text = relay_decision_steps.entry_text(
+            address=runner.address, state=state
+        )
+        self.objects.put(f'runner/{runner.name}', text)
+
+    def keep_keys(self, keys: list[str]) -> model.StoredObject:
+        """Write a configuration with these keys."""
+        version = self.objects.revision + 1
+        text = json.dumps({'version': version, 'keys': keys})
+        return self.objects.put('config/main', text)
+
+    def _host(self, index: int) -> edge.RelayHost:
+        base = f'10.0.{index}.1'
+        entry = model.EntryHost(
+            f'host-{index}',
+            f'{base}:81',
+            f'{base}:84',
+            DOMAINS[index % len(DOMAINS)],
+            'here',
+        )
+        options = edge.HostOptions(
+            entry,
+            f'{base}:82',
+            f'{base}:83',
+            None,
+            ('10.0.0.1:84', '10.0.1.1:84'),
+            ('config/', 'runner/'),
+            8.0,
+            0.2,
+            50.0,
+            10.0,
+        )
+        logger = structlog.wrap_logger(structlog.ReturnLogger())
+        host = edge.RelayHost(
+            self.clock,
+            options,
+            Decoder(),
+            lambda on_result: FakeStore(self.objects, on_result),
+            lambda host, request: edge.HttpResponse(200),
+            logger,
+        )
+        caller: Any = self.network
+        host.caller = host.context.caller = host.stages.caller = caller
+        links: Any = FakeLinks(self, entry.peer_address)
+        host.peers = links
+
+        def note_stop() -> None:
+            self.stopped[index] = self.clock.seconds()
+
+        host.on_stopped = note_stop
+        return host
+
+    def restart(self, index: int) -> None:
+        """Replace a host by a new process that knows nothing."""
+        old = self.hosts[index]
+        links: Any = FakeLinks(self, 'nowhere')
+        links.send = lambda effect, now: None
+        old.peers = links
+        self.hosts[index] = self._host(index)
+        self.hosts[index].start()
+
+    def deliver(self, address: str, frame: Any) -> None:
+        """Hand a frame to the host at an address."""
+        for index, host in enumerate(self.hosts):
+            is_there = host.options.host.peer_address == address
+            if is_there and index not in self.stopped:
+                host._on_frame(frame)
+
+    def turn_away(self, index: int) -> None:
+        """Let the store answer nothing to one host."""
+        way = self.objects.ways[index]
+        way.is_away = True
+        way.notify()
+
+    def ask(self, index: int, path: str, key: str) -> fakes.LabExchange:
+        """Let a caller send a request to a host."""
+        facts = json.dumps({'request_id': 'r1', 'access_key': key})
+        request = edge.HttpRequest(
+            b'POST',
+            path.encode(),
+            ((b'host', b'one.example:80'), (b'facts', facts.encode())),
+        )
+        exchange = fakes.LabExchange(self.clock, request)
+        bound: Any = exchange
+        self.hosts[index]._on_call(bound)
+        return exchange
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.clock.seconds() + seconds
+        while self.clock.seconds() < end:
+            self.clock.advance(STEP_S)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -146,6 +146,7 @@
         self.front_port: Any = None
         self.leaving_at: float | None = None
         self.was_ready = False
+        self.is_stopped = False
         self.on_stopped: Callable[[], None] = lambda: None
 
     # Start and stop.
@@ -216,6 +217,7 @@
             self._stop(now)
 
     def _stop(self, now: float) -> None:
+        self.is_stopped = True
         self.logger.info('stop', open=len(self.open))
         for message in self.members.leave(now, time.time()):
             self._send_peer(message)
@@ -260,6 +262,8 @@
             )
         if self.leaving_at is not None:
             self._leave_step(now)
+        if self.is_stopped:
+            return
         self.reactor.callLater(TICK_S, self._tick)
 
     def _note_readiness(self, now: float) -> None:
