--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -3,7 +3,7 @@
 
   Scenario: a host that knows no configuration promises nothing
     Given 1 relay hosts whose store is silent
-    When a caller asks host 0 for "/work/1" with key "k1"
+    When a caller asks host 0 for "/job/1" with key "k1"
     Then it is answered 503 and told when to come back
     And host 0 is not ready
 
@@ -14,8 +14,8 @@
 
     Examples:
       | path    | key | status |
-      | /work/1 | k1  | 200    |
-      | /work/1 | odd | 401    |
+      | /job/1 | k1  | 200    |
+      | /job/1 | odd | 401    |
       | /none/1 | k1  | 404    |
       | /open/1 | odd | 200    |
 
@@ -57,7 +57,7 @@
   Scenario: a leaving host finishes what it took and is listed no more
     Given 2 relay hosts whose store answers
     And runners take 1.5 s
-    When a caller asks host 0 for "/work/1" with key "k1"
+    When a caller asks host 0 for "/job/1" with key "k1"
     And host 0 is told to leave
     Then host 0 is not ready and no host lists it
     And the caller is answered 200 before host 0 stops
--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -26,7 +26,7 @@
     values: dict[str, Any] = {
         'name': 'r',
         'host': 'one.example',
-        'path_prefix': '/work/',
+        'path_prefix': '/job/',
         'kind': relay.CallKind.REPEATABLE,
         'timeout_s': 4.0,
         'target_s': 0.5,
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -144,7 +144,7 @@
     """Ask every host once the time is over."""
     world = context.world
     world.run(seconds)
-    asked = [world.ask(n, '/work/1', key) for n in range(len(world.hosts))]
+    asked = [world.ask(n, '/job/1', key) for n in range(len(world.hosts))]
     world.run(ANSWER_S)
     assert [e.status for e in asked] == [status] * len(asked)
 
@@ -158,7 +158,7 @@
     before = len(leaving.arrivals)
     for index in range(len(world.hosts)):
         for _ in range(5):
-            world.ask(index, '/work/1', 'k1')
+            world.ask(index, '/job/1', 'k1')
     world.run(ANSWER_S)
     assert len(leaving.arrivals) == before
     sound = sum(len(r.arrivals) for r in world.runners)
@@ -186,7 +186,7 @@
 @then('a caller with key "{key}" is answered {status:d} there')
 def check_there(context: Any, key: str, status: int) -> None:
     """Ask the host that started anew."""
-    asked = context.world.ask(1, '/work/1', key)
+    asked = context.world.ask(1, '/job/1', key)
     context.world.run(ANSWER_S)
     assert asked.status == status, asked.status
 
--- a/features/steps/relay_http_steps.py
+++ b/features/steps/relay_http_steps.py
@@ -15,7 +15,7 @@
 import ragwort_relay as relay
 
 LIMITS = relay.CallerLimits(1024, 4096, 2.0, 5.0)
-HEAD = b'POST /work/1 HTTP/1.1\r\nHost: one.example\r\n'
+HEAD = b'POST /job/1 HTTP/1.1\r\nHost: one.example\r\n'
 EXAMPLES = 400
 
 REQUESTS = {
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -31,7 +31,7 @@
         return relay.RelayConfiguration(
             fields['version'],
             (
-                make(path_prefix='/work/', **once),
+                make(path_prefix='/job/', **once),
                 make(path_prefix='/open/', is_public=True, **once),
             ),
             {},
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -178,7 +178,7 @@
         """Let a caller send a request to a host."""
         configuration = host.catalog.configuration
         assert configuration is not None
-        request = edge.HttpRequest(b'POST', b'/work/1', (), b'body')
+        request = edge.HttpRequest(b'POST', b'/job/1', (), b'body')
         exchange = fakes.LabExchange(self.clock, request)
         bound: Any = exchange
         call = edge.RelayCall(
