Choose stage owners and addresses by processor and link

Change: hosts tell their capacity, the smaller of their cores and their link, with their membership record. Owners are chosen among hosts of at least half of the strongest one's capacity; callers' address lists name hosts in proportion to it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -12,6 +12,7 @@
       | an unknown key  | colour: red           | colour     |
       | a negative time | grace_s: -1           | grace_s    |
       | no name         | name: ''              | name       |
+      | a link of zero  | limits: {link_mbps: 0} | link_mbps |
 
   Scenario: the template gives settings that are valid
     When the settings template is filled in with an example
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -34,6 +34,9 @@
     'bounds.retryBudgetRatio': '0.2',
     'bounds.retryBudgetSlack': '52',
     'bounds.budgetWindowS': '10',
+    'limits.cpuShare': '0.5',
+    'limits.cores': '2',
+    'limits.linkMbps': '40.0',
 }
 ROUTE = {
     'name': 'briefing',
@@ -124,6 +127,7 @@
     assert settings.store == STORE
     assert settings.seeds == ['10.0.0.2:84']
     assert settings.retries.slack == 52
+    assert platform.host_options(settings).host.capacity == 0.4
 
 
 DEPLOY = pathlib.Path('deploy/system.toml')
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -493,10 +493,10 @@
         )
 
     def addresses(self, failure_domain: str, caller: str) -> list[str]:
-        """Return the addresses that callers should use, near ones first."""
+        """Return the addresses that callers should pick from at random."""
         found = membership.entry_addresses(
             self.members, failure_domain, caller
         )
         if not found:
             found = self.members.live()
-        return [update.caller_address for update in found[:MAX_ADDRESSES]]
+        return membership.weighted_addresses(found, MAX_ADDRESSES)
--- a/libs/ragwort_membership/ragwort_membership/__init__.py
+++ b/libs/ragwort_membership/ragwort_membership/__init__.py
@@ -2,8 +2,10 @@
 
 from ragwort_membership._directory import elected
 from ragwort_membership._directory import entry_addresses
+from ragwort_membership._directory import host_capacity
 from ragwort_membership._directory import owner_address
 from ragwort_membership._directory import owner_addresses
+from ragwort_membership._directory import weighted_addresses
 from ragwort_membership._membership import Member
 from ragwort_membership._membership import MemberChanged
 from ragwort_membership._membership import Membership
@@ -12,10 +14,12 @@
 __all__ = [
     'elected',
     'entry_addresses',
+    'host_capacity',
     'Member',
     'MemberChanged',
     'Membership',
     'owner_address',
     'owner_addresses',
     'PROBE_INTERVAL_S',
+    'weighted_addresses',
 ]
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -1,8 +1,22 @@
-"""Which entry addresses callers should use."""
+"""Which entry addresses callers should use, and which hosts hold roles."""
+
+from collections.abc import Sequence
 
 from ragwort_membership import _membership
 import ragwort_model as model
 
+# Link of a host that one core keeps busy: each request crosses it a few
+# times with some 10 KB in about 2 ms of a core.
+LINK_MBPS_PER_CORE = 100.0
+# Part of the strongest host's capacity that suffices to gather the work of
+# all hosts.
+OWNER_CAPACITY_SHARE = 0.5
+
+
+def host_capacity(cores: float, link_mbps: float) -> float:
+    """Return how much work a host can carry, in cores with links to match."""
+    return min(cores, link_mbps / LINK_MBPS_PER_CORE)
+
 
 def entry_addresses(
     members: _membership.Membership, failure_domain: str, caller: str
@@ -21,6 +35,31 @@
     return sorted(accepting, key=rank)
 
 
+def weighted_addresses(
+    updates: Sequence[model.MemberUpdate], most: int
+) -> list[str]:
+    """Return caller addresses, stronger hosts more often, at most so many.
+
+    Callers pick addresses at random, so that a host listed twice gets
+    twice the callers. Hosts whose part is below one entry fill the rest
+    in the order given.
+    """
+    largest = max((update.capacity for update in updates), default=0.0)
+    if all(update.capacity == largest for update in updates):
+        return [update.caller_address for update in updates[:most]]
+    total = sum(update.capacity for update in updates)
+    parts = [most * update.capacity / total for update in updates]
+    counts = [int(part) for part in parts]
+    order = sorted(range(len(updates)), key=lambda i: counts[i] - parts[i])
+    for index in order[: most - sum(counts)]:
+        counts[index] += 1
+    return [
+        update.caller_address
+        for update, count in zip(updates, counts, strict=True)
+        for _ in range(count)
+    ]
+
+
 def elected(
     members: _membership.Membership, role: str, count: int, region: str | None
 ) -> bool:
@@ -58,16 +97,34 @@
 ) -> list[str | None]:
     """Return the peer addresses of a key's owners, best first.
 
-    None stands for this node.
+    Owners are chosen among the strong hosts while there are any, since
+    the work of all hosts meets there. None stands for this node.
     """
     return [
         None
         if name == members.self_name
         else members.members[name].update.peer_address
-        for name in _holders(members, key, count, None)
+        for name in _owners(members, key, count)
     ]
 
 
+def _owners(
+    members: _membership.Membership, key: str, count: int
+) -> list[str]:
+    members.refresh_caches()
+    known = members.owner_cache.get((key, count))
+    if known is None:
+        names = _role_names(members, None)
+        capacity = {n: members.members[n].update.capacity for n in names}
+        least = OWNER_CAPACITY_SHARE * max(capacity.values(), default=0.0)
+        strong = [name for name in names if capacity[name] >= least]
+        weak = [name for name in names if capacity[name] < least]
+        known = model.rendezvous(key, strong, count)
+        known += model.rendezvous(key, weak, count - len(known))
+        members.owner_cache[key, count] = known
+    return known
+
+
 def owner_address(members: _membership.Membership, key: str) -> str | None:
     """Return the peer address of a key's owner, None if this node is it."""
     owners = owner_addresses(members, key, 1)
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -100,6 +100,7 @@
             host.failure_domain,
             host.region,
             False,
+            host.capacity,
         )
         self.members: dict[str, Member] = {host.name: Member(own, now)}
         self.by_address: dict[str, str] = {host.peer_address: host.name}
@@ -120,6 +121,7 @@
         self.view_hash = 0
         self.live_cache: dict[str | None, list[model.MemberUpdate]] = {}
         self.role_cache: dict[tuple[str, int, str | None], list[str]] = {}
+        self.owner_cache: dict[tuple[str, int], list[str]] = {}
         self.offsets: dict[str, float] = {}
         self._queue(host.name)
 
@@ -148,6 +150,7 @@
             self.cache_version = self.version
             self.live_cache.clear()
             self.role_cache.clear()
+            self.owner_cache.clear()
 
     def peers(self) -> list[str]:
         """Return the peer addresses of the other live nodes."""
--- a/libs/ragwort_model/ragwort_model/_domain.py
+++ b/libs/ragwort_model/ragwort_model/_domain.py
@@ -93,13 +93,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryHost:
-    """A host of the system with the addresses it listens on."""
+    """A host of the system with the addresses it listens on.
+
+    capacity is how much work it can carry, in hosts of one core and a
+    link to match.
+    """
 
     name: str
     caller_address: str
     peer_address: str
     failure_domain: str
     region: str
+    capacity: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberUpdate:
-    """What one node says about another."""
+    """What one node says about another; capacity as in EntryHost."""
 
     name: str
     incarnation: int
@@ -39,6 +39,7 @@
     failure_domain: str
     region: str
     accepting: bool
+    capacity: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -10,6 +10,7 @@
   6: string failure_domain
   7: string region
   8: bool accepting
+  9: double capacity = 1.0
 }
 
 struct Ping {
