Serve first what can be timely, and hold late work back behind queues

Results of late requests lay at the second stage's runners (up to 2985 pieces waited for room there) while they waited for the last stage.

Ruled out: empty calls (92 of 96 pieces in each call of the last stage), runners' queues (0 calls found one full), a slow owner (0.28 of a core).

Change: an owner chooses the groups that can all meet their targets at its pace and sets others aside, the least urgent rank and the latest target first; those are served with what is left. Targets of a stage count the queues of the stages behind it. A group that can only be late starts only while the services that read its results have no queue. Owners tell the queueing times of all services they know, for both kinds of work, and admission asks for the target first and for the deadline second.

--- /dev/null
+++ b/features/order_of_waiting.feature
@@ -0,0 +1,54 @@
+Feature: What waits for a service at its worst load
+  A service with one runner takes 4 pieces a call of 0.2 s; targets are 1 s
+  away and deadlines 5 s.
+
+  Scenario: a burst is served in time as far as the service can
+    Given 30 groups of 2 pieces wait
+    When the order is chosen
+    Then between 6 and 10 groups are timely
+    And all of those can be served within the target
+
+  Scenario: a more urgent rank sets a less urgent one aside
+    Given 10 groups of 2 pieces of rank 1 wait
+    And 6 groups of 2 pieces of rank 0 wait
+    When the order is chosen
+    Then every group of rank 0 is timely
+    And some group of rank 1 is set aside
+
+  Scenario: a group that can't be timely sets nothing aside
+    Given 6 groups of 2 pieces of rank 1 wait
+    And 1 groups of 40 pieces of rank 0 wait
+    When the order is chosen
+    Then every group of rank 1 is timely
+    And every group of rank 0 is set aside
+
+  Scenario: a group that was begun goes first
+    Given 6 groups of 2 pieces wait
+    And the last of them was begun
+    Then the first call holds its pieces
+
+  Scenario Outline: while the next service's queue is <queue> s long late work <does>
+    Given 1 groups of 2 pieces wait
+    And their targets have passed
+    Then with <queue> s of waiting behind it <does>
+
+    Examples:
+      | queue | does   |
+      | 0.0   | starts |
+      | 0.5   | waits  |
+
+  Scenario: timely work starts however long the next service's queue is
+    Given 1 groups of 2 pieces wait
+    Then with 9.0 s of waiting behind it starts
+
+  Scenario: late work is still served, behind what is timely
+    Given 2 groups of 2 pieces wait
+    And their targets have passed
+    And 1 groups of 2 pieces wait
+    Then 3 calls serve them all and the timely ones come first
+
+  Scenario: older word of a queue does not replace newer word
+    Given word of 3 s of waiting at 10.0 s
+    When word of 1 s of waiting at 9.5 s comes
+    Then 2.75 s of waiting are left at 10.25 s
+    And 0 s of waiting are left at 11.0 s
--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -125,3 +125,12 @@
       | calm          | 0.95  |
       | burst         | 0.75  |
       | long-overload | 0.45  |
+
+  Scenario Outline: what can be timely goes first under <pattern> load
+    When stage load "<pattern>" is played
+    Then waiting by due time alone serves fewer in time
+
+    Examples:
+      | pattern       |
+      | burst         |
+      | long-overload |
--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -48,6 +48,7 @@
 
   Scenario: what can't be done by its deadline is refused with a time
     Then a forecast of 6 s with 5 s left is refused and one of 3 s admitted
+    And what can meet its target is admitted however long others wait
 
   Scenario: stages of a long prompt go before those of a short one
     Given two groups with one target, of a prompt of 9000 and of 300 tokens
--- /dev/null
+++ b/features/steps/order_of_waiting_steps.py
@@ -0,0 +1,165 @@
+"""Steps of the order in which stage work waits."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+import ragwort_lab as lab
+import ragwort_relay as relay
+
+LIMITS = relay.BatchLimits(4, 0.16, 0.01, 1e9, 4.0)
+PACE = relay.Pace(4, 4 / LIMITS.duration_s(4), LIMITS.duration_s(4))
+TARGET_S = 1.0
+DEADLINE_S = 5.0
+
+
+def group_of(name: str, pieces: int, rank: int) -> relay.PieceGroup:
+    """Return a group that waits for its pieces."""
+    work = [relay.PieceWork(name, 0, p, 'key', ()) for p in range(pieces)]
+    return relay.PieceGroup(name, work, TARGET_S, DEADLINE_S, rank, 1.0, '')
+
+
+def queue_of(
+    groups: list[relay.PieceGroup],
+) -> list[relay.QueuedPiece]:
+    """Return the pieces of groups."""
+    return [relay.QueuedPiece(g, work) for g in groups for work in g.work]
+
+
+@given('{count:d} groups of {pieces:d} pieces wait')
+def set_groups(context: Any, count: int, pieces: int) -> None:
+    """Queue groups of rank 0."""
+    set_ranked(context, count, pieces, 0)
+
+
+@given('{count:d} groups of {pieces:d} pieces of rank {rank:d} wait')
+def set_ranked(context: Any, count: int, pieces: int, rank: int) -> None:
+    """Queue groups of a rank behind those that wait already."""
+    groups = getattr(context, 'groups', [])
+    first = len(groups)
+    context.groups = groups + [
+        group_of(f'g{index}', pieces, rank)
+        for index in range(first, first + count)
+    ]
+
+
+@given('their targets have passed')
+def pass_targets(context: Any) -> None:
+    """Leave the groups nothing but their deadlines."""
+    for group in context.groups:
+        group.target_at = 0.0
+
+
+@given('the last of them was begun')
+def begin_last(context: Any) -> None:
+    """Count a piece of the last group as sent."""
+    context.groups[-1].sends = 1
+
+
+@when('the order is chosen')
+def choose_order(context: Any) -> None:
+    """Choose the groups that can be timely."""
+    queue = queue_of(context.groups)
+    context.timely = relay.timely_groups(queue, PACE, 0.0)
+
+
+@then('between {least:d} and {most:d} groups are timely')
+def check_timely(context: Any, least: int, most: int) -> None:
+    """Count the groups."""
+    assert least <= len(context.timely) <= most, context.timely
+
+
+@then('all of those can be served within the target')
+def check_served(context: Any) -> None:
+    """Work through the chosen groups."""
+    pieces = sum(
+        len(group.work)
+        for group in context.groups
+        if group.group_id in context.timely
+    )
+    assert PACE.start_s(pieces) + PACE.work_s <= TARGET_S
+
+
+@then('every group of rank {rank:d} is {what}')
+def check_rank(context: Any, rank: int, what: str) -> None:
+    """Look for each group of a rank among the chosen."""
+    names = {g.group_id for g in context.groups if g.rank == rank}
+    expected = names if what == 'timely' else set()
+    assert names & context.timely == expected, context.timely
+
+
+@then('some group of rank {rank:d} is set aside')
+def check_set_aside(context: Any, rank: int) -> None:
+    """Look for a group of a rank that was not chosen."""
+    names = {g.group_id for g in context.groups if g.rank == rank}
+    assert names - context.timely
+
+
+def next_calls(
+    context: Any, following_wait_s: float = 0.0
+) -> list[relay.BatchCall]:
+    """Queue the groups and form the calls for one idle runner."""
+    gatherer = relay.Gatherer(LIMITS)
+    for group in context.groups:
+        gatherer.add(group)
+    return gatherer.next_calls(runners(), 0.0, following_wait_s)
+
+
+def runners() -> list[relay.FleetRunner]:
+    """Return one idle runner."""
+    world = lab.RelayWorld(hosts=1)
+    world.add_scripted('main', 1)
+    return world.hosts[0].catalog.fleet.usable('main', 0.0)
+
+
+@then('the first call holds its pieces')
+def check_first_call(context: Any) -> None:
+    """Look for the begun group in the first call."""
+    (call,) = next_calls(context)
+    last = context.groups[-1].group_id
+    assert {p.group.group_id for p in call.pieces[:2]} == {last}
+
+
+@then('with {wait:f} s of waiting behind it {does}')
+def check_held_back(context: Any, wait: float, does: str) -> None:
+    """Form calls while the next service's queue is so long."""
+    assert bool(next_calls(context, wait)) == (does == 'starts')
+
+
+@then('{count:d} calls serve them all and the timely ones come first')
+def check_all_served(context: Any, count: int) -> None:
+    """Take calls until the queue is empty; each answer frees the runner."""
+    gatherer = relay.Gatherer(relay.BatchLimits(2, 0.16, 0.01, 1e9, 4.0))
+    for group in context.groups:
+        gatherer.add(group)
+    served: list[str] = []
+    idle = runners()
+    for _ in range(count):
+        (call,) = gatherer.next_calls(idle, 0.0)
+        served += [piece.group.group_id for piece in call.pieces]
+        gatherer.on_answer(
+            call, [f'h{p.work.piece}' for p in call.pieces], 0.0
+        )
+    assert not gatherer.queue
+    assert served[0] == context.groups[-1].group_id, served
+
+
+@given('word of {wait:d} s of waiting at {at:f} s')
+def hear_first(context: Any, wait: int, at: float) -> None:
+    """Hear of a queue."""
+    context.waits = relay.QueueWaits()
+    context.waits.hear('main', relay.QueueWait(wait, 2.0 * wait, at))
+
+
+@when('word of {wait:d} s of waiting at {at:f} s comes')
+def hear_next(context: Any, wait: int, at: float) -> None:
+    """Hear of the same queue again."""
+    context.waits.hear('main', relay.QueueWait(wait, 2.0 * wait, at))
+
+
+@then('{left:g} s of waiting are left at {now:f} s')
+def check_left(context: Any, left: float, now: float) -> None:
+    """Ask for the queueing time."""
+    assert abs(context.waits.wait_s('main', now) - left) < 1e-9
--- a/libs/ragwort_edge/ragwort_edge/_call_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 from typing import Any
 
@@ -77,18 +78,25 @@
 
     def admit(self) -> relay.Admission:
         """Decide whether the request can be done in its time."""
-        waits = {
-            spec.service: self.context.stages.wait_s(spec.service)
-            for spec in self.route.stages
-        }
-        expected = relay.forecast(
+        now = self.context.reactor.seconds()
+        services = {spec.service for spec in self.route.stages}
+        self.context.stages.refresh_waits(services)
+        waits = self.context.stages.waits
+        return relay.admit(
+            self._forecast({s: waits.wait_s(s, now) for s in services}),
+            self._forecast({s: waits.late_wait_s(s, now) for s in services}),
+            self.times.target_at - now,
+            self.times.ends_at - now,
+            self.context.rng,
+        )
+
+    def _forecast(self, waits_s: Mapping[str, float]) -> relay.Forecast:
+        return relay.forecast(
             self.new_run(),
             self.configuration.services,
-            waits,
+            waits_s,
             relay.first_event_s(self.facts.prompt),
         )
-        left_s = self.times.ends_at - self.context.reactor.seconds()
-        return relay.admit(expected, left_s, self.context.rng)
 
     async def make(self) -> None:
         """Make all stages; raise Refusal if that can't be done."""
@@ -121,6 +129,12 @@
             made.addCallback(self._on_stage, run, stage, done)
             made.addErrback(self._on_stage_error, done)
 
+    def _all_usual_s(self, run: relay.StageRun) -> list[float]:
+        return [
+            self._usual_s(spec.service, run.pieces[index])
+            for index, spec in enumerate(self.route.stages)
+        ]
+
     def _on_stage_error(
         self, failure: Any, done: 'defer.Deferred[None]'
     ) -> None:
@@ -128,17 +142,20 @@
             done.errback(failure)
 
     def _group(self, run: relay.StageRun, stage: int) -> relay.PieceGroup:
-        usual_s = [
-            self._usual_s(spec.service, run.pieces[index])
-            for index, spec in enumerate(self.route.stages)
+        now = self.context.reactor.seconds()
+        usual_s = self._all_usual_s(run)
+        with_waits_s = [
+            work_s + self.context.stages.waits.wait_s(spec.service, now)
+            for work_s, spec in zip(usual_s, self.route.stages, strict=True)
         ]
-        after_s = relay.stage_targets(run, stage, usual_s)
-        after_s += relay.first_event_s(self.facts.prompt)
+        first_s = relay.first_event_s(self.facts.prompt)
+        target_s = relay.stage_targets(run, stage, with_waits_s) + first_s
+        deadline_s = relay.stage_targets(run, stage, usual_s) + first_s
         return relay.PieceGroup(
             '',
             run.work(stage),
-            self.times.target_at - after_s,
-            self.times.ends_at - after_s,
+            self.times.target_at - target_s,
+            self.times.ends_at - deadline_s,
             self.times.rank,
             self.route.stages[stage].result_bytes,
             self._wanted_domain(run, stage),
--- a/libs/ragwort_edge/ragwort_edge/_relay_call.py
+++ b/libs/ragwort_edge/ragwort_edge/_relay_call.py
@@ -194,7 +194,8 @@
         admission = self.stages.admit()
         self.notes['forecast_s'] = round(admission.forecast.total_s, 3)
         self.notes['queue_s'] = round(admission.forecast.queue_s, 3)
-        if admission.verdict != relay.Verdict.ADMIT:
+        self.notes['admission'] = str(admission.verdict)
+        if admission.verdict == relay.Verdict.TOO_LATE:
             raise _context.Refusal(
                 'queues are too long', admission.retry_after_s
             )
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -52,6 +52,7 @@
         budget: relay.RetryBudget,
         metrics: _metrics.Metrics,
         logger: Any,
+        waits: relay.QueueWaits,
         send_peer: Callable[[model.SendPeer], None],
         on_outcomes: OnOutcomes,
     ) -> None:
@@ -63,6 +64,8 @@
         self.budget = budget
         self.metrics = metrics
         self.logger = logger
+        self.waits = waits
+        self.choose_timely: relay.ChooseTimely = relay.timely_groups
         self.send_peer = send_peer
         self.on_outcomes = on_outcomes
         self.owned: dict[str, _Owned] = {}
@@ -75,18 +78,29 @@
         self.room_checks: dict[str, float] = {}
         self.pump_timers: dict[str, Any] = {}
 
-    def wait_s(self, service: str) -> float:
-        """Return the queueing time of a service at this host."""
-        now = self.reactor.seconds()
-        runners = self.catalog.fleet.usable(service, now)
+    def note_wait(self, service: str) -> None:
+        """Bring what is known of a queue at this host up to date."""
         gatherer = self._gatherer(service)
-        return gatherer.wait_s(len(runners), now) if gatherer else 0.0
+        if gatherer is not None:
+            now = self.reactor.seconds()
+            runners = self.catalog.fleet.usable(service, now)
+            self.waits.hear(service, gatherer.queue_wait(runners, now))
+
+    def _known_waits(self, service: str) -> list[model.ServiceWait]:
+        self.note_wait(service)
+        now = self.reactor.seconds()
+        return [
+            model.ServiceWait(
+                name, word.wait_s, word.late_wait_s, now - word.at
+            )
+            for name, word in self.waits.fresh(now).items()
+        ]
 
     def on_ask(self, sender: str, message: model.StageAsk) -> None:
         """Take a group from another host, or say that it is here."""
         now = self.reactor.seconds()
-        wait_s = self.wait_s(message.service_name)
-        taken = model.StageTaken(message.group, wait_s)
+        waits = self._known_waits(message.service_name)
+        taken = model.StageTaken(message.group, waits)
         self.send_peer(model.SendPeer(sender, taken))
         if message.group in self.owned:
             return
@@ -129,7 +143,8 @@
             return self.gatherers.get(service)
         known = self.gatherers.get(service)
         if known is None:
-            known = self.gatherers[service] = relay.Gatherer(spec.batch)
+            known = relay.Gatherer(spec.batch, self.choose_timely)
+            self.gatherers[service] = known
         known.limits = spec.batch
         return known
 
@@ -203,15 +218,23 @@
             return
         now = self.reactor.seconds()
         runners = self.catalog.fleet.usable(service, now)
-        for piece in gatherer.take_hopeless(len(runners), now):
+        for piece in gatherer.take_hopeless(runners, now):
             self._settle(piece.group, [piece.work.piece], 'late')
         if gatherer.queue:
             self._check_room(gatherer, runners)
-        for call in gatherer.next_calls(runners, now):
+        following_s = self._following_wait_s(service, now)
+        for call in gatherer.next_calls(runners, now, following_s):
             self._send(service, gatherer, call)
         if gatherer.queue:
             self.pump_soon(service, PUMP_S)
 
+    def _following_wait_s(self, service: str, now: float) -> float:
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return 0.0
+        following = configuration.following_services.get(service, ())
+        return self.waits.longest_late_s(following, now)
+
     def _send(
         self, service: str, gatherer: relay.Gatherer, call: relay.BatchCall
     ) -> None:
@@ -244,6 +267,8 @@
             near=sum(p.group.failure_domain == domain for p in call.pieces),
             late=sum(p.group.target_at < now for p in call.pieces),
             waiting=len(gatherer.queue),
+            timely=gatherer.timely_pieces,
+            following_s=round(self._following_wait_s(service, now), 3),
             used_bytes=int(gatherer.used_bytes.get(call.runner.name, 0)),
             slowness=round(call.runner.slowness, 2),
         )
@@ -415,8 +440,8 @@
     ) -> None:
         if owned.origin is None:
             return
-        wait_s = self.wait_s(owned.service)
-        reply = model.StageReply(group_id, owned.service, outcomes, wait_s)
+        waits = self._known_waits(owned.service)
+        reply = model.StageReply(group_id, owned.service, outcomes, waits)
         self.send_peer(model.SendPeer(owned.origin, reply))
 
     def queue_release(self, handles: list[str]) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
 import itertools
@@ -29,8 +30,6 @@
 MAX_MAKERS = 8192
 # Hosts that take over a stage service in turn when its owner is silent.
 OWNER_CANDIDATES = 3
-# Age after which an owner's word on its queue is no longer used.
-WAIT_MAX_AGE_S = 1.0
 
 Outcomes = dict[int, model.PieceOutcome]
 
@@ -75,6 +74,7 @@
         self.send_peer = send_peer
         self.owners_of = owners_of
         self.catalog = catalog
+        self.waits = relay.QueueWaits()
         self.owner = _stage_owner.StageOwner(
             reactor,
             caller,
@@ -83,6 +83,7 @@
             budget,
             metrics,
             logger,
+            self.waits,
             send_peer,
             self._on_outcomes,
         )
@@ -93,7 +94,6 @@
             collections.OrderedDict()
         )
         self.avoided: dict[str, float] = {}
-        self.waits: dict[str, tuple[float, float]] = {}
         self.makers: collections.OrderedDict[str, str | None] = (
             collections.OrderedDict()
         )
@@ -103,13 +103,11 @@
         """Tell whether nothing is gathered or asked for."""
         return not self.owner.owned and not self.wanted
 
-    def wait_s(self, service: str) -> float:
-        """Return the queueing time of a service as last heard."""
-        if self._owner(service) is None:
-            return self.owner.wait_s(service)
-        wait_s, at = self.waits.get(service, (0.0, 0.0))
-        age_s = self.reactor.seconds() - at
-        return max(wait_s - age_s, 0.0) if age_s < WAIT_MAX_AGE_S else 0.0
+    def refresh_waits(self, services: Iterable[str]) -> None:
+        """Bring up to date what is known of queues at this host."""
+        for service in services:
+            if self._owner(service) is None:
+                self.owner.note_wait(service)
 
     def _owner(self, service: str) -> str | None:
         """Return the first owner that is not silent, None for this host."""
@@ -167,10 +165,17 @@
         wanted = self.wanted.get(message.group)
         if wanted is None or wanted.owner is None:
             return
-        now = self.reactor.seconds()
-        self.waits[wanted.service] = (message.wait_s, now)
+        self._hear_waits(message.waits)
         self._set_timer(wanted, OWNER_CHECK_S, self._check_owner)
 
+    def _hear_waits(self, waits: Iterable[model.ServiceWait]) -> None:
+        now = self.reactor.seconds()
+        for wait in waits:
+            word = relay.QueueWait(
+                wait.wait_s, wait.late_wait_s, now - wait.age_s
+            )
+            self.waits.hear(wait.service_name, word)
+
     def _check_owner(self, group_id: str) -> None:
         wanted = self.wanted.get(group_id)
         if wanted is not None and wanted.owner is not None:
@@ -230,8 +235,7 @@
 
     def on_reply(self, message: model.StageReply) -> None:
         """Take outcomes from an owner."""
-        now = self.reactor.seconds()
-        self.waits[message.service_name] = (message.wait_s, now)
+        self._hear_waits(message.waits)
         self._on_outcomes(message.group, message.outcomes)
 
     def _on_outcomes(
@@ -265,8 +269,8 @@
 
     def _log_made(self, wanted: _Wanted) -> None:
         group = wanted.group
-        waited_s, heard_at = self.waits.get(wanted.service, (0.0, 0.0))
         now = self.reactor.seconds()
+        word = self.waits.known.get(wanted.service)
         self.logger.info(
             'stage-done',
             request=group.work[0].request_id,
@@ -277,8 +281,9 @@
             owner=wanted.owner or self.name,
             took_s=round(now - wanted.asked_at, 3),
             slack_s=round(group.target_at - now, 3),
-            queue_s=round(waited_s, 3),
-            queue_age_s=round(now - heard_at, 3) if heard_at else None,
+            queue_s=round(word.wait_s, 3) if word else None,
+            queue_late_s=round(word.late_wait_s, 3) if word else None,
+            queue_age_s=round(now - word.at, 3) if word else None,
         )
 
     def _release_unwanted(self, outcomes: list[model.PieceOutcome]) -> None:
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -36,6 +36,7 @@
 from ragwort_lab._stage_bench import PATTERNS
 from ragwort_lab._stage_bench import run_stage_pattern
 from ragwort_lab._stage_bench import StageFigures
+from ragwort_lab._stage_bench import StageRule
 from ragwort_lab._state_bench import LedgerRun
 from ragwort_lab._trace import Dispatch
 from ragwort_lab._trace import Submission
@@ -71,6 +72,7 @@
     'Run',
     'run_case',
     'run_stage_pattern',
+    'StageRule',
     'scale_world',
     'SCENARIOS',
     'ScriptedRunner',
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -62,6 +62,7 @@
 from ragwort_model._peer import PieceOutcome
 from ragwort_model._peer import Ping
 from ragwort_model._peer import SendPeer
+from ragwort_model._peer import ServiceWait
 from ragwort_model._peer import StageAsk
 from ragwort_model._peer import StageDrop
 from ragwort_model._peer import StageRelease
@@ -194,6 +195,7 @@
     'split_address',
     'stable_hash',
     'StageAlive',
+    'ServiceWait',
     'StageAsk',
     'StageCall',
     'StageChunk',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -195,12 +195,25 @@
     failure_domain: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceWait:
+    """The queueing times of a stage service that were so age_s ago.
+
+    What can be timely waits wait_s, what can only be late late_wait_s.
+    """
+
+    service_name: str
+    wait_s: float
+    late_wait_s: float
+    age_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageTaken:
-    """The owner has the pieces; wait_s is the queueing time ahead."""
+    """The owner has the pieces; waits is what it knows of queues."""
 
     group: str
-    wait_s: float
+    waits: list[ServiceWait]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -214,12 +227,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageReply:
-    """Outcomes of some pieces, with the service's queueing time."""
+    """Outcomes of some pieces, and what the owner knows of queues."""
 
     group: str
     service_name: str
     outcomes: list[PieceOutcome]
-    wait_s: float
+    waits: list[ServiceWait]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -22,10 +22,13 @@
 from ragwort_relay._fleet import Fleet
 from ragwort_relay._fleet import FleetRunner
 from ragwort_relay._fleet import RunnerEntry
-from ragwort_relay._gather import BatchCall
 from ragwort_relay._gather import Gatherer
-from ragwort_relay._gather import PieceGroup
-from ragwort_relay._gather import QueuedPiece
+from ragwort_relay._order import ChooseTimely
+from ragwort_relay._order import Pace
+from ragwort_relay._order import timely_groups
+from ragwort_relay._pieces import BatchCall
+from ragwort_relay._pieces import PieceGroup
+from ragwort_relay._pieces import QueuedPiece
 from ragwort_relay._prompts import choose_engine
 from ragwort_relay._prompts import choose_plain
 from ragwort_relay._prompts import PromptMemory
@@ -41,6 +44,8 @@
 from ragwort_relay._routes import Workspace
 from ragwort_relay._stages import PieceWork
 from ragwort_relay._stages import StageRun
+from ragwort_relay._waits import QueueWait
+from ragwort_relay._waits import QueueWaits
 
 __all__ = [
     'Admission',
@@ -52,6 +57,7 @@
     'CallKind',
     'choose_engine',
     'choose_plain',
+    'ChooseTimely',
     'EventCutter',
     'first_event_s',
     'Fleet',
@@ -62,11 +68,14 @@
     'next_step',
     'NextStep',
     'ObjectDecoder',
+    'Pace',
     'PieceGroup',
     'PieceWork',
     'PromptMemory',
     'PromptPart',
     'QueuedPiece',
+    'QueueWait',
+    'QueueWaits',
     'RelayCatalog',
     'RelayConfiguration',
     'retry_after_s',
@@ -81,6 +90,7 @@
     'StageSpec',
     'StreamEvent',
     'StreamProgress',
+    'timely_groups',
     'Verdict',
     'WindowCounter',
     'Workspace',
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -29,6 +29,7 @@
     """What admission decided."""
 
     ADMIT = 'admit'
+    ADMIT_LATE = 'admit_late'
     TOO_LATE = 'too_late'
 
 
@@ -79,10 +80,23 @@
     return Forecast(total_s + first_s, total_s - run.path_s(work_s))
 
 
-def admit(expected: Forecast, left_s: float, rng: random.Random) -> Admission:
-    """Decide on a request with left_s seconds to its deadline."""
+def admit(
+    timely: Forecast,
+    expected: Forecast,
+    target_s: float,
+    left_s: float,
+    rng: random.Random,
+) -> Admission:
+    """Decide on a request with left_s seconds to its deadline.
+
+    What can meet its target, target_s from now, goes before what can only
+    be late: timely is the forecast for that, expected the one behind all
+    that waits.
+    """
+    if timely.total_s <= target_s:
+        return Admission(Verdict.ADMIT, timely, left_s)
     if expected.total_s <= left_s * FORECAST_SHARE:
-        return Admission(Verdict.ADMIT, expected, left_s)
+        return Admission(Verdict.ADMIT_LATE, expected, left_s)
     excess_s = expected.total_s - left_s * FORECAST_SHARE
     return Admission(
         Verdict.TOO_LATE, expected, left_s, retry_after_s(excess_s, rng)
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -6,13 +6,16 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import itertools
 import math
 
 from ragwort_relay import _fleet
+from ragwort_relay import _order
+from ragwort_relay import _pieces
 from ragwort_relay import _routes
-from ragwort_relay import _stages
+from ragwort_relay import _waits
 
 # A runner this much slower than usual gets a call only if the others
 # could not have done it by then.
@@ -23,84 +26,29 @@
 FULL_S = 0.3
 # Smallest room that runners tell precisely enough to count by.
 MIN_TOLD_ROOM_BYTES = 8e6
-# Urgency of a rank in seconds of slack.
-RANK_S = 0.25
-# Patience with a call, as a multiple of its expected time and at least.
-PATIENCE_FACTOR = 3.0
-PATIENCE_S = 0.6
+# Queueing time of the services that follow up to which results for requests
+# that can only be late are made: more would lie there and take the room.
+MAX_FOLLOWING_WAIT_S = 0.15
 # Time between the end of a call here and its answer at the asking host.
 RETURN_S = 0.03
 
 
-@dataclasses.dataclass(slots=True)
-class PieceGroup:
-    """The pieces of one stage of one request, wanted by one host.
-
-    failure_domain is where the inputs lie or the results will be read,
-    empty where that does not matter.
-    target_at and deadline_at are when the stage has to be done to meet the
-    request's target and its deadline, in seconds of this host's clock.
-    """
-
-    group_id: str
-    work: list[_stages.PieceWork]
-    target_at: float
-    deadline_at: float
-    rank: int
-    result_bytes: float
-    failure_domain: str
-    sends: int = 0
-
-    def slack_s(self, now: float, work_s: float) -> float:
-        """Return the time to spare before the target, in seconds."""
-        return self.target_at - now - work_s
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueuedPiece:
-    """One piece that waits for a call."""
-
-    group: PieceGroup
-    work: _stages.PieceWork
-
-
-@dataclasses.dataclass(slots=True)
-class BatchCall:
-    """A call to one runner; patience_s is when to give it up."""
-
-    call_id: int
-    runner: _fleet.FleetRunner
-    pieces: list[QueuedPiece]
-    sent_at: float
-    expected_s: float
-
-    @property
-    def patience_s(self) -> float:
-        """Return how long to wait for the answer."""
-        return max(PATIENCE_FACTOR * self.expected_s, PATIENCE_S)
-
-    @property
-    def result_bytes(self) -> float:
-        """Return the room that the results will take."""
-        return sum(piece.group.result_bytes for piece in self.pieces)
-
-
 @dataclasses.dataclass(slots=True)
 class _FormingCall:
     """A call to an idle runner while its pieces are chosen."""
 
     runner: _fleet.FleetRunner
     free_bytes: float
-    pieces: list[QueuedPiece] = dataclasses.field(default_factory=list)
+    pieces: list[_pieces.QueuedPiece] = dataclasses.field(default_factory=list)
 
     @property
     def failure_domain(self) -> str:
         return self.runner.entry.runner.failure_domain
 
-    def holds(self, group: PieceGroup) -> bool:
+    def holds(self, group: _pieces.PieceGroup) -> bool:
         return any(piece.group is group for piece in self.pieces)
 
-    def add(self, piece: QueuedPiece) -> None:
+    def add(self, piece: _pieces.QueuedPiece) -> None:
         self.pieces.append(piece)
         self.free_bytes -= piece.group.result_bytes
 
@@ -108,20 +56,28 @@
 class Gatherer:
     """Queue of pieces for one service, and the calls made of it."""
 
-    def __init__(self, limits: _routes.BatchLimits) -> None:
+    def __init__(
+        self,
+        limits: _routes.BatchLimits,
+        choose_timely: _order.ChooseTimely = _order.timely_groups,
+    ) -> None:
         """Start empty."""
         self.limits = limits
-        self.queue: list[QueuedPiece] = []
-        self.calls: dict[int, BatchCall] = {}
+        self.choose_timely = choose_timely
+        self.queue: list[_pieces.QueuedPiece] = []
+        self.timely: set[str] = set()
+        self.timely_pieces = 0
+        self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
         self.kept: dict[str, tuple[str, float, float]] = {}
         self.used_bytes: dict[str, float] = {}
         self.full_until: dict[str, tuple[float, float]] = {}
         self.foreign_bytes: dict[str, float] = {}
 
-    def add(self, group: PieceGroup) -> None:
+    def add(self, group: _pieces.PieceGroup) -> None:
         """Queue the pieces of a group."""
-        self.queue += [QueuedPiece(group, work) for work in group.work]
+        self.queue += [_pieces.QueuedPiece(group, work) for work in group.work]
+        self.timely_pieces += len(group.work)
 
     def drop(self, group_id: str) -> int:
         """Take out what waits of a group that nobody wants any more."""
@@ -131,45 +87,52 @@
         ]
         return before - len(self.queue)
 
-    def take_hopeless(self, runners: int, now: float) -> list[QueuedPiece]:
+    def take_hopeless(
+        self, runners: Sequence[_fleet.FleetRunner], now: float
+    ) -> list[_pieces.QueuedPiece]:
         """Take out the pieces that can't be made before their deadline.
 
         Those behind them in the queue move up, so that waiting for the
         deadline to pass would help nobody.
         """
-        self.queue.sort(key=lambda piece: self._urgency(piece, now))
-        full_s = self.limits.duration_s(self.limits.batch)
-        round_size = self.limits.batch * max(runners, 1)
+        pace = self._sort(runners, now)
         least_s = self.limits.duration_s(1)
-        kept: list[QueuedPiece] = []
-        hopeless: list[QueuedPiece] = []
+        kept: list[_pieces.QueuedPiece] = []
+        hopeless: list[_pieces.QueuedPiece] = []
         for piece in self.queue:
-            rounds = len(kept) // round_size
-            ready_at = now + rounds * full_s + least_s
-            is_late = ready_at > piece.group.deadline_at
+            start_s = pace.start_s(len(kept) + 1) if runners else 0.0
+            is_late = now + start_s + least_s > piece.group.deadline_at
             (hopeless if is_late else kept).append(piece)
         self.queue = kept
         return hopeless
 
     def next_calls(
-        self, runners: Iterable[_fleet.FleetRunner], now: float
-    ) -> list[BatchCall]:
-        """Return the calls to send now, most urgent pieces first."""
+        self,
+        runners: Sequence[_fleet.FleetRunner],
+        now: float,
+        following_wait_s: float = 0.0,
+    ) -> list[_pieces.BatchCall]:
+        """Return the calls to send now, most urgent pieces first.
+
+        following_wait_s is the queueing time of the services that read the
+        results.
+        """
         self._expire_results(now)
         usable = {runner.name: runner for runner in runners}
-        busy = {call.runner.name for call in self.calls.values()}
-        idle = [r for name, r in usable.items() if name not in busy]
+        idle = self._idle(runners)
         if not self.queue or not idle:
             return []
-        self.queue.sort(key=lambda piece: self._urgency(piece, now))
+        self._sort(runners, now)
         forming = [
             _FormingCall(runner, self._free_bytes(runner, now))
             for runner in sorted(idle, key=lambda r: (r.slowness, r.name))
             if self._is_worth(runner, usable, now)
         ]
-        waiting: list[QueuedPiece] = []
+        waiting: list[_pieces.QueuedPiece] = []
         for piece in self.queue:
-            place = self._place(piece, forming, usable, now)
+            place = None
+            if not self._is_held_back(piece.group, following_wait_s):
+                place = self._place(piece, forming, usable, now)
             if place is None:
                 waiting.append(piece)
             else:
@@ -177,9 +140,50 @@
         self.queue = waiting
         return [self._start(call, now) for call in forming if call.pieces]
 
+    def _idle(
+        self, runners: Iterable[_fleet.FleetRunner]
+    ) -> list[_fleet.FleetRunner]:
+        busy = {call.runner.name for call in self.calls.values()}
+        return [runner for runner in runners if runner.name not in busy]
+
+    def _is_held_back(
+        self, group: _pieces.PieceGroup, following_wait_s: float
+    ) -> bool:
+        """Tell whether results would only lie in the way of timely ones."""
+        if group.sends or group.group_id in self.timely:
+            return False
+        return following_wait_s > MAX_FOLLOWING_WAIT_S
+
+    def _pace(self, runners: Sequence[_fleet.FleetRunner]) -> _order.Pace:
+        """Return how fast the runners take what waits."""
+        limits = self.limits
+        count = max(len(runners), 1)
+        slowness = sum(r.slowness for r in runners) / count if runners else 1.0
+        full_s = limits.duration_s(limits.batch) * slowness
+        idle = len(self._idle(runners))
+        size = min(math.ceil(len(self.queue) / max(idle, 1)), limits.batch)
+        return _order.Pace(
+            idle * limits.batch,
+            len(runners) * limits.batch / full_s,
+            limits.duration_s(size) * slowness,
+        )
+
+    def _sort(
+        self, runners: Sequence[_fleet.FleetRunner], now: float
+    ) -> _order.Pace:
+        """Put the queue in order and return the pace it goes at."""
+        pace = self._pace(runners)
+        self.timely = self.choose_timely(self.queue, pace, now)
+        self.timely_pieces = sum(
+            piece.group.sends > 0 or piece.group.group_id in self.timely
+            for piece in self.queue
+        )
+        self.queue.sort(key=self._urgency)
+        return pace
+
     def _place(
         self,
-        piece: QueuedPiece,
+        piece: _pieces.QueuedPiece,
         forming: list['_FormingCall'],
         usable: dict[str, _fleet.FleetRunner],
         now: float,
@@ -205,7 +209,7 @@
         mine = [c for c in places if c.holds(group)]
         return mine[0] if mine else max(places, key=lambda c: len(c.pieces))
 
-    def _fits(self, call: '_FormingCall', group: PieceGroup) -> bool:
+    def _fits(self, call: '_FormingCall', group: _pieces.PieceGroup) -> bool:
         """Tell whether a call can take a piece of a group.
 
         A group that was not begun starts only in a call that can hold all
@@ -239,22 +243,17 @@
         )
 
     def _urgency(
-        self, piece: QueuedPiece, now: float
+        self, piece: _pieces.QueuedPiece
     ) -> tuple[bool, bool, float, str, int, int]:
-        """Return the order of pieces.
-
-        A group that was begun goes first: what is made of it takes room
-        at a runner until the rest is made. What can only be late goes
-        after what can be in time.
-        """
+        """Return the order of pieces: begun, timely and late groups."""
         group = piece.group
-        is_late = now + self.limits.duration_s(1) > group.target_at
+        is_late = group.group_id not in self.timely
         due = group.deadline_at if is_late else group.target_at
         work = piece.work
         return (
             not group.sends,
             is_late,
-            due + RANK_S * group.rank,
+            due + _order.RANK_S * group.rank,
             work.request_id,
             work.stage,
             work.piece,
@@ -292,10 +291,10 @@
         free = self.limits.room_bytes - used - foreign
         return min(free, least) if now < until else free
 
-    def _start(self, forming: '_FormingCall', now: float) -> BatchCall:
+    def _start(self, forming: '_FormingCall', now: float) -> _pieces.BatchCall:
         runner = forming.runner
         usual_s = self.limits.duration_s(len(forming.pieces))
-        call = BatchCall(
+        call = _pieces.BatchCall(
             next(self.call_ids),
             runner,
             forming.pieces,
@@ -311,7 +310,7 @@
         self.used_bytes[runner] = max(used, 0.0)
 
     def on_answer(
-        self, call: BatchCall, handles: list[str | None], now: float
+        self, call: _pieces.BatchCall, handles: list[str | None], now: float
     ) -> None:
         """Take a call's answer: a handle, or None, for each piece."""
         self.calls.pop(call.call_id, None)
@@ -327,7 +326,9 @@
                 size = piece.group.result_bytes
                 self.kept[handle] = (runner.name, size, until)
 
-    def on_no_room(self, call: BatchCall, size: float, now: float) -> None:
+    def on_no_room(
+        self, call: _pieces.BatchCall, size: float, now: float
+    ) -> None:
         """Send a runner only smaller results for a while.
 
         Its room is taken by results that this host does not count: of an
@@ -352,7 +353,7 @@
         until, _ = self.full_until.get(runner, (now, 0.0))
         return now < until or self.foreign_bytes.get(runner, 0.0) > 0.0
 
-    def on_failure(self, call: BatchCall) -> None:
+    def on_failure(self, call: _pieces.BatchCall) -> None:
         """Forget a call that brought no answer."""
         self.calls.pop(call.call_id, None)
         self._use(call.runner.name, -call.result_bytes)
@@ -368,18 +369,15 @@
         over = [h for h, (_, _, until) in self.kept.items() if now >= until]
         self.release(over)
 
-    def wait_s(self, runners: int, now: float) -> float:
+    def queue_wait(
+        self, runners: Sequence[_fleet.FleetRunner], now: float
+    ) -> _waits.QueueWait:
         """Return how long a new piece waits before its call starts."""
         if not runners:
-            return 0.0
-        limits = self.limits
-        full_s = limits.duration_s(limits.batch)
-        left_s = sum(
-            max(call.sent_at + call.expected_s - now, 0.0)
-            for call in self.calls.values()
+            return _waits.QueueWait(0.0, 0.0, now)
+        pace = self._pace(runners)
+        return _waits.QueueWait(
+            pace.start_s(self.timely_pieces + 1),
+            pace.start_s(len(self.queue) + 1),
+            now,
         )
-        queued_s = len(self.queue) / limits.batch * full_s
-        idle = runners - len(self.calls)
-        if idle > 0 and len(self.queue) < limits.batch:
-            return 0.0
-        return (left_s + queued_s) / runners
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -144,6 +144,17 @@
         """Return the workspace of each access key."""
         return {key: w for w in self.workspaces for key in w.keys}
 
+    @functools.cached_property
+    def following_services(self) -> dict[str, frozenset[str]]:
+        """Return the stage services that read each service's results."""
+        following: dict[str, set[str]] = {}
+        for route in self.routes:
+            for spec in route.stages:
+                for needed in spec.after:
+                    before = route.stages[needed].service
+                    following.setdefault(before, set()).add(spec.service)
+        return {name: frozenset(found) for name, found in following.items()}
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
--- /dev/null
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -0,0 +1,61 @@
+"""Queueing times of stage services, as this host last heard of them."""
+
+from collections.abc import Iterable
+import dataclasses
+
+# Age after which word of a queue is no longer used.
+MAX_AGE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueWait:
+    """Queueing times of a service in seconds, and when they were so.
+
+    A request that can be timely waits wait_s; one that can only be late
+    waits late_wait_s.
+    """
+
+    wait_s: float
+    late_wait_s: float
+    at: float
+
+
+class QueueWaits:
+    """What this host knows of queues, its own among them."""
+
+    def __init__(self) -> None:
+        """Start without any word."""
+        self.known: dict[str, QueueWait] = {}
+
+    def hear(self, service: str, word: QueueWait) -> None:
+        """Take word of a service unless there is newer one."""
+        known = self.known.get(service)
+        if known is None or word.at >= known.at:
+            self.known[service] = word
+
+    def fresh(self, now: float) -> dict[str, QueueWait]:
+        """Return what is not too old to be used."""
+        return {
+            service: word
+            for service, word in self.known.items()
+            if now - word.at < MAX_AGE_S
+        }
+
+    def wait_s(self, service: str, now: float) -> float:
+        """Return the queueing time for what can be timely."""
+        word = self.known.get(service)
+        return _left_s(word, word.wait_s, now) if word else 0.0
+
+    def late_wait_s(self, service: str, now: float) -> float:
+        """Return the queueing time for what can only be late."""
+        word = self.known.get(service)
+        return _left_s(word, word.late_wait_s, now) if word else 0.0
+
+    def longest_late_s(self, services: Iterable[str], now: float) -> float:
+        """Return the longest queueing time of some services."""
+        return max((self.late_wait_s(s, now) for s in services), default=0.0)
+
+
+def _left_s(word: QueueWait, wait_s: float, now: float) -> float:
+    age_s = now - word.at
+    return max(wait_s - age_s, 0.0) if age_s < MAX_AGE_S else 0.0
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -117,9 +117,16 @@
   8: string failure_domain
 }
 
+struct ServiceWait {
+  1: string service_name
+  2: double wait_s
+  3: double late_wait_s
+  4: double age_s
+}
+
 struct StageTaken {
   1: string group
-  2: double wait_s
+  2: list<ServiceWait> waits
 }
 
 struct PieceOutcome {
@@ -132,7 +139,7 @@
   1: string group
   2: string service_name
   3: list<PieceOutcome> outcomes
-  4: double wait_s
+  4: list<ServiceWait> waits
 }
 
 struct StageDrop {
