Leave a call to work from the runner's domain while others can wait

Change: at an idle runner, groups that have time for another call leave this one to timely groups whose inputs or readers are in its domain.

--- a/features/order_of_waiting.feature
+++ b/features/order_of_waiting.feature
@@ -41,6 +41,17 @@
     Given 1 groups of 2 pieces wait
     Then with 9.0 s of waiting behind it starts
 
+  Scenario Outline: work that can wait leaves a call to work from its domain
+    Given 2 groups of 2 pieces wait
+    And 2 groups of 2 pieces of the runner's domain wait
+    And targets are <target> s away
+    Then the first call holds groups <held>
+
+    Examples:
+      | target | held   |
+      | 5.0    | g2, g3 |
+      | 0.3    | g0, g1 |
+
   Scenario: late work is still served, behind what is timely
     Given 2 groups of 2 pieces wait
     And their targets have passed
--- a/features/steps/order_of_waiting_steps.py
+++ b/features/steps/order_of_waiting_steps.py
@@ -45,6 +45,31 @@
     ]
 
 
+@given("{count:d} groups of {pieces:d} pieces of the runner's domain wait")
+def set_near(context: Any, count: int, pieces: int) -> None:
+    """Queue groups whose inputs lie where the idle runner is."""
+    (runner,) = runners()
+    first = len(context.groups)
+    set_groups(context, count, pieces)
+    for group in context.groups[first:]:
+        group.failure_domain = runner.entry.runner.failure_domain
+
+
+@given('targets are {target:f} s away')
+def set_targets(context: Any, target: float) -> None:
+    """Give every group the same target."""
+    for group in context.groups:
+        group.target_at = target
+
+
+@then('the first call holds groups {names}')
+def check_held(context: Any, names: str) -> None:
+    """Compare the groups of the first call."""
+    (call,) = next_calls(context)
+    held = {piece.group.group_id for piece in call.pieces}
+    assert held == set(names.split(', ')), held
+
+
 @given('their targets have passed')
 def pass_targets(context: Any) -> None:
     """Leave the groups nothing but their deadlines."""
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import enum
 import itertools
 import math
 
@@ -53,6 +54,20 @@
         self.free_bytes -= piece.group.result_bytes
 
 
+class _Turn(enum.IntEnum):
+    """Order at an idle runner, within which urgency decides.
+
+    Pieces that can wait for another call leave this one to pieces whose
+    inputs or readers are in the runner's failure domain.
+    """
+
+    PRESSED = 0
+    NEAR = 1
+    TIMELY = 2
+    LATE_NEAR = 3
+    LATE = 4
+
+
 class Gatherer:
     """Queue of pieces for one service, and the calls made of it."""
 
@@ -128,6 +143,8 @@
             for runner in sorted(idle, key=lambda r: (r.slowness, r.name))
             if self._is_worth(runner, usable, now)
         ]
+        domains = {call.failure_domain for call in forming}
+        self.queue.sort(key=lambda piece: self._turn(piece, domains, now))
         waiting: list[_pieces.QueuedPiece] = []
         for piece in self.queue:
             place = None
@@ -140,6 +157,21 @@
         self.queue = waiting
         return [self._start(call, now) for call in forming if call.pieces]
 
+    def _turn(
+        self, piece: _pieces.QueuedPiece, domains: set[str], now: float
+    ) -> _Turn:
+        """Return the turn of a piece at idle runners of some domains."""
+        group = piece.group
+        is_near = group.failure_domain in domains
+        if group.sends:
+            return _Turn.PRESSED
+        if group.group_id not in self.timely:
+            return _Turn.LATE_NEAR if is_near else _Turn.LATE
+        full_s = self.limits.duration_s(self.limits.batch)
+        if group.slack_s(now, full_s) < full_s:
+            return _Turn.PRESSED
+        return _Turn.NEAR if is_near else _Turn.TIMELY
+
     def _idle(
         self, runners: Iterable[_fleet.FleetRunner]
     ) -> list[_fleet.FleetRunner]:
