Set the newest of equal groups aside, not the oldest

Cause: equal ranks and targets were told apart by the group's name, so that a newcomer could set aside a group that waited longer.

--- a/libs/ragwort_relay/ragwort_relay/_order.py
+++ b/libs/ragwort_relay/ragwort_relay/_order.py
@@ -80,30 +80,30 @@
 ) -> set[str]:
     """Set groups aside, the least urgent first, until the rest is timely."""
     total = begun
-    chosen: dict[str, _Waiting] = {}
-    least_urgent: list[tuple[int, float, str]] = []
-    for waiting in fresh:
+    chosen: set[int] = set()
+    least_urgent: list[tuple[int, float, int]] = []
+    for index, waiting in enumerate(fresh):
         group = waiting.group
         if now + pace.work_s > group.target_at:
             continue
-        entry = (-group.rank, -group.target_at, group.group_id)
+        # Among equals the one that came last is set aside.
+        entry = (-group.rank, -group.target_at, -index)
         heapq.heappush(least_urgent, entry)
-        chosen[group.group_id] = waiting
+        chosen.add(index)
         total += waiting.count
-        set_aside: list[tuple[int, float, str]] = []
+        set_aside: list[tuple[int, float, int]] = []
         while now + pace.start_s(total) + pace.work_s > group.target_at:
             entry = heapq.heappop(least_urgent)
             set_aside.append(entry)
-            total -= chosen[entry[2]].count
-            if entry[2] == group.group_id:
+            total -= fresh[-entry[2]].count
+            if -entry[2] == index:
                 break
-        if set_aside and set_aside[-1][2] == group.group_id:
+        if index in (-entry[2] for entry in set_aside):
             # It can't be timely whatever is set aside for it.
             for entry in set_aside[:-1]:
                 heapq.heappush(least_urgent, entry)
-                total += chosen[entry[2]].count
-            del chosen[group.group_id]
+                total += fresh[-entry[2]].count
+            chosen.remove(index)
         else:
-            for entry in set_aside:
-                del chosen[entry[2]]
-    return set(chosen)
+            chosen -= {-entry[2] for entry in set_aside}
+    return {fresh[index].group.group_id for index in chosen}
