Add a fault soak of real host processes among stand-ins

Before: no soak. A first run showed callers that never left their connections, so that hosts stayed without any; half of them now close some by themselves.

--- /dev/null
+++ b/features/soak/__main__.py
@@ -0,0 +1,28 @@
+"""Command line of the fault soak."""
+
+import typer
+
+from features.soak import run
+
+
+def main(
+    seed: int = typer.Option(0, help='0 draws a fresh one.'),
+    hosts: int = 4,
+    callers: int = 12,
+    faults_s: float = run.FAULTS_S,
+) -> None:
+    """Play one seed; every broken promise is a line and status 1."""
+    options = run.SoakOptions(
+        seed or run.fresh_seed(), hosts, callers, faults_s
+    )
+    result = run.play(options)
+    typer.echo(result.line())
+    for text in result.broken:
+        typer.echo(f'  {text}')
+    if result.folder is not None:
+        typer.echo(f'  logs in {result.folder}')
+        raise typer.Exit(1)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/features/soak/clients.py
@@ -0,0 +1,236 @@
+"""Callers that keep connections open and note what they get."""
+
+from collections.abc import Callable
+import itertools
+import random
+from typing import Any
+
+import h11
+from twisted.internet import protocol
+
+from features.soak import hosts
+from features.soak import ledger
+from features.soak import runners
+
+SITE = 'soak.example'
+DEADLINE_S = 4.0
+CONNECT_S = 1.0
+# Pause between requests of one caller.
+THINK_S = (0.02, 0.15)
+# Share of answers after which other callers go on with their connection.
+KEEP_SHARE = 0.8
+# Requests by path, with what goes before the main call.
+KINDS = {
+    'safe': ('GET', '/safe/'),
+    'unsafe': ('POST', '/once/'),
+    'stream': ('POST', '/stream/'),
+    'staged': ('POST', '/stream/staged/'),
+}
+STAGED_PIECES = '1,2,3'
+
+
+class _Connection(protocol.Protocol):
+    """A kept connection; hands events of an answer to its caller."""
+
+    def __init__(self, caller: 'Caller') -> None:
+        self.caller = caller
+        self.parser = h11.Connection(h11.CLIENT)
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.caller.on_open(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        try:
+            self.parser.receive_data(data)
+            self._read()
+        except h11.RemoteProtocolError as error:
+            self.caller.on_lost(self, f'unreadable: {error}')
+            self.transport.abortConnection()
+
+    def _read(self) -> None:
+        while True:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                return
+            self.caller.on_event(self, event)
+            if isinstance(event, h11.EndOfMessage):
+                return
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        try:
+            self.parser.receive_data(b'')
+            self._read()
+        except h11.RemoteProtocolError:
+            pass
+        self.caller.on_lost(self, 'closed')
+
+    def send(self, request: h11.Request, body: bytes) -> None:
+        data = self.parser.send(request)
+        data += self.parser.send(h11.Data(data=body)) or b''
+        data += self.parser.send(h11.EndOfMessage()) or b''
+        self.transport.write(data)
+
+
+class Caller:
+    """Sends one request after the other, on one connection while it lasts."""
+
+    numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        reactor: Any,
+        rng: random.Random,
+        records: ledger.Ledger,
+        choose_host: Callable[[], hosts.HostProcess | None],
+        choose_key: Callable[[], str],
+        keeps_connections: bool,
+    ) -> None:
+        """Bind to what chooses hosts and keys.
+
+        A caller that keeps its connections closes none by itself.
+        """
+        self.reactor = reactor
+        self.rng = rng
+        self.records = records
+        self.choose_host = choose_host
+        self.choose_key = choose_key
+        self.keeps_connections = keeps_connections
+        self.connection: _Connection | None = None
+        self.host: hosts.HostProcess | None = None
+        self.outcome: ledger.Outcome | None = None
+        self.timer: Any = None
+        self.is_stopped = False
+
+    def start(self) -> None:
+        """Begin after a short while."""
+        self.reactor.callLater(self.rng.uniform(*THINK_S), self._next)
+
+    def stop(self) -> None:
+        """Send nothing more and close."""
+        self.is_stopped = True
+        self.outcome = None
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if self.connection is not None:
+            self.connection.transport.abortConnection()
+
+    def _next(self) -> None:
+        if self.is_stopped:
+            return
+        if self.connection is None:
+            self._connect()
+        else:
+            self._send(self.connection)
+
+    def _connect(self) -> None:
+        self.host = self.choose_host()
+        if self.host is None:
+            self.start()
+            return
+        factory = protocol.ClientFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda address: _Connection(self)
+        factory.clientConnectionFailed = lambda connector, reason: self.start()
+        name, _, port = self.host.front.address.partition(':')
+        self.reactor.connectTCP(name, int(port), factory, timeout=CONNECT_S)
+
+    def on_open(self, connection: _Connection) -> None:
+        """Use a new connection."""
+        self.connection = connection
+        self._send(connection)
+
+    def _send(self, connection: _Connection) -> None:
+        assert self.host is not None
+        if self.is_stopped:
+            connection.transport.abortConnection()
+            return
+        kind = self.rng.choice(sorted(KINDS))
+        method, prefix = KINDS[kind]
+        request_id = f'{next(self.numbers):08x}'
+        body = b'' if method == 'GET' else request_id.encode() * 20
+        headers = [
+            ('host', SITE),
+            ('request-id', request_id),
+            ('authorization', f'Bearer {self.choose_key()}'),
+            ('deadline-milliseconds', str(int(DEADLINE_S * 1000))),
+            ('content-length', str(len(body))),
+        ]
+        if kind == 'staged':
+            headers += [('pieces', STAGED_PIECES), ('piece-key', request_id)]
+            headers += [('prompt-prefix', f'{self.rng.randrange(9):x}:500')]
+        self.outcome = ledger.Outcome(
+            request_id,
+            kind,
+            self.host.name,
+            headers[2][1].removeprefix('Bearer '),
+            self.reactor.seconds(),
+        )
+        request = h11.Request(
+            method=method, target=prefix + request_id, headers=headers
+        )
+        connection.send(request, body)
+        self.timer = self.reactor.callLater(
+            DEADLINE_S, self._on_deadline, self.outcome
+        )
+
+    def on_event(self, connection: _Connection, event: Any) -> None:
+        """Take a part of an answer."""
+        outcome = self.outcome
+        if outcome is None:
+            return
+        if isinstance(event, h11.Response):
+            outcome.status = event.status_code
+        elif isinstance(event, h11.Data):
+            outcome.body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            self._end(None)
+            may_go_on = (
+                connection.parser.our_state is h11.DONE
+                and connection.parser.their_state is h11.DONE
+                and (self.keeps_connections or self.rng.random() < KEEP_SHARE)
+            )
+            if not may_go_on:
+                self.connection = None
+                connection.transport.loseConnection()
+            else:
+                connection.parser.start_next_cycle()
+
+    def on_lost(self, connection: _Connection, problem: str) -> None:
+        """Note that a connection is gone."""
+        if self.connection is not connection:
+            return
+        self.connection = None
+        if self.outcome is not None:
+            self._end(problem)
+
+    def _on_deadline(self, outcome: ledger.Outcome) -> None:
+        if self.outcome is outcome:
+            connection, self.connection = self.connection, None
+            self._end('deadline')
+            if connection is not None:
+                connection.transport.abortConnection()
+
+    def _end(self, problem: str | None) -> None:
+        outcome, self.outcome = self.outcome, None
+        assert outcome is not None
+        outcome.problem = problem
+        outcome.ended_at = self.reactor.seconds()
+        self.records.outcomes.append(outcome)
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.start()
+
+
+def expected_body(outcome: ledger.Outcome) -> bytes:
+    """Return the whole body of a good answer."""
+    method, prefix = KINDS[outcome.kind]
+    if prefix.startswith('/stream/'):
+        return b''.join(
+            runners.event_text(outcome.request_id, number)
+            for number in range(1, runners.EVENTS + 1)
+        )
+    body = b'' if method == 'GET' else outcome.request_id.encode() * 20
+    path = prefix + outcome.request_id
+    return runners.answer_body(outcome.request_id, path, body)
--- /dev/null
+++ b/features/soak/faults.py
@@ -0,0 +1,347 @@
+"""Faults from outside, by name, and plans of them drawn from a seed."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+import signal
+
+from features.soak import hosts
+from features.soak import ledger
+from features.soak import proxy
+from features.soak import runners
+from features.soak import store
+from features.soak import system
+
+# Time for a host that was started to be ready again.
+START_S = 4.0
+CLOCK_STEP_S = 30.0
+FLAP_S = 0.7
+# Time after which an address may go to a runner of another service.
+REUSE_S = 2.2
+
+Undo = Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Begun:
+    """A fault under way: whom callers may find disturbed, and its end."""
+
+    target: str
+    undo: Undo
+    after_s: float = 0.0
+
+
+Begin = Callable[[system.SoakSystem, random.Random], Begun]
+FAULTS: dict[str, Begin] = {}
+
+
+def fault(name: str) -> Callable[[Begin], Begin]:
+    """Register a fault under a name."""
+
+    def register(begin: Begin) -> Begin:
+        FAULTS[name] = begin
+        return begin
+
+    return register
+
+
+def _host(whole: system.SoakSystem, rng: random.Random) -> hosts.HostProcess:
+    steady = [
+        host
+        for host in whole.hosts
+        if host.is_running and not host.is_paused and not host.is_leaving
+    ]
+    return rng.choice(steady or whole.hosts)
+
+
+def _some_runners(
+    whole: system.SoakSystem, rng: random.Random
+) -> list[runners.RunnerStandIn]:
+    """Return one runner of each of one or two services, or all of one."""
+    services = rng.sample(sorted(system.SERVICES), rng.choice((1, 2)))
+    by_service = {
+        name: [r for r in whole.runners if r.service == name]
+        for name in services
+    }
+    if rng.random() < 0.2:
+        return by_service[services[0]]
+    return [rng.choice(found) for found in by_service.values() if found]
+
+
+@fault('host-kill')
+def kill_host(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Kill a host and start it again at the end."""
+    host = _host(whole, rng)
+    host.send(signal.SIGKILL)
+    return Begun(host.name, lambda: _restart(host), START_S)
+
+
+def _restart(host: hosts.HostProcess) -> None:
+    if not host.is_running:
+        host.start()
+
+
+@fault('all-hosts-kill')
+def kill_hosts(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Kill all hosts at once."""
+    for host in whole.hosts:
+        host.send(signal.SIGKILL)
+
+    def restart() -> None:
+        for host in whole.hosts:
+            _restart(host)
+
+    return Begun('all', restart, START_S)
+
+
+@fault('host-pause')
+def pause_host(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Stop a host for a while; its connections stay open."""
+    host = _host(whole, rng)
+    host.pause()
+    return Begun(host.name, host.resume, 1.0)
+
+
+@fault('host-term')
+def end_host(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Tell a host to leave; it starts again once it has gone."""
+    host = _host(whole, rng)
+    host.is_leaving = True
+    gone = ledger.HostExit(host.name, whole.reactor.seconds(), None, None)
+    host.send(signal.SIGTERM)
+    process = host.process
+    assert process is not None
+
+    def look() -> None:
+        if whole.is_stopped:
+            return
+        if process.poll() is None:
+            whole.reactor.callLater(0.1, look)
+            return
+        gone.gone_at = whole.reactor.seconds()
+        gone.code = process.returncode
+        if gone.code != -signal.SIGKILL:
+            whole.records.exits.append(gone)
+        host.start()
+
+    look()
+    return Begun('none', lambda: None)
+
+
+@fault('host-reload')
+def reload_host(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have a host read its settings anew."""
+    host = _host(whole, rng)
+    host.send(signal.SIGHUP)
+    return Begun('none', lambda: None)
+
+
+@fault('clock-step')
+def step_clock(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Step the time of day on some hosts, and back."""
+    chosen = rng.sample(whole.hosts, max(len(whole.hosts) // 3, 1))
+    step_s = rng.choice((-CLOCK_STEP_S, CLOCK_STEP_S))
+    for host in chosen:
+        host.step_clock(step_s)
+
+    def step_back() -> None:
+        for host in chosen:
+            host.step_clock(0.0)
+
+    return Begun('none', step_back)
+
+
+def _register_proxy_faults() -> None:
+    modes = [m for m in proxy.ProxyMode if m != proxy.ProxyMode.PASS]
+    for mode in modes:
+        FAULTS[f'callers-{mode}'] = _callers_fault(mode)
+        FAULTS[f'host-store-{mode}'] = _host_store_fault(mode)
+        FAULTS[f'runner-path-{mode}'] = _runner_path_fault(mode)
+
+
+def _callers_fault(mode: proxy.ProxyMode) -> Begin:
+    """Return a fault on the path between callers and one host."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> Begun:
+        host = _host(whole, rng)
+        host.front.set_mode(mode)
+        return Begun(
+            host.name, lambda: host.front.set_mode(proxy.ProxyMode.PASS)
+        )
+
+    return begin
+
+
+def _host_store_fault(mode: proxy.ProxyMode) -> Begin:
+    """Return a fault on the path between one host and the store."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> Begun:
+        host = _host(whole, rng)
+        host.store.set_mode(mode)
+        return Begun('none', lambda: host.store.set_mode(proxy.ProxyMode.PASS))
+
+    return begin
+
+
+def _runner_path_fault(mode: proxy.ProxyMode) -> Begin:
+    """Return a fault on the paths to some runners."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> Begun:
+        chosen = _some_runners(whole, rng)
+        for runner in chosen:
+            runner.proxy.set_mode(mode)
+
+        def heal() -> None:
+            for runner in chosen:
+                runner.proxy.set_mode(proxy.ProxyMode.PASS)
+
+        return Begun('none', heal)
+
+    return begin
+
+
+def _register_store_faults() -> None:
+    for mode in store.StoreMode:
+        if mode != store.StoreMode.OK:
+            FAULTS[f'store-{mode}'] = _store_fault(mode)
+
+
+def _store_fault(mode: store.StoreMode) -> Begin:
+    """Return a fault of the whole store."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> Begun:
+        whole.store.set_mode(mode)
+        return Begun('none', lambda: whole.store.set_mode(store.StoreMode.OK))
+
+    return begin
+
+
+@fault('store-compact')
+def compact_store(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Drop the store's history while watches wait."""
+    whole.store.compact()
+    return Begun('none', lambda: None)
+
+
+def _register_runner_faults() -> None:
+    for mode in runners.RunnerMode:
+        if mode != runners.RunnerMode.OK:
+            FAULTS[f'runner-{mode}'] = _runner_fault(mode)
+
+
+def _runner_fault(mode: runners.RunnerMode) -> Begin:
+    """Return a fault of some runners themselves."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> Begun:
+        chosen = _some_runners(whole, rng)
+        for runner in chosen:
+            runner.mode = mode
+
+        def heal() -> None:
+            for runner in chosen:
+                runner.mode = runners.RunnerMode.OK
+
+        return Begun('none', heal)
+
+    return begin
+
+
+@fault('runner-crash')
+def crash_runners(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Crash runners; each starts as a new one at the end."""
+    chosen = [r for r in _some_runners(whole, rng) if r.is_up]
+    for runner in chosen:
+        runner.crash()
+
+    def restart() -> None:
+        for runner in chosen:
+            if not runner.is_up:
+                runner.start()
+
+    return Begun('none', restart)
+
+
+@fault('runner-drain')
+def drain_runners(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have runners leave in order, and come back as new ones."""
+    chosen = _some_runners(whole, rng)
+    for runner in chosen:
+        runner.drain()
+
+    def restart() -> None:
+        whole.reactor.callLater(runners.DRAIN_S + 0.2, start_all)
+
+    def start_all() -> None:
+        for runner in chosen:
+            if not runner.is_up and not whole.is_stopped:
+                runner.start()
+
+    return Begun('none', restart, runners.DRAIN_S)
+
+
+@fault('runner-flap')
+def flap_runners(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have runners go down and come up by turns."""
+    chosen = [r for r in _some_runners(whole, rng) if r.is_up]
+    over: list[bool] = []
+
+    def turn() -> None:
+        if whole.is_stopped:
+            return
+        for runner in chosen:
+            if not runner.is_up:
+                runner.start()
+            elif not over:
+                runner.crash()
+        if not over:
+            whole.reactor.callLater(FLAP_S, turn)
+
+    turn()
+    return Begun('none', lambda: over.append(True), 2 * FLAP_S)
+
+
+@fault('address-reuse')
+def reuse_address(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Give a dead runner's address to a runner of another service."""
+    chosen = [r for r in _some_runners(whole, rng) if r.is_up][:1]
+    for runner in chosen:
+        own = runner.service
+        runner.crash()
+        others = [name for name in system.SERVICES if name != own]
+        runner.service = rng.choice(sorted(others))
+        whole.reactor.callLater(REUSE_S, _start_if_down, whole, runner)
+    return Begun('none', lambda: None, REUSE_S)
+
+
+def _start_if_down(
+    whole: system.SoakSystem, runner: runners.RunnerStandIn
+) -> None:
+    if not runner.is_up and not whole.is_stopped:
+        runner.start()
+
+
+_register_proxy_faults()
+_register_store_faults()
+_register_runner_faults()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """A fault of a plan; times in seconds from the start of traffic."""
+
+    name: str
+    at: float
+    for_s: float
+
+
+def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return faults in series, or overlapping, as the seed has it."""
+    overlap = rng.random() < 0.6
+    names = sorted(FAULTS)
+    plan: list[Planned] = []
+    at = 0.5
+    while at < length_s - 1.0:
+        for_s = min(rng.uniform(1.0, 4.0), length_s - at)
+        plan.append(Planned(rng.choice(names), at, for_s))
+        at += rng.uniform(0.3, 1.5) if overlap else for_s + 0.5
+    return plan
--- /dev/null
+++ b/features/soak/hosts.py
@@ -0,0 +1,131 @@
+"""Real host processes of the system, each with a loopback number."""
+
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+from typing import Any
+
+import yaml
+
+from features.soak import proxy
+
+ROOT = pathlib.Path(__file__).parents[2]
+TEMPLATE = ROOT / 'deploy' / 'host.yaml.template'
+CLOCK_FOLDER = pathlib.Path(__file__).parent / 'clock'
+PORTS = {'front': 18081, 'ready': 18082, 'directory': 18083, 'control': 18084}
+GRACE_S = 8
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50
+RETRY_WINDOW_S = 10
+
+
+class HostProcess:
+    """One host; its callers come through a proxy."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        folder: pathlib.Path,
+        index: int,
+        base: str,
+        zone: str,
+        seeds: list[str],
+        store_address: str,
+    ) -> None:
+        """Write the settings; nothing runs yet."""
+        self.name = f'host-{index}'
+        self.ip_number = f'{base}.{index + 1}'
+        self.zone = zone
+        self.folder = folder
+        self.clock_file = folder / f'{self.name}.clock'
+        self.process: subprocess.Popen[bytes] | None = None
+        self.is_paused = False
+        self.is_leaving = False
+        self.store = proxy.FaultProxy(reactor, store_address)
+        self.front = proxy.FaultProxy(reactor, self.address('front'))
+        self._write_settings(seeds)
+
+    def address(self, role: str) -> str:
+        """Return the address on which a role is served."""
+        return f'{self.ip_number}:{PORTS[role]}'
+
+    def _write_settings(self, seeds: list[str]) -> None:
+        values = {
+            'node': self.name,
+            'zone': self.zone,
+            'region': 'here',
+            'seeds|json': json.dumps(seeds),
+            'platform.address': self.store.address,
+            'bounds.graceS': str(GRACE_S),
+            'bounds.retryBudgetRatio': str(RETRY_RATIO),
+            'bounds.retryBudgetSlack': str(RETRY_SLACK),
+            'bounds.budgetWindowS': str(RETRY_WINDOW_S),
+            'limits.cpuShare': '1.0',
+            'limits.cores': '1',
+            'limits.linkMbps': '1000.0',
+        }
+        values |= {f'listen.{role}': self.address(role) for role in PORTS}
+        text = re.sub(
+            r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text()
+        )
+        yaml.safe_load(text)
+        self.settings.write_text(text)
+
+    @property
+    def settings(self) -> pathlib.Path:
+        """Return the path of the settings file."""
+        return self.folder / f'{self.name}.yaml'
+
+    def start(self) -> None:
+        """Start the program as the deploy file does."""
+        environment = os.environ | {
+            'RAGWORTWORKS_SETTINGS': str(self.settings),
+            'SOAK_CLOCK_FILE': str(self.clock_file),
+            'PYTHONPATH': f'{ROOT / "platform"}:{CLOCK_FOLDER}',
+        }
+        self.is_paused = self.is_leaving = False
+        log = (self.folder / f'{self.name}.log').open('ab')
+        self.process = subprocess.Popen(
+            [sys.executable, str(ROOT / 'platform' / 'serve.py')],
+            stdout=log,
+            stderr=log,
+            env=environment,
+        )
+        log.close()
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        if self.process is not None and self.is_running:
+            self.process.send_signal(number)
+
+    def pause(self) -> None:
+        """Stop the process until it is resumed."""
+        self.is_paused = True
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Go on after a pause."""
+        self.is_paused = False
+        self.send(signal.SIGCONT)
+
+    def step_clock(self, seconds: float) -> None:
+        """Step the time of day that the process sees."""
+        self.clock_file.write_text(str(seconds))
+
+    def end(self) -> None:
+        """End the process for good and reap it."""
+        if self.process is not None:
+            self.resume()
+            self.process.kill()
+            self.process.wait()
+        self.store.close()
+        self.front.close()
--- /dev/null
+++ b/features/soak/ledger.py
@@ -0,0 +1,82 @@
+"""What callers and back ends saw during a run."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Arrival:
+    """A main call that reached a runner; ran tells whether it was begun."""
+
+    request_id: str
+    service: str
+    path: str
+    at: float
+    ran: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """One request as its caller saw it, times in seconds.
+
+    problem says why there is no whole answer; status is then that of the
+    answer's head, or None.
+    """
+
+    request_id: str
+    kind: str
+    host: str
+    key: str
+    asked_at: float
+    ended_at: float = 0.0
+    status: int | None = None
+    body: bytes = b''
+    problem: str | None = None
+    is_probe: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyChange:
+    """A key that the operator gave or took; acknowledged at that time."""
+
+    key: str
+    is_valid: bool
+    at: float
+
+
+@dataclasses.dataclass(slots=True)
+class Disturbance:
+    """A fault; target is a host's name where it concerns one host."""
+
+    kind: str
+    target: str
+    at: float
+    until: float
+
+
+@dataclasses.dataclass(slots=True)
+class HostExit:
+    """A host that was told to leave, and how it went."""
+
+    host: str
+    told_at: float
+    gone_at: float | None
+    code: int | None
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """All records of a run; quiet_at is when the last fault was over.
+
+    handles are the results that lie at runners now; unserved are the
+    hosts and kinds that were not served since, at the end.
+    """
+
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    outcomes: list[Outcome] = dataclasses.field(default_factory=list)
+    key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    exits: list[HostExit] = dataclasses.field(default_factory=list)
+    handles: set[str] = dataclasses.field(default_factory=set)
+    quiet_at: float = 0.0
+    recovered_at: float | None = None
+    unserved: list[tuple[str, str]] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/features/soak/promises.py
@@ -0,0 +1,191 @@
+"""What must hold whatever fails, checked on what was seen from outside."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from features.soak import clients
+from features.soak import hosts
+from features.soak import ledger
+
+# Time within which a change of keys is in force, and slack for the host
+# that is asked and for this machine.
+KEYS_BOUND_S = 6.0
+SLACK_S = 1.5
+# Time after the last fault within which every kind is served again.
+RECOVERY_S = 15.0
+NOT_RUN = (408, 421, 429, 503)
+ATTEMPTS = {'safe': 2, 'unsafe': 1, 'stream': 2, 'staged': 2}
+SERVICES = {'/safe/': 'plain', '/once/': 'plain', '/stream/': 'engine'}
+
+Check = Callable[[ledger.Ledger], Iterator[str]]
+CHECKS: dict[str, Check] = {}
+
+
+def promise(name: str) -> Callable[[Check], Check]:
+    """Register a check under a name."""
+
+    def register(check: Check) -> Check:
+        CHECKS[name] = check
+        return check
+
+    return register
+
+
+def broken_promises(records: ledger.Ledger) -> list[str]:
+    """Return what does not hold, with the name of the promise."""
+    return [
+        f'{name}: {text}'
+        for name, check in CHECKS.items()
+        for text in check(records)
+    ]
+
+
+def _runs(records: ledger.Ledger) -> dict[str, list[ledger.Arrival]]:
+    """Return the arrivals that ran, by request."""
+    runs: dict[str, list[ledger.Arrival]] = collections.defaultdict(list)
+    for arrival in records.arrivals:
+        if arrival.ran:
+            runs[arrival.request_id].append(arrival)
+    return runs
+
+
+@promise('own-answer')
+def own_answer(records: ledger.Ledger) -> Iterator[str]:
+    """A whole answer is that of the caller's own request."""
+    for one in records.outcomes:
+        if one.status == 200 and one.problem is None:
+            if one.body != clients.expected_body(one):
+                yield f'{one.request_id} ({one.kind}) got {one.body[:60]!r}'
+
+
+@promise('event-order')
+def event_order(records: ledger.Ledger) -> Iterator[str]:
+    """What came of a stream begins its events, none twice or left out."""
+    for one in records.outcomes:
+        if one.status == 200 and one.kind in ('stream', 'staged'):
+            if not clients.expected_body(one).startswith(one.body):
+                yield f'{one.request_id} got {one.body[-80:]!r}'
+
+
+@promise('runs')
+def runs(records: ledger.Ledger) -> Iterator[str]:
+    """A request runs no more often than its route allows."""
+    kinds = {one.request_id: one.kind for one in records.outcomes}
+    for request_id, found in _runs(records).items():
+        most = ATTEMPTS.get(kinds.get(request_id, ''), 2)
+        if len(found) > most:
+            yield f'{request_id} ({kinds[request_id]}) ran {len(found)} times'
+
+
+@promise('refusal')
+def refusal(records: ledger.Ledger) -> Iterator[str]:
+    """What is answered as not run did not run and never will."""
+    ran = _runs(records)
+    for one in records.outcomes:
+        if one.status in NOT_RUN and one.request_id in ran:
+            yield f'{one.request_id} ({one.kind}) got {one.status} but ran'
+
+
+@promise('answered')
+def answered(records: ledger.Ledger) -> Iterator[str]:
+    """A host that nothing disturbs answers before the caller's deadline."""
+    for one in records.outcomes:
+        if one.problem == 'deadline' and one.status is None:
+            if not _is_disturbed(records, one):
+                yield f'{one.request_id} ({one.kind}) at {one.host}'
+
+
+def _is_disturbed(records: ledger.Ledger, one: ledger.Outcome) -> bool:
+    return any(
+        fault.target in (one.host, 'all')
+        and fault.at <= one.ended_at
+        and fault.until + SLACK_S >= one.asked_at
+        for fault in records.disturbances
+    )
+
+
+@promise('keys')
+def keys(records: ledger.Ledger) -> Iterator[str]:
+    """Keys are known, or no more known, within the bound."""
+    for change in records.key_changes:
+        in_force = change.at + KEYS_BOUND_S + SLACK_S
+        until = min(
+            (
+                later.at
+                for later in records.key_changes
+                if later.key == change.key and later.at > change.at
+            ),
+            default=float('inf'),
+        )
+        for one in records.outcomes:
+            if one.key != change.key or one.status is None:
+                continue
+            if not in_force <= one.asked_at < until:
+                continue
+            if (one.status != 401) != change.is_valid:
+                yield (
+                    f'{one.request_id} got {one.status} with {one.key}, '
+                    f'{one.asked_at - change.at:.1f} s after its change'
+                )
+
+
+@promise('known-routes')
+def known_routes(records: ledger.Ledger) -> Iterator[str]:
+    """Routes and keys that always held are never denied."""
+    changed = {change.key for change in records.key_changes}
+    for one in records.outcomes:
+        denied = (403, 404) if one.key in changed else (401, 403, 404)
+        if one.status in denied:
+            yield f'{one.request_id} ({one.kind}) got {one.status}'
+
+
+@promise('service')
+def service(records: ledger.Ledger) -> Iterator[str]:
+    """A request runs only at a service of its route."""
+    for arrival in records.arrivals:
+        prefix = '/' + arrival.path.split('/')[1] + '/'
+        if arrival.ran and SERVICES.get(prefix) != arrival.service:
+            yield f'{arrival.path} ran at {arrival.service}'
+
+
+@promise('budget')
+def budget(records: ledger.Ledger) -> Iterator[str]:
+    """Second sends stay within the bounds that all hosts share."""
+    first: dict[str, float] = {}
+    again: list[float] = []
+    for arrival in sorted(records.arrivals, key=lambda a: a.at):
+        if arrival.request_id in first:
+            again.append(arrival.at)
+        first.setdefault(arrival.request_id, arrival.at)
+    window_s = float(hosts.RETRY_WINDOW_S)
+    for end in again:
+        repeats = sum(end - window_s < at <= end for at in again)
+        requests = sum(end - window_s < at <= end for at in first.values())
+        most = hosts.RETRY_RATIO * requests + hosts.RETRY_SLACK
+        if repeats > most:
+            yield f'{repeats} of {requests} requests sent again in 10 s'
+            return
+
+
+@promise('leaving')
+def leaving(records: ledger.Ledger) -> Iterator[str]:
+    """A host that is told to leave ends what it took in, in time."""
+    for gone in records.exits:
+        late_at = gone.told_at + hosts.GRACE_S + SLACK_S
+        if gone.gone_at is None or gone.gone_at > late_at:
+            yield f'{gone.host} is there after {hosts.GRACE_S} s'
+        elif gone.code != 0:
+            yield f'{gone.host} ended with {gone.code}'
+        for one in records.outcomes:
+            is_open = one.asked_at < gone.told_at < one.ended_at
+            if one.host == gone.host and is_open and one.problem == 'closed':
+                if not _is_disturbed(records, one):
+                    yield f'{one.request_id} was cut by {gone.host} leaving'
+
+
+@promise('recovery')
+def recovery(records: ledger.Ledger) -> Iterator[str]:
+    """All kinds are served by all hosts soon after the last fault."""
+    if records.recovered_at is None:
+        yield f'not within {RECOVERY_S} s: {records.unserved}'
--- /dev/null
+++ b/features/soak/proxy.py
@@ -0,0 +1,133 @@
+"""A loopback proxy that misbehaves on demand."""
+
+import enum
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet import protocol
+
+
+class ProxyMode(enum.StrEnum):
+    """What a proxy does with connections and their bytes."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    RESET = 'reset'
+    SILENT = 'silent'
+    ONE_WAY = 'one-way'
+
+
+DELAY_S = 0.3
+
+
+class FaultProxy:
+    """Hands bytes on between callers and one target."""
+
+    def __init__(self, reactor: Any, target: str) -> None:
+        """Listen on a free loopback port."""
+        self.reactor = reactor
+        host, _, port = target.partition(':')
+        self.target = (host, int(port))
+        self.mode = ProxyMode.PASS
+        self.sides: set[_Side] = set()
+        factory = protocol.Factory.forProtocol(lambda: _Incoming(self))
+        factory.noisy = False
+        self.port = reactor.listenTCP(0, factory, interface='127.0.0.1')
+        self.address = f'127.0.0.1:{self.port.getHost().port}'
+
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Change what happens from now on; what was held back is lost."""
+        was_held = self.mode in (ProxyMode.SILENT, ProxyMode.ONE_WAY)
+        self.mode = mode
+        if mode == ProxyMode.RESET or was_held:
+            for side in list(self.sides):
+                side.transport.abortConnection()
+
+    def carry(self, data: bytes, to: '_Side | None', is_answer: bool) -> None:
+        """Hand bytes on as the mode says."""
+        if to is None or self.mode == ProxyMode.SILENT:
+            return
+        if self.mode == ProxyMode.ONE_WAY and is_answer:
+            return
+        if self.mode == ProxyMode.DELAY:
+            self.reactor.callLater(DELAY_S, to.transport.write, data)
+        else:
+            to.transport.write(data)
+
+    def close(self) -> None:
+        """Stop listening and cut all connections."""
+        self.port.stopListening()
+        for side in list(self.sides):
+            side.transport.abortConnection()
+
+
+class _Side(protocol.Protocol):
+    """One of the two connections of a pair."""
+
+    is_answer = False
+
+    def __init__(self, proxy: FaultProxy) -> None:
+        self.proxy = proxy
+        self.other: _Side | None = None
+        self.early: list[bytes] = []
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.proxy.sides.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.other is None:
+            self.early.append(data)
+        else:
+            self.proxy.carry(data, self.other, self.is_answer)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        self.proxy.sides.discard(self)
+        other, self.other = self.other, None
+        if other is None:
+            return
+        other.other = None
+        if self.proxy.mode == ProxyMode.SILENT:
+            return
+        if reason is not None and reason.check(error.ConnectionDone):
+            other.transport.loseConnection()
+        else:
+            other.transport.abortConnection()
+
+
+class _Incoming(_Side):
+    """The caller's side; it opens the other one."""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        proxy = self.proxy
+        if proxy.mode == ProxyMode.RESET:
+            self.transport.abortConnection()
+            return
+        factory = protocol.ClientFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda address: _Outgoing(proxy, self)
+        factory.clientConnectionFailed = lambda connector, reason: (
+            self.transport.abortConnection()
+        )
+        proxy.reactor.connectTCP(*proxy.target, factory, timeout=2)
+
+
+class _Outgoing(_Side):
+    """The target's side."""
+
+    is_answer = True
+
+    def __init__(self, proxy: FaultProxy, incoming: _Side) -> None:
+        super().__init__(proxy)
+        self.other = incoming
+
+    def connectionMade(self) -> None:  # noqa: N802
+        super().connectionMade()
+        incoming = self.other
+        if incoming is None or incoming.transport is None:
+            self.transport.abortConnection()
+            return
+        incoming.other = self
+        for data in incoming.early:
+            self.proxy.carry(data, self, False)
+        incoming.early.clear()
--- /dev/null
+++ b/features/soak/run.py
@@ -0,0 +1,180 @@
+"""Plays plans of faults on a system and reports which promises broke."""
+
+import collections
+import dataclasses
+import os
+import pathlib
+import random
+import shutil
+import tempfile
+import time
+from typing import Any
+
+from features.soak import faults
+from features.soak import ledger
+from features.soak import promises
+from features.soak import system
+
+FAULTS_S = 14.0
+READY_S = 25.0
+LOOK_S = 0.2
+# Faults that leave callers of one host or all without answers.
+NOBODY = 'none'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What to play; faults_s is how long faults go on."""
+
+    seed: int
+    hosts: int = 4
+    callers: int = 12
+    faults_s: float = FAULTS_S
+
+
+@dataclasses.dataclass(slots=True)
+class SoakResult:
+    """What a run showed."""
+
+    seed: int
+    faults: collections.Counter[str]
+    statuses: collections.Counter[str]
+    broken: list[str]
+    recovery_s: float | None
+    folder: pathlib.Path | None
+    records: ledger.Ledger
+
+    def line(self) -> str:
+        """Return the run in one line."""
+        statuses = ' '.join(
+            f'{k}:{v}' for k, v in sorted(self.statuses.items())
+        )
+        verdict = f'{len(self.broken)} broken' if self.broken else 'kept'
+        recovery = f'{self.recovery_s:.1f}' if self.recovery_s else '-'
+        return (
+            f'seed {self.seed}: {verdict}, {self.faults.total()} faults, '
+            f'{self.statuses.total()} requests ({statuses}), '
+            f'recovery {recovery} s'
+        )
+
+
+class _Run:
+    """One run on the reactor."""
+
+    def __init__(
+        self, reactor: Any, options: SoakOptions, folder: pathlib.Path
+    ) -> None:
+        self.reactor = reactor
+        self.options = options
+        self.rng = random.Random(options.seed)
+        base = f'127.{os.getpid() % 200 + 20}.{options.seed % 250}'
+        self.system = system.SoakSystem(
+            reactor,
+            self.rng,
+            folder,
+            base,
+            options.hosts,
+            options.callers,
+        )
+        self.plan = faults.draw_plan(self.rng, options.faults_s)
+        self.open_faults = 0
+        self.begun: collections.Counter[str] = collections.Counter()
+        self.give_up_at = 0.0
+
+    def start(self) -> None:
+        self.system.start()
+        self.give_up_at = self.reactor.seconds() + READY_S
+        self._await_service()
+
+    def _await_service(self) -> None:
+        now = self.reactor.seconds()
+        if not self.system.unserved_since(0.0):
+            self._play()
+        elif now >= self.give_up_at:
+            self.reactor.stop()
+        else:
+            self.reactor.callLater(LOOK_S, self._await_service)
+
+    def _play(self) -> None:
+        self.system.change_keys()
+        for planned in self.plan:
+            self.reactor.callLater(planned.at, self._begin, planned)
+        self.reactor.callLater(self.options.faults_s, self._await_quiet)
+
+    def _begin(self, planned: faults.Planned) -> None:
+        begun = faults.FAULTS[planned.name](self.system, self.rng)
+        now = self.reactor.seconds()
+        self.begun[planned.name] += 1
+        if begun.target != NOBODY:
+            until = now + planned.for_s + begun.after_s
+            self.system.records.disturbances.append(
+                ledger.Disturbance(planned.name, begun.target, now, until)
+            )
+        self.open_faults += 1
+        self.reactor.callLater(planned.for_s, self._end, begun)
+
+    def _end(self, begun: faults.Begun) -> None:
+        begun.undo()
+        self.reactor.callLater(begun.after_s, self._close)
+
+    def _close(self) -> None:
+        self.open_faults -= 1
+
+    def _await_quiet(self) -> None:
+        leaving = any(h.is_leaving and h.is_running for h in self.system.hosts)
+        if self.open_faults or leaving:
+            self.reactor.callLater(LOOK_S, self._await_quiet)
+            return
+        self.system.records.quiet_at = self.reactor.seconds()
+        self._await_recovery()
+
+    def _await_recovery(self) -> None:
+        records = self.system.records
+        now = self.reactor.seconds()
+        records.unserved = self.system.unserved_since(records.quiet_at)
+        if not records.unserved:
+            records.recovered_at = now
+            self.reactor.stop()
+        elif now >= records.quiet_at + promises.RECOVERY_S:
+            self.reactor.stop()
+        else:
+            self.reactor.callLater(LOOK_S, self._await_recovery)
+
+
+def play(options: SoakOptions) -> SoakResult:
+    """Play one seed in this process; logs are kept if a promise broke."""
+    from twisted.internet import reactor
+
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
+    run = _Run(reactor, options, folder)
+    loop: Any = reactor
+    loop.callWhenRunning(run.start)
+    try:
+        loop.run()
+    finally:
+        run.system.stop()
+    records = run.system.records
+    broken = promises.broken_promises(records)
+    if not broken:
+        shutil.rmtree(folder)
+    recovery_s = None
+    if records.recovered_at is not None:
+        recovery_s = records.recovered_at - records.quiet_at
+    statuses = collections.Counter(
+        str(one.status if one.problem is None else one.problem.split(':')[0])
+        for one in records.outcomes
+    )
+    return SoakResult(
+        options.seed,
+        run.begun,
+        statuses,
+        broken,
+        recovery_s,
+        folder if broken else None,
+        records,
+    )
+
+
+def fresh_seed() -> int:
+    """Return a seed that was not played before."""
+    return time.time_ns() % 1_000_000_000
--- /dev/null
+++ b/features/soak/runners.py
@@ -0,0 +1,355 @@
+"""Stand-ins of runners: plain services, streams and stage services."""
+
+from collections.abc import Callable
+import enum
+import hashlib
+import itertools
+import json
+import time
+from typing import Any
+
+from features.soak import ledger
+from features.soak import proxy
+from features.soak import store
+import ragwort_edge as edge
+import ragwort_relay as relay
+
+KIND = 'servers'
+WORK_S = 0.02
+EVENTS = 8
+EVENT_S = 0.02
+CALL_S = 0.05
+PIECE_S = 0.005
+BATCH = 6
+SLOTS = 8
+# Slower than usual by this factor while a runner is slow.
+SLOWNESS = 8.0
+# Time after a crash until its entry lapses.
+LAPSE_S = 3.6
+# Time that a leaving runner goes on serving.
+DRAIN_S = 2.0
+SEAL = (b'response-seal', b'soak')
+NOT_RUN = (b'not-executed', b'1')
+
+
+class RunnerMode(enum.StrEnum):
+    """How a runner treats what reaches it."""
+
+    OK = 'ok'
+    ERRORS = 'errors'
+    SHED = 'shed'
+    HANG = 'hang'
+    RESET = 'reset'
+    CUT = 'cut'
+    FOREIGN = 'foreign'
+    SLOW = 'slow'
+
+
+def answer_body(request_id: str, path: str, body: bytes) -> bytes:
+    """Return what a plain runner answers; callers compare it."""
+    digest = hashlib.sha256(body).hexdigest()[:16]
+    return f'{request_id} {path} {digest}'.encode()
+
+
+def event_text(request_id: str, number: int) -> bytes:
+    """Return one event of a stream; ids begin at 1."""
+    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+
+
+class RunnerStandIn:
+    """One runner behind a proxy of its own.
+
+    Every start is a new incarnation; the address stays the proxy's.
+    """
+
+    numbers = itertools.count(1)
+
+    def __init__(
+        self,
+        reactor: Any,
+        place: store.StoreStandIn,
+        records: ledger.Ledger,
+        service: str,
+        zone: str,
+    ) -> None:
+        """Start and register."""
+        self.reactor = reactor
+        self.store = place
+        self.records = records
+        self.service = service
+        self.zone = zone
+        self.mode = RunnerMode.OK
+        self.running = 0
+        self.handles: set[str] = set()
+        self.is_draining = False
+        self.is_up = False
+        self.site = edge.Site(
+            reactor, relay.CallerLimits, self._on_call, lambda status: None
+        )
+        self.port = reactor.listenTCP(0, self.site, interface='127.0.0.1')
+        self.number = self.port.getHost().port
+        self.proxy = proxy.FaultProxy(reactor, f'127.0.0.1:{self.number}')
+        self.identifier = ''
+        self.born = 0
+        self.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address in the runner's entry."""
+        return self.proxy.address
+
+    # Its life.
+
+    def start(self) -> None:
+        """Begin as a new incarnation."""
+        if self.port is None:
+            self.port = self.reactor.listenTCP(
+                self.number, self.site, interface='127.0.0.1'
+            )
+        self.identifier = f'i-{next(self.numbers):04x}'
+        self.born = int(time.time() * 1000)
+        self.is_draining = False
+        self.is_up = True
+        self.register()
+
+    def register(self) -> None:
+        """Write the runner's entry."""
+        entry = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'state': 'draining' if self.is_draining else 'ready',
+            'slots': SLOTS,
+            'born': self.born,
+        }
+        self.store.put(KIND, self.identifier, entry)
+
+    def crash(self) -> None:
+        """End without a word; the entry lapses later."""
+        if not self.is_up:
+            return
+        self._stop()
+        self.reactor.callLater(
+            LAPSE_S, self.store.remove, KIND, self.identifier
+        )
+
+    def drain(self) -> None:
+        """Announce the end, go on for a while, then end."""
+        if self.is_draining or not self.is_up:
+            return
+        self.is_draining = True
+        self.site.is_closing = True
+        self.register()
+        self.reactor.callLater(DRAIN_S, self._end_drain, self.identifier)
+
+    def _end_drain(self, identifier: str) -> None:
+        self.store.remove(KIND, identifier)
+        if self.identifier == identifier and self.is_up:
+            self._stop()
+
+    def _stop(self) -> None:
+        self.is_up = False
+        self.site.is_closing = False
+        port, self.port = self.port, None
+        if port is not None:
+            port.stopListening()
+        for connection in list(self.site.connections):
+            connection.abort()
+        self.running = 0
+        self._forget(set(self.handles))
+
+    def _forget(self, handles: set[str]) -> None:
+        self.handles -= handles
+        self.records.handles -= handles
+
+    # What it is asked.
+
+    def _on_call(self, exchange: edge.Exchange) -> None:
+        if self.mode == RunnerMode.HANG:
+            self._note_main(exchange, True)
+            return
+        if self.mode == RunnerMode.RESET:
+            self._note_main(exchange, True)
+            exchange.abort()
+            return
+        expected = exchange.request.header(b'expected-instance')
+        if expected is not None and expected.decode() != self.identifier:
+            self._note_main(exchange, False)
+            self._reply(exchange, 421, (NOT_RUN,))
+            return
+        handler = self._handlers().get(exchange.request.path, self._main)
+        handler(exchange)
+
+    def _handlers(self) -> dict[str, Callable[[edge.Exchange], None]]:
+        return {
+            '/api/stage-run': self._stage_run,
+            '/api/stage-free': self._stage_free,
+            '/api/report': self._report,
+        }
+
+    def _reply(
+        self,
+        exchange: edge.Exchange,
+        status: int,
+        extra: edge.Headers = (),
+        body: bytes = b'',
+    ) -> None:
+        request_id = exchange.request.header(b'request-id') or b''
+        if self.mode == RunnerMode.FOREIGN:
+            request_id = b'another'
+        headers = ((b'request-id', request_id), SEAL, self._load(), *extra)
+        exchange.answer(edge.HttpResponse(status, headers, body))
+
+    def _load(self) -> tuple[bytes, bytes]:
+        return b'server-load', b'%d,0,%d' % (self.running, SLOTS)
+
+    def _note_main(self, exchange: edge.Exchange, ran: bool) -> None:
+        request = exchange.request
+        if request.path not in self._handlers():
+            request_id = (request.header(b'request-id') or b'').decode()
+            self.records.arrivals.append(
+                ledger.Arrival(
+                    request_id,
+                    self.service,
+                    request.path,
+                    self.reactor.seconds(),
+                    ran,
+                )
+            )
+
+    def _work_s(self, usual_s: float) -> float:
+        return usual_s * (SLOWNESS if self.mode == RunnerMode.SLOW else 1.0)
+
+    def _main(self, exchange: edge.Exchange) -> None:
+        is_full = self.running >= SLOTS or self.mode == RunnerMode.SHED
+        inputs = (exchange.request.header(b'inputs') or b'').decode()
+        missing = {i for i in inputs.split(',') if i} - self.records.handles
+        self._note_main(exchange, not (is_full or missing))
+        if is_full or missing:
+            self._reply(exchange, 503 if is_full else 409, (NOT_RUN,))
+            return
+        self.running += 1
+        if exchange.request.path.startswith('/stream/'):
+            self._begin_stream(exchange)
+        else:
+            self.reactor.callLater(
+                self._work_s(WORK_S), self._finish_plain, exchange, self.born
+            )
+
+    def _finish_plain(self, exchange: edge.Exchange, born: int) -> None:
+        if born != self.born or not self.is_up:
+            return
+        self.running = max(self.running - 1, 0)
+        request = exchange.request
+        if self.mode == RunnerMode.ERRORS:
+            self._reply(exchange, 500)
+            return
+        request_id = (request.header(b'request-id') or b'').decode()
+        body = answer_body(request_id, request.path, request.body)
+        if self.mode == RunnerMode.CUT:
+            exchange.start(200, _sized(request_id, body))
+            exchange.write(body[: len(body) // 2])
+            exchange.abort()
+            return
+        self._reply(exchange, 200, (), body)
+
+    def _begin_stream(self, exchange: edge.Exchange) -> None:
+        if self.mode == RunnerMode.ERRORS:
+            self.running -= 1
+            self._reply(exchange, 500)
+            return
+        request = exchange.request
+        request_id = (request.header(b'request-id') or b'').decode()
+        echoed = 'another' if self.mode == RunnerMode.FOREIGN else request_id
+        last = int(request.header(b'last-event-id') or b'0')
+        headers = (
+            (b'request-id', echoed.encode()),
+            (b'content-type', b'text/event-stream'),
+            (b'transfer-encoding', b'chunked'),
+            SEAL,
+        )
+        exchange.start(200, headers)
+        self._next_event(exchange, request_id, last + 1, self.born)
+
+    def _next_event(
+        self, exchange: edge.Exchange, request_id: str, number: int, born: int
+    ) -> None:
+        if born != self.born or not self.is_up:
+            return
+        if exchange.is_over or number > EVENTS:
+            self.running = max(self.running - 1, 0)
+            exchange.finish()
+            return
+        text = event_text(request_id, number)
+        if self.mode == RunnerMode.CUT and number > EVENTS // 2:
+            self.running = max(self.running - 1, 0)
+            exchange.write(text[: len(text) // 2])
+            exchange.abort()
+            return
+        exchange.write(text)
+        self.reactor.callLater(
+            self._work_s(EVENT_S),
+            self._next_event,
+            exchange,
+            request_id,
+            number + 1,
+            born,
+        )
+
+    # Stages.
+
+    def _stage_run(self, exchange: edge.Exchange) -> None:
+        if self.running >= 1 or self.mode == RunnerMode.SHED:
+            self._reply(exchange, 503, (NOT_RUN,))
+            return
+        self.running += 1
+        items = json.loads(exchange.request.body)['items']
+        self.reactor.callLater(
+            self._work_s(CALL_S + PIECE_S * len(items)),
+            self._finish_stage,
+            exchange,
+            items,
+            self.born,
+        )
+
+    def _finish_stage(
+        self, exchange: edge.Exchange, items: list[Any], born: int
+    ) -> None:
+        if born != self.born or not self.is_up:
+            return
+        self.running = max(self.running - 1, 0)
+        if self.mode == RunnerMode.ERRORS:
+            self._reply(exchange, 500)
+            return
+        results = [self._make(item) for item in items]
+        body = json.dumps({'items': results}).encode()
+        if self.mode == RunnerMode.CUT:
+            exchange.start(200, _sized('', body))
+            exchange.write(body[: len(body) // 2])
+            exchange.abort()
+            return
+        self._reply(exchange, 200, (), body)
+
+    def _make(self, item: Any) -> dict[str, str]:
+        if set(item.get('inputs') or ()) - self.records.handles:
+            return {'reason': 'gone'}
+        handle = f'{self.address}/{next(self.numbers):x}'
+        self.handles.add(handle)
+        self.records.handles.add(handle)
+        return {'handle': handle}
+
+    def _stage_free(self, exchange: edge.Exchange) -> None:
+        named = json.loads(exchange.request.body)['handles']
+        self._forget(set(named))
+        self._reply(exchange, 200)
+
+    def _report(self, exchange: edge.Exchange) -> None:
+        self._reply(exchange, 200, (), b'{"freeMb": 100}')
+
+
+def _sized(request_id: str, body: bytes) -> edge.Headers:
+    return (
+        (b'request-id', request_id.encode()),
+        SEAL,
+        (b'content-length', str(len(body)).encode()),
+    )
