Make large results late, and tell queueing times by rank

Change: stages of large results start when the expected rest of the other stages, queues included, is as long as their own; owners tell a queueing time for each rank, and admission, targets and that start go by the request's own.

--- a/features/order_of_waiting.feature
+++ b/features/order_of_waiting.feature
@@ -63,3 +63,15 @@
     When word of 1 s of waiting at 9.5 s comes
     Then 2.75 s of waiting are left at 10.25 s
     And 0 s of waiting are left at 11.0 s
+
+  Scenario: word of a queue tells how long each rank waits
+    Given 3 groups of 2 pieces of rank 0 wait
+    And 2 groups of 2 pieces of rank 1 wait
+    Then rank 1 waits longer than rank 0, and rank 5 as long as rank 1
+
+  Scenario: large results are made as late as the other stages allow
+    Given a request whose stages 1 and 2 after it take 0.2 s each
+    And whose stage 0 of large results takes 0.1 s
+    Then stage 0 has 0.3 s to spare at first
+    And it has 0.1 s to spare 0.2 s after stage 1 began
+    And stages 1 and 2 have none to spare
--- a/features/steps/order_of_waiting_steps.py
+++ b/features/steps/order_of_waiting_steps.py
@@ -175,16 +175,67 @@
 def hear_first(context: Any, wait: int, at: float) -> None:
     """Hear of a queue."""
     context.waits = relay.QueueWaits()
-    context.waits.hear('main', relay.QueueWait(wait, 2.0 * wait, at))
+    context.waits.hear('main', relay.QueueWait((wait,), 2.0 * wait, at))
 
 
 @when('word of {wait:d} s of waiting at {at:f} s comes')
 def hear_next(context: Any, wait: int, at: float) -> None:
     """Hear of the same queue again."""
-    context.waits.hear('main', relay.QueueWait(wait, 2.0 * wait, at))
+    context.waits.hear('main', relay.QueueWait((wait,), 2.0 * wait, at))
 
 
 @then('{left:g} s of waiting are left at {now:f} s')
 def check_left(context: Any, left: float, now: float) -> None:
     """Ask for the queueing time."""
-    assert abs(context.waits.wait_s('main', now) - left) < 1e-9
+    assert abs(context.waits.wait_s('main', 0, now) - left) < 1e-9
+
+
+@then('rank 1 waits longer than rank 0, and rank 5 as long as rank 1')
+def check_rank_waits(context: Any) -> None:
+    """Ask for the queueing times of three ranks while nothing is idle."""
+    gatherer = relay.Gatherer(LIMITS)
+    for group in context.groups:
+        gatherer.add(group)
+    waits = relay.QueueWaits()
+    waits.hear('main', gatherer.queue_wait(runners(), 0.0))
+    waited = [waits.wait_s('main', rank, 0.0) for rank in (0, 1, 5)]
+    assert 0.0 < waited[0] < waited[1] == waited[2], waited
+
+
+@given('a request whose stages 1 and 2 after it take 0.2 s each')
+def set_chain(context: Any) -> None:
+    """Build the stages; the first has no followers."""
+    stages = (
+        relay.StageSpec('main', (), 3e6),
+        relay.StageSpec('main', (), 8e3),
+        relay.StageSpec('main', (1,), 6e3),
+    )
+    context.run = relay.StageRun('r', stages, (1, 1, 1), 'key')
+
+
+@given('whose stage 0 of large results takes {work:f} s')
+def set_large(context: Any, work: float) -> None:
+    """Set the expected times of the stages."""
+    context.stage_s = [work, 0.2, 0.2]
+
+
+@then('stage 0 has {spare:f} s to spare at first')
+def check_spare(context: Any, spare: float) -> None:
+    """Ask before anything began."""
+    found = context.run.spare_s(0, context.stage_s, 0.0)
+    assert abs(found - spare) < 1e-9, found
+
+
+@then('it has {spare:f} s to spare {after:f} s after stage 1 began')
+def check_spare_later(context: Any, spare: float, after: float) -> None:
+    """Ask again while the chain is under way."""
+    context.run.start(1, 0.0)
+    found = context.run.spare_s(0, context.stage_s, after)
+    assert abs(found - spare) < 1e-9, found
+
+
+@then('stages 1 and 2 have none to spare')
+def check_no_spare(context: Any) -> None:
+    """Ask for the chain that the request waits for."""
+    assert context.run.spare_s(1, context.stage_s, 0.0) == 0.0
+    assert context.run.spare_s(2, context.stage_s, 0.0) == 0.0
--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -175,7 +175,8 @@
         made: set[tuple[int, int]] = set()
         open_work: list[relay.PieceWork] = []
         while not run.is_done:
-            for stage in run.start_ready():
+            for stage in run.ready():
+                run.start(stage, 0.0)
                 open_work += run.work(stage)
             work = open_work.pop(rng.randrange(len(open_work)))
             needed = specs[work.stage].after
--- a/libs/ragwort_edge/ragwort_edge/_call_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -16,6 +16,11 @@
 
 # Bytes between failure domains that are worth waiting to avoid.
 MIN_NEAR_BYTES = 500_000
+# Time to spare that is kept when large results are made as late as can be,
+# and the shortest and longest time until the next look.
+HOLD_MARGIN_S = 0.05
+MIN_HOLD_S = 0.01
+MAX_HOLD_S = 0.1
 # How often all stages are made when results vanish with their runners.
 MAX_ROUNDS = 2
 GONE = str(_dialect.PieceResult.GONE)
@@ -61,6 +66,7 @@
         self.times = times
         self.likely_domain = likely_domain
         self.run: relay.StageRun | None = None
+        self.is_late = False
         self.pending: dict[int, Any] = {}
         self.inputs: tuple[str, ...] = ()
 
@@ -82,13 +88,16 @@
         services = {spec.service for spec in self.route.stages}
         self.context.stages.refresh_waits(services)
         waits = self.context.stages.waits
-        return relay.admit(
-            self._forecast({s: waits.wait_s(s, now) for s in services}),
+        rank = self.times.rank
+        admission = relay.admit(
+            self._forecast({s: waits.wait_s(s, rank, now) for s in services}),
             self._forecast({s: waits.late_wait_s(s, now) for s in services}),
             self.times.target_at - now,
             self.times.ends_at - now,
             self.context.rng,
         )
+        self.is_late = admission.verdict == relay.Verdict.ADMIT_LATE
+        return admission
 
     def _forecast(self, waits_s: Mapping[str, float]) -> relay.Forecast:
         return relay.forecast(
@@ -120,7 +129,16 @@
     def _start_ready(
         self, run: relay.StageRun, done: 'defer.Deferred[None]'
     ) -> None:
-        for stage in run.start_ready():
+        if run is not self.run or done.called:
+            return
+        for stage in run.ready():
+            hold_s = self._hold_s(run, stage)
+            if hold_s > 0:
+                self.context.reactor.callLater(
+                    min(hold_s, MAX_HOLD_S), self._start_ready, run, done
+                )
+                continue
+            run.start(stage, self.context.reactor.seconds())
             group = self._group(run, stage)
             made = self.context.stages.make(
                 self.route.stages[stage].service, group
@@ -129,6 +147,32 @@
             made.addCallback(self._on_stage, run, stage, done)
             made.addErrback(self._on_stage_error, done)
 
+    def _hold_s(self, run: relay.StageRun, stage: int) -> float:
+        """Return how long large results had better not be made yet.
+
+        They take room at their runner until the main call reads them,
+        which it can only do when all stages are made.
+        """
+        spec = self.route.stages[stage]
+        if spec.result_bytes * run.pieces[stage] < MIN_NEAR_BYTES:
+            return 0.0
+        now = self.context.reactor.seconds()
+        waits = self.context.stages.waits
+        is_late = self.is_late or now > self.times.target_at
+        expected_s = [
+            work_s
+            + (
+                waits.late_wait_s(spec.service, now)
+                if is_late
+                else waits.wait_s(spec.service, self.times.rank, now)
+            )
+            for work_s, spec in zip(
+                self._all_usual_s(run), self.route.stages, strict=True
+            )
+        ]
+        spare_s = run.spare_s(stage, expected_s, now) - HOLD_MARGIN_S
+        return spare_s if spare_s >= MIN_HOLD_S else 0.0
+
     def _all_usual_s(self, run: relay.StageRun) -> list[float]:
         return [
             self._usual_s(spec.service, run.pieces[index])
@@ -143,9 +187,10 @@
 
     def _group(self, run: relay.StageRun, stage: int) -> relay.PieceGroup:
         now = self.context.reactor.seconds()
+        waits = self.context.stages.waits
         usual_s = self._all_usual_s(run)
         with_waits_s = [
-            work_s + self.context.stages.waits.wait_s(spec.service, now)
+            work_s + waits.wait_s(spec.service, self.times.rank, now)
             for work_s, spec in zip(usual_s, self.route.stages, strict=True)
         ]
         first_s = relay.first_event_s(self.facts.prompt)
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -91,7 +91,7 @@
         now = self.reactor.seconds()
         return [
             model.ServiceWait(
-                name, word.wait_s, word.late_wait_s, now - word.at
+                name, list(word.waits_s), word.late_wait_s, now - word.at
             )
             for name, word in self.waits.fresh(now).items()
         ]
@@ -267,7 +267,7 @@
             near=sum(p.group.failure_domain == domain for p in call.pieces),
             late=sum(p.group.target_at < now for p in call.pieces),
             waiting=len(gatherer.queue),
-            timely=gatherer.timely_pieces,
+            timely=gatherer.timely_pieces.total(),
             following_s=round(self._following_wait_s(service, now), 3),
             used_bytes=int(gatherer.used_bytes.get(call.runner.name, 0)),
             slowness=round(call.runner.slowness, 2),
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -172,7 +172,7 @@
         now = self.reactor.seconds()
         for wait in waits:
             word = relay.QueueWait(
-                wait.wait_s, wait.late_wait_s, now - wait.age_s
+                tuple(wait.waits_s), wait.late_wait_s, now - wait.age_s
             )
             self.waits.hear(wait.service_name, word)
 
@@ -281,7 +281,7 @@
             owner=wanted.owner or self.name,
             took_s=round(now - wanted.asked_at, 3),
             slack_s=round(group.target_at - now, 3),
-            queue_s=round(word.wait_s, 3) if word else None,
+            queue_s=[round(s, 3) for s in word.waits_s] if word else None,
             queue_late_s=round(word.late_wait_s, 3) if word else None,
             queue_age_s=round(now - word.at, 3) if word else None,
         )
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -199,11 +199,12 @@
 class ServiceWait:
     """The queueing times of a stage service that were so age_s ago.
 
-    What can be timely waits wait_s, what can only be late late_wait_s.
+    What can be timely waits what waits_s says for its rank, what can only
+    be late late_wait_s.
     """
 
     service_name: str
-    wait_s: float
+    waits_s: list[float]
     late_wait_s: float
     age_s: float
 
--- a/libs/ragwort_relay/ragwort_relay/_stages.py
+++ b/libs/ragwort_relay/ragwort_relay/_stages.py
@@ -41,7 +41,7 @@
         self.pieces = pieces
         self.key = key
         self.handles: list[dict[int, str]] = [{} for _ in stages]
-        self.started: set[int] = set()
+        self.started_at: dict[int, float] = {}
         self.followed = {index for spec in stages for index in spec.after}
 
     def is_complete(self, stage: int) -> bool:
@@ -57,17 +57,37 @@
         """Return the number of stages."""
         return len(self.stages)
 
-    def start_ready(self) -> list[int]:
-        """Return the stages that can start now and mark them started."""
-        ready = [
+    def ready(self) -> list[int]:
+        """Return the stages that can start now."""
+        return [
             index
             for index, spec in enumerate(self.stages)
-            if index not in self.started
+            if index not in self.started_at
             and self.pieces[index]
             and all(self.is_complete(needed) for needed in spec.after)
         ]
-        self.started.update(ready)
-        return ready
+
+    def start(self, stage: int, now: float) -> None:
+        """Note that a stage is being made."""
+        self.started_at[stage] = now
+
+    def spare_s(
+        self, stage: int, stage_s: Sequence[float], now: float
+    ) -> float:
+        """Return how much later a stage could start and end with the others.
+
+        stage_s is the expected time of each stage in seconds. Stages that
+        others wait for have none to spare.
+        """
+        if stage in self.followed:
+            return 0.0
+        left_s = [
+            0.0
+            if index == stage
+            else max(s - (now - self.started_at.get(index, now)), 0.0)
+            for index, s in enumerate(stage_s)
+        ]
+        return max(self.path_s(left_s) - stage_s[stage], 0.0)
 
     def work(self, stage: int) -> list[PieceWork]:
         """Return the pieces of a stage that is ready."""
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -11,11 +11,11 @@
 class QueueWait:
     """Queueing times of a service in seconds, and when they were so.
 
-    A request that can be timely waits wait_s; one that can only be late
-    waits late_wait_s.
+    A request that can be timely waits what waits_s says for its rank, the
+    last of them from there on; one that can only be late waits late_wait_s.
     """
 
-    wait_s: float
+    waits_s: tuple[float, ...]
     late_wait_s: float
     at: float
 
@@ -41,10 +41,13 @@
             if now - word.at < MAX_AGE_S
         }
 
-    def wait_s(self, service: str, now: float) -> float:
-        """Return the queueing time for what can be timely."""
+    def wait_s(self, service: str, rank: int, now: float) -> float:
+        """Return the queueing time for what can be timely, by its rank."""
         word = self.known.get(service)
-        return _left_s(word, word.wait_s, now) if word else 0.0
+        if word is None or not word.waits_s:
+            return 0.0
+        at_rank = min(max(rank, 0), len(word.waits_s) - 1)
+        return _left_s(word, word.waits_s[at_rank], now)
 
     def late_wait_s(self, service: str, now: float) -> float:
         """Return the queueing time for what can only be late."""
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -119,7 +119,7 @@
 
 struct ServiceWait {
   1: string service_name
-  2: double wait_s
+  2: list<double> waits_s
   3: double late_wait_s
   4: double age_s
 }
