--- a/features/order_of_waiting.feature
+++ b/features/order_of_waiting.feature
@@ -64,10 +64,10 @@
     Then 2.75 s of waiting are left at 10.25 s
     And 0 s of waiting are left at 11.0 s
 
-  Scenario: word of a queue tells how long each rank waits
+  Scenario: what is due sooner waits for less of a queue
     Given 3 groups of 2 pieces of rank 0 wait
-    And 2 groups of 2 pieces of rank 1 wait
-    Then rank 1 waits longer than rank 0, and rank 5 as long as rank 1
+    And 2 groups of 2 pieces of rank 2 wait
+    Then what is due in 0.5 s, 1 s, 2 s and 9 s waits 0 s, 0.15 s, 0.35 s and 0.35 s
 
   Scenario: large results are made as late as the other stages allow
     Given a request whose stages 1 and 2 after it take 0.2 s each
--- a/features/steps/order_of_waiting_steps.py
+++ b/features/steps/order_of_waiting_steps.py
@@ -1,5 +1,6 @@
 """Steps of the order in which stage work waits."""
 
+import re
 from typing import Any
 
 from behave import given
@@ -187,19 +188,25 @@
 @then('{left:g} s of waiting are left at {now:f} s')
 def check_left(context: Any, left: float, now: float) -> None:
     """Ask for the queueing time."""
-    assert abs(context.waits.wait_s('main', 0, now) - left) < 1e-9
+    assert abs(context.waits.wait_s('main', 1.0, now) - left) < 1e-9
 
 
-@then('rank 1 waits longer than rank 0, and rank 5 as long as rank 1')
-def check_rank_waits(context: Any) -> None:
-    """Ask for the queueing times of three ranks while nothing is idle."""
+@then('what is due in {due_s} waits {waits_s}')
+def check_due_waits(context: Any, due_s: str, waits_s: str) -> None:
+    """Ask for queueing times; a call of four pieces starts at once."""
     gatherer = relay.Gatherer(LIMITS)
     for group in context.groups:
         gatherer.add(group)
     waits = relay.QueueWaits()
     waits.hear('main', gatherer.queue_wait(runners(), 0.0))
-    waited = [waits.wait_s('main', rank, 0.0) for rank in (0, 1, 5)]
-    assert 0.0 < waited[0] < waited[1] == waited[2], waited
+    for due, expected in zip(seconds(due_s), seconds(waits_s), strict=True):
+        found = waits.wait_s('main', due, 0.0)
+        assert abs(found - expected) < 1e-9, (due, found)
+
+
+def seconds(text: str) -> list[float]:
+    """Return the numbers of seconds in a text."""
+    return [float(found) for found in re.findall(r'([0-9.]+) s', text)]
 
 
 @given('a request whose stages 1 and 2 after it take 0.2 s each')
--- a/libs/ragwort_edge/ragwort_edge/_call_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_call_stages.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Mapping
 import dataclasses
 from typing import Any
 
@@ -85,13 +84,13 @@
     def admit(self) -> relay.Admission:
         """Decide whether the request can be done in its time."""
         now = self.context.reactor.seconds()
-        services = {spec.service for spec in self.route.stages}
-        self.context.stages.refresh_waits(services)
-        waits = self.context.stages.waits
-        rank = self.times.rank
+        self.context.stages.refresh_waits(
+            {spec.service for spec in self.route.stages}
+        )
+        run = self.new_run()
         admission = relay.admit(
-            self._forecast({s: waits.wait_s(s, rank, now) for s in services}),
-            self._forecast({s: waits.late_wait_s(s, now) for s in services}),
+            self._forecast(run, self._timely_waits_s(run)),
+            self._forecast(run, self._late_waits_s()),
             self.times.target_at - now,
             self.times.ends_at - now,
             self.context.rng,
@@ -99,14 +98,46 @@
         self.is_late = admission.verdict == relay.Verdict.ADMIT_LATE
         return admission
 
-    def _forecast(self, waits_s: Mapping[str, float]) -> relay.Forecast:
+    def _forecast(
+        self, run: relay.StageRun, waits_s: list[float]
+    ) -> relay.Forecast:
         return relay.forecast(
-            self.new_run(),
-            self.configuration.services,
-            waits_s,
-            relay.first_event_s(self.facts.prompt),
+            run, self._usual_s(run), waits_s, self._first_event_s
         )
 
+    @property
+    def _first_event_s(self) -> float:
+        return relay.first_event_s(self.facts.prompt)
+
+    def _usual_s(self, run: relay.StageRun) -> list[float]:
+        return relay.usual_s(run, self.configuration.services)
+
+    def _timely_waits_s(self, run: relay.StageRun) -> list[float]:
+        """Return the queueing time before each stage if it can be timely.
+
+        The less time a request has to spare, the sooner it is due and the
+        less of each queue goes before it.
+        """
+        now = self.context.reactor.seconds()
+        usual_s = self._usual_s(run)
+        left_s = self.times.target_at - now - self._first_event_s
+        spare_s = left_s - run.path_s(usual_s)
+        spare_s += relay.RANK_S * self.times.rank
+        return [
+            self.context.stages.waits.wait_s(
+                spec.service, spare_s + work_s, now
+            )
+            for spec, work_s in zip(self.route.stages, usual_s, strict=True)
+        ]
+
+    def _late_waits_s(self) -> list[float]:
+        """Return the queueing time before each stage if it can't."""
+        now = self.context.reactor.seconds()
+        waits = self.context.stages.waits
+        return [
+            waits.late_wait_s(spec.service, now) for spec in self.route.stages
+        ]
+
     async def make(self) -> None:
         """Make all stages; raise Refusal if that can't be done."""
         for _ in range(MAX_ROUNDS):
@@ -157,28 +188,14 @@
         if spec.result_bytes * run.pieces[stage] < MIN_NEAR_BYTES:
             return 0.0
         now = self.context.reactor.seconds()
-        waits = self.context.stages.waits
         is_late = self.is_late or now > self.times.target_at
-        expected_s = [
-            work_s
-            + (
-                waits.late_wait_s(spec.service, now)
-                if is_late
-                else waits.wait_s(spec.service, self.times.rank, now)
-            )
-            for work_s, spec in zip(
-                self._all_usual_s(run), self.route.stages, strict=True
-            )
-        ]
+        waits_s = (
+            self._late_waits_s() if is_late else self._timely_waits_s(run)
+        )
+        expected_s = _sums(self._usual_s(run), waits_s)
         spare_s = run.spare_s(stage, expected_s, now) - HOLD_MARGIN_S
         return spare_s if spare_s >= MIN_HOLD_S else 0.0
 
-    def _all_usual_s(self, run: relay.StageRun) -> list[float]:
-        return [
-            self._usual_s(spec.service, run.pieces[index])
-            for index, spec in enumerate(self.route.stages)
-        ]
-
     def _on_stage_error(
         self, failure: Any, done: 'defer.Deferred[None]'
     ) -> None:
@@ -186,14 +203,9 @@
             done.errback(failure)
 
     def _group(self, run: relay.StageRun, stage: int) -> relay.PieceGroup:
-        now = self.context.reactor.seconds()
-        waits = self.context.stages.waits
-        usual_s = self._all_usual_s(run)
-        with_waits_s = [
-            work_s + waits.wait_s(spec.service, self.times.rank, now)
-            for work_s, spec in zip(usual_s, self.route.stages, strict=True)
-        ]
-        first_s = relay.first_event_s(self.facts.prompt)
+        usual_s = self._usual_s(run)
+        with_waits_s = _sums(usual_s, self._timely_waits_s(run))
+        first_s = self._first_event_s
         target_s = relay.stage_targets(run, stage, with_waits_s) + first_s
         deadline_s = relay.stage_targets(run, stage, usual_s) + first_s
         return relay.PieceGroup(
@@ -206,12 +218,6 @@
             self._wanted_domain(run, stage),
         )
 
-    def _usual_s(self, service: str, pieces: int) -> float:
-        spec = self.configuration.services.get(service)
-        if spec is None or spec.batch is None:
-            return 0.0
-        return spec.batch.duration_s(min(pieces, spec.batch.batch))
-
     def _wanted_domain(self, run: relay.StageRun, stage: int) -> str:
         """Return where a stage's inputs lie or its results will be read.
 
@@ -294,3 +300,7 @@
         for stage in range(len(run)):
             if not run.is_spent(stage):
                 self._release(stage, run.results(stage))
+
+
+def _sums(first: list[float], second: list[float]) -> list[float]:
+    return [a + b for a, b in zip(first, second, strict=True)]
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -267,7 +267,7 @@
             near=sum(p.group.failure_domain == domain for p in call.pieces),
             late=sum(p.group.target_at < now for p in call.pieces),
             waiting=len(gatherer.queue),
-            timely=gatherer.timely_pieces.total(),
+            timely=len(gatherer.timely_due),
             following_s=round(self._following_wait_s(service, now), 3),
             used_bytes=int(gatherer.used_bytes.get(call.runner.name, 0)),
             slowness=round(call.runner.slowness, 2),
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -199,8 +199,8 @@
 class ServiceWait:
     """The queueing times of a stage service that were so age_s ago.
 
-    What can be timely waits what waits_s says for its rank, what can only
-    be late late_wait_s.
+    What can be timely waits as waits_s says for several times until it is
+    due, what can only be late late_wait_s.
     """
 
     service_name: str
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -7,6 +7,7 @@
 from ragwort_relay._admission import forecast
 from ragwort_relay._admission import retry_after_s
 from ragwort_relay._admission import stage_targets
+from ragwort_relay._admission import usual_s
 from ragwort_relay._admission import Verdict
 from ragwort_relay._attempts import Attempts
 from ragwort_relay._attempts import next_step
@@ -25,6 +26,7 @@
 from ragwort_relay._gather import Gatherer
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import Pace
+from ragwort_relay._order import RANK_S
 from ragwort_relay._order import timely_groups
 from ragwort_relay._pieces import BatchCall
 from ragwort_relay._pieces import PieceGroup
@@ -76,6 +78,7 @@
     'QueuedPiece',
     'QueueWait',
     'QueueWaits',
+    'RANK_S',
     'RelayCatalog',
     'RelayConfiguration',
     'retry_after_s',
@@ -91,6 +94,7 @@
     'StreamEvent',
     'StreamProgress',
     'timely_groups',
+    'usual_s',
     'Verdict',
     'WindowCounter',
     'Workspace',
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -57,25 +57,31 @@
     return FIRST_EVENT_S + tokens * FIRST_EVENT_S_PER_TOKEN
 
 
+def usual_s(
+    run: _stages.StageRun, services: Mapping[str, _routes.ServiceSpec]
+) -> list[float]:
+    """Return the usual time of each stage's last call, in seconds."""
+    found: list[float] = []
+    for index, spec in enumerate(run.stages):
+        service = services.get(spec.service)
+        limits = service.batch if service else None
+        count = min(run.pieces[index], limits.batch) if limits else 0
+        found.append(limits.duration_s(count) if limits else 0.0)
+    return found
+
+
 def forecast(
     run: _stages.StageRun,
-    services: Mapping[str, _routes.ServiceSpec],
-    waits_s: Mapping[str, float],
+    work_s: Sequence[float],
+    waits_s: Sequence[float],
     first_s: float,
 ) -> Forecast:
     """Return the time along the longest path through the stages.
 
-    first_s is the time that the main call will take to its first event.
+    work_s and waits_s are the time of each stage and of the queue before
+    it; first_s is what the main call will take to its first event.
     """
-    work_s: list[float] = []
-    queue_s: list[float] = []
-    for index, spec in enumerate(run.stages):
-        service = services.get(spec.service)
-        limits = service.batch if service else None
-        count = min(run.pieces[index], limits.batch) if limits else 0
-        work_s.append(limits.duration_s(count) if limits else 0.0)
-        queue_s.append(waits_s.get(spec.service, 0.0))
-    both = [a + b for a, b in zip(work_s, queue_s, strict=True)]
+    both = [a + b for a, b in zip(work_s, waits_s, strict=True)]
     total_s = run.path_s(both)
     return Forecast(total_s + first_s, total_s - run.path_s(work_s))
 
--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -5,7 +5,7 @@
 runner gets one full call at a time.
 """
 
-import collections
+import bisect
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
@@ -82,7 +82,7 @@
         self.choose_timely = choose_timely
         self.queue: list[_pieces.QueuedPiece] = []
         self.timely: set[str] = set()
-        self.timely_pieces: collections.Counter[int] = collections.Counter()
+        self.timely_due: list[float] = []
         self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
         self.kept: dict[str, tuple[str, float, float]] = {}
@@ -93,7 +93,7 @@
     def add(self, group: _pieces.PieceGroup) -> None:
         """Queue the pieces of a group."""
         self.queue += [_pieces.QueuedPiece(group, work) for work in group.work]
-        self.timely_pieces[group.rank] += len(group.work)
+        self.timely_due += [_order.due_at(group)] * len(group.work)
 
     def drop(self, group_id: str) -> int:
         """Take out what waits of a group that nobody wants any more."""
@@ -210,11 +210,11 @@
         """Put the queue in order and return the pace it goes at."""
         pace = self._pace(runners)
         self.timely = self.choose_timely(self.queue, pace, now)
-        self.timely_pieces = collections.Counter(
-            piece.group.rank
+        self.timely_due = [
+            -math.inf if piece.group.sends else _order.due_at(piece.group)
             for piece in self.queue
             if piece.group.sends or piece.group.group_id in self.timely
-        )
+        ]
         self.queue.sort(key=self._urgency)
         return pace
 
@@ -413,8 +413,11 @@
         if not runners:
             return _waits.QueueWait((), 0.0, now)
         pace = self._pace(runners)
-        ranks = range(max(self.timely_pieces, default=0) + 1)
-        ahead = itertools.accumulate(self.timely_pieces[r] for r in ranks)
+        due = sorted(self.timely_due)
+        ahead = [
+            bisect.bisect_right(due, now + point)
+            for point in _waits.DUE_POINTS_S
+        ]
         return _waits.QueueWait(
             tuple(pace.start_s(pieces + 1) for pieces in ahead),
             pace.start_s(len(self.queue) + 1),
--- a/libs/ragwort_relay/ragwort_relay/_order.py
+++ b/libs/ragwort_relay/ragwort_relay/_order.py
@@ -70,9 +70,13 @@
     return _choose(fresh, begun, pace, now)
 
 
+def due_at(group: _pieces.PieceGroup) -> float:
+    """Return by when a group wants its turn: later for a higher rank."""
+    return group.target_at + RANK_S * group.rank
+
+
 def _due(waiting: _Waiting) -> tuple[float, str]:
-    group = waiting.group
-    return group.target_at + RANK_S * group.rank, group.group_id
+    return due_at(waiting.group), waiting.group.group_id
 
 
 def _choose(
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -1,8 +1,12 @@
 """Queueing times of stage services, as this host last heard of them."""
 
+import bisect
 from collections.abc import Iterable
 import dataclasses
 
+# Times until a group is due for which queueing times are told, in seconds:
+# what is due sooner goes first, so that each waits for a part of the queue.
+DUE_POINTS_S = (0.25, 0.5, 1.0, 2.0, 4.0)
 # Age after which word of a queue is no longer used.
 MAX_AGE_S = 1.0
 
@@ -11,8 +15,8 @@
 class QueueWait:
     """Queueing times of a service in seconds, and when they were so.
 
-    A request that can be timely waits what waits_s says for its rank, the
-    last of them from there on; one that can only be late waits late_wait_s.
+    What can be timely waits as waits_s says for each of DUE_POINTS_S; what
+    can only be late waits late_wait_s.
     """
 
     waits_s: tuple[float, ...]
@@ -41,13 +45,14 @@
             if now - word.at < MAX_AGE_S
         }
 
-    def wait_s(self, service: str, rank: int, now: float) -> float:
-        """Return the queueing time for what can be timely, by its rank."""
+    def wait_s(self, service: str, due_s: float, now: float) -> float:
+        """Return the queueing time for what is due in so many seconds."""
         word = self.known.get(service)
         if word is None or not word.waits_s:
             return 0.0
-        at_rank = min(max(rank, 0), len(word.waits_s) - 1)
-        return _left_s(word, word.waits_s[at_rank], now)
+        point = bisect.bisect_left(DUE_POINTS_S, due_s)
+        wait_s = word.waits_s[min(point, len(word.waits_s) - 1)]
+        return _left_s(word, wait_s, now)
 
     def late_wait_s(self, service: str, now: float) -> float:
         """Return the queueing time for what can only be late."""
