--- a/libs/ragwort_relay/ragwort_relay/_gather.py
+++ b/libs/ragwort_relay/ragwort_relay/_gather.py
@@ -28,6 +28,8 @@
 FULL_S = 0.3
 # Smallest room that runners tell precisely enough to count by.
 MIN_TOLD_ROOM_BYTES = 8e6
+# Weight of a new call in the usual size of calls while more pieces wait.
+FULL_SIZE_WEIGHT = 0.1
 # Queueing time of the services that follow up to which results for requests
 # that can only be late are made: more would lie there and take the room.
 MAX_FOLLOWING_WAIT_S = 0.15
@@ -83,6 +85,7 @@
         self.queue: list[_pieces.QueuedPiece] = []
         self.timely: set[str] = set()
         self.timely_due: list[float] = []
+        self.full_size = float(limits.batch)
         self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
         self.kept: dict[str, tuple[str, float, float]] = {}
@@ -159,8 +162,23 @@
             else:
                 place.add(piece)
         self.queue = waiting
+        self._note_sizes(forming)
         return [self._start(call, now) for call in forming if call.pieces]
 
+    def _note_sizes(self, formed: list['_FormingCall']) -> None:
+        """Learn how full calls are while timely pieces are left over.
+
+        Room for results and groups that stay whole keep calls from being
+        full, and the queue from moving as fast as it could.
+        """
+        left = sum(p.group.group_id in self.timely for p in self.queue)
+        if left < self.limits.batch:
+            return
+        for call in formed:
+            if call.pieces:
+                more = len(call.pieces) - self.full_size
+                self.full_size += FULL_SIZE_WEIGHT * more
+
     def _turn(
         self, piece: _pieces.QueuedPiece, domains: set[str], now: float
     ) -> _Turn:
@@ -195,12 +213,13 @@
         limits = self.limits
         count = max(len(runners), 1)
         slowness = sum(r.slowness for r in runners) / count if runners else 1.0
-        full_s = limits.duration_s(limits.batch) * slowness
+        full = min(max(self.full_size, 1.0), limits.batch)
+        full_s = limits.duration_s(math.ceil(full)) * slowness
         idle = len(self._idle(runners))
         size = min(math.ceil(len(self.queue) / max(idle, 1)), limits.batch)
         return _order.Pace(
-            idle * limits.batch,
-            len(runners) * limits.batch / full_s,
+            int(idle * full),
+            len(runners) * full / full_s,
             limits.duration_s(size) * slowness,
         )
 
