--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard libs/*/ragwort_*) platform/ragwort_platform
 
-.PHONY: demo test lint bench matrix matrix-self-test capacity format clean
+.PHONY: demo test lint bench matrix matrix-self-test soak capacity format clean
 
 $(STAMP): requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,6 +32,9 @@
 matrix-self-test: $(STAMP)
 	$(BIN)/python -m ragwort_lab matrix-self-test
 
+soak: $(STAMP)
+	$(BIN)/python -m features.soak.series --kept --minutes 5
+
 capacity: $(STAMP)
 	$(BIN)/python -m ragwort_lab capacity
 
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,39 @@
+Feature: Hosts keep their promises while everything around them fails
+
+  Scenario: a short run of real processes with faults from a seed
+    When the soak plays seed 7 with 3 hosts and 6 s of faults
+    Then it ends well and says that all promises were kept
+
+  Scenario: records of a sound run break no promise
+    Given the records of a sound run
+    Then no promise is broken
+
+  Scenario Outline: the check of "<promise>" catches <defect>
+    Given the records of a sound run
+    When <defect> is in the records
+    Then only the promise "<promise>" is broken
+
+    Examples:
+      | promise      | defect                                  |
+      | own-answer   | another request's answer                |
+      | event-order  | an event that is left out               |
+      | event-order  | an event that came twice                |
+      | runs         | an unsafe request that ran twice        |
+      | runs         | a repeatable request that ran three times |
+      | refusal      | a refused request that ran              |
+      | answered     | a request that got no answer            |
+      | keys         | a key that is still valid when taken    |
+      | keys         | a key that is not known when given      |
+      | known-routes | a denied standing key                   |
+      | service      | a request at another route's service    |
+      | budget       | a hundred second sends                  |
+      | leaving      | a host that does not leave              |
+      | leaving      | a host that crashes as it leaves        |
+      | leaving      | a request that a leaving host cut       |
+      | recovery     | a host that serves nobody any more      |
+
+  Scenario: a host that a fault concerned may leave a request unanswered
+    Given the records of a sound run
+    When a request that got no answer is in the records
+    And a fault concerned its host
+    Then no promise is broken
--- /dev/null
+++ b/features/soak/series.py
@@ -0,0 +1,61 @@
+"""Plays many seeds, each in a process of its own, and sums them up."""
+
+import pathlib
+import random
+import subprocess
+import sys
+import time
+
+import typer
+import yaml
+
+from features.soak import run
+
+KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
+RUN_TIMEOUT_S = 180.0
+
+
+def kept_options() -> list[list[str]]:
+    """Return the command lines of the seeds that failed once."""
+    kept = yaml.safe_load(KEPT_FILE.read_text()) or []
+    return [_options(entry['seed'], entry.get('hosts', 4)) for entry in kept]
+
+
+def _options(seed: int, hosts: int) -> list[str]:
+    return [f'--seed={seed}', f'--hosts={hosts}']
+
+
+def _play(options: list[str]) -> bool:
+    """Play one seed, print what it says, and tell whether all held."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'features.soak', *options],
+        capture_output=True,
+        text=True,
+        timeout=RUN_TIMEOUT_S,
+    )
+    typer.echo(done.stdout.rstrip() or done.stderr.rstrip())
+    return done.returncode == 0
+
+
+def main(
+    first: int = typer.Option(0, help='First of a row of seeds.'),
+    count: int = typer.Option(0, help='Seeds in the row.'),
+    minutes: float = typer.Option(0.0, help='Time for fresh seeds.'),
+    kept: bool = typer.Option(False, help='Seeds that failed once, first.'),
+) -> None:
+    """Play seeds; status 1 if a promise broke on any."""
+    plays = kept_options() if kept else []
+    plays += [_options(seed, 4) for seed in range(first, first + count)]
+    results = [_play(options) for options in plays]
+    rng = random.Random(run.fresh_seed())
+    until = time.monotonic() + 60.0 * minutes
+    while time.monotonic() < until:
+        seed = run.fresh_seed()
+        results.append(_play(_options(seed, rng.choice((3, 4, 6)))))
+    typer.echo(f'{sum(results)} of {len(results)} seeds kept all promises')
+    if not all(results):
+        raise typer.Exit(1)
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,252 @@
+"""Steps of the fault soak and of its checks."""
+
+from collections.abc import Callable
+import subprocess
+import sys
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.soak import clients
+from features.soak import hosts
+from features.soak import ledger
+from features.soak import promises
+from features.soak import runners
+
+RUN_TIMEOUT_S = 120.0
+# The sound run's only fault was over by then.
+QUIET_AT = 60.0
+
+
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts '
+    'and {faults_s:d} s of faults'
+)
+def play(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak as a process of its own."""
+    context.run = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'features.soak',
+            f'--seed={seed}',
+            f'--hosts={count}',
+            f'--faults-s={faults_s}',
+        ],
+        capture_output=True,
+        text=True,
+        timeout=RUN_TIMEOUT_S,
+    )
+
+
+@then('it ends well and says that all promises were kept')
+def check_run(context: Any) -> None:
+    """Look at the status and the line of the run."""
+    output = context.run.stdout + context.run.stderr
+    assert context.run.returncode == 0, output
+    assert ': kept,' in context.run.stdout, output
+
+
+def add_request(
+    records: ledger.Ledger, name: str, kind: str, at: float
+) -> ledger.Outcome:
+    """Add a request that was served well."""
+    one = ledger.Outcome(name, kind, 'host-0', 'key-0', at, at + 0.2, 200)
+    one.body = clients.expected_body(one)
+    records.outcomes.append(one)
+    add_arrival(records, one)
+    return one
+
+
+def add_arrival(records: ledger.Ledger, one: ledger.Outcome) -> None:
+    """Add a run of a request at a runner of its service."""
+    prefix = clients.KINDS[one.kind][1]
+    service = 'engine' if prefix.startswith('/stream/') else 'plain'
+    records.arrivals.append(
+        ledger.Arrival(
+            one.request_id,
+            service,
+            prefix + one.request_id,
+            one.asked_at + 0.1,
+            True,
+        )
+    )
+
+
+@given('the records of a sound run')
+def set_records(context: Any) -> None:
+    """Serve a few requests of each kind."""
+    records = ledger.Ledger(quiet_at=QUIET_AT, recovered_at=QUIET_AT + 1)
+    for number in range(20):
+        for kind in clients.KINDS:
+            add_request(records, f'{kind}-{number}', kind, 3.0 * number)
+    records.key_changes.append(ledger.KeyChange('given', True, 5.0))
+    records.key_changes.append(ledger.KeyChange('given', False, 20.0))
+    records.exits.append(ledger.HostExit('host-1', 10.0, 13.0, 0))
+    context.records = records
+
+
+Defect = Callable[[ledger.Ledger], None]
+DEFECTS: dict[str, Defect] = {}
+
+
+def defect(name: str) -> Callable[[Defect], Defect]:
+    """Register what goes wrong under a name."""
+
+    def register(spoil: Defect) -> Defect:
+        DEFECTS[name] = spoil
+        return spoil
+
+    return register
+
+
+def find(records: ledger.Ledger, name: str) -> ledger.Outcome:
+    """Return the outcome of a request."""
+    return next(o for o in records.outcomes if o.request_id == name)
+
+
+@defect("another request's answer")
+def mix_answers(records: ledger.Ledger) -> None:
+    """Swap the bodies of two plain requests."""
+    first, second = find(records, 'safe-1'), find(records, 'safe-2')
+    first.body, second.body = second.body, first.body
+
+
+@defect('an event that is left out')
+def drop_event(records: ledger.Ledger) -> None:
+    """Take an event out of a stream that broke off later."""
+    one = find(records, 'stream-1')
+    one.problem = 'closed'
+    one.body = one.body.replace(runners.event_text('stream-1', 3), b'')
+
+
+@defect('an event that came twice')
+def double_event(records: ledger.Ledger) -> None:
+    """Repeat an event of a stream that broke off later."""
+    one = find(records, 'stream-1')
+    one.problem = 'closed'
+    text = runners.event_text('stream-1', 3)
+    one.body = one.body.replace(text, text + text)
+
+
+@defect('an unsafe request that ran twice')
+def run_twice(records: ledger.Ledger) -> None:
+    """Add a second run."""
+    add_arrival(records, find(records, 'unsafe-1'))
+
+
+@defect('a repeatable request that ran three times')
+def run_often(records: ledger.Ledger) -> None:
+    """Add two more runs."""
+    add_arrival(records, find(records, 'safe-1'))
+    add_arrival(records, find(records, 'safe-1'))
+
+
+@defect('a refused request that ran')
+def refuse_run(records: ledger.Ledger) -> None:
+    """Answer a request that ran as if it had not."""
+    one = find(records, 'unsafe-1')
+    one.status, one.body = 503, b''
+
+
+@defect('a request that got no answer')
+def lose_answer(records: ledger.Ledger) -> None:
+    """Let a caller wait for its whole deadline."""
+    one = find(records, 'unsafe-1')
+    one.status, one.body, one.problem = None, b'', 'deadline'
+    one.ended_at = one.asked_at + clients.DEADLINE_S
+
+
+@defect('a key that is still valid when taken')
+def keep_key(records: ledger.Ledger) -> None:
+    """Serve with a key well after it was taken."""
+    add_request(records, 'safe-99', 'safe', 30.0).key = 'given'
+
+
+@defect('a key that is not known when given')
+def miss_key(records: ledger.Ledger) -> None:
+    """Deny a key well after it was given and before it was taken."""
+    one = add_request(records, 'safe-99', 'safe', 15.0)
+    one.key, one.status, one.body = 'given', 401, b''
+
+
+@defect('a denied standing key')
+def deny_key(records: ledger.Ledger) -> None:
+    """Deny a key that always held."""
+    one = find(records, 'safe-1')
+    one.status, one.body = 401, b''
+
+
+@defect("a request at another route's service")
+def misroute(records: ledger.Ledger) -> None:
+    """Run a request at a service that its route does not name."""
+    records.arrivals[0].service = 'stage-a'
+
+
+@defect('a hundred second sends')
+def send_often(records: ledger.Ledger) -> None:
+    """Send a hundred requests to a runner that turned them away, then again."""
+    for number in range(100):
+        one = add_request(records, f'safe-a{number}', 'safe', 30.0)
+        add_arrival(records, one)
+        records.arrivals[-1].ran = False
+
+
+@defect('a host that does not leave')
+def stay(records: ledger.Ledger) -> None:
+    """Keep a host beyond its grace."""
+    records.exits[0].gone_at = 10.0 + hosts.GRACE_S + 5.0
+
+
+@defect('a host that crashes as it leaves')
+def crash(records: ledger.Ledger) -> None:
+    """End a leaving host with a failure."""
+    records.exits[0].code = 1
+
+
+@defect('a request that a leaving host cut')
+def cut(records: ledger.Ledger) -> None:
+    """Close a caller's connection in the middle of a request."""
+    one = find(records, 'unsafe-3')
+    one.host, one.asked_at, one.ended_at = 'host-1', 9.9, 10.1
+    one.status, one.body, one.problem = None, b'', 'closed'
+
+
+@defect('a host that serves nobody any more')
+def stay_down(records: ledger.Ledger) -> None:
+    """Leave the time of recovery open."""
+    records.recovered_at = None
+    records.unserved = [('host-1', 'safe')]
+
+
+@when('{name} is in the records')
+def spoil(context: Any, name: str) -> None:
+    """Put a defect into the sound run."""
+    DEFECTS[name](context.records)
+
+
+@when('a fault concerned its host')
+def disturb(context: Any) -> None:
+    """Note a fault at the time of the lost answer."""
+    one = find(context.records, 'unsafe-1')
+    context.records.disturbances.append(
+        ledger.Disturbance(
+            'host-pause', one.host, one.asked_at, one.asked_at + 1.0
+        )
+    )
+
+
+@then('no promise is broken')
+def check_kept(context: Any) -> None:
+    """Check all promises."""
+    broken = promises.broken_promises(context.records)
+    assert not broken, broken
+
+
+@then('only the promise "{name}" is broken')
+def check_broken(context: Any, name: str) -> None:
+    """Compare the names of the broken promises."""
+    broken = promises.broken_promises(context.records)
+    assert {text.partition(':')[0] for text in broken} == {name}, broken
