--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -187,7 +187,7 @@
 
 @defect('a hundred second sends')
 def send_often(records: ledger.Ledger) -> None:
-    """Send a hundred requests to a runner that turned them away, then again."""
+    """Send a hundred requests again that a runner had turned away."""
     for number in range(100):
         one = add_request(records, f'safe-a{number}', 'safe', 30.0)
         add_arrival(records, one)
