--- a/features/steps/workspace_steps.py
+++ b/features/steps/workspace_steps.py
@@ -58,6 +58,7 @@
 }
 PURE_LIBRARIES = ('model', 'policy', 'state', 'membership', 'relay')
 PURE_NODE_MODULES = (
+    '_accounting',
     '_admission',
     '_control',
     '_core',
@@ -68,6 +69,7 @@
     '_poller',
     '_relays',
     '_status',
+    '_subscribers',
     '_timers',
 )
 IMPURE = re.compile(
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -92,7 +92,9 @@
             self._tick_placement(now, wall)
             self._note_changes(now)
             self._update_state(now)
-            self.engine.heartbeats(now)
+            self.engine.subscribers.heartbeats(
+                self.engine.active.values(), now
+            )
             live = frozenset(u.name for u in self.control.members.live())
             self.relays.tick(now, live)
             for service in list(self.dispatcher.queues):
@@ -231,7 +233,7 @@
     ) -> None:
         """Let a repeated submission follow the request it repeats."""
         if known.request.digest == request.digest:
-            self.engine.attach(known, subscriber, 0, self.name)
+            self.engine.subscribers.attach(known, subscriber, 0, self.name)
             return
         refuse = _effects.RefuseCaller(
             subscriber,
@@ -312,7 +314,7 @@
         execution.remember(decision)
         self.out.append(decision)
         self.engine.add(execution)
-        self.engine.attach(execution, subscriber, 0, self.name)
+        self.engine.subscribers.attach(execution, subscriber, 0, self.name)
         if not plan.needs_claim:
             self.engine.start_stage(execution, now)
             return
@@ -433,7 +435,9 @@
         execution = self.engine.executions.get(key)
         members = self.control.members
         if execution is not None:
-            self.engine.attach(execution, subscriber, from_seq, self.name)
+            self.engine.subscribers.attach(
+                execution, subscriber, from_seq, self.name
+            )
         elif host != self.name and members.is_alive(host):
             self.relays.open(
                 key,
@@ -458,7 +462,7 @@
 
     def detach(self, subscriber: str) -> list[_effects.Effect]:
         """Note that a caller's connection is gone."""
-        self.engine.detach(subscriber)
+        self.engine.subscribers.detach(self.engine.active.values(), subscriber)
         self.relays.detach(subscriber)
         return self._flush()
 
@@ -525,7 +529,9 @@
         execution = self.engine.executions.get(message.key)
         if execution is not None:
             seq = max(0, message.from_seq)
-            self.engine.attach(execution, subscriber, seq, self.name)
+            self.engine.subscribers.attach(
+                execution, subscriber, seq, self.name
+            )
             return
         reason = f'host {self.name} no longer knows this key'
         end = model.End(message.key, model.Outcome.UNKNOWN, 0, '', reason)
--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -3,15 +3,16 @@
 import random
 
 import ragwort_model as model
+from ragwort_node import _accounting
 from ragwort_node import _dispatcher
 from ragwort_node import _effects
 from ragwort_node import _execution
+from ragwort_node import _subscribers
 from ragwort_node import _timers
 import ragwort_policy as policy
 
 MAX_TRIES_PER_STAGE = 4
 PROGRESS_TIMEOUT_S = 1.0
-HEARTBEAT_S = 1.0
 RESUME_RETENTION_S = 30.0
 CALL_PRIORITY = 5
 HEDGE_PRIORITY = 2
@@ -37,7 +38,8 @@
         self.timers = _timers.Timers()
         self.executions: dict[str, _execution.Execution] = {}
         self.active: dict[str, _execution.Execution] = {}
-        self.next_heartbeat = 0.0
+        self.accounting = _accounting.Accounting(dispatcher, out)
+        self.subscribers = _subscribers.Subscribers(out)
 
     def add(self, execution: _execution.Execution) -> None:
         """Take an execution into care until its deadline."""
@@ -276,17 +278,9 @@
             self._cancel_others(execution, attempt, now)
         if execution.leader == ident:
             execution.delivered.append(event.data)
-            self._tell(execution, model.Chunk(event.seq, event.data), now)
-
-    def _tell(
-        self,
-        execution: _execution.Execution,
-        event: model.CallerEvent,
-        now: float,
-    ) -> None:
-        execution.last_event_at = now
-        for subscriber in execution.subscribers:
-            self.out.append(model.AnswerCaller(subscriber, event))
+            self.subscribers.tell(
+                execution, model.Chunk(event.seq, event.data), now
+            )
 
     def on_alive(self, event: model.StageAlive, now: float) -> None:
         """Note that a runner is still at work on an attempt."""
@@ -305,57 +299,11 @@
             self._break_off(execution, attempt, 'result not whole', now)
             return
         del execution.attempts[str(attempt.ident)]
-        self._settle_runner(execution, attempt, event, now)
+        self.accounting.on_result(execution, attempt, event, now)
         self._cancel_others(execution, attempt, now)
         self._finish_stage(execution, attempt, now)
         self.pump(attempt.state.runner.service, now)
 
-    def _settle_runner(
-        self,
-        execution: _execution.Execution,
-        attempt: _execution.Attempt,
-        event: model.StageEnd,
-        now: float,
-    ) -> None:
-        state = attempt.state
-        service = execution.service.name
-        latency_s = now - attempt.started_at
-        state.on_result(event.busy_s, latency_s, now)
-        state.on_report(event.report, now)
-        work = execution.class_of_work.name
-        self.dispatcher.latencies.add(service, work, latency_s, now)
-        cost = event.busy_s * state.runner.cost_rate
-        self.dispatcher.attainment.on_cost(work, service, cost, False, now)
-        self.out.append(_effects.Timing(f'stage.{service}', latency_s))
-        if attempt.is_probe:
-            self._end_probe(attempt, True, event.busy_s, now)
-        else:
-            self._judge(state, now)
-
-    def _end_probe(
-        self,
-        attempt: _execution.Attempt,
-        ok: bool,
-        busy_s: float,
-        now: float,
-    ) -> None:
-        state = attempt.state
-        peers = self.dispatcher.in_service(state.runner.service, now)
-        back = policy.on_probe_result(state, ok, busy_s, peers, now)
-        decision = _effects.Decision(
-            now,
-            _effects.DecisionKind.EJECTION,
-            state.runner.name,
-            'back-in-service' if back else 'still-out',
-            estimate_s=max(0.0, state.ejected_until - now),
-        )
-        self.out.append(decision)
-
-    def _judge(self, state: policy.RunnerState, now: float) -> None:
-        decision = self.dispatcher.judge(state, now)
-        if decision is not None:
-            self.out.append(decision)
-
     def _cancel_others(
         self,
         execution: _execution.Execution,
@@ -377,31 +325,11 @@
         state = attempt.state
         state.on_abandon()
         if attempt.is_probe:
-            self._end_probe(attempt, False, 0.0, now)
-        self._count_waste(execution, attempt, now)
+            self.accounting.on_probe_end(attempt, False, 0.0, now)
+        self.accounting.on_waste(execution, attempt, now)
         self.out.append(model.CancelCall(attempt.ident))
         self.pump(state.runner.service, now)
 
-    def _count_waste(
-        self,
-        execution: _execution.Execution,
-        attempt: _execution.Attempt,
-        now: float,
-    ) -> None:
-        """Estimate the cost of a call whose result is not used.
-
-        It worked at most since it was sent.
-        """
-        state = attempt.state
-        busy_s = min(now - attempt.started_at, state.busy_s or 0.0)
-        self.dispatcher.attainment.on_cost(
-            execution.class_of_work.name,
-            state.runner.service,
-            busy_s * state.runner.cost_rate,
-            True,
-            now,
-        )
-
     def _finish_stage(
         self,
         execution: _execution.Execution,
@@ -428,7 +356,7 @@
     ) -> None:
         for seq, data in enumerate(chunks):
             execution.delivered.append(data)
-            self._tell(execution, model.Chunk(seq, data), now)
+            self.subscribers.tell(execution, model.Chunk(seq, data), now)
 
     def _break_off(
         self,
@@ -473,11 +401,11 @@
         else:
             state.on_failure(failure, now)
             execution.excluded.add(state.runner.name)
-            self._judge(state, now)
+            self.accounting.judge(state, now)
         if attempt.is_probe:
-            self._end_probe(attempt, False, 0.0, now)
+            self.accounting.on_probe_end(attempt, False, 0.0, now)
         if failure not in model.NOT_RUN_FAILURES:
-            self._count_waste(execution, attempt, now)
+            self.accounting.on_waste(execution, attempt, now)
         elif not service.idempotent:
             execution.in_doubt = False
         if not execution.attempts:
@@ -631,54 +559,7 @@
             reason,
             retry_after_s,
         )
-        self._tell(execution, execution.end, now)
-        self._account(execution, outcome, now)
+        self.subscribers.tell(execution, execution.end, now)
+        self.accounting.on_outcome(execution, outcome, now)
         forget_at = now + RESUME_RETENTION_S
         self.timers.add(forget_at, _timers.TimerKind.FORGET, execution.key)
-
-    def _account(
-        self,
-        execution: _execution.Execution,
-        outcome: model.Outcome,
-        now: float,
-    ) -> None:
-        work = execution.class_of_work
-        elapsed_s = now - execution.started_at
-        completed = outcome == model.Outcome.COMPLETED
-        in_time = elapsed_s <= work.target.deadline_s
-        attainment = self.dispatcher.attainment
-        attainment.on_end(work.name, completed, in_time, now)
-        self.out.append(_effects.Count(f'outcome.{work.name}.{outcome}'))
-        self.out.append(_effects.Timing(f'request.{work.name}', elapsed_s))
-
-    def attach(
-        self,
-        execution: _execution.Execution,
-        subscriber: str,
-        from_seq: int,
-        host: str,
-    ) -> None:
-        """Send a subscriber all chunks from from_seq on, then what comes."""
-        accepted = model.Accepted(execution.key, host)
-        self.out.append(model.AnswerCaller(subscriber, accepted))
-        for seq in range(from_seq, len(execution.delivered)):
-            chunk = model.Chunk(seq, execution.delivered[seq])
-            self.out.append(model.AnswerCaller(subscriber, chunk))
-        if execution.end is not None:
-            self.out.append(model.AnswerCaller(subscriber, execution.end))
-        else:
-            execution.subscribers[subscriber] = from_seq
-
-    def detach(self, subscriber: str) -> None:
-        """Forget a subscriber; its request goes on for a resumption."""
-        for execution in self.active.values():
-            execution.subscribers.pop(subscriber, None)
-
-    def heartbeats(self, now: float) -> None:
-        """Send a heartbeat to every caller that heard nothing lately."""
-        if now < self.next_heartbeat:
-            return
-        self.next_heartbeat = now + HEARTBEAT_S
-        for execution in self.active.values():
-            if now - execution.last_event_at >= HEARTBEAT_S:
-                self._tell(execution, model.Heartbeat(), now)
