Run all timers on the steady clock

Cause: Twisted's reactor goes by the time of day. When it stepped, timers fired at once or were held up for as long, and word of a queue got a time in the future, so that hosts refused staged requests for 30 s though nothing waited.

Ruled out: services without runners (runners were listed and idle), runners held to be slow (slowness 1.04 to 1.58), stuck pieces (queues were empty).

Change: the reactor's clock is the steady one in hosts, commands and the soak; ages from peers are never negative; a start is named by its time of day, which no other start has.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -66,3 +66,7 @@
   Scenario: callers find every ready host, those of their own domain first
     Given 3 relay hosts whose store answers
     Then the directory of each host lists 3 addresses, "north" first
+
+  Scenario: a host's timers don't follow steps of the time of day
+    When a process on the steady clock sets a timer and steps its time of day back
+    Then the timer fires in time
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -1,5 +1,6 @@
 """Faults from outside, by name, and plans of them drawn from a seed."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import random
@@ -303,8 +304,14 @@
 @fault('address-reuse')
 def reuse_address(whole: system.SoakSystem, rng: random.Random) -> Begun:
     """Give a dead runner's address to a runner of another service."""
-    chosen = [r for r in _some_runners(whole, rng) if r.is_up][:1]
-    for runner in chosen:
+    count = collections.Counter(r.service for r in whole.runners)
+    # A service without any runner could not be served again.
+    chosen = [
+        runner
+        for runner in _some_runners(whole, rng)
+        if runner.is_up and count[runner.service] > 1
+    ]
+    for runner in chosen[:1]:
         own = runner.service
         runner.crash()
         others = [name for name in system.SERVICES if name != own]
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -14,6 +14,7 @@
 from features.soak import ledger
 from features.soak import promises
 from features.soak import system
+import ragwort_peers as peers
 
 FAULTS_S = 14.0
 READY_S = 25.0
@@ -54,7 +55,7 @@
         return (
             f'seed {self.seed}: {verdict}, {self.faults.total()} faults, '
             f'{self.statuses.total()} requests ({statuses}), '
-            f'recovery {recovery} s'
+            f'recovery {recovery} s; {" ".join(sorted(self.faults))}'
         )
 
 
@@ -143,11 +144,9 @@
 
 def play(options: SoakOptions) -> SoakResult:
     """Play one seed in this process; logs are kept if a promise broke."""
-    from twisted.internet import reactor
-
+    loop = peers.steady_reactor()
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
-    run = _Run(reactor, options, folder)
-    loop: Any = reactor
+    run = _Run(loop, options, folder)
     loop.callWhenRunning(run.start)
     try:
         loop.run()
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -1,5 +1,7 @@
 """Steps of whole relay hosts."""
 
+import subprocess
+import sys
 from typing import Any
 
 from behave import given
@@ -237,3 +239,38 @@
             if h.options.host.failure_domain == first
         ]
         assert listed[: len(own)] == own, listed
+
+
+# Sets a timer of 0.1 s, steps the time of day back, and prints whether the
+# timer has fired within half a second of the steady clock.
+TIMER_SCRIPT = """
+import time
+
+real, step, fired = time.time, [0.0], []
+time.time = lambda: real() + step[0]
+import ragwort_peers as peers
+
+reactor = peers.steady_reactor()
+reactor.callLater(0.1, fired.append, True)
+step[0], started = -30.0, time.monotonic()
+while not fired and time.monotonic() - started < 5.0:
+    reactor.iterate(0.05)
+print('fired' if fired else 'held up')
+"""
+
+
+@when(
+    'a process on the steady clock sets a timer and steps its time of day back'
+)
+def step_back(context: Any) -> None:
+    """Run a small program of its own."""
+    done = subprocess.run(
+        [sys.executable, '-c', TIMER_SCRIPT], capture_output=True, text=True
+    )
+    context.output = done.stdout + done.stderr
+
+
+@then('the timer fires in time')
+def check_fired(context: Any) -> None:
+    """Look at what the program said."""
+    assert context.output == 'fired\n', context.output
--- a/libs/ragwort_cli/ragwort_cli/_loop.py
+++ b/libs/ragwort_cli/ragwort_cli/_loop.py
@@ -4,16 +4,17 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 from twisted.python import failure
 
+import ragwort_peers as peers
+
 
 def run_command(action: Callable[[Any], 'defer.Deferred[Any]']) -> Any:
     """Run the reactor until action's Deferred fires; return its result.
 
     An error of the action is raised here.
     """
-    reactor: Any = default_reactor
+    reactor = peers.steady_reactor()
     outcome: list[Any] = []
 
     def begin() -> None:
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import dataclasses
 import itertools
+import time
 from typing import Any
 
 from twisted.internet import defer
@@ -88,7 +89,8 @@
             self._on_outcomes,
         )
         self.ids = itertools.count(1)
-        self.prefix = f'{name}/{reactor.seconds():.3f}'
+        # Unlike the steady clock's, no start has the same twice.
+        self.prefix = f'{name}/{time.time_ns()}'
         self.wanted: dict[str, _Wanted] = {}
         self.received: collections.OrderedDict[str, frozenset[str]] = (
             collections.OrderedDict()
@@ -172,7 +174,9 @@
         now = self.reactor.seconds()
         for wait in waits:
             word = relay.QueueWait(
-                tuple(wait.waits_s), wait.late_wait_s, now - wait.age_s
+                tuple(wait.waits_s),
+                wait.late_wait_s,
+                now - max(wait.age_s, 0.0),
             )
             self.waits.hear(wait.service_name, word)
 
