--- a/features/evidence.feature
+++ b/features/evidence.feature
@@ -25,3 +25,22 @@
       | a run not there    | zzz   |
       | a broken entry     | .json |
       | a folder not there | no such folder |
+
+  Scenario: an experiment is played under each of its rules
+    Given an experiment of 2 s with the rules "by due time" and "timely first"
+    When the command replays it with a plot
+    Then both rules have a row with what was asked and the shares by size
+    And the plot is there
+
+  Scenario Outline: an experiment with <mistake> is refused in one line
+    Given an experiment of 2 s with the rules "by due time" and "timely first"
+    When it has <mistake> and the command replays it
+    Then it fails with one line that names "<text>"
+
+    Examples:
+      | mistake           | text        |
+      | no load           | load        |
+      | a rate of zero    | load.0.rate |
+      | a time of no unit | 250ms       |
+      | an unknown rule   | rules.0     |
+      | an unknown field  | colour      |
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -10,6 +11,7 @@
 from behave import given
 from behave import then
 from behave import when
+import yaml
 
 import ragwort_cli as cli
 
@@ -129,3 +131,66 @@
     assert len(rows) == 2, rows
     cells = rows[1].split()
     assert cells[:4] == ['shared', '0.500', '0.750', '+0.250'], cells
+
+
+@given('an experiment of 2 s with the rules "{first}" and "{second}"')
+def set_experiment(context: Any, first: str, second: str) -> None:
+    """Describe a small experiment; it is written when it is replayed."""
+    context.experiment = {
+        'name': 'small',
+        'load': [{'rate': 12, 'lasts': '2s'}],
+        'rules': [first, second],
+    }
+
+
+def replay_experiment(context: Any, *options: str) -> None:
+    """Write the experiment and run the command."""
+    path = context.folder / 'experiment.yaml'
+    path.write_text(yaml.safe_dump(context.experiment))
+    context.done = command('lab', 'replay', str(path), *options)
+
+
+@when('the command replays it with a plot')
+def replay(context: Any) -> None:
+    """Ask for JSON and a plot."""
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, context.folder)
+    plot = str(context.folder / 'plot.png')
+    replay_experiment(context, '--output', 'json', '--plot', plot)
+
+
+@then('both rules have a row with what was asked and the shares by size')
+def check_replay(context: Any) -> None:
+    """Look at the records."""
+    assert context.done.returncode == 0, context.done.stderr
+    rows = json.loads(context.done.stdout)
+    assert [row['rule'] for row in rows] == context.experiment['rules']
+    for row in rows:
+        assert row['asked'] > 10, row
+        assert 0.0 < row['in_target'] <= row['made'] <= 1.0, row
+        assert set(row['in_target_by_size']) <= set('1234'), row
+
+
+@then('the plot is there')
+def check_plot(context: Any) -> None:
+    """Look for the file."""
+    data = (context.folder / 'plot.png').read_bytes()
+    assert data.startswith(b'\x89PNG'), data[:8]
+
+
+MISTAKES: dict[str, dict[str, Any]] = {
+    'no load': {'load': []},
+    'a rate of zero': {'load': [{'rate': 0, 'lasts': '2s'}]},
+    'a time of no unit': {'load': [{'rate': 1, 'lasts': 2}]},
+    'an unknown rule': {'rules': ['by luck']},
+    'an unknown field': {'colour': 'red'},
+}
+
+
+@when('it has {mistake} and the command replays it')
+def replay_mistake(context: Any, mistake: str) -> None:
+    """Put a mistake in and run the command."""
+    context.folder = pathlib.Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, context.folder)
+    context.experiment |= MISTAKES[mistake]
+    replay_experiment(context)
--- /dev/null
+++ b/libs/ragwort_cli/ragwort_cli/_lab_commands.py
@@ -0,0 +1,78 @@
+"""Commands that play experiments in virtual time."""
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from ragwort_cli import _options
+from ragwort_cli import _output
+from ragwort_cli import _plot
+import ragwort_lab as lab
+
+lab_app = typer.Typer(help='Play experiments in virtual time.')
+HEADINGS = (
+    'rule',
+    'asked',
+    'in target',
+    'made',
+    'pieces a call',
+    'turned away',
+    'no room',
+    'in target by size',
+    'by failure domain',
+)
+
+
+@lab_app.callback()
+def lab_group() -> None:
+    """Play experiments in virtual time."""
+
+
+@lab_app.command('replay')
+def replay(
+    file: Annotated[
+        pathlib.Path, typer.Argument(help='YAML file of the experiment.')
+    ],
+    output: _options.OutputOption = _options.TEXT,
+    plot: Annotated[
+        pathlib.Path | None, typer.Option(help='Write a PNG of all rules.')
+    ] = None,
+) -> None:
+    """Play a load on stage work under each rule and print the figures."""
+    experiment = lab.read_experiment(file)
+    played = lab.play_experiment(experiment)
+    if output == _output.OutputForm.JSON:
+        _output.print_json([_record(one) for one in played])
+    else:
+        _output.print_table(HEADINGS, [_row(one) for one in played])
+    if plot is not None:
+        _plot.plot_rules(experiment.name, played, plot)
+
+
+def _record(one: lab.RuleFigures) -> dict[str, object]:
+    figures = one.figures
+    return {
+        'rule': one.rule,
+        'asked': figures.asked,
+        'in_target': figures.share_in_target,
+        'made': figures.made / max(figures.asked, 1),
+        'pieces_per_call': figures.pieces_per_call,
+        'turned_away': figures.turned_away,
+        'no_room': figures.no_room,
+        'in_target_by_size': figures.share_by(lab.SIZE),
+        'in_target_by_failure_domain': figures.share_by(lab.DOMAIN),
+    }
+
+
+def _row(one: lab.RuleFigures) -> list[object]:
+    return [
+        _cell(value) if isinstance(value, dict | float) else value
+        for value in _record(one).values()
+    ]
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, dict):
+        return ' '.join(f'{k}:{share:.2f}' for k, share in value.items())
+    return f'{value:.3f}'
--- a/libs/ragwort_cli/ragwort_cli/_main.py
+++ b/libs/ragwort_cli/ragwort_cli/_main.py
@@ -12,6 +12,7 @@
 from ragwort_cli import _call_commands
 from ragwort_cli import _demo
 from ragwort_cli import _evidence_commands
+from ragwort_cli import _lab_commands
 from ragwort_cli import _loop
 from ragwort_cli import _output
 from ragwort_cli import _status_commands
@@ -47,6 +48,7 @@
 app.add_typer(
     _evidence_commands.journal_app, name='journal', no_args_is_help=True
 )
+app.add_typer(_lab_commands.lab_app, name='lab', no_args_is_help=True)
 
 SettingsOption = Annotated[
     pathlib.Path,
--- a/libs/ragwort_cli/ragwort_cli/_plot.py
+++ b/libs/ragwort_cli/ragwort_cli/_plot.py
@@ -1,9 +1,10 @@
-"""Plots of load runs and bench runs."""
+"""Plots of load runs, bench runs and experiments."""
 
 import pathlib
 
 from ragwort_cli import _journal
 from ragwort_cli import _load
+import ragwort_lab as lab
 
 PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9)
 
@@ -55,3 +56,25 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path)
+
+
+def plot_rules(
+    name: str, played: list[lab.RuleFigures], path: pathlib.Path
+) -> None:
+    """Write the share in target by size for each rule as a PNG."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    for one in played:
+        shares = one.figures.share_by(lab.SIZE)
+        axes.plot(list(shares), list(shares.values()), 'o-', label=one.rule)
+    axes.set_title(name)
+    axes.set_xlabel('pieces of a request')
+    axes.set_ylabel('share in target')
+    axes.set_ylim(0, 1.02)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -33,10 +33,16 @@
 from ragwort_lab._scale_bench import spread_s
 from ragwort_lab._scale_bench import with_loss
 from ragwort_lab._scale_bench import without_watchers
+from ragwort_lab._stage_bench import DOMAIN
 from ragwort_lab._stage_bench import PATTERNS
 from ragwort_lab._stage_bench import run_stage_pattern
+from ragwort_lab._stage_bench import SIZE
 from ragwort_lab._stage_bench import StageFigures
 from ragwort_lab._stage_bench import StageRule
+from ragwort_lab._stage_experiment import play_experiment
+from ragwort_lab._stage_experiment import read_experiment
+from ragwort_lab._stage_experiment import RuleFigures
+from ragwort_lab._stage_experiment import StageExperiment
 from ragwort_lab._state_bench import LedgerRun
 from ragwort_lab._trace import Dispatch
 from ragwort_lab._trace import Submission
@@ -51,6 +57,7 @@
     'CaseRun',
     'cold_start_s',
     'Dispatch',
+    'DOMAIN',
     'Fault',
     'FAULTS',
     'Figures',
@@ -66,19 +73,24 @@
     'OURS',
     'pair_cases',
     'PATTERNS',
+    'play_experiment',
+    'read_experiment',
     'REGRESSIONS',
     'RelayWorld',
-    'run',
+    'RuleFigures',
     'Run',
+    'run',
     'run_case',
     'run_stage_pattern',
-    'StageRule',
     'scale_world',
     'SCENARIOS',
     'ScriptedRunner',
     'single_cases',
+    'SIZE',
     'spread_s',
+    'StageExperiment',
     'StageFigures',
+    'StageRule',
     'STEPS',
     'Submission',
     'Trace',
