--- a/features/evidence.feature
+++ b/features/evidence.feature
@@ -15,6 +15,11 @@
     When the command compares them
     Then the table has that day with both figures and the change
 
+  Scenario: a run is shown with its marks, classes and largest prices
+    Given a journal of two runs with one day in common
+    When the command shows run "aaa" as Markdown
+    Then each day has a row with worth 0.500, mark 0.800 and price "links 0.050"
+
   Scenario Outline: <what> is an error in one line
     Given a journal of two runs with one day in common
     When the command compares <what>
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -82,7 +82,16 @@
 def run_entry(ident: str, figure: float) -> dict[str, Any]:
     """Return a journal entry with two days."""
     days = [
-        {'name': name, 'G': figure, 'served': 0.9, 'rules': {}}
+        {
+            'name': name,
+            'G': figure,
+            'served': 0.9,
+            'rules': {},
+            'naive': 0.2,
+            'top': 0.8,
+            'prices': [['machines', 3.0, 0.01], ['links', 7.0, 0.05]],
+            'by_class': [0.9, None],
+        }
         for name in ('shared', f'only-{ident}')
     ]
     return {
@@ -123,6 +132,33 @@
     )
 
 
+@when('the command shows run "{name}" as Markdown')
+def show_run(context: Any, name: str) -> None:
+    """Run the command."""
+    context.done = command(
+        'journal',
+        'show',
+        name,
+        '--markdown',
+        '--prices',
+        '1',
+        '--journal',
+        str(context.journal),
+    )
+
+
+@then('each day has a row with worth {worth}, mark {mark} and price "{price}"')
+def check_shown(context: Any, worth: str, mark: str, price: str) -> None:
+    """Look at the rows below the headings."""
+    assert context.done.returncode == 0, context.done.stderr
+    rows = context.done.stdout.splitlines()[2:]
+    assert len(rows) == 2, rows
+    for row in rows:
+        cells = [cell.strip() for cell in row.strip('|').split('|')]
+        assert cells[2:4] == [mark, worth], cells
+        assert cells[7:9] == ['0.90 -', price], cells
+
+
 @then('the table has that day with both figures and the change')
 def check_table(context: Any) -> None:
     """Look at the table."""
--- a/libs/ragwort_cli/ragwort_cli/_evidence_commands.py
+++ b/libs/ragwort_cli/ragwort_cli/_evidence_commands.py
@@ -28,6 +28,20 @@
 )
 
 
+SHOW_HEADINGS = (
+    'day',
+    'zero',
+    'one',
+    'worth',
+    'credit earned',
+    'refused',
+    'failed',
+    'by class',
+    'largest prices',
+    'rules broken',
+)
+
+
 @journal_app.command('list')
 def list_runs(
     journal: JournalOption = JOURNAL,
@@ -56,6 +70,26 @@
     _output.print_table(headings, rows)
 
 
+@journal_app.command('show')
+def show_run(
+    run: str,
+    journal: JournalOption = JOURNAL,
+    prices: Annotated[
+        int, typer.Option(help='How many of the largest prices.')
+    ] = 3,
+    markdown: Annotated[
+        bool, typer.Option('--markdown', help='Print a Markdown table.')
+    ] = False,
+) -> None:
+    """Print the days of one run with their marks, classes and prices."""
+    entry = _journal.find_entry(_journal.read_journal(journal), run)
+    rows = _journal.show_rows(entry, prices)
+    if markdown:
+        _output.print_markdown(SHOW_HEADINGS, rows)
+    else:
+        _output.print_table(SHOW_HEADINGS, rows)
+
+
 @journal_app.command('compare')
 def compare_runs(
     first: str,
--- a/libs/ragwort_cli/ragwort_cli/_journal.py
+++ b/libs/ragwort_cli/ragwort_cli/_journal.py
@@ -8,6 +8,10 @@
 import ragwort_model as model
 
 
+# What was charged for, how much of it, and the price.
+Price = tuple[str, float | None, float | None]
+
+
 class JournalDay(msgspec.Struct):
     """A day as it was played; shares are of the requests owed."""
 
@@ -20,6 +24,12 @@
     failed: float = 0.0
     gate: bool = False
     rules: dict[str, Any] = {}
+    # The worth below which a day counts for nothing, and that of a full mark.
+    zero: float | None = msgspec.field(name='naive', default=None)
+    one: float | None = msgspec.field(name='top', default=None)
+    prices: list[Price] = []
+    # Share of the credit owed that was earned, by class of work.
+    by_class: list[float | None] = []
 
 
 class JournalEntry(msgspec.Struct):
@@ -76,6 +86,36 @@
     ]
 
 
+def show_rows(entry: JournalEntry, most_prices: int) -> list[list[object]]:
+    """Return a row per day with its marks and its largest prices."""
+    return [
+        [
+            day.name,
+            _number(day.zero),
+            _number(day.one),
+            _number(day.worth),
+            f'{day.served:.3f}',
+            f'{day.refused:.3f}',
+            f'{day.failed:.3f}',
+            ' '.join(_share(share) for share in day.by_class),
+            _largest(day.prices, most_prices),
+            ', '.join(day.rules) or '-',
+        ]
+        for day in entry.days
+    ]
+
+
+def _share(value: float | None) -> str:
+    return '-' if value is None else f'{value:.2f}'
+
+
+def _largest(prices: list[Price], most: int) -> str:
+    """Return the largest prices; what was not charged has none."""
+    charged = [(price, name) for name, _, price in prices if price is not None]
+    largest = sorted(charged, reverse=True)[:most]
+    return ', '.join(f'{name} {price:.3f}' for price, name in largest)
+
+
 def _number(value: float | None) -> str:
     return '-' if value is None else f'{value:.3f}'
 
--- a/libs/ragwort_cli/ragwort_cli/_output.py
+++ b/libs/ragwort_cli/ragwort_cli/_output.py
@@ -36,6 +36,16 @@
         typer.echo('  '.join(padded).rstrip())
 
 
+def print_markdown(
+    headings: Sequence[str], rows: Sequence[Sequence[object]]
+) -> None:
+    """Print rows as a Markdown table."""
+    typer.echo('| ' + ' | '.join(headings) + ' |')
+    typer.echo('|---' * len(headings) + '|')
+    for row in rows:
+        typer.echo('| ' + ' | '.join(str(cell) for cell in row) + ' |')
+
+
 def number(value: float | None, digits: int = 3) -> str:
     """Return a number as text, a dash for None."""
     return '-' if value is None else f'{value:.{digits}f}'
