Let ten hosts of a large fleet watch the store, not three

Ruled out: rumours (versions 8 and 11 were in force on all hosts 0.4 s after the first had them), the unreachable hosts themselves (peers told them).

Change: ten hosts watch in fleets of more than twelve. That a third of the fleet holds all of them is one chance in 36,000 (0.35^10).

Before and after: a scenario of 30 hosts whose first watchers hear nothing more failed with three and passes with ten. Waiting calls of the fake store now end, as real ones do.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -24,6 +24,12 @@
     When the store turns host 2 away and key "k1" is withdrawn
     Then within 2 s every host answers key "k1" with 401
 
+  Scenario: a third of the hosts, first those that watch, hear no more of it
+    Given 30 relay hosts whose store answers
+    When the store falls silent for 10 hosts, the first watchers among them
+    And key "k1" is withdrawn
+    Then within 2 s every host answers key "k1" with 401
+
   Scenario: a leaving runner gets nothing new from any host
     Given 3 relay hosts whose store answers
     When the store turns host 2 away and runner "a" is leaving
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -10,9 +10,12 @@
 
 from features.support import relay_hosts
 import ragwort_edge as edge
+import ragwort_membership as membership
 import ragwort_model as model
 
 ANSWER_S = 0.5
+# Longer than a host's longest call to the store.
+WATCH_S = 25.0
 
 
 @given('{count:d} relay hosts whose store is silent')
@@ -108,6 +111,35 @@
     world.set_runner(leaving, 'leaving')
 
 
+@when(
+    'the store falls silent for {count:d} hosts, the first watchers among them'
+)
+def silence_store(context: Any, count: int) -> None:
+    """Let hosts wait for answers that never come.
+
+    Three of them watch, whichever and however many others do.
+    """
+    world = context.world
+    # Every host watches while it knows few others; those calls are over.
+    world.run(WATCH_S)
+
+    def watches(host: edge.RelayHost) -> bool:
+        return membership.elected(
+            host.members, 'store-watcher', 3, host.options.host.region
+        )
+
+    hosts = range(len(world.hosts))
+    order = sorted(hosts, key=lambda index: not watches(world.hosts[index]))
+    for index in order[:count]:
+        world.objects.ways[index].is_silent = True
+
+
+@when('key "{key}" is withdrawn')
+def withdraw_key(context: Any, key: str) -> None:
+    """Leave only another key."""
+    context.world.keep_keys(['other'])
+
+
 @when('the store turns host {index:d} away for 3 s and nothing changes')
 def turn_away_for_a_while(context: Any, index: int) -> None:
     """Let a host reach the store no more, then again."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -52,6 +52,7 @@
         self.objects = objects
         self.on_result = on_result
         self.is_away = objects.is_away
+        self.is_silent = False
         self.watch: model.StoreCall | None = None
         objects.ways.append(self)
         self.open: list[model.StoreCall] = []
@@ -59,6 +60,8 @@
     def call(self, effect: model.StoreCall) -> None:
         """Answer at once, or when something changes."""
         clock = self.objects.clock
+        if self.is_silent:
+            return
         if self.is_away:
             failed = model.StoreResult(
                 effect.op, model.StoreStatus.UNAVAILABLE
@@ -78,10 +81,18 @@
             clock.callLater(LINK_S, self._answer, effect, effect.since)
         else:
             self.open.append(effect)
+            clock.callLater(effect.wait_s, self._end_wait, effect)
             self.notify()
 
+    def _end_wait(self, effect: model.StoreCall) -> None:
+        if effect in self.open and not self.is_silent:
+            self.open.remove(effect)
+            self._answer(effect, effect.since)
+
     def notify(self) -> None:
         """Answer the open watches that have something to hear."""
+        if self.is_silent:
+            return
         for effect in list(self.open):
             if self.is_away:
                 self.open.remove(effect)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -26,7 +26,9 @@
 # Hosts up to which each one watches the store itself, so that the loss of
 # any of them delays nobody.
 ALL_WATCH_HOSTS = 12
-WATCHERS = 3
+# Hosts that watch in larger fleets. A third of all may lose the store at once
+# without an error; that these are among them is one chance in 36,000.
+WATCHERS = 10
 WATCHER_ROLE = 'store-watcher'
 JANITOR_ROLE = 'host-janitor'
 # Time after which a host that is down is taken out of the store.
