--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -146,7 +146,9 @@
         if self.is_stopped:
             connection.transport.abortConnection()
             return
-        kind = self.rng.choice(sorted(KINDS))
+        # What a host has still to show goes first.
+        wanted = [k for h, k in self.records.unserved if h == self.host.name]
+        kind = self.rng.choice(wanted or sorted(KINDS))
         method, prefix = KINDS[kind]
         request_id = f'{next(self.numbers):08x}'
         body = b'' if method == 'GET' else request_id.encode() * 20
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -17,7 +17,9 @@
 import ragwort_peers as peers
 
 FAULTS_S = 14.0
+# Time until every host serves, and what each further host adds to it.
 READY_S = 25.0
+READY_S_PER_HOST = 1.0
 LOOK_S = 0.2
 # Faults that leave callers of one host or all without answers.
 NOBODY = 'none'
@@ -84,12 +86,15 @@
 
     def start(self) -> None:
         self.system.start()
-        self.give_up_at = self.reactor.seconds() + READY_S
+        ready_s = READY_S + READY_S_PER_HOST * self.options.hosts
+        self.give_up_at = self.reactor.seconds() + ready_s
         self._await_service()
 
     def _await_service(self) -> None:
         now = self.reactor.seconds()
-        if not self.system.unserved_since(0.0):
+        unserved = self.system.unserved_since(0.0)
+        self.system.records.unserved = unserved
+        if not unserved:
             self._play()
         elif now >= self.give_up_at:
             self.reactor.stop()
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -174,7 +174,8 @@
         good = [h for h in self.listed if self.avoided.get(h.name, 0) < now]
         if not good:
             return None
-        chosen = self.rng.choice(good)
+        wanted = {host for host, _ in self.records.unserved}
+        chosen = self.rng.choice([h for h in good if h.name in wanted] or good)
         if not chosen.is_running:
             self.avoided[chosen.name] = now + AVOID_S
         return chosen
