Order versions by the era of the store

Cause: a store that returns from an older copy gives out revisions again. The replica kept the higher revision of the lost state, so that a new object with a lower revision was never adopted and a revision given out twice hid a change; a watch on a reissued revision missed changes without a 410; a cached claim or a held lease was trusted though the store had lost it.

Change: a version is one number that orders by era first. The stores' clients compose it; StoreEra holds the latest era heard of, and watcher, registry, ledger and lease compare it with the era they last handled. A new era leads to a new list, a new entry of the host, claims written again, and no holder of a lease until an earlier one has lost it by time. A key from before the era whose claim may be lost ends as unknown instead of running twice.

Ruled out: pairs in every message (old peers could not read them), dropping all state (callers would get 503).

--- a/features/fault_matrix.feature
+++ b/features/fault_matrix.feature
@@ -52,6 +52,7 @@
       | store-conflict    |
       | stale-watch       |
       | stale-list        |
+      | store-restored    |
 
   Scenario: every fault of the registry is in the tables above
     Then the tables name every fault
@@ -60,6 +61,10 @@
     When sampled pairs of faults strike at sampled steps
     Then no invariant is violated but where KNOWN-RED.txt says so
 
+  Scenario: the store's return from an older copy beside every other fault
+    When the store is restored while each other fault strikes
+    Then no invariant is violated but where KNOWN-RED.txt says so
+
   Scenario Outline: a broken variant is caught by <invariant>
     When the system is broken on purpose for "<invariant>"
     Then that invariant reports a violation
--- a/features/model_checks.feature
+++ b/features/model_checks.feature
@@ -9,6 +9,9 @@
       | lease                 |
       | configuration replica |
       | membership            |
+      | watcher of a restored store |
+      | claim ledger of a restored store |
+      | lease of a restored store |
 
   Scenario Outline: a broken <object> is caught
     When the "<object>" is broken on purpose
@@ -20,3 +23,6 @@
       | lease                 |
       | configuration replica |
       | membership            |
+      | watcher of a restored store |
+      | claim ledger of a restored store |
+      | lease of a restored store |
--- a/features/steps/fault_matrix_steps.py
+++ b/features/steps/fault_matrix_steps.py
@@ -36,6 +36,12 @@
     )
 
 
+@when('the store is restored while each other fault strikes')
+def strike_restores(context: Any) -> None:
+    """Run the restore in a pair with every other fault."""
+    context.results = run_cases(lab.restore_pair_cases())
+
+
 @then('no invariant is violated but where KNOWN-RED.txt says so')
 def check_results(context: Any) -> None:
     """Fail on a violation that is not known."""
--- a/features/steps/model_check_steps.py
+++ b/features/steps/model_check_steps.py
@@ -5,14 +5,14 @@
 from behave import then
 from behave import when
 
-from features.support import adversary
 from features.support import broken
+from features.support import machines
 
 
 @then('no sequence of events breaks the "{name}"')
 def check_object(context: Any, name: str) -> None:
     """Search for a counterexample."""
-    adversary.check_machine(name)
+    machines.check_machine(name)
 
 
 @when('the "{name}" is broken on purpose')
--- a/features/steps/relay_fault_steps.py
+++ b/features/steps/relay_fault_steps.py
@@ -156,8 +156,8 @@
     """Read a page and a watch's answer."""
     for kind in (_store._Page, _store._Events):
         with contextlib.suppress(model.StoreError):
-            _store._decode(data, kind)
-    _store._decode(data, _store._Page)
+            _store._decode(_store._Answer(data, 0), kind)
+    _store._decode(_store._Answer(data, 0), _store._Page)
 
 
 READERS: dict[str, tuple[Callable[[bytes], None], dict[str, Any]]] = {
--- a/features/support/adversary.py
+++ b/features/support/adversary.py
@@ -3,8 +3,6 @@
 import random
 from typing import Any
 
-import hypothesis
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -15,13 +13,6 @@
 
 WALL = 1_800_000_000.0
 HOSTS = ('a', 'b', 'c')
-SETTINGS = settings(
-    max_examples=150,
-    stateful_step_count=60,
-    deadline=None,
-    derandomize=True,
-    phases=(hypothesis.Phase.generate,),
-)
 
 
 class LedgerMachine(stateful.RuleBasedStateMachine):
@@ -32,17 +23,18 @@
         super().__init__()
         self.now = 0.0
         self.platform = fakes.PlatformCore(1e9, 1e9)
+        self.eras = {h: state.StoreEra(wall_offset_s=WALL) for h in HOSTS}
         self.ledgers = {h: self._ledger(h, 0) for h in HOSTS}
         self.calls: list[tuple[str, int, model.StoreCall]] = []
         self.results: list[tuple[str, int, model.StoreResult]] = []
         self.epochs = dict.fromkeys(HOSTS, 0)
         self.granted: dict[str, set[tuple[str, str]]] = {}
         self.count = 0
-        rng = random.Random(1)
-        self.keys = [model.request_key_at(WALL, rng) for _ in range(3)]
+        self.rng = random.Random(1)
+        self.keys = [model.request_key_at(WALL, self.rng) for _ in range(3)]
 
     def _ledger(self, host: str, epoch: int) -> state.Ledger:
-        return state.Ledger(random.Random(f'{host}/{epoch}'))
+        return state.Ledger(random.Random(f'{host}/{epoch}'), self.eras[host])
 
     def _take(self, host: str, effects: list[Any]) -> None:
         for effect in effects:
@@ -112,6 +104,7 @@
         index = pick % len(self.results)
         host, epoch, result = self.results.pop(index)
         if epoch == self.epochs[host]:
+            self.eras[host].observe(result.era, self.now)
             self._take(
                 host,
                 list(self.ledgers[host].on_store_result(result, self.now)),
@@ -134,6 +127,7 @@
     def restart(self, host: str) -> None:
         """A host forgets everything."""
         self.epochs[host] += 1
+        self.eras[host] = state.StoreEra(wall_offset_s=WALL)
         self.ledgers[host] = self._ledger(host, self.epochs[host])
 
     @stateful.rule(step_s=strategies.sampled_from((0.05, 0.5, 2.0)))
@@ -158,8 +152,10 @@
         super().__init__()
         self.now = 0.0
         self.platform = fakes.PlatformCore(1e9, 1e9)
+        self.eras = {h: state.StoreEra() for h in HOSTS}
         self.leases = {
-            h: state.Lease('svc', h, random.Random(h)) for h in HOSTS
+            h: state.Lease('svc', h, random.Random(h), self.eras[h])
+            for h in HOSTS
         }
         self.calls: list[tuple[str, model.StoreCall]] = []
         self.results: list[tuple[str, model.StoreResult]] = []
@@ -201,6 +197,7 @@
         host, result = self.results[pick % len(self.results)]
         if host not in self.paused:
             self.results.remove((host, result))
+            self.eras[host].observe(result.era, self.now)
             self.leases[host].on_store_result(result, self.now)
 
     @stateful.rule()
@@ -419,16 +416,3 @@
                 self._receive(sender, target, message)
         for view in self.views.values():
             assert len(view.live()) == len(HOSTS), view.live()
-
-
-MACHINES = {
-    'claim ledger': LedgerMachine,
-    'lease': LeaseMachine,
-    'configuration replica': ReplicaMachine,
-    'membership': MembershipMachine,
-}
-
-
-def check_machine(name: str) -> None:
-    """Search for a run that breaks a machine's invariants."""
-    stateful.run_state_machine_as_test(MACHINES[name], settings=SETTINGS)
--- a/features/support/broken.py
+++ b/features/support/broken.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import math
 from typing import Any
 from unittest import mock
 
-from features.support import adversary
+from features.support import machines
 import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_state as state
@@ -69,7 +70,36 @@
         yield
 
 
+@contextlib.contextmanager
+def _ignore_eras() -> Iterator[None]:
+    """Take versions of a restored store for those of the one before."""
+    with mock.patch.object(state.StoreEra, 'observe', lambda *_: False):
+        yield
+
+
+@contextlib.contextmanager
+def _trust_claims_across_eras() -> Iterator[None]:
+    """Grant keys from before a restore, whose claims may be lost."""
+    with mock.patch.object(state.Ledger, '_may_be_lost', lambda *_: False):
+        yield
+
+
+@contextlib.contextmanager
+def _take_lost_lease_at_once() -> Iterator[None]:
+    """Let a host take a lost lease while its holder counts on it."""
+    original = state.StoreEra.observe
+
+    def observe(store_era: state.StoreEra, era: int, now: float) -> bool:
+        return original(store_era, era, -math.inf)
+
+    with mock.patch.object(state.StoreEra, 'observe', observe):
+        yield
+
+
 BROKEN = {
+    'watcher of a restored store': _ignore_eras,
+    'claim ledger of a restored store': _trust_claims_across_eras,
+    'lease of a restored store': _take_lost_lease_at_once,
     'claim ledger': _grant_taken_keys,
     'lease': _trust_lost_writes,
     'configuration replica': _adopt_repeated_pushes,
@@ -81,7 +111,7 @@
     """Tell whether the model check fails on the broken object."""
     with BROKEN[name]():
         try:
-            adversary.check_machine(name)
+            machines.check_machine(name)
         except (AssertionError, ExceptionGroup):
             return True
     return False
--- a/libs/ragwort_cli/ragwort_cli/_status_commands.py
+++ b/libs/ragwort_cli/ragwort_cli/_status_commands.py
@@ -64,11 +64,19 @@
             status.get('state', 'no answer'),
             len(status.get('members', [])),
             status.get('open_requests', '-'),
+            status.get('store_era', '-'),
             status.get('not_ready') or status.get('error') or '',
         ]
         for status in statuses
     ]
-    headings = ('node', 'state', 'known nodes', 'open requests', 'detail')
+    headings = (
+        'node',
+        'state',
+        'known nodes',
+        'open requests',
+        'store era',
+        'detail',
+    )
     _output.print_table(headings, rows)
     typer.echo('')
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -106,10 +106,16 @@
         self.started_at = now
         self.catalog = relay.RelayCatalog(dialect)
         self.replica = state.Replica(self.catalog)
+        self.store_era = state.StoreEra()
         self.gossip = state.Gossip(self.replica, self.rng, now)
         self.watchers = {
             prefix: state.Watcher(
-                self.replica, self.rng, now, prefix, MAX_STORE_BACKOFF_S
+                self.replica,
+                self.store_era,
+                self.rng,
+                now,
+                prefix,
+                MAX_STORE_BACKOFF_S,
             )
             for prefix in options.prefixes
         }
@@ -121,7 +127,9 @@
             time.time(),
             JOIN_INTERVAL_S,
         )
-        self.registry = state.HostRegistry(options.host, self.rng, now)
+        self.registry = state.HostRegistry(
+            options.host, self.store_era, self.rng, now
+        )
         self.peers = peers.PeerConnections(reactor, options.host.peer_address)
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
@@ -324,8 +332,24 @@
         for call in self.registry.tick(now, is_alone, expired):
             self.store.call(call)
 
+    def _observe_era(self, era: int, source: str, now: float) -> None:
+        """Record the store's era; in a later one, wait for lost entries."""
+        earlier = self.store_era.current
+        if not self.store_era.observe(era, now):
+            return
+        self.metrics.store_era.set(era)
+        self.catalog.fleet.on_store_recovered(now)
+        self.logger.warning(
+            'store-era', earlier=earlier, era=era, source=source
+        )
+
     def _on_registry(self, result: model.StoreResult, now: float) -> None:
+        was_registered = self.registry.is_registered
         found = self.registry.on_store_result(result, now)
+        if self.registry.is_registered and not was_registered:
+            self.logger.info(
+                'host-registered', status=result.status, era=result.era
+            )
         own = self.options.host.peer_address
         known = set(self.members.seeds) | {own}
         self.members.seeds += [a for a in found if a not in known]
@@ -333,6 +357,7 @@
     def _on_store(self, result: model.StoreResult) -> None:
         now = self.reactor.seconds()
         self.catalog.now = now
+        self._observe_era(result.era, 'store', now)
         if result.op.startswith(state.HOSTS_OP):
             self._on_registry(result, now)
             return
@@ -368,7 +393,7 @@
             self.logger.info(
                 'object-adopted',
                 object=item.name,
-                version=item.version,
+                version=model.format_version(item.version),
                 deleted=item.value is None,
                 source=source,
                 problem=self.catalog.problems.get(item.name),
@@ -422,6 +447,8 @@
             case model.StateWant():
                 return gossip.on_want(sender, message)
             case model.StatePush():
+                era = state.latest_era(message.objects)
+                self._observe_era(era, sender, now)
                 count = len(members.peer_addresses())
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
             case _:
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -45,6 +45,12 @@
             registry=self.registry,
         )
 
+        self.store_era = prometheus.Gauge(
+            'ragwort_store_era',
+            "Latest era of the store, which rises when it loses writes",
+            registry=self.registry,
+        )
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus.generate_latest(self.registry)
--- a/libs/ragwort_fakes/ragwort_fakes/_platform.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_platform.py
@@ -63,6 +63,7 @@
         self.objects: dict[str, model.StoredObject] = {}
         self.history: list[model.StoredObject] = []
         self.compacted_revision = 0
+        self.era = 0
         self.revision = 0
         self.watches: list[_Watch] = []
         self.faults: set[PlatformFault] = set()
@@ -89,14 +90,39 @@
         """Return the objects as of an earlier revision."""
         objects: dict[str, model.StoredObject] = {}
         for item in self.history:
-            if item.version <= revision:
+            if model.revision_of(item.version) <= revision:
                 objects[item.name] = item
         return {n: i for n, i in objects.items() if i.value is not None}
 
+    def restore(self, revision: int) -> None:
+        """Return to the copy of an earlier revision, in a new era.
+
+        Later revisions are lost and given out again; waiting watches end.
+        """
+        self.revision = max(min(revision, self.revision), 0)
+        self.era += 1
+        self.history = [
+            self._in_era(item)
+            for item in self.history
+            if model.revision_of(item.version) <= self.revision
+        ]
+        self.compacted_revision = min(self.compacted_revision, self.revision)
+        self.objects = self._objects_at(self.revision)
+        self.stale_objects = dict(self.objects)
+        self.stale_revision = self.revision
+        for watch in self.watches:
+            watch.expires_at = 0.0
+
+    def _in_era(self, item: model.StoredObject) -> model.StoredObject:
+        revision = model.revision_of(item.version)
+        version = model.make_version(self.era, revision)
+        return dataclasses.replace(item, version=version)
+
     def put(self, name: str, value: str | None) -> int:
         """Set an object from outside the API and return its version."""
         self.revision += 1
-        item = model.StoredObject(name, self.revision, value)
+        version = model.make_version(self.era, self.revision)
+        item = model.StoredObject(name, version, value)
         if value is None:
             self.objects.pop(name, None)
         else:
@@ -105,8 +131,8 @@
         if len(self.history) > HISTORY_LIMIT:
             dropped = self.history[: HISTORY_LIMIT // 2]
             del self.history[: HISTORY_LIMIT // 2]
-            self.compacted_revision = dropped[-1].version
-        return self.revision
+            self.compacted_revision = model.revision_of(dropped[-1].version)
+        return version
 
     def set_host(
         self, name: str, value: str | None, now: float, lag_s: float
@@ -120,19 +146,19 @@
         """Execute a call; return None for a watch that stays open."""
         is_write = call.verb in (model.StoreVerb.PUT, model.StoreVerb.DELETE)
         if PlatformFault.DOWN in self.faults:
-            return _status(call, model.StoreStatus.UNAVAILABLE)
+            return _unavailable(call)
         if not (self.write_bucket if is_write else self.read_bucket).try_take(
             now
         ):
             self.limited_count += 1
-            return _status(call, model.StoreStatus.RATE_LIMITED)
+            return self._status(call, model.StoreStatus.RATE_LIMITED)
         if is_write:
             self.write_count += 1
         else:
             self.read_count += 1
         result = self._execute(caller, call, now)
         if is_write and PlatformFault.LOSE_ANSWER in self.faults:
-            return _status(call, model.StoreStatus.UNAVAILABLE)
+            return _unavailable(call)
         return result
 
     def _execute(
@@ -142,13 +168,13 @@
             case model.StoreVerb.GET:
                 found = self.objects.get(call.name)
                 if found is None:
-                    return _status(call, model.StoreStatus.NOT_FOUND)
+                    return self._status(call, model.StoreStatus.NOT_FOUND)
                 return self._ok(call, (found,))
             case model.StoreVerb.PUT:
                 return self._conditional_put(call)
             case model.StoreVerb.DELETE:
                 if call.name not in self.objects:
-                    return _status(call, model.StoreStatus.NOT_FOUND)
+                    return self._status(call, model.StoreStatus.NOT_FOUND)
                 self.put(call.name, None)
                 return self._ok(call, ())
             case model.StoreVerb.LIST:
@@ -163,9 +189,9 @@
         if inject_conflict and found is not None:
             # Simulates a concurrent write of the same content.
             self.put(call.name, found.value)
-            return _status(call, model.StoreStatus.CONFLICT)
+            return self._status(call, model.StoreStatus.CONFLICT)
         if version != call.expected_version:
-            return _status(call, model.StoreStatus.CONFLICT)
+            return self._status(call, model.StoreStatus.CONFLICT)
         self.put(call.name, call.value)
         return self._ok(call, ())
 
@@ -179,19 +205,19 @@
             if name.startswith(call.name)
         )
         return model.StoreResult(
-            call.op, model.StoreStatus.OK, objects, revision
+            call.op,
+            model.StoreStatus.OK,
+            objects,
+            model.make_version(self.era, revision),
         )
 
     def _watch(
         self, caller: str, call: model.StoreCall, now: float
     ) -> model.StoreResult | None:
         stale = PlatformFault.STALE_WATCH in self.faults
-        if (
-            stale
-            or call.since < self.compacted_revision
-            or call.since > self.revision
-        ):
-            return _status(call, model.StoreStatus.GONE)
+        since = model.revision_of(call.since)
+        if stale or not self.compacted_revision <= since <= self.revision:
+            return self._status(call, model.StoreStatus.GONE)
         changes = self._changes(call)
         if changes or call.wait_s <= 0:
             return self._ok(call, changes)
@@ -204,7 +230,8 @@
     ) -> tuple[model.StoredObject, ...]:
         latest: dict[str, model.StoredObject] = {}
         for item in reversed(self.history):
-            if item.version <= call.since:
+            revision = model.revision_of(item.version)
+            if revision <= model.revision_of(call.since):
                 break
             if item.name.startswith(call.name):
                 latest.setdefault(item.name, item)
@@ -214,9 +241,19 @@
         self, call: model.StoreCall, objects: tuple[model.StoredObject, ...]
     ) -> model.StoreResult:
         return model.StoreResult(
-            call.op, model.StoreStatus.OK, objects, self.revision
+            call.op,
+            model.StoreStatus.OK,
+            objects,
+            model.make_version(self.era, self.revision),
         )
 
+    def _status(
+        self, call: model.StoreCall, status: model.StoreStatus
+    ) -> model.StoreResult:
+        """Return an answer that tells nothing but a status and the era."""
+        era_start = model.make_version(self.era, 0)
+        return model.StoreResult(call.op, status, (), era_start)
+
     def tick(self, now: float) -> list[WatchAnswer]:
         """Apply due host changes and return the watches that end."""
         for due, name, value in [
@@ -236,9 +273,9 @@
         self, watch: _Watch, now: float
     ) -> model.StoreResult | None:
         if PlatformFault.DOWN in self.faults:
-            return _status(watch.call, model.StoreStatus.UNAVAILABLE)
+            return _unavailable(watch.call)
         if PlatformFault.STALE_WATCH in self.faults:
-            return _status(watch.call, model.StoreStatus.GONE)
+            return self._status(watch.call, model.StoreStatus.GONE)
         changes = self._changes(watch.call)
         if changes or now >= watch.expires_at:
             return self._ok(watch.call, changes)
@@ -249,7 +286,6 @@
         self.watches = [w for w in self.watches if w.caller != caller]
 
 
-def _status(
-    call: model.StoreCall, status: model.StoreStatus
-) -> model.StoreResult:
-    return model.StoreResult(call.op, status)
+def _unavailable(call: model.StoreCall) -> model.StoreResult:
+    """Return the result of a call that got no answer."""
+    return model.StoreResult(call.op, model.StoreStatus.UNAVAILABLE)
--- a/libs/ragwort_fakes/ragwort_fakes/_platform_http.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_platform_http.py
@@ -148,7 +148,7 @@
             model.StoreVerb.PUT,
             _name(request),
             record.value,
-            record.expected_version,
+            model.make_version(record.expected_era, record.expected_version),
         )
         return self.platform.serve(request, call)
 
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -11,6 +11,7 @@
 from ragwort_lab._matrix import CaseRun
 from ragwort_lab._matrix import pair_cases
 from ragwort_lab._matrix import REGRESSIONS
+from ragwort_lab._matrix import restore_pair_cases
 from ragwort_lab._matrix import run_case
 from ragwort_lab._matrix import single_cases
 from ragwort_lab._matrix import STEPS
@@ -18,8 +19,8 @@
 from ragwort_lab._mutations import MUTATIONS
 from ragwort_lab._policy_bench import Figures
 from ragwort_lab._policy_bench import OURS
-from ragwort_lab._policy_bench import run
 from ragwort_lab._policy_bench import Run
+from ragwort_lab._policy_bench import run
 from ragwort_lab._policy_bench import SCENARIOS
 from ragwort_lab._relay_fakes import Arrival
 from ragwort_lab._relay_fakes import LabExchange
@@ -77,6 +78,7 @@
     'read_experiment',
     'REGRESSIONS',
     'RelayWorld',
+    'restore_pair_cases',
     'RuleFigures',
     'Run',
     'run',
--- a/libs/ragwort_lab/ragwort_lab/_commands.py
+++ b/libs/ragwort_lab/ragwort_lab/_commands.py
@@ -87,6 +87,7 @@
     cases = [
         *_matrix.single_cases(),
         *_matrix.pair_cases(),
+        *_matrix.restore_pair_cases(),
         *_matrix.REGRESSIONS,
     ]
     if arguments:
--- a/libs/ragwort_lab/ragwort_lab/_faults.py
+++ b/libs/ragwort_lab/ragwort_lab/_faults.py
@@ -8,10 +8,16 @@
 
 import ragwort_fakes as fakes
 from ragwort_lab import _world
+import ragwort_state as state
 
 Heal = Callable[[], None]
 
 ORDER_DELAY_S = 30.0
+# Age of the copy from which the store returns, and how long it is away.
+RESTORE_AGE_S = 2.0
+RESTORE_GAP_S = 0.3
+# Time until the operator has written again what the copy lacks.
+REWRITE_DELAY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,3 +273,29 @@
         world.runner_side.order_delays.pop(victim.node, None)
 
     return heal
+
+
+@fault('store-restored')
+def restore_store(world: _world.World, victim: Victim) -> Heal:
+    """Let the store go for a moment and return as an older copy."""
+    platform = world.platform
+    platform.set_fault(fakes.PlatformFault.DOWN, True)
+    latest = {
+        name: item.value
+        for name, item in platform.objects.items()
+        if name.startswith(state.CONFIG_PREFIX)
+    }
+
+    def come_back() -> None:
+        platform.set_fault(fakes.PlatformFault.DOWN, False)
+        platform.restore(world.revision_at(world.now - RESTORE_AGE_S))
+        world.after(REWRITE_DELAY_S, write_again)
+
+    def write_again() -> None:
+        for name, value in latest.items():
+            held = platform.objects.get(name)
+            if held is None or held.value != value:
+                platform.put(name, value)
+
+    world.after(RESTORE_GAP_S, come_back)
+    return _nothing
--- a/libs/ragwort_lab/ragwort_lab/_matrix.py
+++ b/libs/ragwort_lab/ragwort_lab/_matrix.py
@@ -32,6 +32,8 @@
 TRAFFIC_GAP_S = 0.1
 TRAFFIC_COUNT = 60
 PAIR_COUNT = 60
+# Paired with every other fault in cases of its own.
+RESTORE = 'store-restored'
 MAX_RESUMES = 4
 CLASSES = tuple({**fakes.HOULE_CLASSES, **fakes.CAMPBELL_CLASSES})
 TARGET_CLASS = 'safety-notice'
@@ -357,7 +359,7 @@
 def pair_cases(count: int = PAIR_COUNT, seed: int = 1) -> list[Case]:
     """Return sampled pairs of faults at sampled steps."""
     rng = random.Random(f'pairs/{seed}')
-    names = list(_faults.FAULTS)
+    names = [name for name in _faults.FAULTS if name != RESTORE]
     cases: list[Case] = []
     for index in range(count):
         first, second = rng.sample(names, 2)
@@ -365,6 +367,16 @@
     return cases
 
 
+def restore_pair_cases(seed: int = 1) -> list[Case]:
+    """Return the store's restore together with every other fault."""
+    rng = random.Random(f'restores/{seed}')
+    return [
+        Case((RESTORE, name), rng.choice(STEPS), seed + index)
+        for index, name in enumerate(_faults.FAULTS)
+        if name != RESTORE
+    ]
+
+
 def run_case(case: Case) -> CaseResult:
     """Run one case."""
     return CaseRun(case).run()
--- a/libs/ragwort_lab/ragwort_lab/_state_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_state_bench.py
@@ -166,7 +166,8 @@
         self.rng = random.Random(seed)
         self.platform = fakes.PlatformCore(1e9, 1e9)
         self.ledgers = [
-            state.Ledger(random.Random(f'{seed}/{i}')) for i in range(nodes)
+            state.Ledger(random.Random(f'{seed}/{i}'), state.StoreEra())
+            for i in range(nodes)
         ]
         self.queue: list[tuple[float, int, Any]] = []
         self.counter = itertools.count()
--- a/libs/ragwort_lab/ragwort_lab/_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_world.py
@@ -60,6 +60,7 @@
         self.store_side = _store_side.StoreSide(self)
         self.node_time_s = 0.0
         self.stored_since: dict[str, tuple[int, float]] = {}
+        self.revisions: list[tuple[float, int]] = [(0.0, 0)]
         shapes = runners or default_runners(shape)
         self.runners = {
             name: _world_parts.RunnerSlot(
@@ -138,6 +139,12 @@
             options, rng, self.now + clock_offset, self.wall()
         )
 
+    def revision_at(self, at: float) -> int:
+        """Return the store's revision as of a time, in whole checks."""
+        return [revision for seen, revision in self.revisions if seen <= at][
+            -1
+        ]
+
     def wall(self) -> float:
         """Return the true time of day in seconds."""
         return _world_parts.WALL_START + self.now
@@ -346,6 +353,7 @@
         )
 
     def _check_versions(self) -> None:
+        self.revisions.append((self.now, self.platform.revision))
         for stored, held in self.platform.objects.items():
             seen = self.stored_since.get(stored)
             if seen is None or seen[0] != held.version:
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -102,6 +102,10 @@
 from ragwort_model._stage import StageEnd
 from ragwort_model._stage import StageFailed
 from ragwort_model._stage import StageHeartbeat
+from ragwort_model._store import era_of
+from ragwort_model._store import format_version
+from ragwort_model._store import make_version
+from ragwort_model._store import revision_of
 from ragwort_model._store import StoreCall
 from ragwort_model._store import StoredObject
 from ragwort_model._store import StoreResult
@@ -137,8 +141,10 @@
     'Document',
     'End',
     'EntryHost',
+    'era_of',
     'Follow',
     'FollowEvent',
+    'format_version',
     'Heartbeat',
     'HostState',
     'IncompleteAnswerError',
@@ -149,6 +155,7 @@
     'load_settings',
     'LoadReport',
     'LoadResult',
+    'make_version',
     'MAX_DEADLINE_S',
     'MAX_HISTORY',
     'MemberStatus',
@@ -178,6 +185,7 @@
     'request_key_at',
     'request_key_time',
     'RequestError',
+    'revision_of',
     'Runner',
     'RunnerDocument',
     'RunnerOrder',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -20,12 +20,14 @@
 
     GRANTED: the store holds the claim with the claimant's nonce. TAKEN:
     another claim holds the key. UNRESOLVED: the store did not answer in
-    time.
+    time. LOST: the store was restored from an older copy, and a claim of
+    the key may have been lost with what is missing there.
     """
 
     GRANTED = 0
     TAKEN = 1
     UNRESOLVED = 2
+    LOST = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_node/ragwort_node/_control.py
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -32,9 +32,10 @@
             options.host, options.seeds, rng, now, wall
         )
         self.replica = state.Replica(state.Catalog())
+        self.store_era = state.StoreEra(wall_offset_s=wall - now)
         self.gossip = state.Gossip(self.replica, rng, now)
-        self.watcher = state.Watcher(self.replica, rng, now)
-        self.ledger = state.Ledger(rng)
+        self.watcher = state.Watcher(self.replica, self.store_era, rng, now)
+        self.ledger = state.Ledger(rng, self.store_era, options.clock_skew_s)
         self.janitor = state.Janitor(
             options.claim_retention_s, options.clock_skew_s
         )
@@ -48,6 +49,7 @@
 
     def tick(self, now: float, wall: float) -> list[ControlEffect]:
         """Run the periodic work and return its effects."""
+        self.store_era.wall_offset_s = wall - now
         effects: list[ControlEffect] = []
         effects += self.members.tick(now, wall)
         effects += self.gossip.tick(now, self.members.peer_addresses())
@@ -81,6 +83,10 @@
                 adopted, len(self.members.peer_addresses())
             )
 
+    def observe_era(self, era: int, now: float) -> None:
+        """Record an era of the store, heard of in any way."""
+        self.store_era.observe(era, now)
+
     def take_adopted(self) -> list[model.StoredObject]:
         """Return the objects adopted since the last call."""
         adopted, self.adopted = self.adopted, []
@@ -90,7 +96,7 @@
         self, result: model.StoreResult, now: float
     ) -> list[ControlEffect]:
         """Pass a store result to the component that made the call."""
-        if result.op in (state.LIST_OP, state.WATCH_OP):
+        if result.op.startswith((state.LIST_OP, state.WATCH_OP)):
             self._gossip_adopted(self.watcher.on_store_result(result, now))
             return []
         if result.op.startswith(state.LEDGER_OP):
@@ -120,6 +126,7 @@
             case model.StateWant():
                 return list(self.gossip.on_want(sender, message))
             case model.StatePush():
+                self.observe_era(state.latest_era(message.objects), now)
                 peer_count = len(members.peer_addresses())
                 self.adopted += self.gossip.on_push(message, now, peer_count)
                 return []
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -116,7 +116,11 @@
             controller = self.placement_controllers.get(service)
             if controller is None:
                 controller = _placement.PlacementController(
-                    service, self.name, self.control.replica, self.rng
+                    service,
+                    self.name,
+                    self.control.replica,
+                    self.control.store_era,
+                    self.rng,
                 )
                 self.placement_controllers[service] = controller
             role = f'placement/{service}'
@@ -190,7 +194,7 @@
                 'kept-last-valid' if problem else 'in-force',
                 detail=problem.text
                 if problem
-                else f'version {stored.version}',
+                else f'version {model.format_version(stored.version)}',
             )
             self.effects.append(decision)
 
@@ -396,6 +400,13 @@
                 )
             case model.ClaimStatus.TAKEN:
                 self._on_claim_taken(execution, resolved.standing, now)
+            case model.ClaimStatus.LOST:
+                self.engine.finish(
+                    execution,
+                    model.Outcome.UNKNOWN,
+                    'the store lost recent claims, perhaps one of this key',
+                    now,
+                )
 
     def _on_claim_taken(
         self,
@@ -551,6 +562,7 @@
         self, result: model.StoreResult, now: float
     ) -> list[_effects.Effect]:
         """Handle the result of a store call."""
+        self.control.observe_era(result.era, now)
         service = _placement.service_of_op(result.op)
         if service is not None:
             if service in self.placement_controllers:
@@ -623,6 +635,7 @@
             self._class_statuses(now),
             self._runner_statuses(now),
             len(self.engine.active),
+            self.control.store_era.current,
         )
 
     def _class_statuses(self, now: float) -> list[_status.ClassStatus]:
--- a/libs/ragwort_node/ragwort_node/_placement.py
+++ b/libs/ragwort_node/ragwort_node/_placement.py
@@ -32,12 +32,13 @@
         service: str,
         host: str,
         replica: state.Replica[state.Catalog],
+        store_era: state.StoreEra,
         rng: random.Random,
     ) -> None:
         """Start without the lease."""
         self.service = service
         self.replica = replica
-        self.lease = state.Lease(service, host, rng)
+        self.lease = state.Lease(service, host, rng, store_era)
         self.history = policy.PlacementHistory()
         self.reports: dict[str, tuple[model.LoadReport, float]] = {}
         self.recalling: set[str] = set()
--- a/libs/ragwort_node/ragwort_node/_status.py
+++ b/libs/ragwort_node/ragwort_node/_status.py
@@ -58,6 +58,7 @@
     classes: list[ClassStatus]
     runners: list[RunnerStatus]
     open_requests: int
+    store_era: int
 
 
 def class_status(
--- a/libs/ragwort_node/ragwort_node/_store_client.py
+++ b/libs/ragwort_node/ragwort_node/_store_client.py
@@ -27,7 +27,8 @@
         case model.StoreVerb.WATCH:
             wait_ms = int(call.wait_s * 1000)
             return (
-                f'{base}/watch?prefix={name}&since={call.since}'
+                f'{base}/watch?prefix={name}'
+                f'&since={model.revision_of(call.since)}'
                 f'&wait_ms={wait_ms}'
             )
         case _:
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -5,6 +5,8 @@
 from ragwort_state._catalog import drain_status_object
 from ragwort_state._catalog import DRAIN_STATUS_PREFIX
 from ragwort_state._catalog import ObjectProblem
+from ragwort_state._era import latest_era
+from ragwort_state._era import StoreEra
 from ragwort_state._gossip import Gossip
 from ragwort_state._gossip import MAX_RUMOURED_OBJECTS
 from ragwort_state._lease import Lease
@@ -56,6 +58,7 @@
     'is_applied',
     'Janitor',
     'JANITOR_OP',
+    'latest_era',
     'Lease',
     'LEASE_DURATION_S',
     'LEASE_OP',
@@ -72,6 +75,7 @@
     'Replica',
     'SHARD_COUNT',
     'shard_of',
+    'StoreEra',
     'TARGET_FIELDS',
     'TargetChange',
     'WATCH_OP',
--- a/libs/ragwort_state/ragwort_state/_lease.py
+++ b/libs/ragwort_state/ragwort_state/_lease.py
@@ -2,11 +2,13 @@
 
 import dataclasses
 import enum
+import math
 import random
 
 import msgspec
 
 import ragwort_model as model
+from ragwort_state import _era
 
 LEASE_PREFIX = 'leases/'
 LEASE_OP = 'lease:'
@@ -38,11 +40,16 @@
     counts its validity from before the write was sent; other nodes count
     expiry from the last change of version that they saw. Each uses its
     own monotonic clock, so steps of the wall clock do not matter.
+
+    In a new era of the store the lease may be lost or be that of an earlier
+    holder: a holder that hears of it gives no more orders, and nobody takes
+    the lease before a holder that has not heard of it has lost it by time.
     """
 
     name: str
     host: str
     rng: random.Random
+    store_era: _era.StoreEra
     phase: LeasePhase = LeasePhase.FOLLOWING
     fencing: int = 0
     valid_until: float = 0.0
@@ -55,6 +62,7 @@
     nonce: str = ''
     sent_at: float = 0.0
     op_count: int = 0
+    era: int = 0
 
     def may_order(self, now: float, checks_fencing: bool) -> bool:
         """Tell whether an order may be sent now.
@@ -64,12 +72,16 @@
         """
         if self.phase != LeasePhase.HOLDING:
             return False
+        if self.era < self.store_era.current:
+            return False
         if now + SAFETY_MARGIN_S >= self.valid_until:
             return False
         return checks_fencing or now >= self.orders_allowed_at
 
     def tick(self, now: float, wanted: bool) -> list[model.StoreCall]:
         """Return the read or write due now."""
+        if self.era < self.store_era.current:
+            self._enter_era()
         if self.phase == LeasePhase.HOLDING and now >= self.valid_until:
             self._lose()
         if self.pending_op is not None or now < self.next_call_at:
@@ -84,6 +96,12 @@
             return [self._read()]
         return [self._write(now, 0)]
 
+    def _enter_era(self) -> None:
+        """Drop what was read or held in an earlier era."""
+        self.era = self.store_era.current
+        self.pending_op = None
+        self._lose()
+
     def _new_op(self, kind: str) -> str:
         self.op_count += 1
         self.pending_op = f'{LEASE_OP}{self.name}#{kind}{self.op_count}'
@@ -110,15 +128,22 @@
         """Handle the result of a read or write."""
         if result.op != self.pending_op:
             return
+        if self.era < self.store_era.current:
+            self._enter_era()
+            return
         is_write = result.op.partition('#')[2].startswith('w')
         self.pending_op = None
         self.next_call_at = now + RETRY_S
-        if is_write and result.status == model.StoreStatus.OK:
+        if result.era != self.era and result.status == model.StoreStatus.OK:
+            self.seen_version = -1
+        elif is_write and result.status == model.StoreStatus.OK:
             fencing = self.fencing or result.revision
             self._hold(fencing, result.revision, now)
         elif result.status == model.StoreStatus.NOT_FOUND:
             self._observe(0, '', now)
-            self.seen_at = now - LEASE_DURATION_S
+            # In a later era the lease may be missing because it was lost.
+            since = self.store_era.seen_at if self.era else -math.inf
+            self.seen_at = max(now - LEASE_DURATION_S, since)
         elif result.status == model.StoreStatus.OK and result.objects:
             self._apply_record(result.objects[0], now)
         elif result.status == model.StoreStatus.CONFLICT:
--- a/libs/ragwort_state/ragwort_state/_ledger.py
+++ b/libs/ragwort_state/ragwort_state/_ledger.py
@@ -4,6 +4,11 @@
 dispatch, and the dispatch follows only after the claimant's own nonce was
 seen in the stored object. The owner of a shard commits its claims in
 groups; two owners at once are safe, since only the store decides.
+
+A store that returns as an older copy has lost the latest claims. The hosts
+that know them write them again, before any new claim of the bucket. A claim
+of a key from before the new era is not granted: the key may have run, and
+the host that knows it may be gone.
 """
 
 import dataclasses
@@ -12,6 +17,7 @@
 import msgspec
 
 import ragwort_model as model
+from ragwort_state import _era
 
 SHARD_COUNT = 32
 BUCKET_SPAN_S = 15
@@ -23,6 +29,8 @@
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 OUTAGE_MEMORY_S = 1.0
+# Time over which a host spreads its reads after the store was restored.
+REWRITE_SPREAD_S = 1.0
 JANITOR_WINDOW_BUCKETS = 40
 BUCKET_IDLE_TIMEOUT_S = 60.0
 
@@ -89,9 +97,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _ClaimBucket:
+    """Claims of a shard and time span, as read in the store's present era.
+
+    lost_claims are those of an earlier era that the store may lack.
+    """
+
     name: str
     version: int | None = None
     claims: dict[str, model.Claim] = dataclasses.field(default_factory=dict)
+    lost_claims: dict[str, model.Claim] = dataclasses.field(
+        default_factory=dict
+    )
     pending_claims: list[_PendingClaim] = dataclasses.field(
         default_factory=list
     )
@@ -103,6 +119,15 @@
     backoff_s: float = MIN_BACKOFF_S
     last_used_at: float = 0.0
 
+    def enter_era(self, next_call_at: float) -> None:
+        """Keep the claims of an earlier era to write them again."""
+        self.lost_claims |= self.claims
+        self.claims = {}
+        self.version = None
+        self.pending_op = None
+        if not self.pending_claims:
+            self.next_call_at = next_call_at
+
 
 @dataclasses.dataclass(slots=True)
 class _ForwardedClaim:
@@ -117,9 +142,21 @@
 class Ledger:
     """Commit claims for this node and for peers that forward theirs."""
 
-    def __init__(self, rng: random.Random) -> None:
-        """Start with nothing cached."""
+    def __init__(
+        self,
+        rng: random.Random,
+        store_era: _era.StoreEra,
+        clock_skew_s: float = 0.0,
+    ) -> None:
+        """Start with nothing cached.
+
+        clock_skew_s bounds the difference of two hosts' times of day.
+        """
         self.rng = rng
+        self.store_era = store_era
+        self.clock_skew_s = clock_skew_s
+        self.era = store_era.current
+        self.rewritten_count = 0
         self.buckets: dict[str, _ClaimBucket] = {}
         self.forwarded_claims: dict[tuple[str, str], _ForwardedClaim] = {}
         self.op_count = 0
@@ -171,6 +208,8 @@
     def tick(self, now: float) -> list[LedgerEffect]:
         """Expire claims, take back those of silent owners, commit groups."""
         effects: list[LedgerEffect] = []
+        if self.era < self.store_era.current:
+            self._enter_era(now)
         for claim_id, forward in list(self.forwarded_claims.items()):
             if now >= forward.fallback_at:
                 del self.forwarded_claims[claim_id]
@@ -184,11 +223,18 @@
             if (
                 idle
                 and not bucket.pending_claims
+                and not bucket.lost_claims
                 and bucket.pending_op is None
             ):
                 del self.buckets[bucket.name]
         return effects
 
+    def _enter_era(self, now: float) -> None:
+        """Plan to read all buckets again, spread in time."""
+        self.era = self.store_era.current
+        for bucket in self.buckets.values():
+            bucket.enter_era(now + self.rng.uniform(0, REWRITE_SPREAD_S))
+
     def _enqueue(
         self, pending: _PendingClaim, now: float
     ) -> list[LedgerEffect]:
@@ -202,8 +248,12 @@
 
     def _advance(self, bucket: _ClaimBucket, now: float) -> list[LedgerEffect]:
         """Resolve claims that are decided, then add the next store call."""
+        if self.era < self.store_era.current:
+            self._enter_era(now)
         effects = self._resolve(bucket, now)
-        if not bucket.pending_claims or bucket.pending_op is not None:
+        if not bucket.pending_claims and not bucket.lost_claims:
+            return effects
+        if bucket.pending_op is not None:
             return effects
         if now < bucket.next_call_at:
             return effects
@@ -218,9 +268,10 @@
             return model.StoreCall(
                 bucket.pending_op, model.StoreVerb.GET, bucket.name
             )
-        bucket.sent_claims = dict(bucket.claims)
+        bucket.sent_claims = bucket.lost_claims | bucket.claims
         for pending in bucket.pending_claims:
-            bucket.sent_claims.setdefault(pending.claim.key, pending.claim)
+            if not self._may_be_lost(pending.claim):
+                bucket.sent_claims.setdefault(pending.claim.key, pending.claim)
         return model.StoreCall(
             bucket.pending_op,
             model.StoreVerb.PUT,
@@ -233,23 +284,39 @@
         effects: list[LedgerEffect] = []
         still_pending: list[_PendingClaim] = []
         for pending in bucket.pending_claims:
-            standing = bucket.claims.get(pending.claim.key)
-            if standing is not None:
-                granted = standing.nonce == pending.claim.nonce
-                status = (
-                    model.ClaimStatus.GRANTED
-                    if granted
-                    else model.ClaimStatus.TAKEN
-                )
-                effects.append(_resolution(pending, status, standing))
-            elif now >= pending.expires_at:
-                status = model.ClaimStatus.UNRESOLVED
-                effects.append(_resolution(pending, status, None))
-            else:
+            status = self._status(bucket, pending, now)
+            if status is None:
                 still_pending.append(pending)
+            else:
+                standing = bucket.claims.get(pending.claim.key)
+                effects.append(_resolution(pending, status, standing))
         bucket.pending_claims = still_pending
         return effects
 
+    def _status(
+        self, bucket: _ClaimBucket, pending: _PendingClaim, now: float
+    ) -> model.ClaimStatus | None:
+        """Return the status of a claim, None while it is not decided."""
+        claim = pending.claim
+        standing = bucket.claims.get(claim.key)
+        if standing is not None and standing.nonce != claim.nonce:
+            return model.ClaimStatus.TAKEN
+        is_read = bucket.version is not None and not bucket.lost_claims
+        if is_read and self._may_be_lost(claim):
+            return model.ClaimStatus.LOST
+        if standing is not None and not self._may_be_lost(claim):
+            return model.ClaimStatus.GRANTED
+        if now >= pending.expires_at:
+            return model.ClaimStatus.UNRESOLVED
+        return None
+
+    def _may_be_lost(self, claim: model.Claim) -> bool:
+        """Tell whether a key is from before the store's present era."""
+        if not self.era:
+            return False
+        created = model.request_key_time(claim.key)
+        return created <= self.store_era.seen_wall + self.clock_skew_s
+
     def on_store_result(
         self, result: model.StoreResult, now: float
     ) -> list[LedgerEffect]:
@@ -258,6 +325,9 @@
         bucket = self.buckets.get(name)
         if bucket is None or bucket.pending_op != result.op:
             return []
+        if self.era < self.store_era.current:
+            self._enter_era(now)
+            return self._advance(bucket, now)
         is_write = bucket.version is not None
         bucket.pending_op = None
         self._apply_result(bucket, result, is_write, now)
@@ -276,7 +346,12 @@
         elif status != model.StoreStatus.RATE_LIMITED:
             self.unavailable_at = None
             bucket.backoff_s = MIN_BACKOFF_S
-        if status == model.StoreStatus.OK and is_write:
+        if status == model.StoreStatus.OK and result.era != self.era:
+            # Answered in an earlier era, whose effect may be gone.
+            bucket.version = None
+        elif status == model.StoreStatus.OK and is_write:
+            self.rewritten_count += len(bucket.lost_claims)
+            bucket.lost_claims = {}
             bucket.version = result.revision
             bucket.claims = bucket.sent_claims
             bucket.next_call_at = now + COMMIT_INTERVAL_S
@@ -284,6 +359,7 @@
             stored = result.objects[0]
             bucket.claims = decode_claims(stored.value or '[]')
             bucket.version = stored.version
+            _drop_found(bucket)
         elif status == model.StoreStatus.NOT_FOUND and not is_write:
             bucket.claims = {}
             bucket.version = 0
@@ -296,6 +372,12 @@
                 bucket.backoff_s = min(2 * bucket.backoff_s, MAX_BACKOFF_S)
 
 
+def _drop_found(bucket: _ClaimBucket) -> None:
+    """Drop lost claims whose keys the store holds after all."""
+    for key in bucket.lost_claims.keys() & bucket.claims.keys():
+        del bucket.lost_claims[key]
+
+
 def _resolution(
     pending: _PendingClaim,
     status: model.ClaimStatus,
--- a/libs/ragwort_state/ragwort_state/_registry.py
+++ b/libs/ragwort_state/ragwort_state/_registry.py
@@ -5,6 +5,7 @@
 import random
 
 import ragwort_model as model
+from ragwort_state import _era
 
 HOSTS_PREFIX = 'entry-hosts/'
 HOSTS_OP = 'hosts:'
@@ -15,13 +16,20 @@
 ISOLATED_LIST_INTERVAL_S = 3.0
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 5.0
+# Time over which hosts spread their entries after the store was restored.
+REWRITE_SPREAD_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
 class HostRegistry:
-    """Register this host once, and list the others while it is isolated."""
+    """Register this host once, and list the others while it is isolated.
+
+    A store that returns as an older copy may lack the entry, so that the
+    host registers again in each era.
+    """
 
     host: model.EntryHost
+    store_era: _era.StoreEra
     rng: random.Random
     next_call_at: float
     is_registered: bool = False
@@ -29,6 +37,7 @@
     has_listed: bool = False
     backoff_s: float = MIN_BACKOFF_S
     removed: set[str] = dataclasses.field(default_factory=set)
+    era: int = 0
 
     def tick(
         self, now: float, is_isolated: bool, departed: list[str]
@@ -38,6 +47,8 @@
         departed names hosts to remove, which have been down for too long
         to return; only one host at a time passes any.
         """
+        if self.era < self.store_era.current:
+            self._enter_era(now)
         if self.is_pending or now < self.next_call_at:
             return []
         if not self.is_registered:
@@ -60,6 +71,14 @@
                 ]
         return []
 
+    def _enter_era(self, now: float) -> None:
+        """Plan to write again what the store may have lost."""
+        self.era = self.store_era.current
+        self.removed.clear()
+        if self.is_registered:
+            self.is_registered = False
+            self.next_call_at = now + self.rng.uniform(0, REWRITE_SPREAD_S)
+
     def _call(
         self, op: str, verb: model.StoreVerb, value: str
     ) -> model.StoreCall:
@@ -86,7 +105,7 @@
         self.backoff_s = MIN_BACKOFF_S
         self.next_call_at = now
         if result.op == REGISTER_OP:
-            self.is_registered = True
+            self.is_registered = result.era == self.store_era.current
         if result.op != LIST_OP:
             return []
         self.has_listed = True
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -5,6 +5,7 @@
 
 import ragwort_model as model
 from ragwort_state import _catalog
+from ragwort_state import _era
 from ragwort_state import _replica
 
 LIST_OP = 'config:list'
@@ -15,18 +16,23 @@
 FALLBACK_LIST_JITTER_S = 3.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
+# In a new era all watchers list at once; the delay spreads their calls.
+RELIST_JITTER_S = 0.3
 
 
 class Watcher:
     """Decide when to list, watch or poll the store.
 
     An elected watcher keeps one watch open. Other nodes list only if no
-    peer has sent them the full state, and poll rarely.
+    peer has sent them the full state, and poll rarely. In a new era of the
+    store, a watch from an earlier revision would miss changes, so that the
+    watcher lists again; until then the earlier objects stay in force.
     """
 
     def __init__(
         self,
         replica: _replica.Replica[Any],
+        store_era: _era.StoreEra,
         rng: random.Random,
         now: float,
         prefix: str = _catalog.CONFIG_PREFIX,
@@ -34,6 +40,8 @@
     ) -> None:
         """Start with nothing read of the objects below prefix."""
         self.replica = replica
+        self.store_era = store_era
+        self.era = store_era.current
         self.prefix = prefix
         self.max_backoff_s = max_backoff_s
         self.is_store_unavailable = False
@@ -41,6 +49,7 @@
         self.started_at = now
         self.revision = 0
         self.has_listed = False
+        self.op_count = 0
         self.pending_op: str | None = None
         self.backoff_s = MIN_BACKOFF_S
         self.next_call_at = now
@@ -56,28 +65,47 @@
         """Return the store call due now, if any."""
         if self.has_listed and now >= self.started_at + PEER_GRACE_S:
             self.replica.synced = True
+        if self.era < self.store_era.current:
+            self._enter_era(now)
         if self.pending_op is not None or now < self.next_call_at:
             return []
         if is_elected:
             # After an outage, a watch that returns at once shows that the
             # store is back; a waiting one shows it only with its result.
             wait_s = 0.0 if self.is_store_unavailable else WATCH_WAIT_S
-            return [self._watch(wait_s) if self.has_listed else self._list()]
+            return [self._watch(wait_s) if self._can_watch else self._list()]
         if not self.replica.synced and now >= self.fallback_list_at:
             return [] if self.has_listed else [self._list()]
         if self.replica.synced and now >= self.next_poll_at:
             self.next_poll_at = now + self._poll_delay()
-            return [self._watch(0.0) if self.has_listed else self._list()]
+            return [self._watch(0.0) if self._can_watch else self._list()]
         return []
 
+    @property
+    def _can_watch(self) -> bool:
+        """Tell whether the last list is one of the present era."""
+        return self.has_listed and model.era_of(self.revision) == self.era
+
+    def _enter_era(self, now: float) -> None:
+        """Plan a new list and stop waiting for a watch of an earlier era."""
+        self.era = self.store_era.current
+        if self.pending_op is not None and not _is_list(self.pending_op):
+            self.pending_op = None
+        self.next_call_at = now + self.rng.uniform(0, RELIST_JITTER_S)
+
+    def _new_op(self, kind: str) -> str:
+        self.op_count += 1
+        self.pending_op = f'{kind}#{self.op_count}'
+        return self.pending_op
+
     def _list(self) -> model.StoreCall:
-        self.pending_op = LIST_OP
-        return model.StoreCall(LIST_OP, model.StoreVerb.LIST, self.prefix)
+        return model.StoreCall(
+            self._new_op(LIST_OP), model.StoreVerb.LIST, self.prefix
+        )
 
     def _watch(self, wait_s: float) -> model.StoreCall:
-        self.pending_op = WATCH_OP
         return model.StoreCall(
-            WATCH_OP,
+            self._new_op(WATCH_OP),
             model.StoreVerb.WATCH,
             self.prefix,
             since=self.revision,
@@ -87,7 +115,13 @@
     def on_store_result(
         self, result: model.StoreResult, now: float
     ) -> list[model.StoredObject]:
-        """Merge the objects of a result and return those adopted."""
+        """Merge the objects of a result and return those adopted.
+
+        The result of a call that was given up in the meantime, or that a
+        store of an earlier era answered, changes nothing.
+        """
+        if result.op != self.pending_op:
+            return []
         self.pending_op = None
         if result.status == model.StoreStatus.GONE:
             self.has_listed = False
@@ -99,7 +133,11 @@
             return []
         self.backoff_s = MIN_BACKOFF_S
         self.is_store_unavailable = False
-        if result.op == LIST_OP:
+        if _is_list(result.op) and result.era == self.store_era.current:
+            self.era = result.era
+        if result.era != self.era:
+            return []
+        if _is_list(result.op):
             self.has_listed = True
             adopted = self.replica.merge_list(
                 result.objects, result.revision, now, self.prefix
@@ -108,3 +146,7 @@
             adopted = self.replica.merge(result.objects, now)
         self.revision = max(self.revision, result.revision)
         return adopted
+
+
+def _is_list(op: str) -> bool:
+    return op.startswith(LIST_OP)
--- a/libs/ragwort_wire/ragwort_wire/_platform_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_platform_http.py
@@ -14,17 +14,22 @@
 
 
 class WriteRecord(msgspec.Struct):
-    """Body of PUT /v1/objects/NAME."""
+    """Body of PUT /v1/objects/NAME; the era is that of expected_version."""
 
     value: str
     expected_version: int
+    expected_era: int = 0
 
 
 class ObjectsRecord(msgspec.Struct):
-    """Response with objects and the revision they were read at."""
+    """Response with objects and the revision they were read at.
+
+    Versions and the revision are those of one era of the store.
+    """
 
     objects: list[ObjectRecord]
     revision: int
+    era: int = 0
 
 
 _STATUS_BY_HTTP_CODE = {
@@ -44,8 +49,12 @@
     """Encode the response body of a store call."""
     return msgspec.json.encode(
         ObjectsRecord(
-            [ObjectRecord(o.name, o.version, o.value) for o in result.objects],
-            result.revision,
+            [
+                ObjectRecord(o.name, model.revision_of(o.version), o.value)
+                for o in result.objects
+            ],
+            model.revision_of(result.revision),
+            result.era,
         )
     )
 
@@ -59,16 +68,23 @@
         record = msgspec.json.decode(body, type=ObjectsRecord)
     except (msgspec.MsgspecError, ValueError):
         return model.StoreResult(op, model.StoreStatus.UNAVAILABLE)
+    era = record.era
     objects = tuple(
-        model.StoredObject(o.name, o.version, o.value) for o in record.objects
+        model.StoredObject(o.name, model.make_version(era, o.version), o.value)
+        for o in record.objects
     )
-    return model.StoreResult(op, status, objects, record.revision)
+    revision = model.make_version(era, record.revision)
+    return model.StoreResult(op, status, objects, revision)
 
 
 def encode_write(call: model.StoreCall) -> bytes:
     """Encode the request body of a conditional write."""
     return msgspec.json.encode(
-        WriteRecord(call.value or '', call.expected_version)
+        WriteRecord(
+            call.value or '',
+            model.revision_of(call.expected_version),
+            model.era_of(call.expected_version),
+        )
     )
 
 
