--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -31,7 +31,10 @@
         self.targets.append(request.target)
         self.requests.append(request)
         answer = self.answers.pop(0)
-        if isinstance(answer, int):
+        if isinstance(answer, tuple):
+            status, headers, body = answer
+            open_call.respond(status, headers, json.dumps(body).encode())
+        elif isinstance(answer, int):
             open_call.respond(answer)
         elif isinstance(answer, bytes):
             open_call.respond(200, (), answer)
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -59,6 +59,7 @@
 
     def call(self, effect: model.StoreCall) -> None:
         """Answer at once, or when something changes."""
+        self.objects.calls += 1
         clock = self.objects.clock
         if self.is_silent:
             return
@@ -69,12 +70,14 @@
             clock.callLater(LINK_S, self.on_result, failed)
         elif effect.verb == model.StoreVerb.PUT:
             self.objects.put(effect.name, effect.value or '')
-            done = model.StoreResult(effect.op, model.StoreStatus.OK)
-            clock.callLater(LINK_S, self.on_result, done)
+            self._end(effect, model.StoreStatus.OK)
         elif effect.verb == model.StoreVerb.DELETE:
             self.objects.items.pop(effect.name, None)
-            done = model.StoreResult(effect.op, model.StoreStatus.OK)
-            clock.callLater(LINK_S, self.on_result, done)
+            self._end(effect, model.StoreStatus.OK)
+        elif effect.verb == model.StoreVerb.WATCH and (
+            model.revision_of(effect.since) > self.objects.revision
+        ):
+            self._end(effect, model.StoreStatus.GONE)
         elif effect.verb == model.StoreVerb.LIST:
             clock.callLater(LINK_S, self._answer, effect, 0)
         elif effect.wait_s == 0:
@@ -84,11 +87,26 @@
             clock.callLater(effect.wait_s, self._end_wait, effect)
             self.notify()
 
+    def _end(self, effect: model.StoreCall, status: model.StoreStatus) -> None:
+        """Answer with a status and the store's era."""
+        era_start = model.make_version(self.objects.era, 0)
+        done = model.StoreResult(effect.op, status, (), era_start)
+        self.objects.clock.callLater(LINK_S, self.on_result, done)
+
     def _end_wait(self, effect: model.StoreCall) -> None:
         if effect in self.open and not self.is_silent:
             self.open.remove(effect)
             self._answer(effect, effect.since)
 
+    def break_watches(self) -> None:
+        """End the open watches without an answer."""
+        broken, self.open = self.open, []
+        for effect in broken:
+            failed = model.StoreResult(
+                effect.op, model.StoreStatus.UNAVAILABLE
+            )
+            self.objects.clock.callLater(LINK_S, self.on_result, failed)
+
     def notify(self) -> None:
         """Answer the open watches that have something to hear."""
         if self.is_silent:
@@ -109,7 +127,7 @@
                 effect.op,
                 model.StoreStatus.OK,
                 tuple(self.objects.changed(effect.name, since)),
-                self.objects.revision,
+                model.make_version(self.objects.era, self.objects.revision),
             )
         )
 
@@ -122,24 +140,51 @@
         self.clock = clock
         self.is_away = is_away
         self.revision = 0
+        self.era = 0
+        self.calls = 0
         self.items: dict[str, model.StoredObject] = {}
         self.ways: list[FakeStore] = []
 
     def put(self, name: str, value: str) -> model.StoredObject:
         """Write an object."""
         self.revision += 1
-        item = model.StoredObject(name, self.revision, value)
+        version = model.make_version(self.era, self.revision)
+        item = model.StoredObject(name, version, value)
         self.items[name] = item
         for way in self.ways:
             way.notify()
         return item
 
+    def copy(self) -> tuple[int, dict[str, model.StoredObject]]:
+        """Return a copy to which the store can be restored."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copy: tuple[int, dict[str, model.StoredObject]]) -> None:
+        """Return to a copy in a new era; the waiting watches break off."""
+        self.era += 1
+        self.revision, items = copy
+        self.items = {
+            name: model.StoredObject(
+                name,
+                model.make_version(self.era, model.revision_of(item.version)),
+                item.value,
+            )
+            for name, item in items.items()
+        }
+        for way in self.ways:
+            way.break_watches()
+
     def changed(self, prefix: str, since: int) -> list[model.StoredObject]:
-        """Return the objects below prefix that are newer than since."""
+        """Return the objects below prefix with a revision above since's.
+
+        As in the real store, that is so whatever era since is from.
+        """
+        floor = model.revision_of(since)
         return [
             item
             for name, item in self.items.items()
-            if name.startswith(prefix) and item.version > since
+            if name.startswith(prefix)
+            and model.revision_of(item.version) > floor
         ]
 
 
@@ -272,6 +317,20 @@
             if is_there and index not in self.stopped:
                 host._on_frame(frame)
 
+    def remove_runner(self, name: str) -> None:
+        """Remove a runner's entry, which hosts read with their next list."""
+        self.objects.items.pop(f'runner/{name}')
+        gone = model.StoredObject(
+            f'runner/{name}',
+            model.make_version(self.objects.era, self.objects.revision + 1),
+            None,
+        )
+        self.objects.revision += 1
+        for host in self.hosts:
+            host._on_adopted(
+                host.replica.merge([gone], self.clock.seconds()), 'test'
+            )
+
     def turn_away(self, index: int) -> None:
         """Let the store answer nothing to one host."""
         way = self.objects.ways[index]
