Restore the soak's store from older copies

The stand-in keeps copies, returns to one with a higher era and reissued revisions, and the operator and the runners write again after 0.3 to 1.5 s. Restores are drawn apart (--restores), so that the faults of kept seeds stay as they were.

--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -10,10 +10,11 @@
     hosts: int = 4,
     callers: int = 12,
     faults_s: float = run.FAULTS_S,
+    restores: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
-        seed or run.fresh_seed(), hosts, callers, faults_s
+        seed or run.fresh_seed(), hosts, callers, faults_s, restores
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -19,6 +19,12 @@
 FLAP_S = 0.7
 # Time after which an address may go to a runner of another service.
 REUSE_S = 2.2
+# How old the copy is from which the store returns, how long it is away, and
+# when the operator and the runners have written again.
+RESTORE_AGE_S = (1.0, 6.0)
+RESTORE_GAP_S = (0.3, 1.2)
+REWRITE_S = (0.3, 1.5)
+RESTORE = 'store-restored'
 
 Undo = Callable[[], None]
 
@@ -34,6 +40,8 @@
 
 Begin = Callable[[system.SoakSystem, random.Random], Begun]
 FAULTS: dict[str, Begin] = {}
+# Faults that are drawn apart from the others of a seed.
+EXTRA_FAULTS: dict[str, Begin] = {}
 
 
 def fault(name: str) -> Callable[[Begin], Begin]:
@@ -224,6 +232,19 @@
     return Begun('none', lambda: None)
 
 
+def _restore_store(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Let the store go and return from an older copy, then be rewritten."""
+    age_s = rng.uniform(*RESTORE_AGE_S)
+    whole.store.set_mode(store.StoreMode.RESET)
+
+    def come_back() -> None:
+        whole.store.restore(age_s)
+        whole.store.set_mode(store.StoreMode.OK)
+        whole.reactor.callLater(rng.uniform(*REWRITE_S), whole.rewrite_store)
+
+    return Begun('none', come_back, REWRITE_S[1])
+
+
 def _register_runner_faults() -> None:
     for mode in runners.RunnerMode:
         if mode != runners.RunnerMode.OK:
@@ -341,6 +362,19 @@
     for_s: float
 
 
+EXTRA_FAULTS[RESTORE] = _restore_store
+
+
+def draw_restores(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return one restore of the store, or two close together."""
+    at = rng.uniform(1.0, length_s / 2)
+    plan = [Planned(RESTORE, at, rng.uniform(*RESTORE_GAP_S))]
+    if rng.random() < 0.4:
+        again_at = at + rng.uniform(2.0, 4.0)
+        plan.append(Planned(RESTORE, again_at, rng.uniform(*RESTORE_GAP_S)))
+    return plan
+
+
 def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
     """Return faults in series, or overlapping, as the seed has it."""
     overlap = rng.random() < 0.6
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -27,12 +27,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakOptions:
-    """What to play; faults_s is how long faults go on."""
+    """What to play; faults_s is how long faults go on.
+
+    has_restores adds returns of the store from an older copy, drawn apart
+    so that the other faults of a seed stay the same.
+    """
 
     seed: int
     hosts: int = 4
     callers: int = 12
     faults_s: float = FAULTS_S
+    has_restores: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +75,7 @@
         self.reactor = reactor
         self.options = options
         self.rng = random.Random(options.seed)
+        self.extra_rng = random.Random(f'extra/{options.seed}')
         base = f'127.{os.getpid() % 200 + 20}.{options.seed % 250}'
         self.system = system.SoakSystem(
             reactor,
@@ -80,6 +86,8 @@
             options.callers,
         )
         self.plan = faults.draw_plan(self.rng, options.faults_s)
+        if options.has_restores:
+            self.plan += faults.draw_restores(self.extra_rng, options.faults_s)
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
@@ -108,7 +116,11 @@
         self.reactor.callLater(self.options.faults_s, self._await_quiet)
 
     def _begin(self, planned: faults.Planned) -> None:
-        begun = faults.FAULTS[planned.name](self.system, self.rng)
+        extra = faults.EXTRA_FAULTS.get(planned.name)
+        if extra is not None:
+            begun = extra(self.system, self.extra_rng)
+        else:
+            begun = faults.FAULTS[planned.name](self.system, self.rng)
         now = self.reactor.seconds()
         self.begun[planned.name] += 1
         if begun.target != NOBODY:
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -18,11 +18,17 @@
 def kept_options() -> list[list[str]]:
     """Return the command lines of the seeds that failed once."""
     kept = yaml.safe_load(KEPT_FILE.read_text()) or []
-    return [_options(entry['seed'], entry.get('hosts', 4)) for entry in kept]
+    return [
+        _options(
+            entry['seed'], entry.get('hosts', 4), entry.get('restores', False)
+        )
+        for entry in kept
+    ]
 
 
-def _options(seed: int, hosts: int) -> list[str]:
-    return [f'--seed={seed}', f'--hosts={hosts}']
+def _options(seed: int, hosts: int, has_restores: bool) -> list[str]:
+    options = [f'--seed={seed}', f'--hosts={hosts}']
+    return [*options, '--restores'] if has_restores else options
 
 
 def _play(options: list[str]) -> bool:
@@ -42,16 +48,20 @@
     count: int = typer.Option(0, help='Seeds in the row.'),
     minutes: float = typer.Option(0.0, help='Time for fresh seeds.'),
     kept: bool = typer.Option(False, help='Seeds that failed once, first.'),
+    restores: bool = typer.Option(False, help='Restore the store as well.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
     plays = kept_options() if kept else []
-    plays += [_options(seed, 4) for seed in range(first, first + count)]
+    plays += [
+        _options(seed, 4, restores) for seed in range(first, first + count)
+    ]
     results = [_play(options) for options in plays]
     rng = random.Random(run.fresh_seed())
     until = time.monotonic() + 60.0 * minutes
     while time.monotonic() < until:
         seed = run.fresh_seed()
-        results.append(_play(_options(seed, rng.choice((3, 4, 6)))))
+        hosts = rng.choice((3, 4, 6))
+        results.append(_play(_options(seed, hosts, restores)))
     typer.echo(f'{sum(results)} of {len(results)} seeds kept all promises')
     if not all(results):
         raise typer.Exit(1)
--- a/features/soak/store.py
+++ b/features/soak/store.py
@@ -1,5 +1,6 @@
 """A stand-in of the platform's store, whose answers can go wrong."""
 
+import collections
 import dataclasses
 import enum
 import json
@@ -10,6 +11,9 @@
 import ragwort_relay as relay
 
 HISTORY = 400
+# Copies of the store that a restore can return to, and their interval.
+COPIES = 40
+COPY_INTERVAL_S = 0.25
 
 
 class StoreMode(enum.StrEnum):
@@ -33,6 +37,15 @@
     since: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """The store as it was at a time."""
+
+    at: float
+    revision: int
+    objects: dict[tuple[str, str], tuple[int, Any]]
+
+
 class StoreStandIn:
     """Objects by kind and name, with watches, over HTTP."""
 
@@ -46,12 +59,42 @@
         self.history: list[tuple[int, str, str, Any]] = []
         self.watches: list[_Watch] = []
         self.calls = 0
+        self.era = 1
+        self.copies: collections.deque[_Copy] = collections.deque(
+            maxlen=COPIES
+        )
+        self._copy()
         site = edge.Site(
             reactor, relay.CallerLimits, self._on_call, lambda status: None
         )
         self.port = reactor.listenTCP(0, site, interface='127.0.0.1')
         self.address = f'127.0.0.1:{self.port.getHost().port}'
 
+    # Copies.
+
+    def _copy(self) -> None:
+        now = self.reactor.seconds()
+        self.copies.append(_Copy(now, self.revision, dict(self.objects)))
+        self.reactor.callLater(COPY_INTERVAL_S, self._copy)
+
+    def restore(self, age_s: float) -> list[tuple[str, str]]:
+        """Return to a copy that is age_s old; return the objects it lacks.
+
+        Later revisions are given out again, and the era rises.
+        """
+        wanted_at = self.reactor.seconds() - age_s
+        older = [copy for copy in self.copies if copy.at <= wanted_at]
+        copy = older[-1] if older else self.copies[0]
+        lost = [key for key in self.objects if key not in copy.objects]
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = dict(copy.objects)
+        self.history = [h for h in self.history if h[0] <= copy.revision]
+        self.floor = min(self.floor, copy.revision)
+        self.copies.clear()
+        self.copies.append(_Copy(copy.at, copy.revision, dict(copy.objects)))
+        return lost
+
     # What the operator and the runners write.
 
     def put(self, kind: str, name: str, specification: Any) -> None:
@@ -94,7 +137,7 @@
     def _on_call(self, exchange: edge.Exchange) -> None:
         self.calls += 1
         if self.mode == StoreMode.BUSY:
-            _answer(exchange, 503, {})
+            self._answer(exchange, 503, {})
         elif self.mode == StoreMode.RESET:
             exchange.abort()
         elif self.mode == StoreMode.SLOW:
@@ -123,7 +166,7 @@
             )
             if known == kind
         ]
-        _answer(
+        self._answer(
             exchange,
             200,
             {'items': items, 'storeRevision': self.revision, 'hasMore': False},
@@ -133,8 +176,8 @@
         self, exchange: edge.Exchange, kind: str, argument: dict[str, str]
     ) -> None:
         watch = _Watch(exchange, kind, int(argument['watch']))
-        if watch.since < self.floor:
-            _answer(exchange, 410, {})
+        if not self.floor <= watch.since <= self.revision:
+            self._answer(exchange, 410, {})
             return
         self.watches.append(watch)
         if not self._serve_watch(watch):
@@ -158,7 +201,7 @@
         if watch in self.watches:
             self.watches.remove(watch)
             body = {'events': list(events), 'storeRevision': self.revision}
-            _answer(watch.exchange, 200, body)
+            self._answer(watch.exchange, 200, body)
 
     def _write(self, exchange: edge.Exchange, kind: str, name: str) -> None:
         method = exchange.request.method
@@ -177,7 +220,16 @@
         if self.mode == StoreMode.LOST_ANSWERS:
             exchange.abort()
         else:
-            _answer(exchange, status, {})
+            self._answer(exchange, status, {})
+
+    def _answer(self, exchange: edge.Exchange, status: int, body: Any) -> None:
+        headers = (
+            (b'content-type', b'application/json'),
+            (b'store-era', b'%d' % self.era),
+        )
+        exchange.respond(
+            edge.HttpResponse(status, headers, json.dumps(body).encode())
+        )
 
 
 def _stored(name: str, revision: int, specification: Any) -> Any:
@@ -185,10 +237,3 @@
         'metadata': {'name': name, 'revision': revision},
         'specification': specification,
     }
-
-
-def _answer(exchange: edge.Exchange, status: int, body: Any) -> None:
-    headers = ((b'content-type', b'application/json'),)
-    exchange.respond(
-        edge.HttpResponse(status, headers, json.dumps(body).encode())
-    )
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -78,6 +78,7 @@
         self.records = ledger.Ledger()
         self.store = store.StoreStandIn(reactor)
         self.version = 0
+        self.configuration: dict[str, Any] = {}
         self.keys = set(STANDING_KEYS)
         self.key_numbers = iter(range(10_000))
         self.write_configuration()
@@ -134,7 +135,7 @@
             {'name': name} | ({'pieces': PIECES} if 'stage' in name else {})
             for name in SERVICES
         ]
-        configuration = {
+        configuration: dict[str, Any] = {
             'version': self.version,
             'routes': ROUTES,
             'services': services,
@@ -146,8 +147,28 @@
             },
             'tenants': [{'name': 'soak', 'accessKeys': sorted(self.keys)}],
         }
+        self.configuration = configuration
         self.store.put('config', 'main', configuration)
 
+    def rewrite_store(self) -> None:
+        """Write again what the operator and the runners wrote before."""
+        if self.is_stopped:
+            return
+        self.store.put('config', 'main', self.configuration)
+        live = {r.identifier for r in self.runners if r.is_up}
+        for runner in self.runners:
+            if runner.is_up:
+                runner.register()
+        for kind, name in list(self.store.objects):
+            if kind == runners.KIND and name not in live:
+                self.reactor.callLater(
+                    runners.LAPSE_S, self._remove_dead_entry, name
+                )
+
+    def _remove_dead_entry(self, name: str) -> None:
+        if name not in {r.identifier for r in self.runners if r.is_up}:
+            self.store.remove(runners.KIND, name)
+
     def change_keys(self) -> None:
         """Give or take a key, now and then; the standing keys stay."""
         if self.is_stopped:
