Keep leaving runners and the latest configuration across a restore

Cause: the older copy names a runner that has said that it leaves, or whose entry was removed, as ready again, and holds an earlier configuration; a host that ran before would have gone back below what it showed callers.

Change: the fleet remembers the departures of incarnations for two minutes. One that said that it leaves stays unused in a later era; one whose entry was removed is used again once it has written again or its entry has stayed for 5 s. A configuration below the version in force is noted as a problem.

--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -31,7 +31,9 @@
     """The last valid configuration and the runners in the store.
 
     An invalid configuration leaves the last valid one in force; an invalid
-    entry removes its runner.
+    entry removes its runner. A store that returns as an older copy holds an
+    earlier configuration until the operator writes the latest one again;
+    callers were already answered by the latest one, which stays in force.
     """
 
     def __init__(self, decoder: ObjectDecoder) -> None:
@@ -50,7 +52,8 @@
         except model.ConfigurationError as error:
             self.problems[item.name] = str(error)
             if self.decoder.is_runner(item.name):
-                self.fleet.update(item.name, None, self.now)
+                era = model.era_of(item.version)
+                self.fleet.update(item.name, None, self.now, era)
         else:
             self.problems.pop(item.name, None)
 
@@ -59,11 +62,23 @@
             entry = None
             if item.value is not None:
                 entry = self.decoder.decode_runner(item.name, item.value)
-            self.fleet.update(item.name, entry, self.now)
+            era = model.era_of(item.version)
+            self.fleet.update(item.name, entry, self.now, era)
             if item.name not in self.fleet.runners:
                 self.prompt_cache.remove(item.name)
         elif self.decoder.is_configuration(item.name):
             if item.value is not None:
-                self.configuration = self.decoder.decode_configuration(
-                    item.value
+                self._apply_configuration(
+                    self.decoder.decode_configuration(item.value)
                 )
+
+    def _apply_configuration(
+        self, configuration: _routes.RelayConfiguration
+    ) -> None:
+        current = self.configuration
+        if current is not None and configuration.version < current.version:
+            raise model.ConfigurationError(
+                f'version {configuration.version} is older than '
+                f'{current.version}, which stays in force'
+            )
+        self.configuration = configuration
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -8,6 +8,12 @@
 # After an outage of the store, live runners register again within this time;
 # until then a missing entry does not mean that its runner is gone.
 REREGISTRATION_GRACE_S = 2.0
+# Runners that leave or are gone are remembered for this long, so that an
+# older copy of the store does not bring them back.
+DEPARTURE_MEMORY_S = 120.0
+# A runner that was gone is used again if its entry in an older copy is still
+# there after this time, in which the entry of a dead runner expires.
+RESTORED_ENTRY_DOUBT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,25 +60,55 @@
         return not self.is_misdirected and now >= self.state.backoff_until
 
 
+@dataclasses.dataclass(slots=True)
+class _Departure:
+    """A runner's incarnation that leaves or whose entry was removed.
+
+    is_leaving tells whether the runner itself said that it leaves. era is
+    that of the store which told it. restored_at is when an older copy of
+    the store brought a removed entry back.
+    """
+
+    started_ms: int
+    era: int
+    at: float
+    is_leaving: bool
+    restored_at: float | None = None
+
+
 class Fleet:
     """All known runners."""
 
     def __init__(self) -> None:
         """Start without runners."""
         self.runners: dict[str, FleetRunner] = {}
+        self.departures: dict[str, _Departure] = {}
         self.store_recovered_at: float | None = None
 
     def on_store_recovered(self, now: float) -> None:
         """Record the end of an outage of the store."""
         self.store_recovered_at = now
 
-    def update(self, name: str, entry: RunnerEntry | None, now: float) -> None:
-        """Store a runner's entry, None if it was removed."""
+    def update(
+        self,
+        name: str,
+        entry: RunnerEntry | None,
+        now: float,
+        era: int = 0,
+    ) -> None:
+        """Store a runner's entry as of an era of the store.
+
+        The entry is None if it was removed.
+        """
         known = self.runners.get(name)
         if entry is None:
             if known is not None:
-                self._remove(known, now)
+                self._remove(known, now, era)
             return
+        if entry.runner.state == model.HostState.LEAVING:
+            self._record_departure(entry, now, era, is_leaving=True)
+        else:
+            entry = self._without_return(name, entry, now, era)
         if known is None or known.entry.started_ms != entry.started_ms:
             state = policy.RunnerState(entry.runner)
             self.runners[name] = FleetRunner(entry, state)
@@ -83,7 +119,37 @@
         known.state.runner = entry.runner
         known.unconfirmed_until = None
 
-    def _remove(self, known: FleetRunner, now: float) -> None:
+    def _without_return(
+        self, name: str, entry: RunnerEntry, now: float, era: int
+    ) -> RunnerEntry:
+        """Return an entry as leaving if only an older copy says otherwise."""
+        departure = self.departures.get(name)
+        if departure is None or departure.started_ms != entry.started_ms:
+            return entry
+        if era == departure.era:
+            # The runner itself has registered again.
+            del self.departures[name]
+            return entry
+        if not departure.is_leaving:
+            departure.era = era
+            departure.restored_at = now
+        leaving = dataclasses.replace(
+            entry.runner, state=model.HostState.LEAVING
+        )
+        return dataclasses.replace(entry, runner=leaving)
+
+    def _record_departure(
+        self, entry: RunnerEntry, now: float, era: int, is_leaving: bool
+    ) -> None:
+        name = entry.runner.name
+        known = self.departures.get(name)
+        if known is not None and known.started_ms == entry.started_ms:
+            is_leaving = is_leaving or known.is_leaving
+        self.departures[name] = _Departure(
+            entry.started_ms, era, now, is_leaving
+        )
+
+    def _remove(self, known: FleetRunner, now: float, era: int) -> None:
         recovered_at = self.store_recovered_at
         if (
             recovered_at is not None
@@ -91,6 +157,7 @@
         ):
             known.unconfirmed_until = recovered_at + REREGISTRATION_GRACE_S
             return
+        self._record_departure(known.entry, now, era, is_leaving=False)
         del self.runners[known.name]
 
     def remove_expired(self, now: float) -> None:
@@ -99,6 +166,33 @@
             until = runner.unconfirmed_until
             if until is not None and now >= until:
                 del self.runners[runner.name]
+        for name, departure in list(self.departures.items()):
+            self._check_departure(name, departure, now)
+
+    def _check_departure(
+        self, name: str, departure: _Departure, now: float
+    ) -> None:
+        """Forget an old departure, or one that was not one after all."""
+        restored_at = departure.restored_at
+        if restored_at is None:
+            if now >= departure.at + DEPARTURE_MEMORY_S:
+                del self.departures[name]
+            return
+        if now < restored_at + RESTORED_ENTRY_DOUBT_S:
+            return
+        del self.departures[name]
+        known = self.runners.get(name)
+        if known is not None and known.entry.started_ms == (
+            departure.started_ms
+        ):
+            self._set_live(known)
+
+    def _set_live(self, known: FleetRunner) -> None:
+        runner = dataclasses.replace(
+            known.entry.runner, state=model.HostState.LIVE
+        )
+        known.entry = dataclasses.replace(known.entry, runner=runner)
+        known.state.runner = runner
 
     def usable(self, service: str, now: float) -> list[FleetRunner]:
         """Return a service's usable runners, only confirmed ones if any."""
