Learn which parts of prompts come again, for each class of work

Change: each host counts, for each class and place in the prompt, how often a part had come before, and works out how often it has at any host. A prompt's home is its last shared part that the class's shortest prompts have too; the home's saving is weighed by that likelihood. Before anything was seen the last of several parts counts as own. Nothing is sent between hosts.

--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -294,8 +294,14 @@
                 relay.PromptPart(f'session-{session}', 3800),
                 relay.PromptPart(f'own-{session}-{host.name}', 2900),
             )
+            host.catalog.prompt_sharing.record('class', prompt)
             runner, _ = relay.choose_by_prompt_cache(
-                runners, prompt, host.catalog.prompt_cache, {}, 0.0
+                runners,
+                prompt,
+                host.catalog.prompt_sharing.home('class', prompt),
+                host.catalog.prompt_cache,
+                {},
+                0.0,
             )
             host.catalog.prompt_cache.record(runner.name, prompt)
             chosen.add(runner.name)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -280,7 +280,9 @@
             self._send_peer(message)
         self._watch(now)
         self._register(now)
-        self.budget.on_host_count(len(self.members.live()), now)
+        host_count = len(self.members.live())
+        self.budget.on_host_count(host_count, now)
+        self.catalog.prompt_sharing.hosts = host_count
         self.peers.close_idle(now)
         self._update_readiness(now)
         for change in self.members.take_changes():
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -98,6 +98,9 @@
         """Start handling the request."""
         reactor = self.context.reactor
         self.exchange.on_disconnect = self._on_disconnect
+        self.context.catalog.prompt_sharing.record(
+            self.route.name, self.metadata.prompt
+        )
         self.timer = reactor.callLater(
             max(self.left_s(), 0.0), self._on_timeout
         )
@@ -228,6 +231,9 @@
             runner, estimates = relay.choose_by_prompt_cache(
                 candidates,
                 self.metadata.prompt,
+                context.catalog.prompt_sharing.home(
+                    self.route.name, self.metadata.prompt
+                ),
                 context.catalog.prompt_cache,
                 self.stages.input_bytes(),
                 now,
--- a/libs/ragwort_lab/ragwort_lab/_commands.py
+++ b/libs/ragwort_lab/ragwort_lab/_commands.py
@@ -11,6 +11,7 @@
 from ragwort_lab import _known_red
 from ragwort_lab import _matrix
 from ragwort_lab import _mutations
+from ragwort_lab import _prompt_bench
 from ragwort_lab import _relay_bench
 from ragwort_lab import _stage_bench
 
@@ -75,6 +76,13 @@
     return 0
 
 
+@command('prompts')
+def run_prompts(arguments: list[str]) -> int:
+    """Print the load patterns of shared prompts, rule by rule."""
+    _prompt_bench.prompt_report()
+    return 0
+
+
 @command('relay')
 def run_relay(arguments: list[str]) -> int:
     """Print the relay's figures alone."""
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -34,7 +34,6 @@
 from ragwort_relay._prompts import choose_by_load
 from ragwort_relay._prompts import choose_by_prompt_cache
 from ragwort_relay._prompts import PromptCacheIndex
-from ragwort_relay._prompts import PromptPart
 from ragwort_relay._routes import BatchLimits
 from ragwort_relay._routes import CallerLimits
 from ragwort_relay._routes import CallKind
@@ -44,6 +43,9 @@
 from ragwort_relay._routes import ServiceSpec
 from ragwort_relay._routes import StageSpec
 from ragwort_relay._routes import Workspace
+from ragwort_relay._sharing import Home
+from ragwort_relay._sharing import PromptPart
+from ragwort_relay._sharing import PromptSharing
 from ragwort_relay._stages import PieceWork
 from ragwort_relay._stages import StageRun
 from ragwort_relay._waits import QueueWait
@@ -67,6 +69,7 @@
     'FleetRunner',
     'Forecast',
     'forecast',
+    'Home',
     'next_step',
     'NextStep',
     'ObjectDecoder',
@@ -74,6 +77,7 @@
     'PieceWork',
     'PromptCacheIndex',
     'PromptPart',
+    'PromptSharing',
     'QueuedPiece',
     'QueueWait',
     'QueueWaits',
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -10,8 +10,8 @@
 import enum
 import random
 
-from ragwort_relay import _prompts
 from ragwort_relay import _routes
+from ragwort_relay import _sharing
 from ragwort_relay import _stages
 
 # Share of the remaining time that a forecast may take. Forecasts leave out
@@ -51,7 +51,7 @@
     retry_after_s: float = 0.0
 
 
-def first_event_s(prompt: Sequence[_prompts.PromptPart]) -> float:
+def first_event_s(prompt: Sequence[_sharing.PromptPart]) -> float:
     """Return the typical time from the main call to its first event."""
     tokens = sum(part.tokens for part in prompt)
     return FIRST_EVENT_S + tokens * FIRST_EVENT_S_PER_TOKEN
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -6,6 +6,7 @@
 from ragwort_relay import _fleet
 from ragwort_relay import _prompts
 from ragwort_relay import _routes
+from ragwort_relay import _sharing
 
 
 class ObjectDecoder(Protocol):
@@ -42,6 +43,7 @@
         self.configuration: _routes.RelayConfiguration | None = None
         self.fleet = _fleet.Fleet()
         self.prompt_cache = _prompts.PromptCacheIndex()
+        self.prompt_sharing = _sharing.PromptSharing()
         self.problems: dict[str, str] = {}
         self.now = 0.0
 
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -8,17 +8,15 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 
 import ragwort_model as model
 from ragwort_relay import _fleet
+from ragwort_relay import _sharing
 
 # Typical prefill time of a token; only its ratio to LOAD_S_PER_CALL matters.
 PREFILL_S_PER_TOKEN = 1.0 / 75_000.0
 # Time that each running call at a runner adds to a new one.
 LOAD_S_PER_CALL = 0.0015
-# From this number of parts on, the last one belongs to the request alone.
-MIN_PARTS_WITH_OWN = 3
 # Parts indexed for each runner, about what its cache holds.
 MAX_PARTS = 512
 # Time to fetch a byte of stage results from another failure domain.
@@ -27,14 +25,6 @@
 REMOTE_CALL_S = 0.004
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPart:
-    """A part of a prompt; tokens is its length."""
-
-    part_id: str
-    tokens: int
-
-
 class PromptCacheIndex:
     """LRU index of the prompt parts that each runner likely has cached."""
 
@@ -42,7 +32,9 @@
         """Start with an empty index."""
         self.parts: dict[str, collections.OrderedDict[str, None]] = {}
 
-    def record(self, runner: str, prompt: Sequence[PromptPart]) -> None:
+    def record(
+        self, runner: str, prompt: Sequence[_sharing.PromptPart]
+    ) -> None:
         """Record that a runner has processed a prompt."""
         cached = self.parts.setdefault(runner, collections.OrderedDict())
         for part in prompt:
@@ -56,7 +48,7 @@
         self.parts.pop(runner, None)
 
     def uncached_tokens(
-        self, runner: str, prompt: Sequence[PromptPart]
+        self, runner: str, prompt: Sequence[_sharing.PromptPart]
     ) -> int:
         """Return the tokens of a prompt that a runner must prefill."""
         cached: Mapping[str, None] = self.parts.get(runner, {})
@@ -68,14 +60,10 @@
         return total
 
 
-def _shared_parts(prompt: Sequence[PromptPart]) -> Sequence[PromptPart]:
-    """Return the parts shared with other requests of the session."""
-    return prompt[:-1] if len(prompt) >= MIN_PARTS_WITH_OWN else prompt
-
-
 def choose_by_prompt_cache(
     runners: Sequence[_fleet.FleetRunner],
-    prompt: Sequence[PromptPart],
+    prompt: Sequence[_sharing.PromptPart],
+    home: _sharing.Home | None,
     prompt_cache: PromptCacheIndex,
     input_bytes: Mapping[str, float],
     now: float,
@@ -83,21 +71,20 @@
     """Return the runner expected to start first, and all estimates.
 
     input_bytes is the size of the results to fetch, by failure domain.
-    Rendezvous hashing over the session's part of the prompt gives each
-    session a home runner, on which all hosts agree without communication.
+    Rendezvous hashing over the key of the prompt's home gives each session
+    a home runner, on which all hosts agree without communication.
     """
-    shared = _shared_parts(prompt)
-    home = None
-    if shared:
+    home_runner = None
+    if home is not None:
         names = [runner.name for runner in runners]
-        home = model.select_by_rendezvous(shared[-1].part_id, names)[0]
-    own_tokens = sum(part.tokens for part in prompt[len(shared) :])
+        home_runner = model.select_by_rendezvous(home.key, names)[0]
+    tokens = sum(part.tokens for part in prompt)
     estimates: dict[str, float] = {}
     for runner in runners:
-        uncached = prompt_cache.uncached_tokens(runner.name, prompt)
-        if runner.name == home:
+        uncached: float = prompt_cache.uncached_tokens(runner.name, prompt)
+        if home is not None and runner.name == home_runner:
             # Other hosts' calls have likely cached the session there.
-            uncached = min(uncached, own_tokens)
+            uncached = min(uncached, tokens - home.cached_tokens)
         running = runner.state.occupancy(now)
         estimates[runner.name] = (
             uncached * PREFILL_S_PER_TOKEN
