Keep a growing session at the part with which it begins

Change: where the lengths of a class's prompts differ, the last part of the shortest ones gives no home.

--- a/libs/ragwort_relay/ragwort_relay/_sharing.py
+++ b/libs/ragwort_relay/ragwort_relay/_sharing.py
@@ -98,6 +98,17 @@
         while len(self.known) > MAX_PARTS:
             self.known.popitem(last=False)
 
+    def common_length(self, length: int) -> int:
+        """Return how many parts a home may depend on.
+
+        Where lengths differ, the last part of the shortest prompts is where
+        sessions begin to grow.
+        """
+        shortest = min(self.lengths, default=length)
+        if max(self.lengths, default=length) == shortest:
+            return shortest
+        return max(shortest - 1, 1)
+
     def shares(self, length: int, hosts: int) -> list[float]:
         """Return the share of parts that come again, place by place."""
         places = [*self.places, *[_Recurrence()] * length]
@@ -134,12 +145,12 @@
     ) -> Home | None:
         """Return where a prompt belongs, None if its parts never recur.
 
-        The key is the last shared part that the class's shortest prompts
-        have as well: what longer ones add is the growth of a session, which
-        stays with its beginning.
+        The key is the last shared part that all prompts of the class have:
+        what longer ones add is the growth of a session, which stays with
+        its beginning.
         """
         known = self.classes.get(class_of_work, _ClassSharing())
-        length = min(known.lengths, default=len(prompt))
+        common = known.common_length(len(prompt))
         shares = known.shares(len(prompt), self.hosts)
         key: str | None = None
         cached_tokens = 0.0
@@ -148,7 +159,7 @@
         ):
             if share < MIN_HOME_SHARE:
                 break
-            if index < length:
+            if index < common:
                 key = part.part_id
             cached_tokens += share * part.tokens
         return None if key is None else Home(key, cached_tokens)
