--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -63,6 +63,14 @@
     Then each piece was made once and the main call got 4 results
     And all results are freed once they were read
 
+  Scenario: no stage begins that ends after its caller has left
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And its callers leave after 0.15 s without an event
+    When a staged request is sent
+    Then the caller gets 503 after 0 runs
+    And it is told when to come back
+    And no piece was made
+
   Scenario: results that are gone are made again
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     And the main runner says once that its inputs are gone
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -191,6 +191,7 @@
     assert route.kind == relay.CallKind.STREAM
     assert route.may_repeat
     assert abs(route.target_s - 0.92) < 1e-9
+    assert abs(route.patience_s - 4 * 0.92) < 1e-9
     assert [s.service for s in route.shares] == ['engine', 'other']
     assert [s.after for s in route.stages] == [(), (), (1,)]
     assert configuration.services['portal'].batch_limits.storage_bytes == 22e6
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -1,5 +1,6 @@
 """Steps of relayed requests in virtual time."""
 
+import dataclasses
 from typing import Any
 
 from behave import given
@@ -283,6 +284,18 @@
         stages._check_owner(pending.group.group_id)
 
 
+@given('its callers leave after {seconds:g} s without an event')
+def shorten_patience(context: Any, seconds: float) -> None:
+    """Let callers leave well before their deadline."""
+    context.route = dataclasses.replace(context.route, patience_s=seconds)
+
+
+@then('no piece was made')
+def check_no_piece(context: Any) -> None:
+    """Look at the calls to stage runners."""
+    assert not any(runner.made for runner in context.stage_runners)
+
+
 @when('a staged request is sent from another host')
 def send_from_other(context: Any) -> None:
     """Send a request to a host that owns no stage service."""
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -77,7 +77,7 @@
             _request_stages.RequestTimes(
                 self.started_at,
                 self.started_at + route.target_s,
-                self.deadline_at,
+                min(self.deadline_at, self.started_at + route.patience_s),
                 self.rank,
             ),
             self._likely_domain,
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -33,7 +33,8 @@
 class RequestTimes:
     """Arrival, target, deadline and rank of a request.
 
-    Times are in seconds of the host's clock; rank 0 goes first.
+    Times are in seconds of the host's clock; rank 0 goes first. A caller
+    that has got no event by deadline_at leaves.
     """
 
     started_at: float
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import functools
+import math
 
 import ragwort_model as model
 
@@ -39,7 +40,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """A class of work, which callers address by host and path prefix."""
+    """A class of work, which callers address by host and path prefix.
+
+    Callers of a stream leave if no event comes for patience_s seconds.
+    """
 
     name: str
     host: str
@@ -54,6 +58,7 @@
     is_public: bool = False
     is_resumable: bool = False
     max_gap_s: float = 0.0
+    patience_s: float = math.inf
 
     @property
     def may_repeat(self) -> bool:
