Reserve the later stages of a request when it is admitted

Hypothesis: forecasts are too low since an owner's queue leaves out the work that is still in earlier stages.

Change: the host that admits a request announces the groups of its later stages to their owners (StageReserve); the queueing times that owners report count them until the groups come or the request ends. What is cleared while the earlier stages run is no wait.

--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -95,6 +95,7 @@
                 list(wait.waits_s),
                 wait.late_wait_s,
                 now - wait.measured_at,
+                wait.queued_s,
             )
             for name, wait in self.waits.recent(now).items()
         ]
@@ -128,6 +129,20 @@
         )
         self.enqueue(message.service_name, group, sender)
 
+    def on_reserve(self, message: model.StageReserve) -> None:
+        """Count a group that a host will ask for later."""
+        batcher = self._batcher(message.service_name)
+        if batcher is not None and message.group not in self.owned:
+            now = self.reactor.seconds()
+            reservation = relay.Reservation(
+                message.pieces,
+                now + message.target_s,
+                now + message.deadline_s,
+                message.rank,
+                message.is_late,
+            )
+            batcher.reserve(message.group, reservation)
+
     def on_drop(self, message: model.StageDrop) -> None:
         """Drop a cancelled group."""
         self.owned.pop(message.group, None)
@@ -244,7 +259,7 @@
         if configuration is None:
             return 0.0
         following = configuration.downstream_services.get(service, ())
-        return self.waits.max_late_wait_s(following, now)
+        return self.waits.max_queued_s(following, now)
 
     def _send_call(
         self, service: str, batcher: relay.Batcher, call: relay.BatchCall
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -16,12 +16,14 @@
     """Queueing times of a service in seconds, and when they were measured.
 
     waits_s holds the wait of timely work for each of DUE_POINTS_S;
-    late_wait_s is the wait of work that can't meet its target.
+    late_wait_s is the wait of work that can't meet its target. Both count
+    groups still to come; queued_s is the wait of what is queued now.
     """
 
     waits_s: tuple[float, ...]
     late_wait_s: float
     measured_at: float
+    queued_s: float = 0.0
 
 
 class QueueWaits:
@@ -59,9 +61,13 @@
         wait = self.by_service.get(service)
         return _remaining_s(wait, wait.late_wait_s, now) if wait else 0.0
 
-    def max_late_wait_s(self, services: Iterable[str], now: float) -> float:
-        """Return the longest queueing time of late work at some services."""
-        return max((self.late_wait_s(s, now) for s in services), default=0.0)
+    def max_queued_s(self, services: Iterable[str], now: float) -> float:
+        """Return the longest time that any of the queues takes to start."""
+        known = [self.by_service[s] for s in services if s in self.by_service]
+        return max(
+            (_remaining_s(wait, wait.queued_s, now) for wait in known),
+            default=0.0,
+        )
 
 
 def _remaining_s(wait: QueueWait, wait_s: float, now: float) -> float:
