Hold late groups back by the services that read their own results

Cause: a late group was held back while any service was busy that reads results of its stage service on some route.

Change: a group names the services of the stages that read its results.

The step that forms calls while a next queue is long now names the service, and a queue of another service stands beside it; a scenario on groups that no stage reads is new.

--- a/features/order_of_waiting.feature
+++ b/features/order_of_waiting.feature
@@ -37,6 +37,12 @@
       | 0.0   | starts |
       | 0.5   | waits  |
 
+  Scenario: late work whose results no stage reads waits for no other queue
+    Given 1 groups of 2 pieces wait
+    And their targets have passed
+    And no stage reads their results
+    Then with 9.0 s of waiting behind it starts
+
   Scenario: timely work starts however long the next service's queue is
     Given 1 groups of 2 pieces wait
     Then with 9.0 s of waiting behind it starts
--- a/features/steps/order_of_waiting_steps.py
+++ b/features/steps/order_of_waiting_steps.py
@@ -14,6 +14,7 @@
 THROUGHPUT = relay.Throughput(
     4, 4 / LIMITS.duration_s(4), LIMITS.duration_s(4)
 )
+NEXT_SERVICE = 'next'
 TARGET_S = 1.0
 DEADLINE_S = 5.0
 
@@ -21,7 +22,16 @@
 def group_of(name: str, pieces: int, rank: int) -> relay.PieceGroup:
     """Return a group that waits for its pieces."""
     work = [relay.PieceWork(name, 0, p, 'key', ()) for p in range(pieces)]
-    return relay.PieceGroup(name, work, TARGET_S, DEADLINE_S, rank, 1.0, '')
+    return relay.PieceGroup(
+        name,
+        work,
+        TARGET_S,
+        DEADLINE_S,
+        rank,
+        1.0,
+        '',
+        next_services=(NEXT_SERVICE,),
+    )
 
 
 def queue_of(
@@ -126,13 +136,14 @@
 
 
 def next_calls(
-    context: Any, downstream_wait_s: float = 0.0
+    context: Any, next_queue_s: float = 0.0
 ) -> list[relay.BatchCall]:
     """Queue the groups and form the calls for one idle runner."""
     batcher = relay.Batcher(LIMITS)
     for group in context.groups:
         batcher.add(group)
-    return batcher.next_calls(runners(), 0.0, downstream_wait_s)
+    queued_s = {NEXT_SERVICE: next_queue_s, 'unrelated': 9.0}
+    return batcher.next_calls(runners(), 0.0, queued_s)
 
 
 def runners() -> list[relay.FleetRunner]:
@@ -150,6 +161,13 @@
     assert {p.group.group_id for p in call.pieces[:2]} == {last}
 
 
+@given('no stage reads their results')
+def set_last_stage(context: Any) -> None:
+    """Let the main call alone read the results."""
+    for group in context.groups:
+        group.next_services = ()
+
+
 @then('with {wait:f} s of waiting behind it {does}')
 def check_held_back(context: Any, wait: float, does: str) -> None:
     """Form calls while the next service's queue is so long."""
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -256,6 +256,11 @@
             self.times.rank,
             self.route.stages[stage].result_bytes,
             self._preferred_domain(run, stage),
+            next_services=tuple(
+                spec.service
+                for spec in self.route.stages
+                if stage in spec.after
+            ),
         )
 
     def _preferred_domain(self, run: relay.StageRun, stage: int) -> str:
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -126,6 +126,7 @@
             message.rank,
             message.result_bytes,
             message.failure_domain,
+            next_services=tuple(message.next_services),
         )
         self.enqueue(message.service_name, group, sender)
 
@@ -248,18 +249,21 @@
             self._fail_pieces(piece.group, [piece.work.piece], 'late')
         if batcher.queue:
             self._check_storage(batcher, runners)
-        following_s = self._following_wait_s(service, now)
-        for call in batcher.next_calls(runners, now, following_s):
+        queued_s = self._downstream_queues_s(service, now)
+        for call in batcher.next_calls(runners, now, queued_s):
             self._send_call(service, batcher, call)
         if batcher.queue:
             self.schedule_dispatch(service, DISPATCH_INTERVAL_S)
 
-    def _following_wait_s(self, service: str, now: float) -> float:
+    def _downstream_queues_s(
+        self, service: str, now: float
+    ) -> dict[str, float]:
+        """Return the queueing times of services that read the results."""
         configuration = self.catalog.configuration
         if configuration is None:
-            return 0.0
-        following = configuration.downstream_services.get(service, ())
-        return self.waits.max_queued_s(following, now)
+            return {}
+        downstream = configuration.downstream_services.get(service, ())
+        return self.waits.queued_s(downstream, now)
 
     def _send_call(
         self, service: str, batcher: relay.Batcher, call: relay.BatchCall
@@ -294,7 +298,12 @@
             late=sum(p.group.target_at < now for p in call.pieces),
             waiting=len(batcher.queue),
             timely=len(batcher.timely_due),
-            following_s=round(self._following_wait_s(service, now), 3),
+            downstream_s={
+                name: round(queued_s, 3)
+                for name, queued_s in self._downstream_queues_s(
+                    service, now
+                ).items()
+            },
             used_bytes=int(batcher.used_bytes.get(call.runner.name, 0)),
             slowness=round(call.runner.slowness, 2),
         )
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -196,6 +196,7 @@
             group.rank,
             group.result_bytes,
             group.failure_domain,
+            list(group.next_services),
         )
         self.send_peer(model.SendPeerMessage(owner, message))
         self._set_timer(pending, ACK_TIMEOUT_S, self._on_owner_timeout)
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -185,7 +185,8 @@
     """Ask the owner of a stage service to compute the pieces of one stage.
 
     target_s and deadline_s are the seconds from receipt until the pieces
-    are due for the request's target and for its deadline.
+    are due for the request's target and for its deadline. next_services are
+    those whose pieces read the results.
     """
 
     group: str
@@ -196,6 +197,7 @@
     rank: int
     result_bytes: float
     failure_domain: str
+    next_services: list[str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -7,11 +7,13 @@
 
 import bisect
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import enum
 import itertools
 import math
+import types
 
 from ragwort_relay import _fleet
 from ragwort_relay import _order
@@ -143,12 +145,11 @@
         self,
         runners: Sequence[_fleet.FleetRunner],
         now: float,
-        downstream_wait_s: float = 0.0,
+        queued_s: Mapping[str, float] = types.MappingProxyType({}),
     ) -> list[_pieces.BatchCall]:
         """Return the calls to send now, the most urgent pieces first.
 
-        downstream_wait_s is the queueing time of the services that read the
-        results.
+        queued_s is the time that the queue of each service takes to start.
         """
         self._expire_results(now)
         usable = {runner.name: runner for runner in runners}
@@ -168,7 +169,7 @@
         waiting: list[_pieces.QueuedPiece] = []
         for piece in self.queue:
             chosen = None
-            if not self._is_held_back(piece.group, downstream_wait_s):
+            if not self._is_held_back(piece.group, queued_s):
                 chosen = self._choose_draft(piece, drafts, usable, now)
             if chosen is None:
                 waiting.append(piece)
@@ -220,12 +221,15 @@
         return [runner for runner in runners if runner.name not in busy]
 
     def _is_held_back(
-        self, group: _pieces.PieceGroup, downstream_wait_s: float
+        self, group: _pieces.PieceGroup, queued_s: Mapping[str, float]
     ) -> bool:
         """Tell whether a late group waits for shorter downstream queues."""
         if group.sends or group.group_id in self.timely:
             return False
-        return downstream_wait_s > MAX_DOWNSTREAM_WAIT_S
+        return any(
+            queued_s.get(service, 0.0) > MAX_DOWNSTREAM_WAIT_S
+            for service in group.next_services
+        )
 
     def _throughput(
         self, runners: Sequence[_fleet.FleetRunner]
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -19,6 +19,7 @@
     target_at and deadline_at are when the stage has to finish to meet the
     request's target and its deadline, in seconds of this host's clock.
     sends counts the pieces sent so far; a group with none is not started.
+    next_services are those whose pieces read the results.
     """
 
     group_id: str
@@ -29,6 +30,7 @@
     result_bytes: float
     failure_domain: str
     sends: int = 0
+    next_services: tuple[str, ...] = ()
 
     def slack_s(self, now: float, work_s: float) -> float:
         """Return the seconds left before the target after work_s of work."""
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -61,13 +61,15 @@
         wait = self.by_service.get(service)
         return _remaining_s(wait, wait.late_wait_s, now) if wait else 0.0
 
-    def max_queued_s(self, services: Iterable[str], now: float) -> float:
-        """Return the longest time that any of the queues takes to start."""
-        known = [self.by_service[s] for s in services if s in self.by_service]
-        return max(
-            (_remaining_s(wait, wait.queued_s, now) for wait in known),
-            default=0.0,
-        )
+    def queued_s(
+        self, services: Iterable[str], now: float
+    ) -> dict[str, float]:
+        """Return the time that the queue of each service takes to start."""
+        return {
+            service: _remaining_s(wait, wait.queued_s, now)
+            for service in services
+            if (wait := self.by_service.get(service)) is not None
+        }
 
 
 def _remaining_s(wait: QueueWait, wait_s: float, now: float) -> float:
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -115,6 +115,7 @@
   6: i32 rank
   7: double result_bytes
   8: string failure_domain
+  9: list<string> next_services = []
 }
 
 struct StageReserve {
