Report queueing times for ten due points instead of five

Cause: a group that is due in 2.1 s was told the wait of all that is due within 4 s, which is all timely work of today's classes; forecasts were too long and timely requests were taken for late ones.

--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -6,7 +6,7 @@
 
 # Times until a group is due for which queueing times are reported, in
 # seconds: groups that are due sooner go first and wait for less of the queue.
-DUE_POINTS_S = (0.25, 0.5, 1.0, 2.0, 4.0)
+DUE_POINTS_S = (0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0)
 # Reports older than this are not used.
 MAX_AGE_S = 1.0
 
