Account for results at runners in a part of its own

The new owners counted on empty storage: 101 pieces found no room within two seconds, used up the retry budget and their requests were refused. Reports of storage can't help: rooms of 0.4 and 2.1 MB are reported in whole MB.

Change: ResultStorage assumes that half of the storage is an earlier owner's at first, learns from a refusal that a runner is full, and lets what others stored decay over the time that results live. Batcher keeps the queue and the calls.

--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -162,9 +162,11 @@
             return self.batchers.get(service)
         known = self.batchers.get(service)
         if known is None:
-            known = relay.Batcher(spec.batch_limits, self.choose_timely)
+            known = relay.Batcher(
+                spec.batch_limits, self.choose_timely, self.reactor.seconds()
+            )
             self.batchers[service] = known
-        known.limits = spec.batch_limits
+        known.set_limits(spec.batch_limits)
         return known
 
     def enqueue(
@@ -198,7 +200,7 @@
         now = self.reactor.seconds()
         for runner in runners:
             due = self.storage_check_due.get(runner.name, -math.inf)
-            if now < due or not batcher.may_hold_foreign_results(
+            if now < due or not batcher.storage.may_hold_foreign(
                 runner.name, now
             ):
                 continue
@@ -219,8 +221,9 @@
         runner: relay.FleetRunner,
     ) -> None:
         free_bytes = self.dialect.read_free_storage(response)
-        batcher.on_free_bytes(runner.name, free_bytes)
-        foreign = batcher.foreign_bytes[runner.name]
+        now = self.reactor.seconds()
+        batcher.storage.on_report(runner.name, free_bytes, now)
+        foreign = batcher.storage.foreign_bytes(runner.name, now)
         if foreign:
             self.logger.info(
                 'foreign-results',
@@ -304,7 +307,7 @@
                     service, now
                 ).items()
             },
-            used_bytes=int(batcher.used_bytes.get(call.runner.name, 0)),
+            free_bytes=int(batcher.storage.free_bytes(call.runner.name, now)),
             slowness=round(call.runner.slowness, 2),
         )
 
@@ -379,8 +382,9 @@
                     unneeded.append(result.handle)
             elif result.result in retryable:
                 if result.result == _dialect.PieceResult.STORAGE_FULL:
-                    size = piece.group.result_bytes
-                    batcher.on_storage_full(call, size, self.reactor.seconds())
+                    batcher.storage.on_full(
+                        call.runner.name, self.reactor.seconds()
+                    )
                 retries.append(piece)
             else:
                 reason = None if result.handle else str(result.result)
@@ -519,6 +523,6 @@
     def _on_released(self, _: object, handles: list[str]) -> None:
         """Count storage as free only after the runner has freed it."""
         for service, batcher in self.batchers.items():
-            batcher.release(handles)
+            batcher.storage.release(handles)
             if batcher.queue:
                 self.schedule_dispatch(service, 0.0)
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -19,6 +19,7 @@
 from ragwort_relay import _order
 from ragwort_relay import _pieces
 from ragwort_relay import _routes
+from ragwort_relay import _storage
 from ragwort_relay import _waits
 
 # An idle slow runner gets a call only if it would finish at most this share
@@ -26,10 +27,6 @@
 SLOW_RUNNER_TOLERANCE = 0.3
 # Share of a group's slack that may go into waiting for a local runner.
 LOCAL_WAIT_SLACK_SHARE = 0.25
-# How long a runner whose storage is full gets only smaller results.
-STORAGE_FULL_S = 0.3
-# Below this size runners report free storage too coarsely to rely on it.
-MIN_REPORTED_STORAGE_BYTES = 8e6
 # Weight of a new call in the mean batch size.
 BATCH_SIZE_WEIGHT = 0.1
 # Downstream queueing time above which late groups are held back: their
@@ -80,8 +77,9 @@
         self,
         limits: _routes.BatchLimits,
         choose_timely: _order.ChooseTimely = _order.timely_groups,
+        owned_since: float = -math.inf,
     ) -> None:
-        """Start with an empty queue and no calls."""
+        """Start with an empty queue and no calls, see ResultStorage."""
         self.limits = limits
         self.choose_timely = choose_timely
         self.queue: list[_pieces.QueuedPiece] = []
@@ -90,10 +88,7 @@
         self.mean_batch_size = float(limits.max_pieces)
         self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
-        self.stored_results: dict[str, tuple[str, float, float]] = {}
-        self.used_bytes: dict[str, float] = {}
-        self.storage_limits: dict[str, tuple[float, float]] = {}
-        self.foreign_bytes: dict[str, float] = {}
+        self.storage = _storage.ResultStorage(limits, owned_since)
         self.reservations: dict[str, _pieces.Reservation] = {}
 
     def reserve(self, group_id: str, reservation: _pieces.Reservation) -> None:
@@ -151,14 +146,14 @@
 
         queued_s is the time that the queue of each service takes to start.
         """
-        self._expire_results(now)
+        self.storage.expire(now)
         usable = {runner.name: runner for runner in runners}
         idle = self._idle_runners(runners)
         if not self.queue or not idle:
             return []
         self._sort_queue(runners, now)
         drafts = [
-            _DraftCall(runner, self._free_bytes(runner, now))
+            _DraftCall(runner, self.storage.free_bytes(runner.name, now))
             for runner in sorted(idle, key=lambda r: (r.slowness, r.name))
             if self._is_worthwhile(runner, usable, now)
         ]
@@ -181,6 +176,10 @@
             self._create_call(draft, now) for draft in drafts if draft.pieces
         ]
 
+    def set_limits(self, limits: _routes.BatchLimits) -> None:
+        """Take over limits from a newer configuration."""
+        self.limits = self.storage.limits = limits
+
     def _update_mean_batch_size(self, drafts: list['_DraftCall']) -> None:
         """Learn how full calls get while timely pieces are left over.
 
@@ -373,13 +372,6 @@
             1 + SLOW_RUNNER_TOLERANCE
         )
 
-    def _free_bytes(self, runner: _fleet.FleetRunner, now: float) -> float:
-        until, limit = self.storage_limits.get(runner.name, (now, 0.0))
-        used = self.used_bytes.get(runner.name, 0.0)
-        foreign = self.foreign_bytes.get(runner.name, 0.0)
-        free = self.limits.storage_bytes - used - foreign
-        return min(free, limit) if now < until else free
-
     def _create_call(
         self, draft: '_DraftCall', now: float
     ) -> _pieces.BatchCall:
@@ -393,13 +385,9 @@
             typical_s * runner.slowness,
         )
         self.calls[call.call_id] = call
-        self._add_used_bytes(runner.name, call.result_bytes)
+        self.storage.occupy(runner.name, call.result_bytes)
         return call
 
-    def _add_used_bytes(self, runner: str, amount: float) -> None:
-        used = self.used_bytes.get(runner, 0.0) + amount
-        self.used_bytes[runner] = max(used, 0.0)
-
     def on_answer(
         self, call: _pieces.BatchCall, handles: list[str | None], now: float
     ) -> None:
@@ -409,63 +397,17 @@
         typical_s = self.limits.duration_s(len(call.pieces))
         ratio = max((now - call.sent_at) / typical_s, 1.0)
         runner.slowness += 0.5 * (ratio - runner.slowness)
-        until = now + self.limits.result_ttl_s
         for piece, handle in zip(call.pieces, handles, strict=True):
             if handle is None:
-                self._add_used_bytes(runner.name, -piece.group.result_bytes)
+                self.storage.occupy(runner.name, -piece.group.result_bytes)
             else:
                 size = piece.group.result_bytes
-                self.stored_results[handle] = (runner.name, size, until)
-
-    def on_storage_full(
-        self, call: _pieces.BatchCall, size: float, now: float
-    ) -> None:
-        """Give a runner only smaller results for a while.
-
-        Its storage holds results that this host does not count: those of an
-        earlier owner, or of hosts that batch for themselves.
-        """
-        self.storage_limits[call.runner.name] = (
-            now + STORAGE_FULL_S,
-            size / 2,
-        )
-
-    def on_free_bytes(self, runner: str, free_bytes: float) -> None:
-        """Record the free storage that a runner reports."""
-        used = self.used_bytes.get(runner, 0.0)
-        foreign = self.limits.storage_bytes - free_bytes - used
-        self.foreign_bytes[runner] = max(foreign, 0.0)
-        self.storage_limits.pop(runner, None)
-
-    def may_hold_foreign_results(self, runner: str, now: float) -> bool:
-        """Tell whether a runner may hold results of other hosts.
-
-        Unknown for small storage, which runners report too coarsely.
-        """
-        if self.limits.storage_bytes < MIN_REPORTED_STORAGE_BYTES:
-            return False
-        until, _ = self.storage_limits.get(runner, (now, 0.0))
-        return now < until or self.foreign_bytes.get(runner, 0.0) > 0.0
+                self.storage.store(handle, runner.name, size, now)
 
     def on_failure(self, call: _pieces.BatchCall) -> None:
         """Remove a call that got no usable answer."""
         self.calls.pop(call.call_id, None)
-        self._add_used_bytes(call.runner.name, -call.result_bytes)
-
-    def release(self, handles: Iterable[str]) -> None:
-        """Count the storage of released results as free."""
-        for handle in handles:
-            runner, size, _ = self.stored_results.pop(handle, ('', 0.0, 0.0))
-            if runner:
-                self._add_used_bytes(runner, -size)
-
-    def _expire_results(self, now: float) -> None:
-        expired = [
-            handle
-            for handle, (_, _, until) in self.stored_results.items()
-            if now >= until
-        ]
-        self.release(expired)
+        self.storage.occupy(call.runner.name, -call.result_bytes)
 
     def queue_wait(
         self, runners: Sequence[_fleet.FleetRunner], now: float
