Remove the reservation of later stages

Why: counting all that is admitted makes forecasts pessimistic while earlier stages lose work; large single-stage requests are then put behind.

Conclusion: removed, with its message; waits are added up as before. Group's next services, ten due points and the account of storage stay.

--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -71,21 +71,6 @@
     And it is told when to come back
     And no piece was made
 
-  Scenario: an owner counts the later stages of a request from its start
-    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
-    And the owner of the stage services is another host
-    When a staged request is sent from another host for 0.03 s
-    Then the owner expects 3 pieces of the second service
-    When the rest of its time passes
-    Then the owner expects 0 pieces of the second service
-
-  Scenario: an owner expects nothing of a request that ended early
-    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
-    And the owner of the stage services is another host
-    When a staged request is sent from another host for 0.03 s
-    And its caller leaves
-    Then the owner expects 0 pieces of the second service
-
   Scenario: results that are gone are made again
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     And the main runner says once that its inputs are gone
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -284,39 +284,6 @@
         stages._check_owner(pending.group.group_id)
 
 
-@when('a staged request is sent from another host for {seconds:g} s')
-def send_for(context: Any, seconds: float) -> None:
-    """Send a request and let only a part of its time pass."""
-    facts = edge.RequestMetadata(
-        'request-1', ROUTE_S, pieces=PIECES, piece_key='key'
-    )
-    world = context.world
-    context.exchange = world.submit(world.hosts[1], context.route, facts)
-    world.run(seconds)
-
-
-@when('the rest of its time passes')
-def pass_rest(context: Any) -> None:
-    """Let the request end."""
-    context.world.run(ROUTE_S)
-
-
-@when('its caller leaves')
-def close_connection(context: Any) -> None:
-    """Close the caller's connection."""
-    context.exchange.on_disconnect()
-    context.world.run(0.05)
-
-
-@then('the owner expects {pieces:d} pieces of the second service')
-def check_reserved(context: Any, pieces: int) -> None:
-    """Count the reserved pieces."""
-    owner = context.world.hosts[0].stages.local_owner
-    batcher = owner.batchers.get('second')
-    found = batcher.reservations.values() if batcher else ()
-    assert sum(r.pieces for r in found) == pieces, list(found)
-
-
 @given('its callers leave after {seconds:g} s without an event')
 def shorten_patience(context: Any, seconds: float) -> None:
     """Let callers leave well before their deadline."""
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -69,7 +69,6 @@
         self.run: relay.StageRun | None = None
         self.is_late = False
         self.pending: dict[int, Any] = {}
-        self.reserved: dict[int, str] = {}
         self.inputs: tuple[str, ...] = ()
 
     def new_run(self) -> relay.StageRun:
@@ -93,7 +92,7 @@
         run = self.new_run()
         admission = relay.admit(
             self._forecast(run, self._timely_waits_s(run)),
-            self._forecast(run, self._late_waits_s(run)),
+            self._forecast(run, self._late_waits_s()),
             self.times.target_at - now,
             self.times.deadline_at - now,
             self.context.rng,
@@ -124,25 +123,22 @@
         now = self.context.reactor.seconds()
         typical_s = self._typical_s(run)
         left_s = self.times.target_at - now - self._first_event_s
-        left_s += relay.SLACK_PER_RANK_S * self.times.rank
-        clear_s = [
+        slack_s = left_s - run.critical_path_s(typical_s)
+        slack_s += relay.SLACK_PER_RANK_S * self.times.rank
+        return [
             self.context.stages.waits.wait_s(
-                spec.service,
-                left_s - relay.time_after_stage_s(run, stage, typical_s),
-                now,
+                spec.service, slack_s + work_s, now
             )
-            for stage, spec in enumerate(self.route.stages)
+            for spec, work_s in zip(self.route.stages, typical_s, strict=True)
         ]
-        return relay.waits_on_path_s(run, typical_s, clear_s)
 
-    def _late_waits_s(self, run: relay.StageRun) -> list[float]:
+    def _late_waits_s(self) -> list[float]:
         """Return the queueing time before each stage of a late request."""
         now = self.context.reactor.seconds()
         waits = self.context.stages.waits
-        clear_s = [
+        return [
             waits.late_wait_s(spec.service, now) for spec in self.route.stages
         ]
-        return relay.waits_on_path_s(run, self._typical_s(run), clear_s)
 
     async def execute(self) -> None:
         """Run all stages; raise RefusedError if that fails."""
@@ -157,31 +153,12 @@
 
     async def _execute_once(self, run: relay.StageRun) -> None:
         self.run = run
-        self._reserve(run)
         if not run.is_done:
             done: defer.Deferred[None] = defer.Deferred()
             self._start_ready(run, done)
             await done
         self.inputs = tuple(run.main_call_inputs())
 
-    def _reserve(self, run: relay.StageRun) -> None:
-        """Announce the stages that can't begin yet to their owners."""
-        ready = run.ready()
-        for stage, spec in enumerate(self.route.stages):
-            if stage in ready or not run.pieces[stage]:
-                continue
-            target_at, deadline_at = self._stage_times(run, stage)
-            reservation = relay.Reservation(
-                run.pieces[stage],
-                target_at,
-                deadline_at,
-                self.times.rank,
-                self.is_late,
-            )
-            self.reserved[stage] = self.context.stages.reserve(
-                spec.service, reservation
-            )
-
     def _start_ready(
         self, run: relay.StageRun, done: 'defer.Deferred[None]'
     ) -> None:
@@ -218,7 +195,7 @@
         now = self.context.reactor.seconds()
         is_late = self.is_late or now > self.times.target_at
         waits_s = (
-            self._late_waits_s(run) if is_late else self._timely_waits_s(run)
+            self._late_waits_s() if is_late else self._timely_waits_s(run)
         )
         expected_s = _add_pairwise(self._typical_s(run), waits_s)
         slack_s = run.slack_s(stage, expected_s, now) - START_DELAY_MARGIN_S
@@ -249,7 +226,7 @@
     ) -> relay.PieceGroup:
         target_at, deadline_at = self._stage_times(run, stage)
         return relay.PieceGroup(
-            self.reserved.pop(stage, ''),
+            '',
             run.work(stage),
             target_at,
             deadline_at,
@@ -341,10 +318,6 @@
         for pending in list(self.pending.values()):
             pending.cancel()
         self.pending.clear()
-        for stage, group_id in self.reserved.items():
-            service = self.route.stages[stage].service
-            self.context.stages.cancel_reservation(service, group_id)
-        self.reserved.clear()
         run, self.run = self.run, None
         if run is None:
             return
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -95,7 +95,6 @@
                 list(wait.waits_s),
                 wait.late_wait_s,
                 now - wait.measured_at,
-                wait.queued_s,
             )
             for name, wait in self.waits.recent(now).items()
         ]
@@ -130,20 +129,6 @@
         )
         self.enqueue(message.service_name, group, sender)
 
-    def on_reserve(self, message: model.StageReserve) -> None:
-        """Count a group that a host will ask for later."""
-        batcher = self._batcher(message.service_name)
-        if batcher is not None and message.group not in self.owned:
-            now = self.reactor.seconds()
-            reservation = relay.Reservation(
-                message.pieces,
-                now + message.target_s,
-                now + message.deadline_s,
-                message.rank,
-                message.is_late,
-            )
-            batcher.reserve(message.group, reservation)
-
     def on_drop(self, message: model.StageDrop) -> None:
         """Drop a cancelled group."""
         self.owned.pop(message.group, None)
@@ -266,7 +251,7 @@
         if configuration is None:
             return {}
         downstream = configuration.downstream_services.get(service, ())
-        return self.waits.queued_s(downstream, now)
+        return {name: self.waits.late_wait_s(name, now) for name in downstream}
 
     def _send_call(
         self, service: str, batcher: relay.Batcher, call: relay.BatchCall
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -123,47 +123,11 @@
             self.avoided_owners.get(owner, 0.0) > self.reactor.seconds()
         )
 
-    def _new_group_id(self) -> str:
-        return f'{self.group_prefix}/{next(self.group_numbers)}'
-
-    def reserve(self, service: str, reservation: relay.Reservation) -> str:
-        """Announce a group to its owner and return the group's id."""
-        group_id = self._new_group_id()
-        now = self.reactor.seconds()
-        message = model.StageReserve(
-            group_id,
-            service,
-            reservation.pieces,
-            reservation.target_at - now,
-            reservation.deadline_at - now,
-            reservation.rank,
-            reservation.is_late,
-        )
-        self._tell_owner(service, message, self.local_owner.on_reserve)
-        return group_id
-
-    def cancel_reservation(self, service: str, group_id: str) -> None:
-        """Tell the owner that a group will not come."""
-        message = model.StageDrop(group_id, service)
-        self._tell_owner(service, message, self.local_owner.on_drop)
-
-    def _tell_owner(
-        self,
-        service: str,
-        message: Any,
-        here: Callable[[Any], None],
-    ) -> None:
-        owner = self._choose_owner(service)
-        if owner is None:
-            here(message)
-        else:
-            self.send_peer(model.SendPeerMessage(owner, message))
-
     def submit(
         self, service: str, group: relay.PieceGroup
     ) -> 'defer.Deferred[Outcomes]':
         """Return the outcome of each piece; cancelling drops the group."""
-        group.group_id = group.group_id or self._new_group_id()
+        group.group_id = f'{self.group_prefix}/{next(self.group_numbers)}'
         done: defer.Deferred[Outcomes] = defer.Deferred(
             lambda _: self._cancel(group.group_id)
         )
@@ -216,7 +180,6 @@
                 tuple(wait.waits_s),
                 wait.late_wait_s,
                 now - max(wait.age_s, 0.0),
-                wait.queued_s,
             )
             self.waits.update(wait.service_name, queue_wait)
 
@@ -274,8 +237,6 @@
                 self.on_reply(message)
             case model.StageDrop():
                 self.local_owner.on_drop(message)
-            case model.StageReserve():
-                self.local_owner.on_reserve(message)
             case model.StageRelease():
                 self.local_owner.on_release(message)
 
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -67,7 +67,6 @@
 from ragwort_model._peer import StageDrop
 from ragwort_model._peer import StageRelease
 from ragwort_model._peer import StageReply
-from ragwort_model._peer import StageReserve
 from ragwort_model._peer import StageTaken
 from ragwort_model._peer import StageWork
 from ragwort_model._peer import StateDigest
@@ -211,7 +210,6 @@
     'StageHeartbeat',
     'StageRelease',
     'StageReply',
-    'StageReserve',
     'StageTaken',
     'StageWork',
     'StateDigest',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -200,37 +200,19 @@
     next_services: list[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageReserve:
-    """Announce a group that StageAsk will bring once its inputs are made.
-
-    target_s and deadline_s are as in StageAsk; is_late tells that the
-    request can't meet its target.
-    """
-
-    group: str
-    service_name: str
-    pieces: int
-    target_s: float
-    deadline_s: float
-    rank: int
-    is_late: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceWait:
     """Queueing times of a stage service, as measured age_s ago.
 
     waits_s holds the wait of work that can be timely for each of several
     times until it is due; late_wait_s is the wait of work that can only be
-    late. Both count groups still to come; queued_s counts the queue alone.
+    late.
     """
 
     service_name: str
     waits_s: list[float]
     late_wait_s: float
     age_s: float
-    queued_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -294,7 +276,6 @@
     | StageReply
     | StageDrop
     | StageRelease
-    | StageReserve
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -9,7 +9,6 @@
 from ragwort_relay._admission import time_after_stage_s
 from ragwort_relay._admission import typical_stage_s
 from ragwort_relay._admission import Verdict
-from ragwort_relay._admission import waits_on_path_s
 from ragwort_relay._attempts import Attempts
 from ragwort_relay._attempts import next_step
 from ragwort_relay._attempts import NextStep
@@ -32,7 +31,6 @@
 from ragwort_relay._pieces import BatchCall
 from ragwort_relay._pieces import PieceGroup
 from ragwort_relay._pieces import QueuedPiece
-from ragwort_relay._pieces import Reservation
 from ragwort_relay._prompts import choose_by_load
 from ragwort_relay._prompts import choose_by_prompt_cache
 from ragwort_relay._prompts import PromptCacheIndex
@@ -85,7 +83,6 @@
     'QueueWaits',
     'RelayCatalog',
     'RelayConfiguration',
-    'Reservation',
     'retry_after_s',
     'RetryBudget',
     'Route',
@@ -103,7 +100,6 @@
     'timely_groups',
     'typical_stage_s',
     'Verdict',
-    'waits_on_path_s',
     'WindowCounter',
     'Workspace',
 ]
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -70,26 +70,6 @@
     return times_s
 
 
-def waits_on_path_s(
-    run: _stages.StageRun, work_s: Sequence[float], clear_s: Sequence[float]
-) -> list[float]:
-    """Return how long each stage of a run waits once its inputs are made.
-
-    clear_s is the time until the work ahead at each stage's service has
-    started. What is cleared while the stages before run is no wait.
-    """
-    ends_s: list[float] = []
-    waits_s: list[float] = []
-    for index, spec in enumerate(run.stages):
-        start_s = max((ends_s[needed] for needed in spec.after), default=0.0)
-        is_pending = run.pieces[index] and not run.is_complete(index)
-        wait_s = max(clear_s[index] - start_s, 0.0) if is_pending else 0.0
-        work = work_s[index] if is_pending else 0.0
-        waits_s.append(wait_s)
-        ends_s.append(start_s + wait_s + work)
-    return waits_s
-
-
 def forecast(
     run: _stages.StageRun,
     work_s: Sequence[float],
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -89,21 +89,14 @@
         self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
         self.storage = _storage.ResultStorage(limits, owned_since)
-        self.reservations: dict[str, _pieces.Reservation] = {}
-
-    def reserve(self, group_id: str, reservation: _pieces.Reservation) -> None:
-        """Count a group that is still to come in the queueing times."""
-        self.reservations[group_id] = reservation
 
     def add(self, group: _pieces.PieceGroup) -> None:
         """Queue the pieces of a group."""
-        self.reservations.pop(group.group_id, None)
         self.queue += [_pieces.QueuedPiece(group, work) for work in group.work]
         self.timely_due += [_order.due_at(group)] * len(group.work)
 
     def drop(self, group_id: str) -> int:
         """Remove the queued pieces of a cancelled group; return how many."""
-        self.reservations.pop(group_id, None)
         before = len(self.queue)
         self.queue = [
             piece for piece in self.queue if piece.group.group_id != group_id
@@ -412,36 +405,17 @@
     def queue_wait(
         self, runners: Sequence[_fleet.FleetRunner], now: float
     ) -> _waits.QueueWait:
-        """Return the time until the pieces ahead of new ones have started.
-
-        Pieces ahead are those queued and those of groups still to come.
-        """
+        """Return how long new pieces will wait before their calls start."""
         if not runners:
             return _waits.QueueWait((), 0.0, now)
         throughput = self._throughput(runners)
-        self.reservations = {
-            group_id: reservation
-            for group_id, reservation in self.reservations.items()
-            if now < reservation.deadline_at
-        }
-        reserved = self.reservations.values()
-        due = sorted(
-            self.timely_due
-            + [
-                _order.due_at(reservation)
-                for reservation in reserved
-                if not reservation.is_late
-                for _ in range(reservation.pieces)
-            ]
-        )
-        total = len(self.queue) + sum(r.pieces for r in reserved)
+        due = sorted(self.timely_due)
         ahead = [
             bisect.bisect_right(due, now + point)
             for point in _waits.DUE_POINTS_S
         ]
         return _waits.QueueWait(
             tuple(throughput.start_delay_s(pieces + 1) for pieces in ahead),
-            throughput.start_delay_s(total + 1),
-            now,
             throughput.start_delay_s(len(self.queue) + 1),
+            now,
         )
--- a/libs/ragwort_relay/ragwort_relay/_order.py
+++ b/libs/ragwort_relay/ragwort_relay/_order.py
@@ -72,7 +72,7 @@
     return _choose_timely(unstarted, started, throughput, now)
 
 
-def due_at(group: _pieces.PieceGroup | _pieces.Reservation) -> float:
+def due_at(group: _pieces.PieceGroup) -> float:
     """Return the due time of a group, deferred for less urgent ranks."""
     return group.target_at + SLACK_PER_RANK_S * group.rank
 
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -37,21 +37,6 @@
         return self.target_at - now - work_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reservation:
-    """A group of an admitted request whose inputs are still being made.
-
-    target_at, deadline_at and rank are those of the group to come; late
-    groups can't meet their targets.
-    """
-
-    pieces: int
-    target_at: float
-    deadline_at: float
-    rank: int
-    is_late: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueuedPiece:
     """One piece waiting for a call."""
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -1,7 +1,6 @@
 """Queueing times of stage services, as last reported to this host."""
 
 import bisect
-from collections.abc import Iterable
 import dataclasses
 
 # Times until a group is due for which queueing times are reported, in
@@ -16,14 +15,12 @@
     """Queueing times of a service in seconds, and when they were measured.
 
     waits_s holds the wait of timely work for each of DUE_POINTS_S;
-    late_wait_s is the wait of work that can't meet its target. Both count
-    groups still to come; queued_s is the wait of what is queued now.
+    late_wait_s is the wait of work that can't meet its target.
     """
 
     waits_s: tuple[float, ...]
     late_wait_s: float
     measured_at: float
-    queued_s: float = 0.0
 
 
 class QueueWaits:
@@ -61,16 +58,6 @@
         wait = self.by_service.get(service)
         return _remaining_s(wait, wait.late_wait_s, now) if wait else 0.0
 
-    def queued_s(
-        self, services: Iterable[str], now: float
-    ) -> dict[str, float]:
-        """Return the time that the queue of each service takes to start."""
-        return {
-            service: _remaining_s(wait, wait.queued_s, now)
-            for service in services
-            if (wait := self.by_service.get(service)) is not None
-        }
-
 
 def _remaining_s(wait: QueueWait, wait_s: float, now: float) -> float:
     age_s = now - wait.measured_at
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -118,22 +118,11 @@
   9: list<string> next_services = []
 }
 
-struct StageReserve {
-  1: string group
-  2: string service_name
-  3: i32 pieces
-  4: double target_s
-  5: double deadline_s
-  6: i32 rank
-  7: bool is_late
-}
-
 struct ServiceWait {
   1: string service_name
   2: list<double> waits_s
   3: double late_wait_s
   4: double age_s
-  5: double queued_s = 0.0
 }
 
 struct StageTaken {
@@ -184,5 +173,4 @@
   24: optional StageReply stage_reply
   25: optional StageDrop stage_drop
   26: optional StageRelease stage_release
-  27: optional StageReserve stage_reserve
 }
