Show where requests were lost, from the logs of hosts

`ragwortworks lab losses LOG...` prints how requests were decided on and ended, forecasts against first events, and what each stage service did window by window; `--plot` draws the queues.

Checks: the scenario compares all three tables on records written by hand.

--- a/features/evidence.feature
+++ b/features/evidence.feature
@@ -49,3 +49,13 @@
       | a time of no unit | 250ms       |
       | an unknown rule   | rules.0     |
       | an unknown field  | colour      |
+
+  Scenario: the losses of a day from the logs of its hosts
+    Given the logs of two hosts with lost requests
+    When the command lists the losses with a plot
+    Then they name the decision, the forecast's error and the busy service
+    And the plot is a picture
+
+  Scenario: losses of a file that is not there
+    When the command lists the losses of a missing file
+    Then it says in one line that the file can't be read
--- a/libs/ragwort_cli/ragwort_cli/_lab_commands.py
+++ b/libs/ragwort_cli/ragwort_cli/_lab_commands.py
@@ -1,10 +1,14 @@
 """Commands that run experiments in virtual time."""
 
+import dataclasses
 import pathlib
 from typing import Annotated
+from typing import Any
 
 import typer
 
+from ragwort_cli import _logs
+from ragwort_cli import _losses
 from ragwort_cli import _options
 from ragwort_cli import _output
 from ragwort_cli import _plot
@@ -52,6 +56,65 @@
         _plot.plot_rules(experiment.name, results, plot)
 
 
+@lab_app.command('losses')
+def losses(
+    logs: Annotated[
+        list[pathlib.Path], typer.Argument(help='Logs of relay hosts.')
+    ],
+    window_s: Annotated[
+        float, typer.Option('--window', min=0.1, help='Seconds of a window.')
+    ] = 4.0,
+    output: _options.OutputOption = _options.TEXT,
+    plot: Annotated[
+        pathlib.Path | None, typer.Option(help='Write a PNG of the queues.')
+    ] = None,
+) -> None:
+    """Print which decisions lost requests, and what stage services did."""
+    records = [r for path in logs for r in _logs.read_records(path)]
+    windows = _losses.service_windows(records, window_s)
+    tables: dict[str, list[Any]] = {
+        'decisions': _losses.decisions(records),
+        'calibration': _losses.calibrations(records),
+        'services': windows,
+    }
+    if output == _output.OutputFormat.JSON:
+        _output.print_json(
+            {
+                name: [dataclasses.asdict(row) for row in rows]
+                for name, rows in tables.items()
+            }
+        )
+    else:
+        for name, rows in tables.items():
+            typer.echo(f'{name}:')
+            _print_rows(rows)
+    if plot is not None:
+        _plot.plot_services(windows, plot)
+
+
+def _print_rows(rows: list[Any]) -> None:
+    """Print data classes of one kind as a table."""
+    if not rows:
+        typer.echo('none')
+        return
+    headings = [field.name for field in dataclasses.fields(rows[0])]
+    _output.print_table(
+        headings,
+        [
+            [_format_loss(getattr(row, name)) for name in headings]
+            for row in rows
+        ],
+    )
+
+
+def _format_loss(value: object) -> str:
+    if isinstance(value, dict):
+        return ' '.join(f'{k}:{count}' for k, count in value.items()) or '-'
+    if isinstance(value, float):
+        return f'{value:.2f}'
+    return '-' if value is None else str(value)
+
+
 def _result_record(result: lab.RuleFigures) -> dict[str, object]:
     figures = result.figures
     return {
--- a/libs/ragwort_cli/ragwort_cli/_logs.py
+++ b/libs/ragwort_cli/ragwort_cli/_logs.py
@@ -51,18 +51,31 @@
     return sorted(lines, key=lambda line: line.timestamp)
 
 
-def _matching_lines(path: pathlib.Path, request_id: str) -> Iterator[LogLine]:
+def read_records(
+    path: pathlib.Path, substring: str = '{'
+) -> Iterator[dict[str, Any]]:
+    """Return the records of a log whose lines hold a substring.
+
+    Lines without JSON are left out. Raise InvalidInputError for a file that
+    can't be read.
+    """
     try:
         text = path.read_text(errors='replace')
     except OSError as error:
         raise model.InvalidInputError(f'{path}: {error.strerror}') from None
     for line in text.splitlines():
-        if request_id not in line or '{' not in line:
+        if substring not in line or '{' not in line:
             continue
         try:
             record = json.loads(line[line.index('{') :])
         except ValueError:
             continue
+        if isinstance(record, dict):
+            yield record
+
+
+def _matching_lines(path: pathlib.Path, request_id: str) -> Iterator[LogLine]:
+    for record in read_records(path, request_id):
         if record.get('request') == request_id:
             yield LogLine(
                 str(record.get('timestamp', '')),
--- a/libs/ragwort_cli/ragwort_cli/_plot.py
+++ b/libs/ragwort_cli/ragwort_cli/_plot.py
@@ -4,6 +4,7 @@
 
 from ragwort_cli import _journal
 from ragwort_cli import _load
+from ragwort_cli import _losses
 import ragwort_lab as lab
 
 PERCENTILES = (1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9)
@@ -78,3 +79,26 @@
     axes.legend()
     figure.tight_layout()
     figure.savefig(path)
+
+
+def plot_services(
+    windows: list[_losses.ServiceWindow], path: pathlib.Path
+) -> None:
+    """Plot waiting pieces and pieces in a call over time as a PNG."""
+    import matplotlib
+
+    matplotlib.use('Agg')
+    from matplotlib import pyplot
+
+    figure, (waiting, filled) = pyplot.subplots(2, 1, sharex=True)
+    for service in sorted({w.service for w in windows}):
+        own = [w for w in windows if w.service == service]
+        starts = [w.start_s for w in own]
+        waiting.plot(starts, [w.waiting for w in own], label=service)
+        filled.plot(starts, [w.pieces_per_call for w in own], label=service)
+    waiting.set_ylabel('pieces waiting')
+    filled.set_ylabel('pieces in a call')
+    filled.set_xlabel('seconds')
+    waiting.legend()
+    figure.tight_layout()
+    figure.savefig(path)
