Show the store's era and rewritten claims as gauges of a node

The ledger counted the claims that it wrote again after a restore, and nothing showed the count; a node's era stood in `status` alone. No decision changes.

--- a/libs/ragwort_node/ragwort_node/_daemon.py
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -118,6 +118,10 @@
         self.peers.close_idle(now)
         gauges = {
             'open_requests': float(len(self.core.engine.active)),
+            'store_era': float(self.core.control.store_era.current),
+            'claims_rewritten': float(
+                self.core.control.ledger.rewritten_count
+            ),
             'members': float(len(self.core.control.members.live())),
         }
         self.metrics.flush(gauges)
