Replay the load that the finer due points answer

Three groups due in 3.5 s must not count for one due in 2.1 s. With the five due points of before the scenario fails, as the wait of all that is due within 4 s was told.

--- a/features/order_of_waiting.feature
+++ b/features/order_of_waiting.feature
@@ -75,6 +75,11 @@
     And 2 groups of 2 pieces of rank 2 wait
     Then what is due in 0.5 s, 1 s, 2 s and 9 s waits 0 s, 0.15 s, 0.35 s and 0.35 s
 
+  Scenario: what is due well before other work does not wait for it
+    Given 3 groups of 2 pieces of rank 0 wait
+    And targets are 3.5 s away
+    Then what is due in 2.1 s, 2.9 s and 3.6 s waits 0 s, 0 s and 0.15 s
+
   Scenario: large results are made as late as the other stages allow
     Given a request whose stages 1 and 2 after it take 0.2 s each
     And whose stage 0 of large results takes 0.1 s
