Log a new era and the claims written again on the product's nodes

A node's log did not say when it first heard that the store was restored and from whom, nor which claims it wrote again. Both are decisions now; the scenario plays a restore that loses claims and finds both, and the claims back in the store. No decision changes.

--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -9,7 +9,9 @@
 
 from features.steps import platform_store_steps
 from features.steps import relay_host_steps
+import ragwort_lab as lab
 import ragwort_model as model
+import ragwort_state as state
 
 ASKS = 8
 
@@ -162,3 +164,61 @@
 def check_result_era(context: Any, era: int) -> None:
     """Compare the era."""
     assert context.result.era == era, context.result
+
+
+CLAIMED_CLASS = 'safety-notice'
+
+
+def _claims(world: lab.World) -> set[str]:
+    """Return the keys of all claims in the store."""
+    return {
+        key
+        for name, item in world.platform.objects.items()
+        if name.startswith(state.CLAIMS_PREFIX)
+        for key in state.decode_claims(item.value or '[]')
+    }
+
+
+@given('a system of nodes with claims in the store')
+def claim_keys(context: Any) -> None:
+    """Let requests that may not be repeated be claimed."""
+    context.world = lab.World(1)
+    context.world.run_until(5.0)
+    for index in range(6):
+        context.world.callers.submit('node-1', CLAIMED_CLASS, f'note {index}')
+        context.world.run_for(0.2)
+    context.claims = _claims(context.world)
+    assert context.claims
+
+
+@when('its store returns from a copy {age:g} s old')
+def restore_world(context: Any, age: float) -> None:
+    """Restore the store of the nodes."""
+    world = context.world
+    world.platform.restore(world.revision_at(world.now - age))
+    context.lost = context.claims - _claims(world)
+    assert context.lost
+    world.run_for(6.0)
+
+
+def _decisions(context: Any, rule: str) -> list[tuple[str, Any]]:
+    return [
+        (name, decision)
+        for name, decision in context.world.trace.decisions
+        if decision.rule == rule
+    ]
+
+
+@then('every node logs the new era once, and who told it')
+def check_era_logged(context: Any) -> None:
+    """Compare the decisions with the nodes."""
+    logged = _decisions(context, 'new-era')
+    assert sorted(name for name, _ in logged) == sorted(context.world.nodes)
+    assert all(d.detail.startswith('0 to 1, ') for _, d in logged), logged
+
+
+@then('the lost claims are written again, which is logged')
+def check_claims_rewritten(context: Any) -> None:
+    """Look for the claims in the store and for the decisions."""
+    assert context.lost <= _claims(context.world)
+    assert _decisions(context, 'claims-rewritten')
--- a/features/store_restore.feature
+++ b/features/store_restore.feature
@@ -93,3 +93,9 @@
     When the store of era 4 refuses a watch with 410
     Then the call ends as gone
     And the result is of era 4
+
+  Scenario: nodes log a new era and the claims that they wrote again
+    Given a system of nodes with claims in the store
+    When its store returns from a copy 2 s old
+    Then every node logs the new era once, and who told it
+    And the lost claims are written again, which is logged
--- a/libs/ragwort_node/ragwort_node/_control.py
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -1,5 +1,6 @@
 """Control plane of a node: members, configuration and claims."""
 
+import dataclasses
 import random
 
 import ragwort_membership as membership
@@ -16,6 +17,15 @@
 ControlEffect = model.SendPeerMessage | model.StoreCall | state.ClaimResolved
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RestoreNotice:
+    """What a node noticed or wrote because the store was restored."""
+
+    subject: str
+    rule: str
+    detail: str
+
+
 class ControlPlane:
     """Membership, replicated configuration and claims of a node."""
 
@@ -41,6 +51,7 @@
         )
         self.next_tombstone_check = now + TOMBSTONE_CHECK_INTERVAL_S
         self.adopted: list[model.StoredObject] = []
+        self.restore_notices: list[RestoreNotice] = []
 
     @property
     def catalog(self) -> state.Catalog:
@@ -83,9 +94,28 @@
                 adopted, len(self.members.peer_addresses())
             )
 
-    def observe_era(self, era: int, now: float) -> None:
-        """Record an era of the store, heard of in any way."""
-        self.store_era.observe(era, now)
+    def observe_era(self, era: int, source: str, now: float) -> None:
+        """Record an era of the store, heard of from the store or a peer."""
+        earlier = self.store_era.current
+        if self.store_era.observe(era, now):
+            self.restore_notices.append(
+                RestoreNotice(
+                    'store', 'new-era', f'{earlier} to {era}, {source}'
+                )
+            )
+
+    def _observe_rewritten(self, op: str, count: int) -> None:
+        """Note how many lost claims a write brought back to the store."""
+        if count:
+            bucket = op.removeprefix(state.LEDGER_OP).partition('#')[0]
+            self.restore_notices.append(
+                RestoreNotice(bucket, 'claims-rewritten', f'{count} claims')
+            )
+
+    def take_restore_notices(self) -> list['RestoreNotice']:
+        """Return the notices of restores since the last call."""
+        notices, self.restore_notices = self.restore_notices, []
+        return notices
 
     def take_adopted(self) -> list[model.StoredObject]:
         """Return the objects adopted since the last call."""
@@ -100,7 +130,11 @@
             self._gossip_adopted(self.watcher.on_store_result(result, now))
             return []
         if result.op.startswith(state.LEDGER_OP):
-            return list(self.ledger.on_store_result(result, now))
+            before = self.ledger.rewritten_count
+            effects = list(self.ledger.on_store_result(result, now))
+            count = self.ledger.rewritten_count - before
+            self._observe_rewritten(result.op, count)
+            return effects
         if result.op.startswith(state.JANITOR_OP):
             return list(self.janitor.on_store_result(result))
         return []
@@ -126,7 +160,8 @@
             case model.StateWant():
                 return list(self.gossip.on_want(sender, message))
             case model.StatePush():
-                self.observe_era(state.latest_era(message.objects), now)
+                era = state.latest_era(message.objects)
+                self.observe_era(era, sender, now)
                 peer_count = len(members.peer_addresses())
                 self.adopted += self.gossip.on_push(message, now, peer_count)
                 return []
--- a/libs/ragwort_node/ragwort_node/_core.py
+++ b/libs/ragwort_node/ragwort_node/_core.py
@@ -181,6 +181,15 @@
                 f'accepting {update.accepting}',
             )
             self.effects.append(decision)
+        for notice in self.control.take_restore_notices():
+            decision = _effects.Decision(
+                now,
+                _effects.DecisionKind.CONFIGURATION,
+                notice.subject,
+                notice.rule,
+                detail=notice.detail,
+            )
+            self.effects.append(decision)
         adopted = self.control.take_adopted()
         if adopted:
             self.dispatcher.drop_removed_runners()
@@ -562,7 +571,7 @@
         self, result: model.StoreResult, now: float
     ) -> list[_effects.Effect]:
         """Handle the result of a store call."""
-        self.control.observe_era(result.era, now)
+        self.control.observe_era(result.era, 'store', now)
         service = _placement.service_of_op(result.op)
         if service is not None:
             if service in self.placement_controllers:
