Count bytes to peers by kind of message, and log an object's size

Change: counter ragwort_peer_bytes by message, size in object-adopted. Result: relay_host.feature reads the counter as a scrape shows it; no decision changes.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -30,6 +30,12 @@
     And key "k1" is withdrawn
     Then within 2 s every host answers key "k1" with 401
 
+  Scenario: the messages to peers are counted by kind
+    Given 3 relay hosts whose store answers
+    When the store turns host 2 away and key "k1" is withdrawn
+    And 1 s passes
+    Then host 0 counts bytes of "StatePush" to peers
+
   Scenario: a leaving runner gets nothing new from any host
     Given 3 relay hosts whose store answers
     When the store turns host 2 away and runner "a" is leaving
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -306,3 +306,16 @@
 def check_fired(context: Any) -> None:
     """Look at what the program said."""
     assert context.output == 'fired\n', context.output
+
+
+@then('host {index:d} counts bytes of "{message}" to peers')
+def check_peer_bytes(context: Any, index: int, message: str) -> None:
+    """Read the counter as a scrape shows it."""
+    text = context.world.hosts[index].metrics.text().decode()
+    prefix = f'ragwort_peer_bytes_total{{message="{message}"}} '
+    values = [
+        float(line.removeprefix(prefix))
+        for line in text.splitlines()
+        if line.startswith(prefix)
+    ]
+    assert values and values[0] > 0, text
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -196,14 +196,16 @@
         self.world = world
         self.address = address
 
-    def send(self, effect: model.SendPeerMessage, now: float) -> None:
-        """Deliver a message a link's delay later."""
-        frame = wire.decode_peer(
-            wire.encode_peer(self.address, effect.message)
-        )
+    def send(self, effect: model.SendPeerMessage, now: float) -> int:
+        """Deliver a message a link's delay later; return its size."""
+        data = wire.encode_peer(self.address, effect.message)
         self.world.clock.callLater(
-            LINK_S, self.world.deliver, effect.address, frame
+            LINK_S,
+            self.world.deliver,
+            effect.address,
+            wire.decode_peer(data),
         )
+        return len(data)
 
     def close_idle(self, now: float) -> None:
         """Keep all links."""
@@ -298,7 +300,7 @@
         """Replace a host by a new process that knows nothing."""
         old = self.hosts[index]
         links: Any = FakeLinks(self, 'nowhere')
-        links.send = lambda effect, now: None
+        links.send = lambda effect, now: 0
         old.peers = links
         self.hosts[index] = self._host(index)
         self.hosts[index].start()
@@ -306,7 +308,7 @@
     def stop_for_good(self, index: int) -> None:
         """Let a host lose power and never return."""
         links: Any = FakeLinks(self, 'nowhere')
-        links.send = lambda effect, now: None
+        links.send = lambda effect, now: 0
         self.hosts[index].peers = links
         self.stopped[index] = self.clock.seconds()
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -397,6 +397,7 @@
                 object=item.name,
                 version=model.format_version(item.version),
                 deleted=item.value is None,
+                size=len(item.value or ''),
                 source=source,
                 problem=self.catalog.problems.get(item.name),
                 in_force=configuration.version if configuration else None,
@@ -410,7 +411,9 @@
             self._send_peer(message)
 
     def _send_peer(self, effect: model.SendPeerMessage) -> None:
-        self.peers.send(effect, self.reactor.seconds())
+        sent_bytes = self.peers.send(effect, self.reactor.seconds())
+        kind = type(effect.message).__name__
+        self.metrics.peer_bytes.labels(kind).inc(sent_bytes)
 
     def _stage_owner_candidates(self, service: str) -> list[str | None]:
         return membership.owner_addresses(
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -44,7 +44,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-
+        self.peer_bytes = prometheus.Counter(
+            'ragwort_peer_bytes',
+            'Bytes of messages to other hosts, by kind of message',
+            ['message'],
+            registry=self.registry,
+        )
         self.store_era = prometheus.Gauge(
             'ragwort_store_era',
             "Latest era of the store, which rises when it loses writes",
--- a/libs/ragwort_peers/ragwort_peers/_peer_connections.py
+++ b/libs/ragwort_peers/ragwort_peers/_peer_connections.py
@@ -14,6 +14,8 @@
 IDLE_TIMEOUT_S = 30.0
 MAX_QUEUED_FRAMES = 256
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# Size of the length that precedes each frame.
+LENGTH_BYTES = 4
 
 FrameHandler = Callable[[wire.PeerFrame], None]
 ErrorHandler = Callable[[str], None]
@@ -148,16 +150,21 @@
         self.connections: dict[str, _PeerConnection] = {}
         self.bytes_sent = 0
 
-    def send(self, effect: model.SendPeerMessage, now: float) -> None:
-        """Send a message, opening a connection if there is none."""
+    def send(self, effect: model.SendPeerMessage, now: float) -> int:
+        """Send a message, opening a connection if there is none.
+
+        Return the size of its frame in bytes.
+        """
         data = wire.encode_peer(self.own_address, effect.message)
-        self.bytes_sent += len(data) + 4
+        frame_bytes = len(data) + LENGTH_BYTES
+        self.bytes_sent += frame_bytes
         connection = self.connections.get(effect.address)
         if connection is None:
             connection = _PeerConnection(self.reactor, effect.address)
             self.connections[effect.address] = connection
         connection.last_used_at = now
         connection.send(data, effect.fresh)
+        return frame_bytes
 
     def close_idle(self, now: float) -> None:
         """Close connections that were not used for IDLE_TIMEOUT_S."""
