--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -36,6 +36,11 @@
     And 1 s passes
     Then host 0 counts bytes of "StatePush" to peers
 
+  Scenario: large configurations in quick succession are in force in time
+    Given 40 relay hosts with links of 10 Mbit/s whose store answers
+    When configurations of 100 KB come every 0.33 s for 4 s
+    Then each was in force on every host within 3 s
+
   Scenario: a leaving runner gets nothing new from any host
     Given 3 relay hosts whose store answers
     When the store turns host 2 away and runner "a" is leaving
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -1,5 +1,6 @@
 """Steps of whole relay hosts."""
 
+import math
 import subprocess
 import sys
 from typing import Any
@@ -14,6 +15,9 @@
 import ragwort_model as model
 
 ANSWER_S = 0.5
+# Time for all hosts to have the last of several configurations.
+CATCH_UP_S = 60.0
+BYTES_PER_S_PER_MBPS = 1e6 / 8
 # Longer than a host's longest call to the store.
 WATCH_S = 25.0
 
@@ -30,6 +34,16 @@
     context.world = relay_hosts.HostWorld(count)
 
 
+@given(
+    '{count:d} relay hosts with links of {mbps:g} Mbit/s whose store answers'
+)
+def start_narrow(context: Any, count: int, mbps: float) -> None:
+    """Start hosts whose links to each other are narrow."""
+    context.world = relay_hosts.HostWorld(
+        count, link_bytes_per_s=mbps * BYTES_PER_S_PER_MBPS
+    )
+
+
 @given('{count:d} relay hosts with seeds that are gone')
 def start_seedless(context: Any, count: int) -> None:
     """Start hosts whose seeds don't exist."""
@@ -319,3 +333,35 @@
         if line.startswith(prefix)
     ]
     assert values and values[0] > 0, text
+
+
+@when('configurations of {size:d} KB come every {gap_s:g} s for {for_s:g} s')
+def write_configurations(
+    context: Any, size: int, gap_s: float, for_s: float
+) -> None:
+    """Write them and note when, then let the hosts catch up.
+
+    A configuration is late if a host has not even a newer one in force.
+    """
+    world = context.world
+    context.written_at = {}
+    context.in_force_s = {}
+    began_at = world.clock.seconds()
+    while len(context.in_force_s) < math.ceil(for_s / gap_s):
+        now = world.clock.seconds()
+        written = len(context.written_at)
+        if now >= began_at + written * gap_s and written * gap_s < for_s:
+            item = world.keep_keys(['k1'], size * 1000)
+            context.written_at[item.version] = now
+        oldest = min(world.versions_in_force())
+        for version, written_at in context.written_at.items():
+            if oldest >= version:
+                context.in_force_s.setdefault(version, now - written_at)
+        assert now < began_at + CATCH_UP_S, context.in_force_s
+        world.run(relay_hosts.STEP_S)
+
+
+@then('each was in force on every host within {bound_s:g} s')
+def check_in_force(context: Any, bound_s: float) -> None:
+    """Compare the slowest with the bound."""
+    assert max(context.in_force_s.values()) <= bound_s, context.in_force_s
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import json
+import math
+import random
 from typing import Any
 
 import structlog
@@ -189,18 +191,21 @@
 
 
 class FakeLinks:
-    """Links between hosts that carry every message."""
+    """A host's link to the others, which carries every message in turn."""
 
     def __init__(self, world: 'HostWorld', address: str) -> None:
         """Send for one host."""
         self.world = world
         self.address = address
+        self.free_at = 0.0
 
     def send(self, effect: model.SendPeerMessage, now: float) -> int:
-        """Deliver a message a link's delay later; return its size."""
+        """Deliver a message once the link has sent it; return its size."""
         data = wire.encode_peer(self.address, effect.message)
+        send_s = len(data) / self.world.link_bytes_per_s
+        self.free_at = max(self.free_at, now) + send_s
         self.world.clock.callLater(
-            LINK_S,
+            self.free_at - now + LINK_S,
             self.world.deliver,
             effect.address,
             wire.decode_peer(data),
@@ -219,9 +224,11 @@
         count: int,
         is_away: bool = False,
         seeds: tuple[str, ...] = ('10.0.0.1:84', '10.0.1.1:84'),
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         """Start hosts whose store answers or not."""
         self.seeds = seeds
+        self.link_bytes_per_s = link_bytes_per_s
         self.clock = MemoryReactorClock()
         self.network = fakes.LabNetwork(self.clock)
         self.objects = StoreObjects(self.clock, is_away)
@@ -248,11 +255,19 @@
         )
         self.objects.put(f'runner/{runner.name}', text)
 
-    def keep_keys(self, keys: list[str]) -> model.StoredObject:
-        """Write a configuration with these keys."""
+    def keep_keys(
+        self, keys: list[str], size_bytes: int = 0
+    ) -> model.StoredObject:
+        """Write a configuration with these keys, padded to a size."""
         version = self.objects.revision + 1
-        text = json.dumps({'version': version, 'keys': keys})
-        return self.objects.put('config/main', text)
+        fields = {'version': version, 'keys': keys, 'padding': ''}
+        fields['padding'] = ' ' * (size_bytes - len(json.dumps(fields)))
+        return self.objects.put('config/main', json.dumps(fields))
+
+    def versions_in_force(self) -> list[int]:
+        """Return the configuration's version on each host."""
+        configurations = [host.catalog.configuration for host in self.hosts]
+        return [found.version if found else 0 for found in configurations]
 
     def _host(self, index: int) -> edge.RelayHost:
         base = f'10.0.{index}.1'
@@ -283,6 +298,7 @@
             lambda on_result: FakeStore(self.objects, on_result),
             lambda host, request: edge.HttpResponse(200),
             logger,
+            random.Random(index),
         )
         client: Any = self.network
         host.client = host.context.client = client
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -94,14 +94,18 @@
         store_factory: StoreFactory,
         directory: Callable[['RelayHost', _messages.HttpRequest], Any],
         logger: Any,
+        rng: random.Random | None = None,
     ) -> None:
-        """Create all parts; start() opens the sockets."""
+        """Create all parts; start() opens the sockets.
+
+        rng is seeded by the system if it is None.
+        """
         self.reactor = reactor
         self.options = options
         self.dialect = dialect
         self.directory = directory
         self.logger = logger
-        self.rng = random.Random(random.SystemRandom().getrandbits(64))
+        self.rng = rng or random.Random(random.SystemRandom().getrandbits(64))
         now = reactor.seconds()
         self.started_at = now
         self.catalog = relay.RelayCatalog(dialect)
