Offer large objects by version in rumours, and request each once

Cause: a rumour carried whole objects. Each host that adopts one sends it to two random peers for some ten rounds, 20 times in all, and gets it as often. With 400 routes more the configuration has 86 KB: 1.7 MB and 1.4 s of a link of 10 Mbit/s for each host and version. A few versions in succession fill all links, and what queues there delays the next ones. The class of fault: the cost of spreading grows with size times fan-out times rounds, with nothing that bounds it by the link. Ruled out: watchers that hear nothing (those had each version 0.03 s after its acknowledgement; with the store silent for a third of the hosts, or all connections reset, the last host had it after 0.4 s); a store restored from an older copy (needs no size). Change: a rumour pushes objects of at most 4 KB in all; of the others it tells the versions. A host that lacks one requests it from one peer at a time, from the next that offered it after 0.5 s. The message is the one that anti-entropy sends, so that hosts of both builds understand each other. An answer to a request no longer claims to be the full state, which it is not. The same code serves the product's own nodes.

--- a/features/support/adversary.py
+++ b/features/support/adversary.py
@@ -260,12 +260,16 @@
         name=strategies.sampled_from(('x', 'y', 'z')),
         delete=strategies.booleans(),
         valid=strategies.booleans(),
+        size=strategies.sampled_from((0, 2 * state.MAX_RUMOUR_BYTES)),
     )
-    def change(self, host: str, name: str, delete: bool, valid: bool) -> None:
-        """A host reads a change from the store, valid or not."""
+    def change(
+        self, host: str, name: str, delete: bool, valid: bool, size: int
+    ) -> None:
+        """A host reads a change from the store, valid or not, small or not."""
         self.version += 1
         item = f'config/workspace/{name}'
         value = f'{{"name": "{name}"}}' if valid else '{"name": 3}'
+        value += ' ' * size
         stored = model.StoredObject(
             item, self.version, None if delete else value
         )
@@ -306,7 +310,9 @@
             case model.StateDigest():
                 self._queue(target, gossip.on_digest(sender, message))
             case model.StateVersions():
-                self._queue(target, gossip.on_versions(sender, message))
+                self._queue(
+                    target, gossip.on_versions(sender, message, self.now)
+                )
             case model.StateWant():
                 self._queue(target, gossip.on_want(sender, message))
             case model.StatePush():
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -452,7 +452,7 @@
             case model.StateDigest():
                 return gossip.on_digest(sender, message)
             case model.StateVersions():
-                return gossip.on_versions(sender, message)
+                return gossip.on_versions(sender, message, now)
             case model.StateWant():
                 return gossip.on_want(sender, message)
             case model.StatePush():
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -102,7 +102,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateVersions:
-    """Versions of the sender's objects in the given buckets."""
+    """Versions of the sender's objects.
+
+    They are all that the sender has in the given buckets; without buckets
+    they are offered as newly adopted.
+    """
 
     buckets: list[int]
     versions: list[ObjectVersion]
--- a/libs/ragwort_node/ragwort_node/_control.py
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -156,7 +156,7 @@
             case model.StateDigest():
                 return list(self.gossip.on_digest(sender, message))
             case model.StateVersions():
-                return list(self.gossip.on_versions(sender, message))
+                return list(self.gossip.on_versions(sender, message, now))
             case model.StateWant():
                 return list(self.gossip.on_want(sender, message))
             case model.StatePush():
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -8,6 +8,7 @@
 from ragwort_state._era import latest_era
 from ragwort_state._era import StoreEra
 from ragwort_state._gossip import Gossip
+from ragwort_state._gossip import MAX_RUMOUR_BYTES
 from ragwort_state._gossip import MAX_RUMOURED_OBJECTS
 from ragwort_state._lease import Lease
 from ragwort_state._lease import LEASE_DURATION_S
@@ -68,6 +69,7 @@
     'LEDGER_OP',
     'LedgerEffect',
     'LIST_OP',
+    'MAX_RUMOUR_BYTES',
     'MAX_RUMOURED_OBJECTS',
     'ObjectProblem',
     'ORDER_EXPIRY_S',
--- a/libs/ragwort_state/ragwort_state/_gossip.py
+++ b/libs/ragwort_state/ragwort_state/_gossip.py
@@ -7,6 +7,7 @@
 
 import ragwort_model as model
 from ragwort_state import _replica
+from ragwort_state import _wants
 
 RUMOUR_INTERVAL_S = 0.1
 RUMOUR_FANOUT = 2
@@ -15,6 +16,9 @@
 MAX_PUSH_BYTES = 64 * 1024
 OBJECT_OVERHEAD_BYTES = 64
 MAX_RUMOURED_OBJECTS = 50
+# Bytes of objects in a rumour. A host sends a rumour up to a dozen times to
+# each of two peers, which for larger objects would fill a narrow link.
+MAX_RUMOUR_BYTES = 4 * 1024
 
 
 class Gossip:
@@ -22,8 +26,9 @@
 
     Newly adopted objects are sent as rumours to a few random peers, for
     a number of rounds that grows with the logarithm of the fleet size.
-    What rumours missed is found by comparing digests with one random
-    peer at a time.
+    Small objects are pushed; of larger ones a rumour tells the versions,
+    and a peer that lacks one requests it. What rumours missed is found by
+    comparing digests with one random peer at a time.
     """
 
     def __init__(
@@ -32,6 +37,7 @@
         """Bind to a replica; the first digest goes out at once."""
         self.replica = replica
         self.rng = rng
+        self.wants = _wants.Wants()
         self.rounds_left: dict[str, int] = {}
         self.next_rumour_at = now
         self.next_digest_at = now
@@ -51,6 +57,10 @@
         messages: list[model.SendPeerMessage] = []
         if not peers:
             return messages
+        messages += [
+            model.SendPeerMessage(source, model.StateWant([name]))
+            for source, name in self.wants.due(now, self._lacks)
+        ]
         if self.rounds_left and now >= self.next_rumour_at:
             self.next_rumour_at = now + RUMOUR_INTERVAL_S
             messages += self._rumour_messages(peers)
@@ -76,9 +86,9 @@
                 del self.rounds_left[name]
         receivers = self.rng.sample(peers, min(RUMOUR_FANOUT, len(peers)))
         return [
-            model.SendPeerMessage(receiver, push)
+            model.SendPeerMessage(receiver, rumour)
             for receiver in receivers
-            for push in _split_pushes(objects, synced=False)
+            for rumour in _rumours_of(objects)
         ]
 
     def _has_object(self, name: str) -> bool:
@@ -105,7 +115,7 @@
         return [model.SendPeerMessage(sender, versions)]
 
     def on_versions(
-        self, sender: str, message: model.StateVersions
+        self, sender: str, message: model.StateVersions, now: float
     ) -> list[model.SendPeerMessage]:
         """Push objects that the sender lacks and request newer ones."""
         remote_versions = {
@@ -121,7 +131,10 @@
             if remote_versions.get(item.name, -1) < item.version
         ]
         wanted_names = [
-            name for name, v in remote_versions.items() if self._lacks(name, v)
+            name
+            for name, version in remote_versions.items()
+            if self._lacks(name, version)
+            and self.wants.on_offer(name, version, sender, now)
         ]
         replies = [
             model.SendPeerMessage(sender, push)
@@ -140,13 +153,13 @@
     def on_want(
         self, sender: str, message: model.StateWant
     ) -> list[model.SendPeerMessage]:
-        """Push the objects asked for."""
+        """Push the objects asked for, which may not be all that is known."""
         objects = [
             self.replica.objects[name]
             for name in message.names
             if self._has_object(name)
         ]
-        pushes = _split_pushes(objects, synced=self.replica.synced)
+        pushes = _split_pushes(objects, synced=False)
         return [model.SendPeerMessage(sender, push) for push in pushes]
 
     def on_push(
@@ -154,6 +167,8 @@
     ) -> list[model.StoredObject]:
         """Merge pushed objects and return those adopted."""
         adopted = self.replica.merge(message.objects, now)
+        for item in message.objects:
+            self.wants.on_received(item.name, item.version)
         if message.synced:
             self.replica.synced = True
         # A large transfer is a repair; as rumours it would flood the network.
@@ -162,6 +177,32 @@
         return adopted
 
 
+def _object_bytes(item: model.StoredObject) -> int:
+    """Return the approximate size of an object in a message."""
+    return len(item.value or '') + len(item.name) + OBJECT_OVERHEAD_BYTES
+
+
+def _rumours_of(
+    objects: list[model.StoredObject],
+) -> list[model.StatePush | model.StateVersions]:
+    """Push the smallest objects and tell the versions of the others."""
+    pushed: list[model.StoredObject] = []
+    offered: list[model.ObjectVersion] = []
+    size = 0
+    for item in sorted(objects, key=_object_bytes):
+        size += _object_bytes(item)
+        if size <= MAX_RUMOUR_BYTES:
+            pushed.append(item)
+        else:
+            offered.append(model.ObjectVersion(item.name, item.version))
+    rumours: list[model.StatePush | model.StateVersions] = []
+    if pushed:
+        rumours.append(model.StatePush(pushed, False))
+    if offered:
+        rumours.append(model.StateVersions([], offered))
+    return rumours
+
+
 def _split_pushes(
     objects: list[model.StoredObject], synced: bool
 ) -> list[model.StatePush]:
@@ -170,7 +211,7 @@
     batch: list[model.StoredObject] = []
     size = 0
     for item in objects:
-        size += len(item.value or '') + len(item.name) + OBJECT_OVERHEAD_BYTES
+        size += _object_bytes(item)
         if batch and size > MAX_PUSH_BYTES:
             pushes.append(model.StatePush(batch, False))
             batch, size = [], 0
