--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -87,3 +87,24 @@
   Scenario: a host's timers don't follow steps of the time of day
     When a process on the steady clock sets a timer and steps its time of day back
     Then the timer fires in time
+
+  Scenario Outline: <count> hosts keep a limit of <rate> a second that <who> named
+    Given <count> relay hosts whose store answers
+    When callers send 20 requests a second and <who> names a limit of <rate> a second
+    Then <who> gets at most one and a half times that and 5 requests in any 4 s
+    And callers were refused only if every runner names a limit
+
+    Examples:
+      | count | rate | who          |
+      | 8     | 1    | runner "a"   |
+      | 8     | 0.5  | runner "a"   |
+      | 8     | 6    | runner "a"   |
+      | 8     | 1    | every runner |
+      | 40    | 1    | runner "a"   |
+      | 40    | 3    | every runner |
+
+  Scenario: a runner that names no limit any more is used by all hosts again
+    Given 8 relay hosts whose store answers
+    When callers send 20 requests a second and runner "a" names a limit of 1 a second
+    And it names the limit no more while callers go on for 4 s
+    Then within 0 s every host sends to runner "a"
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -15,6 +15,13 @@
 import ragwort_model as model
 
 ANSWER_S = 0.5
+# Time before a limit must be kept, and for which it is watched.
+NOTICE_S = 3.0
+LIMITED_S = 20.0
+# A runner takes this many times its limit in a window, and some requests.
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_WINDOW_S = 4.0
 # Time for all hosts to have the last of several configurations.
 CATCH_UP_S = 60.0
 BYTES_PER_S_PER_MBPS = 1e6 / 8
@@ -365,3 +372,63 @@
 def check_in_force(context: Any, bound_s: float) -> None:
     """Compare the slowest with the bound."""
     assert max(context.in_force_s.values()) <= bound_s, context.in_force_s
+
+
+def limited_runners(context: Any, who: str) -> list[Any]:
+    """Return the runners that a step means."""
+    runners = context.world.runners
+    if who == 'every runner':
+        return list(runners)
+    return [runner for runner in runners if f'"{runner.name}"' in who]
+
+
+@when(
+    'callers send {per_s:d} requests a second and {who} names a limit of '
+    '{rate:g} a second'
+)
+def name_limit(context: Any, per_s: int, who: str, rate: float) -> None:
+    """Ask all hosts in turn; the limit holds from some seconds on."""
+    world = context.world
+    context.asks = relay_hosts.SteadyCallers(world, per_s)
+    context.asks.run(NOTICE_S)
+    context.limited = limited_runners(context, who)
+    context.rate = rate
+    for runner in context.limited:
+        runner.limit_per_s = rate
+    context.asks.run(NOTICE_S)
+    context.kept_from = world.clock.seconds()
+    context.asks.run(LIMITED_S)
+
+
+@then('{who} gets at most one and a half times that and 5 requests in any 4 s')
+def check_limit(context: Any, who: str) -> None:
+    """Count the arrivals in each window that ends with one."""
+    allowed = LIMIT_FACTOR * context.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+    for runner in limited_runners(context, who):
+        times = [a.at for a in runner.arrivals if a.at >= context.kept_from]
+        assert times, runner.name
+        most = max(
+            sum(end - LIMIT_WINDOW_S < at <= end for at in times)
+            for end in times
+        )
+        assert most <= allowed, (runner.name, most, allowed)
+
+
+@then('callers were refused only if every runner names a limit')
+def check_refusals(context: Any) -> None:
+    """Look for refusals, and for the time to come back in each."""
+    refused = [a for a in context.asks.exchanges if a.status != 200]
+    if len(context.limited) < len(context.world.runners):
+        assert not refused, [a.status for a in refused]
+    for asked in refused:
+        assert asked.status == 503, asked.status
+        value = edge.find_header(asked.headers, b'retry-after')
+        assert value is not None and float(value) > 0
+
+
+@when('it names the limit no more while callers go on for {seconds:g} s')
+def lift_limit(context: Any, seconds: float) -> None:
+    """Let the runner answer without a limit."""
+    for runner in context.limited:
+        runner.limit_per_s = None
+    context.asks.run(seconds)
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -377,3 +377,22 @@
         end = self.clock.seconds() + seconds
         while self.clock.seconds() < end:
             self.clock.advance(STEP_S)
+
+
+class SteadyCallers:
+    """Callers that ask the hosts in turn, at an even rate."""
+
+    def __init__(self, world: HostWorld, per_s: float) -> None:
+        """Prepare to ask per_s times a second."""
+        self.world = world
+        self.gap_s = 1.0 / per_s
+        self.exchanges: list[fakes.LabExchange] = []
+
+    def run(self, seconds: float) -> None:
+        """Ask for some seconds."""
+        for _ in range(round(seconds / self.gap_s)):
+            index = len(self.exchanges) % len(self.world.hosts)
+            self.exchanges.append(
+                self.world.ask(index, f'/job/{len(self.exchanges)}', 'k1')
+            )
+            self.world.run(self.gap_s)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -272,6 +272,8 @@
         self.script: list[str] = []
         self.work_s = 0.01
         self.events = 0
+        # Named in each answer, for all hosts together.
+        self.limit_per_s: float | None = None
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a request that has arrived."""
@@ -290,6 +292,8 @@
 
     def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
+        if self.limit_per_s is not None:
+            echo += ((b'limit', str(self.limit_per_s).encode()),)
         kind, _, count = step.partition(':')
         if kind == 'ok':
             call.respond(HTTP_OK, echo, b'whole')
