Keep the rate limit that a runner names, shared by all hosts

What callers saw: nothing yet. A runner in need named a limit of 1 request a second and got on with 2 to 3, at times 7, from all hosts. Cause: the relay had no rate limit of a runner; the adapter skipped the header, and runners were chosen by load and prompt cache alone. The class of fault: a bound for all hosts together that no part of the design divides. Change: relay.RateLimits. 1 + limit hosts, by a hash of runner and host, hold a limit; each sends an equal part, evenly spaced, and one that takes over waits an interval first. All others leave the runner alone and hear from peers when the limit changes or ends. First sends, repeats, streams that go on and stage calls pass it; checks of storage and releases are left out while a limit holds. A request whose runners are all held by others is refused before its stages. The header is read in platform/ alone.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -96,6 +96,9 @@
       | the mark for not run   | not run          |
       | status 421             | not run          |
       | its load               | load             |
+      | a limit of 1.5         | 1.5 a second     |
+      | a limit in words       | no limit         |
+      | a limit below zero     | no limit         |
 
   Scenario: a stage reply is read in order, a wrong number is an error
     When a runner answers for three pieces
--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -116,6 +116,12 @@
     Then the caller gets 200 after 1 runs
     And all results are freed once they were read
 
+  Scenario: stage calls, releases and checks keep the limits of runners
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    When staged requests are sent 5 times a second to runners that name a limit of 1 a second
+    Then each stage runner gets at most one and a half times that and 5 requests in any 4 s
+    And it gets more than half of what it allows
+
   Scenario: a question that crosses the answer makes nothing twice
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     And the owner of the stage services is asked again all the time
--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -103,8 +103,19 @@
       | 40    | 1    | runner "a"   |
       | 40    | 3    | every runner |
 
+  Scenario Outline: <count> hosts that restart one after another keep a limit
+    Given <count> relay hosts whose store answers
+    When callers send 20 requests a second and runner "a" names a limit of 1 a second
+    And the hosts restart in turn, one every 2 s
+    Then runner "a" gets at most one and a half times that and 5 requests in any 4 s
+
+    Examples:
+      | count |
+      | 8     |
+      | 20    |
+
   Scenario: a runner that names no limit any more is used by all hosts again
     Given 8 relay hosts whose store answers
     When callers send 20 requests a second and runner "a" names a limit of 1 a second
-    And it names the limit no more while callers go on for 4 s
+    And it names the limit no more while the others slow down for 4 s
     Then within 0 s every host sends to runner "a"
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -378,6 +378,15 @@
             503, ((b'not-executed', b'1'),)
         ),
         'status 421': edge.HttpResponse(421),
+        'a limit of 1.5': edge.HttpResponse(
+            200, (*sealed, (b'server-limit', b' 1.5'))
+        ),
+        'a limit in words': edge.HttpResponse(
+            200, (*sealed, (b'server-limit', b'one'))
+        ),
+        'a limit below zero': edge.HttpResponse(
+            200, (*sealed, (b'server-limit', b'-1'))
+        ),
         'its load': edge.HttpResponse(
             200, (*sealed, (b'server-load', b'3,1,8'))
         ),
@@ -392,6 +401,10 @@
     reply = context.reply
     if meaning == 'load':
         assert (reply.load.running, reply.load.queued) == (3, 1)
+    elif meaning == '1.5 a second':
+        assert reply.limit_per_s == 1.5
+    elif meaning == 'no limit':
+        assert reply.limit_per_s is None
     elif meaning == 'not run':
         assert reply.is_not_run
     else:
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from features.steps import relay_decision_steps
+from features.support import arrivals as support
 import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
@@ -30,6 +31,9 @@
 # The stages take about 0.2 s, so that the main call runs by then.
 DEATH_S = 0.4
 GONE = 409
+# Time for which limits are watched, and before they must be kept.
+LIMITED_S = 20.0
+NOTICE_S = 3.0
 
 
 def start_world(context: Any, count: int, hosts: int = 1) -> None:
@@ -401,3 +405,45 @@
     made = [[f.made for f in pair] for pair in context.runs]
     assert sum(a for a, _ in in_target) > sum(b for _, b in in_target)
     assert sum(a for a, _ in made) >= sum(b for _, b in made)
+
+
+@when(
+    'staged requests are sent {per_s:d} times a second to runners that name '
+    'a limit of {rate:g} a second'
+)
+def send_to_limited(context: Any, per_s: int, rate: float) -> None:
+    """Send to both hosts in turn; the first one calls the stage runners."""
+    world = context.world
+    context.rate = rate
+    for runner in context.stage_runners:
+        runner.limit_per_s = rate
+    for index in range(round(LIMITED_S * per_s)):
+        facts = edge.RequestMetadata(
+            f'request-{index}', ROUTE_S, pieces=PIECES, piece_key='key'
+        )
+        host = world.hosts[index % len(world.hosts)]
+        world.submit(host, context.route, facts)
+        world.run(1.0 / per_s)
+
+
+@then(
+    'each stage runner gets at most one and a half times that and 5 requests '
+    'in any 4 s'
+)
+def check_stage_limits(context: Any) -> None:
+    """Count all requests once the runners have named their limits."""
+    allowed = support.allowed_in_window(context.rate)
+    for runner in context.stage_runners:
+        times = [a.at for a in runner.arrivals if a.at >= NOTICE_S]
+        assert times, runner.name
+        most = support.most_in_window(times)
+        assert most <= allowed, (runner.name, most, allowed)
+
+
+@then('it gets more than half of what it allows')
+def check_stage_use(context: Any) -> None:
+    """Count the calls that make pieces at the runners of the first stage."""
+    expected = context.rate * (LIMITED_S - NOTICE_S) / 2
+    for runner in context.stage_runners[:2]:
+        times = [a.at for a in runner.arrivals if a.at >= NOTICE_S]
+        assert len(times) > expected, (runner.name, len(times), expected)
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from features.support import arrivals
 from features.support import relay_hosts
 import ragwort_edge as edge
 import ragwort_membership as membership
@@ -18,10 +19,7 @@
 # Time before a limit must be kept, and for which it is watched.
 NOTICE_S = 3.0
 LIMITED_S = 20.0
-# A runner takes this many times its limit in a window, and some requests.
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
-LIMIT_WINDOW_S = 4.0
+SLOW_WORK_S = 0.1
 # Time for all hosts to have the last of several configurations.
 CATCH_UP_S = 60.0
 BYTES_PER_S_PER_MBPS = 1e6 / 8
@@ -403,14 +401,11 @@
 @then('{who} gets at most one and a half times that and 5 requests in any 4 s')
 def check_limit(context: Any, who: str) -> None:
     """Count the arrivals in each window that ends with one."""
-    allowed = LIMIT_FACTOR * context.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+    allowed = arrivals.allowed_in_window(context.rate)
     for runner in limited_runners(context, who):
         times = [a.at for a in runner.arrivals if a.at >= context.kept_from]
         assert times, runner.name
-        most = max(
-            sum(end - LIMIT_WINDOW_S < at <= end for at in times)
-            for end in times
-        )
+        most = arrivals.most_in_window(times)
         assert most <= allowed, (runner.name, most, allowed)
 
 
@@ -426,9 +421,22 @@
         assert value is not None and float(value) > 0
 
 
-@when('it names the limit no more while callers go on for {seconds:g} s')
+@when(
+    'it names the limit no more while the others slow down for {seconds:g} s'
+)
 def lift_limit(context: Any, seconds: float) -> None:
-    """Let the runner answer without a limit."""
-    for runner in context.limited:
-        runner.limit_per_s = None
+    """Let the runner answer without a limit, and make it worth a send."""
+    for runner in context.world.runners:
+        if runner in context.limited:
+            runner.limit_per_s = None
+        else:
+            runner.work_s = SLOW_WORK_S
     context.asks.run(seconds)
+
+
+@when('the hosts restart in turn, one every {gap_s:g} s')
+def restart_in_turn(context: Any, gap_s: float) -> None:
+    """Restart each host as a process that knows nothing."""
+    for index in range(len(context.world.hosts)):
+        context.world.restart(index)
+        context.asks.run(gap_s)
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -38,11 +38,12 @@
     logger: Any
     failure_domain: str
 
-    def refusal(self, reason: str) -> RefusedError:
-        """Return an error with a randomised retry delay."""
-        return RefusedError(
-            reason, relay.retry_after_s(DEFAULT_RETRY_AFTER_S, self.rng)
-        )
+    def refusal(
+        self, reason: str, wait_s: float | None = None
+    ) -> RefusedError:
+        """Return an error with a randomised retry delay, at least wait_s."""
+        delay_s = max(wait_s or 0.0, DEFAULT_RETRY_AFTER_S)
+        return RefusedError(reason, relay.retry_after_s(delay_s, self.rng))
 
     def failure_domain_of(self, handle: str) -> str:
         """Return the failure domain that stores a result, '' if unknown."""
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -51,7 +51,9 @@
     """What the status and headers of a runner's response say.
 
     is_authentic tells whether the response answers this call and carries a
-    runner's seal; an encoded body does not come from the runner.
+    runner's seal; an encoded body does not come from the runner. limit_per_s
+    is how many requests a second the runner takes from all hosts together,
+    None if it names no limit.
     """
 
     is_authentic: bool
@@ -59,6 +61,7 @@
     is_misdirected: bool
     is_input_gone: bool
     load: model.LoadReport | None
+    limit_per_s: float | None = None
 
 
 class PieceResult(enum.StrEnum):
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -50,6 +50,11 @@
             ['message'],
             registry=self.registry,
         )
+        self.limited_runners = prometheus.Gauge(
+            'ragwort_limited_runners',
+            'Runners that name a limit of requests a second',
+            registry=self.registry,
+        )
         self.store_era = prometheus.Gauge(
             'ragwort_store_era',
             "Latest era of the store, which rises when it loses writes",
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -11,6 +11,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _request_stages
+from ragwort_edge import _runner_limits
 from ragwort_edge import _server
 from ragwort_edge import _stream
 import ragwort_model as model
@@ -185,10 +186,14 @@
     # Steps of a request.
 
     async def _run(self) -> None:
-        if self.route.stages:
-            await self._run_stages()
         service = self.route.service_for(self.metadata.request_id)
         self.log_fields['service'] = service
+        if not self.context.catalog.has_sendable(
+            service, self.context.reactor.seconds()
+        ):
+            raise self.context.refusal('other hosts hold the runners\' limits')
+        if self.route.stages:
+            await self._run_stages()
         self.context.budget.on_request(service, self.context.reactor.seconds())
         if self.route.kind == relay.CallKind.STREAM:
             await self._run_stream(service)
@@ -223,8 +228,8 @@
     ) -> relay.FleetRunner | None:
         context = self.context
         now = context.reactor.seconds()
-        usable = context.catalog.fleet.usable(service, now)
-        candidates = [r for r in usable if r.name not in tried] or usable
+        sendable = context.catalog.sendable(service, now)
+        candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
         if self.metadata.prompt:
@@ -255,7 +260,9 @@
         """Return a runner and mark it tried; raise RefusedError if none."""
         runner = self._choose_runner(service, tried)
         if runner is None:
-            raise self.context.refusal('no runner')
+            now = self.context.reactor.seconds()
+            wait_s = self.context.catalog.send_wait_s(service, now)
+            raise self.context.refusal('no runner', wait_s)
         tried.add(runner.name)
         return runner
 
@@ -344,6 +351,7 @@
                 max(MIN_SEND_TIMEOUT_S, timeout_s * SEND_TIMEOUT_SHARE),
             )
         runner.state.on_dispatch()
+        context.catalog.rate_limits.on_send(runner, sent_at)
         try:
             response = await _client.fetch(
                 context.client,
@@ -377,6 +385,15 @@
         )
         if reply.load is not None:
             runner.state.on_report(reply.load, now)
+        _runner_limits.on_reply(
+            self.context.catalog,
+            self.context.logger,
+            runner,
+            reply,
+            reply.is_authentic,
+            now - took_s,
+            now,
+        )
         if reply.is_not_run:
             runner.is_misdirected |= reply.is_misdirected
             return _SendOutcome(
@@ -458,6 +475,7 @@
         last_event = progress.last_event_id
         reader = _stream.StreamReader(self, runner, progress)
         runner.state.on_dispatch()
+        context.catalog.rate_limits.on_send(runner, reader.opened_at)
         context.catalog.prompt_cache.record(runner.name, self.metadata.prompt)
         reader.open(self._main_request(runner, last_event))
         try:
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -10,6 +10,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
+from ragwort_edge import _runner_limits
 import ragwort_model as model
 import ragwort_relay as relay
 
@@ -185,6 +186,9 @@
         now = self.reactor.seconds()
         for runner in runners:
             due = self.storage_check_due.get(runner.name, -math.inf)
+            if self.catalog.rate_limits.is_limited(runner, now):
+                # The requests that it takes are kept for work.
+                continue
             if now < due or not batcher.storage.may_hold_foreign(
                 runner.name, now
             ):
@@ -238,7 +242,8 @@
         if batcher.queue:
             self._check_storage(batcher, runners)
         queued_s = self._downstream_queues_s(service, now)
-        for call in batcher.next_calls(runners, now, queued_s):
+        sendable = self.catalog.sendable(service, now)
+        for call in batcher.next_calls(sendable, now, queued_s):
             self._send_call(service, batcher, call)
         if batcher.queue:
             self.schedule_dispatch(service, DISPATCH_INTERVAL_S)
@@ -256,8 +261,10 @@
     def _send_call(
         self, service: str, batcher: relay.Batcher, call: relay.BatchCall
     ) -> None:
-        request = self.dialect.stage_request(call, self.reactor.seconds())
+        now = self.reactor.seconds()
+        request = self.dialect.stage_request(call, now)
         call.runner.state.on_dispatch()
+        self.catalog.rate_limits.on_send(call.runner, now)
         for piece in call.pieces:
             piece.group.sends += 1
         self._log_call(service, batcher, call)
@@ -313,6 +320,15 @@
         state = call.runner.state
         if reply.load is not None:
             state.on_report(reply.load, now)
+        _runner_limits.on_reply(
+            self.catalog,
+            self.logger,
+            call.runner,
+            reply,
+            response.status == 200,
+            call.sent_at,
+            now,
+        )
         if response.status != 200:
             if reply.is_misdirected:
                 call.runner.is_misdirected = True
@@ -492,7 +508,14 @@
     def _send_releases(self) -> None:
         self.release_timer = None
         releases, self.releases = self.releases, {}
+        limited = self.catalog.limited_addresses(self.reactor.seconds())
         for address, handles in releases.items():
+            if address in limited:
+                # They expire; the requests that it takes are kept for work.
+                self.logger.info(
+                    'release-skipped', runner=address, results=len(handles)
+                )
+                continue
             request = self.dialect.release_request(address, handles)
             done = _client.fetch(
                 self.client, address, request, RELEASE_TIMEOUT_S
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -108,7 +108,7 @@
     def refresh_waits(self, services: Iterable[str]) -> None:
         """Update the known queueing times of local queues."""
         for service in services:
-            if self._choose_owner(service) is None:
+            if self.owns(service):
                 self.local_owner.update_wait(service)
 
     def _choose_owner(self, service: str) -> str | None:
@@ -118,6 +118,10 @@
                 return owner
         return None
 
+    def owns(self, service: str) -> bool:
+        """Tell whether this host makes the calls to a service's runners."""
+        return self._choose_owner(service) is None
+
     def _is_avoided(self, owner: str) -> bool:
         return bool(
             self.avoided_owners.get(owner, 0.0) > self.reactor.seconds()
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -7,6 +7,7 @@
 
 from ragwort_edge import _client
 from ragwort_edge import _messages
+from ragwort_edge import _runner_limits
 import ragwort_relay as relay
 
 if TYPE_CHECKING:
@@ -92,10 +93,18 @@
         reply = self.context.dialect.read_reply(
             response, self.handler.metadata.request_id
         )
+        now = self.context.reactor.seconds()
         if reply.load is not None:
-            self.runner.state.on_report(
-                reply.load, self.context.reactor.seconds()
-            )
+            self.runner.state.on_report(reply.load, now)
+        _runner_limits.on_reply(
+            self.context.catalog,
+            self.context.logger,
+            self.runner,
+            reply,
+            reply.is_authentic,
+            self.opened_at,
+            now,
+        )
         self.is_event_stream = (
             response.status == 200
             and reply.is_authentic
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -83,12 +83,14 @@
         """Return what a runner's response says."""
         echoed = (response.header(b'echo') or b'').decode()
         not_run = response.header(b'not-run') is not None
+        limit = response.header(b'limit')
         return edge.RunnerReply(
             echoed == request_id,
             not_run,
             response.status == 421,
             response.status == 409,
             None,
+            float(limit) if limit else None,
         )
 
     def stage_request(
@@ -170,6 +172,14 @@
         self.address = address
         self.domain = domain
         self.arrivals: list[Arrival] = []
+        # Named in each answer, for all hosts together.
+        self.limit_per_s: float | None = None
+
+    def limit_header(self) -> edge.Headers:
+        """Return the header that names the limit, if there is one."""
+        if self.limit_per_s is None:
+            return ()
+        return ((b'limit', str(self.limit_per_s).encode()),)
 
     def serve(self, request: edge.HttpRequest, open_call: 'LabCall') -> None:
         """Take a request that has arrived."""
@@ -272,8 +282,6 @@
         self.script: list[str] = []
         self.work_s = 0.01
         self.events = 0
-        # Named in each answer, for all hosts together.
-        self.limit_per_s: float | None = None
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a request that has arrived."""
@@ -292,8 +300,7 @@
 
     def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
-        if self.limit_per_s is not None:
-            echo += ((b'limit', str(self.limit_per_s).encode()),)
+        echo += self.limit_header()
         kind, _, count = step.partition(':')
         if kind == 'ok':
             call.respond(HTTP_OK, echo, b'whole')
@@ -358,19 +365,23 @@
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a call that makes pieces or frees results."""
+        self.arrivals.append(
+            Arrival(self.clock.seconds(), self.name, request, {})
+        )
         if request.target == b'/free':
             for handle in json.loads(request.body):
                 self.results.pop(handle, None)
-            open_call.respond(HTTP_OK)
+            open_call.respond(HTTP_OK, self.limit_header())
             return
         if request.target == b'/room':
             used = sum(self.results.values())
             free = self.limits.storage_bytes - used
-            open_call.respond(HTTP_OK, (), str(free).encode())
+            open_call.respond(HTTP_OK, self.limit_header(), str(free).encode())
             return
         if len(self.waiting) >= QUEUE:
             self.turned_away += 1
-            open_call.respond(HTTP_FULL, ((b'not-run', b'1'),))
+            headers = ((b'not-run', b'1'), *self.limit_header())
+            open_call.respond(HTTP_FULL, headers)
             return
         self.waiting.append((request, open_call))
         self._next()
@@ -414,7 +425,7 @@
         self, made: list[tuple[str, str | None]], call: LabCall
     ) -> None:
         self.is_busy = False
-        call.respond(HTTP_OK, (), json.dumps(made).encode())
+        call.respond(HTTP_OK, self.limit_header(), json.dumps(made).encode())
         self._next()
 
 
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -61,6 +61,8 @@
 from ragwort_model._peer import PeerMessage
 from ragwort_model._peer import PieceOutcome
 from ragwort_model._peer import Ping
+from ragwort_model._peer import RunnerLimit
+from ragwort_model._peer import RunnerLimits
 from ragwort_model._peer import SendPeerMessage
 from ragwort_model._peer import ServiceWait
 from ragwort_model._peer import StageAsk
@@ -197,6 +199,8 @@
     'Service',
     'ServiceDocument',
     'ServiceKind',
+    'RunnerLimit',
+    'RunnerLimits',
     'ServiceWait',
     'SettingsError',
     'split_address',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -262,6 +262,27 @@
     handles: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerLimit:
+    """Requests a second that a runner takes from all hosts together.
+
+    rate_per_s is None if the runner names no limit any more; age_s is the
+    time since its answer said so. started_ms tells its incarnation.
+    """
+
+    runner: str
+    started_ms: int
+    rate_per_s: float | None
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerLimits:
+    """Limits of runners that the sender knows."""
+
+    limits: list[RunnerLimit]
+
+
 PeerMessage = (
     Ping
     | Ack
@@ -280,6 +301,7 @@
     | StageReply
     | StageDrop
     | StageRelease
+    | RunnerLimits
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -24,6 +24,8 @@
 from ragwort_relay._fleet import Fleet
 from ragwort_relay._fleet import FleetRunner
 from ragwort_relay._fleet import RunnerEntry
+from ragwort_relay._limits import RateLimits
+from ragwort_relay._limits import SPREAD_FANOUT
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import SLACK_PER_RANK_S
 from ragwort_relay._order import Throughput
@@ -86,11 +88,13 @@
     'retry_after_s',
     'RetryBudget',
     'Route',
+    'RateLimits',
     'RunnerEntry',
     'SendResult',
     'ServiceShare',
     'ServiceSpec',
     'SLACK_PER_RANK_S',
+    'SPREAD_FANOUT',
     'StageRun',
     'StageSpec',
     'StreamEvent',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -4,6 +4,7 @@
 
 import ragwort_model as model
 from ragwort_relay import _fleet
+from ragwort_relay import _limits
 from ragwort_relay import _prompts
 from ragwort_relay import _routes
 from ragwort_relay import _sharing
@@ -42,11 +43,48 @@
         self.decoder = decoder
         self.configuration: _routes.RelayConfiguration | None = None
         self.fleet = _fleet.Fleet()
+        self.rate_limits = _limits.RateLimits()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
         self.problems: dict[str, str] = {}
         self.now = 0.0
 
+    def sendable(self, service: str, now: float) -> list[_fleet.FleetRunner]:
+        """Return a service's usable runners whose limits allow a request."""
+        return [
+            runner
+            for runner in self.fleet.usable(service, now)
+            if self.rate_limits.may_send(runner, now)
+        ]
+
+    def send_wait_s(self, service: str, now: float) -> float | None:
+        """Return the time until this host may send to a runner of a service.
+
+        None means that there is no such runner.
+        """
+        waits_s = [
+            self.rate_limits.wait_s(runner, now)
+            for runner in self.fleet.usable(service, now)
+        ]
+        return min((s for s in waits_s if s is not None), default=None)
+
+    def has_sendable(self, service: str, now: float) -> bool:
+        """Tell whether this host sends to any of a service's runners.
+
+        It does not if other hosts hold the limits of all of them.
+        """
+        usable = self.fleet.usable(service, now)
+        return not usable or self.send_wait_s(service, now) is not None
+
+    def limited_addresses(self, now: float) -> set[str]:
+        """Return the addresses of the runners that name a limit."""
+        found = [self.fleet.runners.get(n) for n in self.rate_limits.limits]
+        return {
+            runner.address
+            for runner in found
+            if runner is not None and self.rate_limits.is_limited(runner, now)
+        }
+
     def apply(self, item: model.StoredObject) -> None:
         """Apply a newer version of a stored object."""
         try:
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -153,6 +153,17 @@
   2: list<string> handles
 }
 
+struct RunnerLimit {
+  1: string runner
+  2: i64 started_ms
+  3: optional double rate_per_s
+  4: double age_s
+}
+
+struct RunnerLimits {
+  1: list<RunnerLimit> limits
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -173,4 +184,5 @@
   24: optional StageReply stage_reply
   25: optional StageDrop stage_drop
   26: optional StageRelease stage_release
+  27: optional RunnerLimits runner_limits
 }
