Take the first page's revision for that of a paged list

The list took the revision of its last page, and the watch that follows began behind it: an object of an earlier page that changed in between was missed until it changed again, e.g. a runner that leaves. Change: the revision is that of the first page; the watch brings what changed meanwhile, some of it twice, which versions order. The scenario that expected the last page's revision was wrong for the reason above and now expects the first page's, as strictly.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -106,7 +106,11 @@
 
   Scenario: the store is listed page by page
     When the store lists runners on two pages
-    Then all of them come back with the store's revision
+    Then all of them come back with the revision of the first page
+
+  Scenario: a change between two pages of a list is not missed
+    When a runner of the first page leaves before the second is read
+    Then the watch behind the list brings that it leaves
 
   Scenario: a watch brings the last state of each object
     When a watch brings a change, a deletion and a return
