Skip limits from peers that are no number of requests

Cause: a frame that is well-formed may still hold a rate that is infinite, not a number or negative; counting the holders of such a limit raised an error in the host's tick. Change: such an entry is logged and skipped, the others of the message hold.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -114,6 +114,17 @@
       | 8     |
       | 20    |
 
+  Scenario Outline: a limit of <rate> a second from a peer is skipped
+    Given 2 relay hosts whose store answers
+    When a peer tells host 0 that runner "a" names a limit of <rate> a second
+    Then host 0 knows no limit and host 1 is told none
+
+    Examples:
+      | rate |
+      | nan  |
+      | inf  |
+      | -1   |
+
   Scenario: a runner that names no limit any more is used by all hosts again
     Given 8 relay hosts whose store answers
     When callers send 20 requests a second and runner "a" names a limit of 1 a second
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -14,6 +14,7 @@
 import ragwort_edge as edge
 import ragwort_membership as membership
 import ragwort_model as model
+import ragwort_wire as wire
 
 ANSWER_S = 0.5
 # Time before a limit must be kept, and for which it is watched.
@@ -440,3 +441,23 @@
     for index in range(len(context.world.hosts)):
         context.world.restart(index)
         context.asks.run(gap_s)
+
+
+@when(
+    'a peer tells host {index:d} that runner "{name}" names a limit of {rate} '
+    'a second'
+)
+def tell_limit(context: Any, index: int, name: str, rate: str) -> None:
+    """Deliver a frame as a damaged peer might send it."""
+    host = context.world.hosts[index]
+    limit = model.RunnerLimit(f'runner/{name}', 1, float(rate), 0.0)
+    data = wire.encode_peer('10.0.1.1:84', model.RunnerLimits([limit]))
+    host._on_frame(wire.decode_peer(data))
+    context.world.run(ANSWER_S)
+
+
+@then('host {index:d} knows no limit and host {other:d} is told none')
+def check_no_limit(context: Any, index: int, other: int) -> None:
+    """Look at both hosts."""
+    for number in (index, other):
+        assert not context.world.hosts[number].catalog.rate_limits.limits
--- a/libs/ragwort_edge/ragwort_edge/_runner_limits.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_limits.py
@@ -1,6 +1,7 @@
 """Limits of runners, as their answers and other hosts tell them."""
 
 from collections.abc import Iterable
+import math
 from typing import Any
 
 from ragwort_edge import _dialect
@@ -43,8 +44,14 @@
     told: Iterable[model.RunnerLimit],
     now: float,
 ) -> None:
-    """Record what another host knows of limits."""
-    for item in catalog.rate_limits.merge(told, now):
+    """Record what another host knows of limits; skip damaged ones."""
+    sound = []
+    for item in told:
+        if _is_sound(item):
+            sound.append(item)
+        else:
+            logger.warning('invalid-runner-limit', limit=repr(item))
+    for item in catalog.rate_limits.merge(sound, now):
         logger.info(
             'runner-limit',
             runner=item.runner,
@@ -52,3 +59,8 @@
             source='peer',
             age_s=round(item.age_s, 3),
         )
+
+
+def _is_sound(item: model.RunnerLimit) -> bool:
+    rate_per_s = item.rate_per_s or 0.0
+    return 0.0 <= rate_per_s < math.inf and math.isfinite(item.age_s)
