--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -11,10 +11,11 @@
     callers: int = 12,
     faults_s: float = run.FAULTS_S,
     restores: bool = False,
+    limits: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
-        seed or run.fresh_seed(), hosts, callers, faults_s, restores
+        seed or run.fresh_seed(), hosts, callers, faults_s, restores, limits
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -25,6 +25,11 @@
 RESTORE_GAP_S = (0.3, 1.2)
 REWRITE_S = (0.3, 1.5)
 RESTORE = 'store-restored'
+LIMIT = 'runner-limit'
+# Requests a second that a runner takes while it names a limit, and for how
+# long it does.
+LIMITS_PER_S = (0.5, 1.0, 2.0, 4.0)
+LIMITED_S = (6.0, 10.0)
 
 Undo = Callable[[], None]
 
@@ -362,7 +367,22 @@
     for_s: float
 
 
+def _limit_runners(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have some runners name a limit, until the end or their restart."""
+    rate_per_s = rng.choice(LIMITS_PER_S)
+    chosen = _some_runners(whole, rng)
+    for runner in chosen:
+        runner.name_limit(rate_per_s)
+
+    def end() -> None:
+        for runner in chosen:
+            runner.name_limit(None)
+
+    return Begun('none', end)
+
+
 EXTRA_FAULTS[RESTORE] = _restore_store
+EXTRA_FAULTS[LIMIT] = _limit_runners
 
 
 def draw_restores(rng: random.Random, length_s: float) -> list[Planned]:
@@ -375,6 +395,14 @@
     return plan
 
 
+def draw_limits(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return one or two limits that overlap."""
+    starts = [
+        rng.uniform(0.0, length_s / 3) for _ in range(rng.choice((1, 2)))
+    ]
+    return [Planned(LIMIT, at, rng.uniform(*LIMITED_S)) for at in starts]
+
+
 def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
     """Return faults in series, or overlapping, as the seed has it."""
     overlap = rng.random() < 0.6
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -14,6 +14,15 @@
     ran: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitedArrival:
+    """Any request to a runner that names a limit, and has for a while."""
+
+    runner: str
+    rate_per_s: float
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """One request as its caller saw it, times in seconds.
@@ -72,6 +81,7 @@
     """
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    limited: list[LimitedArrival] = dataclasses.field(default_factory=list)
     outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -7,6 +7,7 @@
 from features.soak import clients
 from features.soak import hosts
 from features.soak import ledger
+from features.support import arrivals
 
 # Time within which a change of keys is in force, and slack for the host
 # that is asked and for this machine.
@@ -168,6 +169,21 @@
             return
 
 
+@promise('limit')
+def limit(records: ledger.Ledger) -> Iterator[str]:
+    """A runner gets little more than the limit that it names."""
+    by_runner: dict[str, list[ledger.LimitedArrival]] = (
+        collections.defaultdict(list)
+    )
+    for arrival in records.limited:
+        by_runner[arrival.runner].append(arrival)
+    for runner, found in by_runner.items():
+        allowed = arrivals.allowed_in_window(found[0].rate_per_s)
+        most = arrivals.most_in_window(arrival.at for arrival in found)
+        if most > allowed:
+            yield f'{runner} got {most} requests in 4 s, allowed {allowed:g}'
+
+
 @promise('leaving')
 def leaving(records: ledger.Ledger) -> Iterator[str]:
     """A host that is told to leave ends what it took in, in time."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -29,8 +29,9 @@
 class SoakOptions:
     """What to play; faults_s is how long faults go on.
 
-    has_restores adds returns of the store from an older copy, drawn apart
-    so that the other faults of a seed stay the same.
+    has_restores adds returns of the store from an older copy, has_limits
+    runners that name a limit; both are drawn apart so that the other faults
+    of a seed stay the same.
     """
 
     seed: int
@@ -38,6 +39,7 @@
     callers: int = 12
     faults_s: float = FAULTS_S
     has_restores: bool = False
+    has_limits: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,6 +90,8 @@
         self.plan = faults.draw_plan(self.rng, options.faults_s)
         if options.has_restores:
             self.plan += faults.draw_restores(self.extra_rng, options.faults_s)
+        if options.has_limits:
+            self.plan += faults.draw_limits(self.extra_rng, options.faults_s)
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -28,6 +28,8 @@
 LAPSE_S = 3.6
 # Time that a leaving runner goes on serving.
 DRAIN_S = 2.0
+# Time after a runner names a limit from which hosts must keep it.
+LIMIT_NOTICE_S = 3.0
 SEAL = (b'response-seal', b'soak')
 NOT_RUN = (b'not-executed', b'1')
 
@@ -79,6 +81,8 @@
         self.service = service
         self.zone = zone
         self.mode = RunnerMode.OK
+        self.limit_per_s: float | None = None
+        self.limited_at = 0.0
         self.running = 0
         self.handles: set[str] = set()
         self.is_draining = False
@@ -110,6 +114,7 @@
         self.born = int(time.time() * 1000)
         self.is_draining = False
         self.is_up = True
+        self.limit_per_s = None
         self.register()
 
     def register(self) -> None:
@@ -124,6 +129,11 @@
         }
         self.store.put(KIND, self.identifier, entry)
 
+    def name_limit(self, rate_per_s: float | None) -> None:
+        """Name a limit in all answers from now on, or none."""
+        self.limit_per_s = rate_per_s
+        self.limited_at = self.reactor.seconds()
+
     def crash(self) -> None:
         """End without a word; the entry lapses later."""
         if not self.is_up:
@@ -164,7 +174,16 @@
 
     # What it is asked.
 
+    def _note_limited(self) -> None:
+        now = self.reactor.seconds()
+        rate_per_s = self.limit_per_s
+        if rate_per_s is not None and now >= self.limited_at + LIMIT_NOTICE_S:
+            self.records.limited.append(
+                ledger.LimitedArrival(self.identifier, rate_per_s, now)
+            )
+
     def _on_call(self, exchange: edge.Exchange) -> None:
+        self._note_limited()
         if self.mode == RunnerMode.HANG:
             self._note_main(exchange, True)
             return
@@ -197,12 +216,23 @@
         request_id = exchange.request.header(b'request-id') or b''
         if self.mode == RunnerMode.FOREIGN:
             request_id = b'another'
-        headers = ((b'request-id', request_id), SEAL, self._load(), *extra)
+        headers = (
+            (b'request-id', request_id),
+            SEAL,
+            self._load(),
+            *self._limit(),
+            *extra,
+        )
         exchange.respond(edge.HttpResponse(status, headers, body))
 
     def _load(self) -> tuple[bytes, bytes]:
         return b'server-load', b'%d,0,%d' % (self.running, SLOTS)
 
+    def _limit(self) -> edge.Headers:
+        if self.limit_per_s is None:
+            return ()
+        return ((b'server-limit', str(self.limit_per_s).encode()),)
+
     def _note_main(self, exchange: edge.Exchange, ran: bool) -> None:
         request = exchange.request
         if request.path not in self._handlers():
@@ -267,6 +297,7 @@
             (b'content-type', b'text/event-stream'),
             (b'transfer-encoding', b'chunked'),
             SEAL,
+            *self._limit(),
         )
         exchange.start(200, headers)
         self._next_event(exchange, request_id, last + 1, self.born)
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -20,15 +20,21 @@
     kept = yaml.safe_load(KEPT_FILE.read_text()) or []
     return [
         _options(
-            entry['seed'], entry.get('hosts', 4), entry.get('restores', False)
+            entry['seed'],
+            entry.get('hosts', 4),
+            entry.get('restores', False),
+            entry.get('limits', False),
         )
         for entry in kept
     ]
 
 
-def _options(seed: int, hosts: int, has_restores: bool) -> list[str]:
+def _options(
+    seed: int, hosts: int, has_restores: bool, has_limits: bool
+) -> list[str]:
     options = [f'--seed={seed}', f'--hosts={hosts}']
-    return [*options, '--restores'] if has_restores else options
+    options += ['--restores'] if has_restores else []
+    return [*options, '--limits'] if has_limits else options
 
 
 def _play(options: list[str]) -> bool:
@@ -49,11 +55,13 @@
     minutes: float = typer.Option(0.0, help='Time for fresh seeds.'),
     kept: bool = typer.Option(False, help='Seeds that failed once, first.'),
     restores: bool = typer.Option(False, help='Restore the store as well.'),
+    limits: bool = typer.Option(False, help='Let runners name limits too.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
     plays = kept_options() if kept else []
     plays += [
-        _options(seed, 4, restores) for seed in range(first, first + count)
+        _options(seed, 4, restores, limits)
+        for seed in range(first, first + count)
     ]
     results = [_play(options) for options in plays]
     rng = random.Random(run.fresh_seed())
@@ -61,7 +69,7 @@
     while time.monotonic() < until:
         seed = run.fresh_seed()
         hosts = rng.choice((3, 4, 6))
-        results.append(_play(_options(seed, hosts, restores)))
+        results.append(_play(_options(seed, hosts, restores, limits)))
     typer.echo(f'{sum(results)} of {len(results)} seeds kept all promises')
     if not all(results):
         raise typer.Exit(1)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 from features.soak import ledger
 from features.soak import promises
 from features.soak import runners
+from features.support import arrivals as support
 
 RUN_TIMEOUT_S = 120.0
 # The sound run's only fault was over by then.
@@ -26,6 +27,22 @@
 )
 def play(context: Any, seed: int, count: int, faults_s: int) -> None:
     """Run the soak as a process of its own."""
+    run_soak(context, seed, count, faults_s)
+
+
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, limits '
+    'and {faults_s:d} s of faults'
+)
+def play_limits(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with runners that name limits."""
+    run_soak(context, seed, count, faults_s, '--limits')
+
+
+def run_soak(
+    context: Any, seed: int, count: int, faults_s: int, *more: str
+) -> None:
+    """Run the soak as a process of its own and keep what it prints."""
     context.run = subprocess.run(
         [
             sys.executable,
@@ -34,6 +51,7 @@
             f'--seed={seed}',
             f'--hosts={count}',
             f'--faults-s={faults_s}',
+            *more,
         ],
         capture_output=True,
         text=True,
@@ -194,6 +212,16 @@
         records.arrivals[-1].ran = False
 
 
+@defect('a limited runner that gets too much')
+def exceed_limit(records: ledger.Ledger) -> None:
+    """Send one request more than the limit allows within 4 s."""
+    allowed = int(support.allowed_in_window(1.0))
+    records.limited += [
+        ledger.LimitedArrival('i-0001', 1.0, 10.0 + index / 10)
+        for index in range(allowed + 1)
+    ]
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
