Move the sharing of runners' limits out of the host

Change: LimitSharing beside the recording of answers; the windows in which tests count arrivals are named for what they are. No decision changes.

--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -7,7 +7,7 @@
 from features.soak import clients
 from features.soak import hosts
 from features.soak import ledger
-from features.support import arrivals
+from features.support import limit_windows
 
 # Time within which a change of keys is in force, and slack for the host
 # that is asked and for this machine.
@@ -178,8 +178,8 @@
     for arrival in records.limited:
         by_runner[arrival.runner].append(arrival)
     for runner, found in by_runner.items():
-        allowed = arrivals.allowed_in_window(found[0].rate_per_s)
-        most = arrivals.most_in_window(arrival.at for arrival in found)
+        allowed = limit_windows.allowed_in_window(found[0].rate_per_s)
+        most = limit_windows.most_in_window(arrival.at for arrival in found)
         if most > allowed:
             yield f'{runner} got {most} requests in 4 s, allowed {allowed:g}'
 
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 
 from features.steps import relay_decision_steps
-from features.support import arrivals as support
+from features.support import limit_windows
 import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
@@ -432,11 +432,11 @@
 )
 def check_stage_limits(context: Any) -> None:
     """Count all requests once the runners have named their limits."""
-    allowed = support.allowed_in_window(context.rate)
+    allowed = limit_windows.allowed_in_window(context.rate)
     for runner in context.stage_runners:
         times = [a.at for a in runner.arrivals if a.at >= NOTICE_S]
         assert times, runner.name
-        most = support.most_in_window(times)
+        most = limit_windows.most_in_window(times)
         assert most <= allowed, (runner.name, most, allowed)
 
 
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -9,7 +9,7 @@
 from behave import then
 from behave import when
 
-from features.support import arrivals
+from features.support import limit_windows
 from features.support import relay_hosts
 import ragwort_edge as edge
 import ragwort_membership as membership
@@ -402,11 +402,11 @@
 @then('{who} gets at most one and a half times that and 5 requests in any 4 s')
 def check_limit(context: Any, who: str) -> None:
     """Count the arrivals in each window that ends with one."""
-    allowed = arrivals.allowed_in_window(context.rate)
+    allowed = limit_windows.allowed_in_window(context.rate)
     for runner in limited_runners(context, who):
         times = [a.at for a in runner.arrivals if a.at >= context.kept_from]
         assert times, runner.name
-        most = arrivals.most_in_window(times)
+        most = limit_windows.most_in_window(times)
         assert most <= allowed, (runner.name, most, allowed)
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,7 +14,7 @@
 from features.soak import ledger
 from features.soak import promises
 from features.soak import runners
-from features.support import arrivals as support
+from features.support import limit_windows
 
 RUN_TIMEOUT_S = 120.0
 # The sound run's only fault was over by then.
@@ -215,7 +215,7 @@
 @defect('a limited runner that gets too much')
 def exceed_limit(records: ledger.Ledger) -> None:
     """Send one request more than the limit allows within 4 s."""
-    allowed = int(support.allowed_in_window(1.0))
+    allowed = int(limit_windows.allowed_in_window(1.0))
     records.limited += [
         ledger.LimitedArrival('i-0001', 1.0, 10.0 + index / 10)
         for index in range(allowed + 1)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -32,7 +32,6 @@
 WATCHER_COUNT = 10
 STORE_WATCHER_ROLE = 'store-watcher'
 HOST_CLEANUP_ROLE = 'host-janitor'
-LIMIT_HOLDER_ROLE = 'limit-holder'
 # Time after which the entry of a host that is down is deleted.
 HOST_EXPIRY_S = 60.0
 # Delay between join attempts of a host that knows no other: until it joins,
@@ -111,7 +110,6 @@
         now = reactor.seconds()
         self.started_at = now
         self.catalog = relay.RelayCatalog(dialect)
-        self.catalog.rate_limits.count_holders = self._limit_holders
         self.replica = state.Replica(self.catalog)
         self.store_era = state.StoreEra()
         self.gossip = state.Gossip(self.replica, self.rng, now)
@@ -156,6 +154,14 @@
             self._send_peer,
             self._stage_owner_candidates,
         )
+        self.limit_sharing = _runner_limits.LimitSharing(
+            self.catalog,
+            self.members,
+            self.stages,
+            self.rng,
+            self.metrics,
+            logger,
+        )
         self.context = _context.RelayContext(
             reactor,
             self.rng,
@@ -283,7 +289,7 @@
         self.catalog.fleet.remove_expired(now)
         messages = self.members.tick(now, wall)
         messages += self.gossip.tick(now, self.members.peer_addresses())
-        messages += self._limit_messages(now)
+        messages += self.limit_sharing.messages(now)
         for message in messages:
             self._send_peer(message)
         self._watch(now)
@@ -307,35 +313,6 @@
             return
         self.reactor.callLater(TICK_S, self._tick)
 
-    def _limit_messages(self, now: float) -> list[model.SendPeerMessage]:
-        """Tell some hosts the limits of runners, if it is time to."""
-        limits = self.catalog.rate_limits.to_spread(now)
-        limited = self.catalog.limited_addresses(now)
-        self.metrics.limited_runners.set(len(limited))
-        peer_addresses = self.members.peer_addresses()
-        count = min(relay.SPREAD_FANOUT, len(peer_addresses))
-        if not limits:
-            return []
-        return [
-            model.SendPeerMessage(address, model.RunnerLimits(limits))
-            for address in self.rng.sample(peer_addresses, count)
-        ]
-
-    def _limit_holders(self, runner: relay.FleetRunner, most: int) -> int:
-        """Return how many hosts send to a runner, 0 if this one does not.
-
-        Calls to a stage runner come from the owner of its service alone.
-        """
-        service = runner.entry.runner.service
-        configuration = self.catalog.configuration
-        spec = configuration.services.get(service) if configuration else None
-        if spec is not None and spec.batch_limits is not None:
-            return int(self.stages.owns(service))
-        role = f'{LIMIT_HOLDER_ROLE}/{runner.name}'
-        if not membership.is_elected(self.members, role, most, None):
-            return 0
-        return min(most, len(self.members.live()))
-
     def _update_readiness(self, now: float) -> None:
         if self.is_ready == self.was_ready:
             return
@@ -494,9 +471,7 @@
                 count = len(members.peer_addresses())
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
             case model.RunnerLimits():
-                _runner_limits.on_told(
-                    self.catalog, self.logger, message.limits, now
-                )
+                self.limit_sharing.on_told(message.limits, now)
             case _:
                 self.stages.on_peer(sender, message)
         return []
