--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -47,6 +47,18 @@
     And configurations of 87 KB come every 0.37 s for 5 s
     Then each was in force on every host within 3 s
 
+  Scenario Outline: <count> hosts whose watches lost their answers hear of a change in time
+    Given <count> relay hosts whose store answers
+    When the store loses the answers to all open watches and key "k1" is withdrawn
+    Then within <bound> s every host answers key "k1" with 401
+
+    Examples:
+      | count | bound |
+      | 1     | 2     |
+      | 3     | 2     |
+      | 8     | 2     |
+      | 40    | 3     |
+
   Scenario: a leaving runner gets nothing new from any host
     Given 3 relay hosts whose store answers
     When the store turns host 2 away and runner "a" is leaving
--- a/features/scale.feature
+++ b/features/scale.feature
@@ -14,6 +14,7 @@
       | undisturbed                |
       | with all but one watcher dead |
       | with one message in ten lost  |
+      | with the answers to watches lost |
 
   Scenario: idle nodes send little
     When 40 settled nodes are idle for 20 s
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -154,6 +154,19 @@
         world.objects.ways[index].is_silent = True
 
 
+@when(
+    'the store loses the answers to all open watches and key "{key}" '
+    'is withdrawn'
+)
+def lose_watches(context: Any, key: str) -> None:
+    """Change the keys once no open watch can bring the change."""
+    world = context.world
+    world.run(WATCH_S)
+    for way in world.objects.ways:
+        way.lose_watches()
+    world.keep_keys(['other'])
+
+
 @when('key "{key}" is withdrawn')
 def withdraw_key(context: Any, key: str) -> None:
     """Leave only another key."""
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -11,6 +11,7 @@
     'undisturbed': lambda world: world,
     'with all but one watcher dead': lab.without_watchers,
     'with one message in ten lost': lab.with_loss,
+    'with the answers to watches lost': lab.with_lost_watches,
 }
 
 
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -20,6 +20,8 @@
 DOMAINS = ('north', 'east', 'south')
 LINK_S = 0.002
 STEP_S = 0.01
+# Time that a client of the store waits for an answer beyond a watch's wait.
+WATCH_MARGIN_S = 2.0
 
 
 class Decoder(fakes.LabDialect):
@@ -112,6 +114,17 @@
             )
             self.objects.clock.callLater(LINK_S, self.on_result, failed)
 
+    def lose_watches(self) -> None:
+        """Lose the answers to the open watches; their clients time out."""
+        lost, self.open = self.open, []
+        for effect in lost:
+            failed = model.StoreResult(
+                effect.op, model.StoreStatus.UNAVAILABLE
+            )
+            self.objects.clock.callLater(
+                effect.wait_s + WATCH_MARGIN_S, self.on_result, failed
+            )
+
     def notify(self) -> None:
         """Answer the open watches that have something to hear."""
         if self.is_silent:
--- a/libs/ragwort_fakes/ragwort_fakes/_platform.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_platform.py
@@ -281,6 +281,10 @@
             return self._ok(watch.call, changes)
         return None
 
+    def lose_watches(self) -> None:
+        """Answer the open watches never: their connections are dead."""
+        self.watches.clear()
+
     def drop_watches(self, caller: str) -> None:
         """Drop the watches of a caller that has disconnected."""
         self.watches = [w for w in self.watches if w.caller != caller]
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -33,6 +33,7 @@
 from ragwort_lab._scale_bench import scale_world
 from ragwort_lab._scale_bench import spread_s
 from ragwort_lab._scale_bench import with_loss
+from ragwort_lab._scale_bench import with_lost_watches
 from ragwort_lab._scale_bench import without_watchers
 from ragwort_lab._stage_bench import DOMAIN
 from ragwort_lab._stage_bench import PATTERNS
@@ -99,6 +100,7 @@
     'Victim',
     'violations',
     'with_loss',
+    'with_lost_watches',
     'without_watchers',
     'World',
     'WorldShape',
--- a/libs/ragwort_lab/ragwort_lab/_scale_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_scale_bench.py
@@ -132,6 +132,12 @@
     return world
 
 
+def with_lost_watches(world: _world.World) -> _world.World:
+    """Lose the answers to all open watches at the moment of the change."""
+    world.platform.lose_watches()
+    return world
+
+
 def spread_s(world: _world.World) -> float:
     """Change a target; return when all living nodes have it in force."""
     name = 'class/tide-question'
