--- a/features/soak/store.py
+++ b/features/soak/store.py
@@ -127,6 +127,9 @@
     def set_mode(self, mode: StoreMode) -> None:
         """Change how hosts are answered from now on."""
         self.mode = mode
+        if mode == StoreMode.LOST_ANSWERS:
+            # The open watches lose theirs without a sign.
+            self.watches.clear()
         if mode in (StoreMode.RESET, StoreMode.SILENT):
             watches, self.watches = self.watches, []
             for watch in watches:
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -103,11 +103,11 @@
     watcher = state.Watcher(
         replica, state.StoreEra(), random.Random(1), 0.0, 'servers/'
     )
-    (listing,) = watcher.tick(0.0, True)
+    (listing,) = watcher.tick(0.0, state.WatchTurn())
     list_pages(context)
     result = dataclasses.replace(context.result, op=listing.op)
     watcher.on_store_result(result, 0.1)
-    (context.watch,) = watcher.tick(0.2, True)
+    (context.watch,) = watcher.tick(0.2, state.WatchTurn())
 
 
 @then('the watch behind the list brings that it leaves')
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -388,7 +388,7 @@
     watching = [
         index
         for index, host in enumerate(world.hosts)
-        if host._is_store_watcher()
+        if host._watch_turn() is not None
     ]
     assert len(watching) > count, watching
     for index in watching[:count]:
--- a/features/support/store_restores.py
+++ b/features/support/store_restores.py
@@ -59,7 +59,7 @@
         """Time goes on, and every host does what is due."""
         self.now += step_s
         for host, watcher in self.watchers.items():
-            for call in watcher.tick(self.now, True):
+            for call in watcher.tick(self.now, state.WatchTurn()):
                 self.calls.append((host, call))
         for answer in self.platform.tick(self.now):
             self.results.append((answer.caller, answer.result))
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -30,6 +30,10 @@
 # Hosts that watch in larger fleets. A third of all hosts may lose the store
 # silently at once; the chance that all watchers are among them is 1 in 36,000.
 WATCHER_COUNT = 10
+# Interval at which one watcher after the other opens its watch anew. With the
+# time after which a watch is overdue, it stays below the 2 s in which a change
+# has to be in force.
+WATCH_RENEWAL_S = 1.0
 STORE_WATCHER_ROLE = 'store-watcher'
 HOST_CLEANUP_ROLE = 'host-janitor'
 # Time after which the entry of a host that is down is deleted.
@@ -121,6 +125,7 @@
                 now,
                 prefix,
                 MAX_STORE_BACKOFF_S,
+                WATCH_RENEWAL_S,
             )
             for prefix in options.prefixes
         }
@@ -322,22 +327,31 @@
         for message in self.members.announce(time.time()):
             self._send_peer(message)
 
-    def _is_store_watcher(self) -> bool:
+    def _watch_turn(self) -> state.WatchTurn | None:
+        """Return this host's turn among the watchers, None if it is none."""
+        host, role = self.options.host, STORE_WATCHER_ROLE
         if len(self.members.live()) <= MAX_ALL_WATCH_HOSTS:
-            return True
-        return membership.is_elected(
-            self.members,
-            STORE_WATCHER_ROLE,
-            WATCHER_COUNT,
-            self.options.host.region,
+            watchers = membership.role_holders(
+                self.members, role, MAX_ALL_WATCH_HOSTS, None
+            )
+            return state.WatchTurn.of(host.name, watchers)
+        watchers = membership.role_holders(
+            self.members, role, WATCHER_COUNT, host.region
         )
+        if host.name not in watchers:
+            return None
+        return state.WatchTurn.of(host.name, watchers)
 
     def _watch(self, now: float) -> None:
-        is_watcher = self._is_store_watcher()
+        turn = self._watch_turn()
         for prefix, watcher in self.watchers.items():
-            for call in watcher.tick(now, is_watcher):
+            overdue_count = watcher.overdue_count
+            for call in watcher.tick(now, turn):
                 prefixed = dataclasses.replace(call, op=f'{prefix}{call.op}')
                 self.store.call(prefixed)
+            if watcher.overdue_count != overdue_count:
+                self.metrics.overdue_watches.inc()
+                self.logger.warning('watch-overdue', objects=prefix)
 
     def _register(self, now: float) -> None:
         """Maintain this host's entry; read the others' if alone."""
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -55,6 +55,11 @@
             'Runners that name a limit of requests a second',
             registry=self.registry,
         )
+        self.overdue_watches = prometheus.Counter(
+            'ragwort_overdue_watches',
+            'Watches of the store given up without an answer',
+            registry=self.registry,
+        )
         self.store_era = prometheus.Gauge(
             'ragwort_store_era',
             "Latest era of the store, which rises when it loses writes",
--- a/libs/ragwort_membership/ragwort_membership/__init__.py
+++ b/libs/ragwort_membership/ragwort_membership/__init__.py
@@ -5,6 +5,7 @@
 from ragwort_membership._directory import is_elected
 from ragwort_membership._directory import owner_address
 from ragwort_membership._directory import owner_addresses
+from ragwort_membership._directory import role_holders
 from ragwort_membership._directory import weighted_addresses
 from ragwort_membership._membership import Member
 from ragwort_membership._membership import MemberChanged
@@ -21,5 +22,6 @@
     'owner_address',
     'owner_addresses',
     'PROBE_INTERVAL_S',
+    'role_holders',
     'weighted_addresses',
 ]
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -69,12 +69,13 @@
     requests. Views differ for a while after a change, so a role may have
     more or fewer holders than count; every role must tolerate that.
     """
-    return members.self_name in _holders(members, role, count, region)
+    return members.self_name in role_holders(members, role, count, region)
 
 
-def _holders(
+def role_holders(
     members: _membership.Membership, role: str, count: int, region: str | None
 ) -> list[str]:
+    """Return the names of the nodes that hold a role, in a fixed order."""
     members.refresh_caches()
     holders = members.role_cache.get((role, count, region))
     if holders is None:
--- a/libs/ragwort_node/ragwort_node/_control.py
+++ b/libs/ragwort_node/ragwort_node/_control.py
@@ -64,7 +64,7 @@
         effects: list[ControlEffect] = []
         effects += self.members.tick(now, wall)
         effects += self.gossip.tick(now, self.members.peer_addresses())
-        effects += self.watcher.tick(now, self._is_watcher())
+        effects += self.watcher.tick(now, self._watch_turn())
         effects += self.ledger.tick(now)
         if self.replica.synced and self._is_janitor():
             effects += self.janitor.tick(wall)
@@ -73,11 +73,13 @@
             self.replica.drop_old_tombstones(now)
         return effects
 
-    def _is_watcher(self) -> bool:
+    def _watch_turn(self) -> state.WatchTurn | None:
         region = self.options.host.region
-        return membership.is_elected(
-            self.members, WATCHER_ROLE, WATCHERS_PER_REGION, region
-        )
+        role = (WATCHER_ROLE, WATCHERS_PER_REGION, region)
+        if not membership.is_elected(self.members, *role):
+            return None
+        watchers = membership.role_holders(self.members, *role)
+        return state.WatchTurn.of(self.options.host.name, watchers)
 
     def _is_janitor(self) -> bool:
         return membership.is_elected(self.members, JANITOR_ROLE, 1, None)
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -40,6 +40,7 @@
 from ragwort_state._watcher import LIST_OP
 from ragwort_state._watcher import WATCH_OP
 from ragwort_state._watcher import Watcher
+from ragwort_state._watcher import WatchTurn
 
 __all__ = [
     'apply_change',
@@ -82,4 +83,5 @@
     'TargetChange',
     'WATCH_OP',
     'Watcher',
+    'WatchTurn',
 ]
--- a/libs/ragwort_state/ragwort_state/_replica.py
+++ b/libs/ragwort_state/ragwort_state/_replica.py
@@ -17,6 +17,10 @@
     return model.stable_hash('bucket', name) % BUCKET_COUNT
 
 
+def _prefix_of(name: str) -> str:
+    return name.partition('/')[0] + '/'
+
+
 def _object_hash(name: str, version: int) -> int:
     return model.stable_hash(name, str(version)) & _HASH_MASK
 
@@ -35,10 +39,14 @@
     """Keep the highest version seen of each object, from any source."""
 
     def __init__(self, catalog: CatalogT) -> None:
-        """Start empty; synced tells whether a full state was merged."""
+        """Start empty; synced tells whether a full state was merged.
+
+        changed_at is when an object below a prefix was last adopted.
+        """
         self.objects: dict[str, model.StoredObject] = {}
         self.catalog = catalog
         self.adopted_at: dict[str, float] = {}
+        self.changed_at: dict[str, float] = {}
         self.bucket_hashes = [0] * BUCKET_COUNT
         self.bucket_names: list[set[str]] = [
             set() for _ in range(BUCKET_COUNT)
@@ -64,6 +72,7 @@
         self.bucket_names[bucket].add(item.name)
         self.objects[item.name] = item
         self.adopted_at[item.name] = now
+        self.changed_at[_prefix_of(item.name)] = now
         self.catalog.apply(item)
         return True
 
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -1,5 +1,8 @@
 """Reads of the store: watches by elected nodes, rare polls by others."""
 
+from collections.abc import Sequence
+import dataclasses
+import math
 import random
 from typing import Any
 
@@ -10,16 +13,36 @@
 
 LIST_OP = 'config:list'
 WATCH_OP = 'config:watch'
-WATCH_WAIT_S = 20.0
+# Longest wait of a watch, whatever the number of watchers.
+MAX_WATCH_WAIT_S = 20.0
+# Time after which a watch without an answer is given up. The store answers in
+# a few ms at the end of the wait.
+WATCH_OVERDUE_S = 0.5
 POLL_INTERVAL_S = 60.0
 PEER_GRACE_S = 2.0
 FALLBACK_LIST_JITTER_S = 3.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
+DEFAULT_RENEWAL_S = 4.0
 # In a new era all watchers list at once; the delay spreads their calls.
 RELIST_JITTER_S = 0.3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchTurn:
+    """A watcher's place, counted from 0, among those that watch with it."""
+
+    index: int = 0
+    count: int = 1
+
+    @classmethod
+    def of(cls, name: str, watchers: Sequence[str]) -> 'WatchTurn':
+        """Return a node's turn; one that is not listed comes last."""
+        if name in watchers:
+            return cls(watchers.index(name), len(watchers))
+        return cls(len(watchers), len(watchers) + 1)
+
+
 class Watcher:
     """Decide when to list, watch or poll the store.
 
@@ -27,6 +50,11 @@
     peer has sent them the full state, and poll rarely. In a new era of the
     store, a watch from an earlier revision would miss changes, so that the
     watcher lists again; until then the earlier objects stay in force.
+
+    A watch whose answer is lost brings nothing more. Therefore one watcher
+    opens its watch anew every renewal_s seconds, in turn, and its peers hear
+    what it finds. All count the turns from the last change, which ended the
+    watches of all at once.
     """
 
     def __init__(
@@ -37,6 +65,7 @@
         now: float,
         prefix: str = _catalog.CONFIG_PREFIX,
         max_backoff_s: float = MAX_BACKOFF_S,
+        renewal_s: float = DEFAULT_RENEWAL_S,
     ) -> None:
         """Start with nothing read of the objects below prefix."""
         self.replica = replica
@@ -44,6 +73,9 @@
         self.era = store_era.current
         self.prefix = prefix
         self.max_backoff_s = max_backoff_s
+        self.renewal_s = renewal_s
+        self.watch_overdue_at: float | None = None
+        self.overdue_count = 0
         self.is_store_unavailable = False
         self.rng = rng
         self.started_at = now
@@ -61,26 +93,55 @@
     def _poll_delay(self) -> float:
         return POLL_INTERVAL_S * self.rng.uniform(0.75, 1.25)
 
-    def tick(self, now: float, is_elected: bool) -> list[model.StoreCall]:
-        """Return the store call due now, if any."""
+    def tick(
+        self, now: float, turn: WatchTurn | None
+    ) -> list[model.StoreCall]:
+        """Return the store call due now, if any.
+
+        turn is None for a node that is not elected to watch.
+        """
         if self.has_listed and now >= self.started_at + PEER_GRACE_S:
             self.replica.synced = True
         if self.era < self.store_era.current:
             self._enter_era(now)
+        is_overdue = self._give_up_overdue_watch(now)
         if self.pending_op is not None or now < self.next_call_at:
             return []
-        if is_elected:
+        if turn is not None:
             # After an outage, a watch that returns at once shows that the
             # store is back; a waiting one shows it only with its result.
-            wait_s = 0.0 if self.is_store_unavailable else WATCH_WAIT_S
-            return [self._watch(wait_s) if self._can_watch else self._list()]
+            is_doubtful = is_overdue or self.is_store_unavailable
+            wait_s = 0.0 if is_doubtful else self._wait_s(turn, now)
+            if not self._can_watch:
+                return [self._list()]
+            return [self._watch(wait_s, now)]
         if not self.replica.synced and now >= self.fallback_list_at:
             return [] if self.has_listed else [self._list()]
         if self.replica.synced and now >= self.next_poll_at:
             self.next_poll_at = now + self._poll_delay()
-            return [self._watch(0.0) if self._can_watch else self._list()]
+            if not self._can_watch:
+                return [self._list()]
+            return [self._watch(0.0, now)]
         return []
 
+    def _wait_s(self, turn: WatchTurn, now: float) -> float:
+        """Return the time until this watcher's next turn to renew."""
+        changed_at = self.replica.changed_at.get(self.prefix, self.started_at)
+        first_at = changed_at + (turn.index + 1) * self.renewal_s
+        round_s = turn.count * self.renewal_s
+        rounds = max(math.ceil((now - first_at) / round_s), 0)
+        return min(first_at + rounds * round_s - now, MAX_WATCH_WAIT_S)
+
+    def _give_up_overdue_watch(self, now: float) -> bool:
+        """Stop waiting for a watch that is overdue; tell whether it was."""
+        overdue_at = self.watch_overdue_at
+        if overdue_at is None or now < overdue_at:
+            return False
+        self.watch_overdue_at = None
+        self.pending_op = None
+        self.overdue_count += 1
+        return True
+
     @property
     def _can_watch(self) -> bool:
         """Tell whether the last list is one of the present era."""
@@ -91,6 +152,7 @@
         self.era = self.store_era.current
         if self.pending_op is not None and not _is_list(self.pending_op):
             self.pending_op = None
+            self.watch_overdue_at = None
         self.next_call_at = now + self.rng.uniform(0, RELIST_JITTER_S)
 
     def _new_op(self, kind: str) -> str:
@@ -103,7 +165,9 @@
             self._new_op(LIST_OP), model.StoreVerb.LIST, self.prefix
         )
 
-    def _watch(self, wait_s: float) -> model.StoreCall:
+    def _watch(self, wait_s: float, now: float) -> model.StoreCall:
+        if wait_s:
+            self.watch_overdue_at = now + wait_s + WATCH_OVERDUE_S
         return model.StoreCall(
             self._new_op(WATCH_OP),
             model.StoreVerb.WATCH,
@@ -123,6 +187,7 @@
         if result.op != self.pending_op:
             return []
         self.pending_op = None
+        self.watch_overdue_at = None
         if result.status == model.StoreStatus.GONE:
             self.has_listed = False
             return []
