--- a/features/platform.feature
+++ b/features/platform.feature
@@ -62,10 +62,12 @@
       | a text for slots  |
       | no slots          |
       | an odd address    |
+      | a number for version |
+      | no version        |
       | bytes not text    |
 
   Scenario: a request's headers become facts
-    When a request names its id, time, key, event, prompt and pieces
+    When a request names its id, time, key, event, prompt, pieces and first attempt
     Then the facts hold them in the project's units
 
   Scenario Outline: a request with <mistake> is bad input
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -123,6 +123,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
+            'version': 'v1',
             'state': 'draining' if self.is_draining else 'ready',
             'slots': SLOTS,
             'born': self.born,
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -86,6 +86,7 @@
     'service': 'engine',
     'address': '10.0.1.1:80',
     'zone': 'north',
+    'version': 'v1.2',
     'state': 'ready',
     'slots': 64,
     'born': 1700000000000,
@@ -238,10 +239,11 @@
         'a text for slots': {'slots': 'many'},
         'no slots': {'slots': 0},
         'an odd address': {'address': 'engine.local:80'},
+        'a number for version': {'version': 2},
     }
     entry |= changes.get(mistake, {})
-    if mistake == 'no address':
-        del entry['address']
+    if mistake in ('no address', 'no version'):
+        del entry[mistake.removeprefix('no ')]
     value = json.dumps(entry)
     if mistake == 'bytes not text':
         value = '\ufffd\ufffd{'
@@ -267,7 +269,9 @@
     )
 
 
-@when('a request names its id, time, key, event, prompt and pieces')
+@when(
+    'a request names its id, time, key, event, prompt, pieces and first attempt'
+)
 def read_facts(context: Any) -> None:
     """Read a request with everything."""
     context.facts = platform.PlatformDialect().read_request(
@@ -278,6 +282,7 @@
             (b'prompt-prefix', b'5c1e:800,91bd:410'),
             (b'pieces', b'2,0,1'),
             (b'piece-key', b'7c1e'),
+            (b'resumes', b'def'),
         )
     )
 
@@ -287,7 +292,7 @@
     """Compare the facts."""
     prompt = (relay.PromptPart('5c1e', 800), relay.PromptPart('91bd', 410))
     assert context.facts == edge.RequestMetadata(
-        'abc', 4.5, 'k1', 12, prompt, (2, 0, 1), '7c1e'
+        'abc', 4.5, 'k1', 12, prompt, (2, 0, 1), '7c1e', 'def'
     )
 
 
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -19,7 +19,8 @@
     """Parameters that a caller sends with its request.
 
     deadline_s counts from the arrival; last_event is the number of the last
-    event of a stream that the caller received; pieces holds the number of
+    event of a stream that the caller received, first_attempt the id of its
+    request that brought the stream's first event; pieces holds the number of
     pieces of each stage, piece_key the key of those without inputs.
     """
 
@@ -30,6 +31,7 @@
     prompt: tuple[relay.PromptPart, ...] = ()
     pieces: tuple[int, ...] = ()
     piece_key: str = ''
+    first_attempt: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -176,6 +176,8 @@
             outcome=outcome,
             version=self.configuration.version,
             rank=self.rank,
+            first_attempt=self.metadata.first_attempt,
+            last_event=self.metadata.last_event,
             took_s=round(context.reactor.seconds() - self.started_at, 3),
             ran=self.attempts.ran,
             turned_away=self.attempts.not_run,
@@ -248,6 +250,9 @@
                 candidates, context.failure_domain, now
             )
         self.log_fields['runner'] = runner.name
+        self.log_fields['software_version'] = (
+            runner.entry.runner.software_version
+        )
         if runner.state.report is not None:
             age_s = now - runner.state.reported_at
             self.log_fields['report_age_s'] = round(age_s, 3)
@@ -305,6 +310,7 @@
                 request=self.metadata.request_id,
                 service=service,
                 runner=runner.name,
+                software_version=runner.entry.runner.software_version,
                 result=send.result,
                 detail=send.detail,
             )
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -50,6 +50,7 @@
                 fields['address'],
                 fields['domain'],
                 state=model.HostState(fields['state']),
+                software_version=fields.get('version', ''),
             )
             return relay.RunnerEntry(runner, fields['born'], fields['slots'])
         except (ValueError, KeyError, TypeError) as error:
@@ -271,7 +272,8 @@
     Steps: ok, error (its own failure), full (not run), reset (ran, answer
     lost), refused (not run, 421), silent, foreign (another's answer),
     gone (not run, its inputs are gone), events:N (a stream of N events),
-    cut:N (a stream reset behind event N).
+    cut:N (a stream reset behind event N). Events show the software version,
+    which runners don't check.
     """
 
     def __init__(
@@ -282,6 +284,8 @@
         self.script: list[str] = []
         self.work_s = 0.01
         self.events = 0
+        self.event_gap_s = 0.0
+        self.version = ''
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a request that has arrived."""
@@ -329,13 +333,17 @@
     ) -> None:
         call.send('on_head', edge.HttpResponse(HTTP_OK, EVENT_STREAM + echo))
         first = (told['last_event'] or 0) + 1
+        later = self.clock.callLater
+        delay_s = 0.0
         for number in range(first, last + 1):
-            call.send('on_data', b'id: %d\ndata: e%d\n\n' % (number, number))
+            text = f'id: {number}\ndata: e{number}{self.version}\n\n'
+            later(delay_s, call.send, 'on_data', text.encode())
+            delay_s += self.event_gap_s
         if kind == 'events':
-            call.send('on_end', ends=True)
+            later(delay_s, lambda: call.send('on_end', ends=True))
         else:
-            call.send('on_data', b'id: %d\nda' % (last + 1))
-            call.fail(edge.CallErrorKind.CLOSED)
+            later(delay_s, call.send, 'on_data', b'id: %d\nda' % (last + 1))
+            later(delay_s, call.fail, edge.CallErrorKind.CLOSED)
 
 
 class LabStageRunner(LabRunner):
--- a/libs/ragwort_model/ragwort_model/_domain.py
+++ b/libs/ragwort_model/ragwort_model/_domain.py
@@ -79,7 +79,9 @@
 class Runner:
     """A model engine or plain service that executes stage calls.
 
-    cost_rate is in cost units per busy second.
+    cost_rate is in cost units per busy second. software_version tells what
+    runs on it, not which weights; what two of them stream does not fit
+    together.
     """
 
     name: str
@@ -89,6 +91,7 @@
     cost_rate: float = 1.0
     checks_fencing: bool = True
     state: HostState = HostState.LIVE
+    software_version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
