--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -270,7 +270,8 @@
 
 
 @when(
-    'a request names its id, time, key, event, prompt, pieces and first attempt'
+    'a request names its id, time, key, event, prompt, pieces and first '
+    'attempt'
 )
 def read_facts(context: Any) -> None:
     """Read a request with everything."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -1,6 +1,7 @@
 """Whole relay hosts on one virtual clock, with a store under control."""
 
 from collections.abc import Callable
+import itertools
 import json
 import math
 import random
@@ -28,15 +29,17 @@
     """Reads configurations that list the keys in force."""
 
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
-        """Return two routes, one of them public, and one workspace."""
+        """Return a private, a public and a stream route, one workspace."""
         fields = json.loads(value)
         make = relay_decision_steps.make_route
         once = {'kind': relay.CallKind.ONCE, 'attempts': 1}
+        stream = {'kind': relay.CallKind.STREAM, 'is_resumable': True}
         return relay.RelayConfiguration(
             fields['version'],
             (
                 make(path_prefix='/job/', **once),
                 make(path_prefix='/open/', is_public=True, **once),
+                make(path_prefix='/stream/', timeout_s=8.0, **stream),
             ),
             {},
             (relay.Workspace('school', frozenset(fields['keys'])),),
@@ -278,6 +281,7 @@
         self.network = fakes.LabNetwork(self.clock)
         self.objects = StoreObjects(self.clock, is_away)
         self.runners: list[lab.ScriptedRunner] = []
+        self.runner_numbers = itertools.count(1)
         self.stopped: dict[int, float] = {}
         for index, name in enumerate('ab'):
             self._add_runner(name, f'10.0.9.{index + 1}:80')
@@ -296,7 +300,10 @@
     def set_runner(self, runner: lab.ScriptedRunner, state: str) -> None:
         """Write a runner's entry."""
         text = relay_decision_steps.entry_text(
-            address=runner.address, state=state
+            domain=runner.domain,
+            address=runner.address,
+            state=state,
+            version=runner.version,
         )
         self.objects.put(f'runner/{runner.name}', text)
 
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -286,6 +286,7 @@
         self.events = 0
         self.event_gap_s = 0.0
         self.version = ''
+        self.calls: list[LabCall] = []
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a request that has arrived."""
@@ -300,8 +301,16 @@
             arrival.closed_at = self.clock.seconds()
 
         open_call.on_close = close
+        self.calls = [call for call in self.calls if not call.is_over]
+        self.calls.append(open_call)
         self.clock.callLater(self.work_s, self._answer, step, told, open_call)
 
+    def crash(self) -> None:
+        """Reset all open connections."""
+        for call in self.calls:
+            call.fail(edge.CallErrorKind.CLOSED)
+        self.calls.clear()
+
     def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
         echo += self.limit_header()
