--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -41,3 +41,28 @@
     Given 8 relay hosts with runners 4 of v1
     When streams run while all hosts restart at once
     Then of the streams taken up at least half the share that begins goes on
+
+  Scenario Outline: a take-up of another's stream that names <what> is refused
+    Given 8 relay hosts with runners 2 of v1, 2 of v2
+    When a caller takes up a stream that began at v1 and names <what>
+    Then it is refused with a time to come back and reaches no runner
+
+    Examples:
+      | what                       |
+      | no first attempt           |
+      | an attempt that never was  |
+      | it from another workspace  |
+
+  Scenario: what is known of streams is bounded by count and by time
+    When 25000 streams begin that callers may take up for 10 s
+    Then the host knows 20000 of them
+    And none of them 10 s later
+
+  Scenario: the first record of a stream stands
+    When two hosts tell different versions of one stream
+    Then the stream's version is the first one
+
+  Scenario: an earlier incarnation from an older copy changes no version
+    Given a runner that started again with another software version
+    When an older copy of the store shows its earlier incarnation
+    Then streams from it are of the later version
--- a/features/steps/relay_stream_steps.py
+++ b/features/steps/relay_stream_steps.py
@@ -8,12 +8,17 @@
 from behave import then
 from behave import when
 
+from features.steps import relay_decision_steps
 from features.support import relay_hosts
 from features.support import stream_callers
 import ragwort_edge as edge
+import ragwort_lab as lab
+from ragwort_lab import _relay_fakes as fakes
+import ragwort_model as model
+import ragwort_relay as relay
 
 WARM_UP = 20
-STREAMS = 60
+STREAMS = 240
 ROUNDS = 4
 ROUND_S = 0.4
 # Time in which all streams have ended or are given up.
@@ -181,3 +186,133 @@
         exchange = stream.last
         assert exchange.status == 503, (exchange.status, exchange.body)
         assert edge.find_header(exchange.headers, b'retry-after')
+
+
+def ask_stream(
+    context: Any, index: int, facts: dict[str, Any]
+) -> fakes.LabExchange:
+    """Send a stream request to a host and let its answer come."""
+    exchange = context.world.ask_stream(index, facts)
+    context.world.run(2.0)
+    return exchange
+
+
+@when('a caller takes up a stream that began at v1 and names {what}')
+def take_up(context: Any, what: str) -> None:
+    """Begin a stream at one host, and go on with it at another."""
+    world = context.world
+    began = {'request_id': 'began', 'access_key': 'k1', 'deadline_s': 8.0}
+    ask_stream(context, 0, began)
+    named = {
+        'no first attempt': None,
+        'an attempt that never was': 'never',
+        'it from another workspace': 'began',
+    }
+    facts = began | {
+        'request_id': 'again',
+        'last_event': 3,
+        'first_attempt': named[what],
+    }
+    if what == 'it from another workspace':
+        facts['access_key'] = 'k2'
+    context.arrived = sum(len(r.arrivals) for r in world.runners)
+    context.exchange = ask_stream(context, 1, facts)
+
+
+@then('it is refused with a time to come back and reaches no runner')
+def check_not_taken_up(context: Any) -> None:
+    """Look at the answer and the runners."""
+    exchange = context.exchange
+    assert exchange.status == 503, (exchange.status, exchange.body)
+    assert edge.find_header(exchange.headers, b'retry-after')
+    arrived = sum(len(r.arrivals) for r in context.world.runners)
+    assert arrived == context.arrived
+
+
+def origin(version: str) -> relay.StreamOrigin:
+    """Return the origin of a stream of the main service."""
+    return relay.StreamOrigin('main', version)
+
+
+def key(number: int) -> relay.StreamKey:
+    """Return a stream's name."""
+    return relay.StreamKey('school', f'attempt-{number}')
+
+
+@when('{count:d} streams begin that callers may take up for {ttl_s:d} s')
+def begin_many(context: Any, count: int, ttl_s: int) -> None:
+    """Record them."""
+    context.origins = relay.StreamOrigins()
+    context.count = count
+    for number in range(count):
+        context.origins.record(
+            key(number), origin('v1'), ttl_s, 0.0, is_own=True
+        )
+
+
+@then('the host knows {count:d} of them')
+def check_count(context: Any, count: int) -> None:
+    """Look each up; the latest are known."""
+    known = [
+        number
+        for number in range(context.count)
+        if context.origins.find(key(number), 0.0)
+    ]
+    assert len(known) == count, len(known)
+    assert known[-1] == context.count - 1
+
+
+@then('none of them {seconds:d} s later')
+def check_expired(context: Any, seconds: int) -> None:
+    """Look at what is kept."""
+    assert context.origins.find(key(context.count - 1), seconds) is None
+    context.origins.remove_expired(seconds)
+    assert not context.origins.records
+
+
+@when('two hosts tell different versions of one stream')
+def tell_two(context: Any) -> None:
+    """Record both."""
+    context.origins = relay.StreamOrigins()
+    for version in ('v1', 'v2'):
+        context.origins.record(
+            key(1), origin(version), 10.0, 0.0, is_own=False
+        )
+
+
+@then("the stream's version is the first one")
+def check_first(context: Any) -> None:
+    """Look it up."""
+    assert context.origins.find(key(1), 1.0) == origin('v1')
+
+
+def apply_entry(context: Any, era: int, version: str, born: int) -> None:
+    """Put a runner's entry into the catalog."""
+    text = relay_decision_steps.entry_text(version=version, born=born)
+    context.revision += 1
+    item = model.StoredObject(
+        'runner/a', model.make_version(era, context.revision), text
+    )
+    context.catalog.apply(item)
+
+
+@given('a runner that started again with another software version')
+def start_again(context: Any) -> None:
+    """Read two incarnations."""
+    context.catalog = lab.RelayWorld(hosts=1).hosts[0].catalog
+    context.revision = 0
+    apply_entry(context, 1, 'v1', 1000)
+    apply_entry(context, 1, 'v2', 2000)
+
+
+@when('an older copy of the store shows its earlier incarnation')
+def show_earlier(context: Any) -> None:
+    """Read the first entry again, in a new era."""
+    apply_entry(context, 2, 'v1', 1000)
+
+
+@then('streams from it are of the later version')
+def check_later(context: Any) -> None:
+    """Look at the runner."""
+    runner = context.catalog.fleet.runners['runner/a'].entry.runner
+    assert runner.software_version == 'v2', runner
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -42,7 +42,10 @@
                 make(path_prefix='/stream/', timeout_s=8.0, **stream),
             ),
             {},
-            (relay.Workspace('school', frozenset(fields['keys'])),),
+            (
+                relay.Workspace('school', frozenset(fields['keys'])),
+                relay.Workspace('museum', frozenset(['k2'])),
+            ),
             relay.CallerLimits(),
         )
 
@@ -429,11 +432,26 @@
 
     def ask(self, index: int, path: str, key: str) -> fakes.LabExchange:
         """Let a caller send a request to a host."""
-        facts = json.dumps({'request_id': 'r1', 'access_key': key})
+        return self._submit(
+            index, path, {'request_id': 'r1', 'access_key': key}
+        )
+
+    def ask_stream(
+        self, index: int, facts: dict[str, Any]
+    ) -> fakes.LabExchange:
+        """Let a caller send a stream request to a host."""
+        return self._submit(index, f'/stream/{facts["request_id"]}', facts)
+
+    def _submit(
+        self, index: int, path: str, facts: dict[str, Any]
+    ) -> fakes.LabExchange:
         request = edge.HttpRequest(
             b'POST',
             path.encode(),
-            ((b'host', b'one.example:80'), (b'facts', facts.encode())),
+            (
+                (b'host', b'one.example:80'),
+                (b'facts', json.dumps(facts).encode()),
+            ),
         )
         exchange = fakes.LabExchange(self.clock, request)
         bound: Any = exchange
--- a/features/support/stream_callers.py
+++ b/features/support/stream_callers.py
@@ -2,12 +2,10 @@
 
 import dataclasses
 import itertools
-import json
 import random
 from typing import Any
 
 from features.support import relay_hosts
-import ragwort_edge as edge
 import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
 
@@ -84,7 +82,7 @@
         self.open: list[tuple[Stream, int, fakes.LabExchange]] = []
         self.restarts = itertools.count()
 
-    def start(self, count: int, gap_s: float = 0.02) -> None:
+    def start(self, count: int, gap_s: float = 0.01) -> None:
         """Start some streams, one after the other."""
         for _ in range(count):
             stream = Stream()
@@ -108,17 +106,7 @@
             facts['first_attempt'] = stream.first_attempt
         else:
             stream.first_attempt = request_id
-        request = edge.HttpRequest(
-            b'POST',
-            b'/stream/' + request_id.encode(),
-            (
-                (b'host', b'one.example:80'),
-                (b'facts', json.dumps(facts).encode()),
-            ),
-        )
-        exchange = fakes.LabExchange(self.world.clock, request)
-        bound: Any = exchange
-        self.world.hosts[index]._on_request(bound)
+        exchange = self.world.ask_stream(index, facts)
         stream.last = exchange
         self.open.append((stream, index, exchange))
 
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -28,6 +28,7 @@
 from ragwort_edge._server import Exchange
 from ragwort_edge._server import Site
 from ragwort_edge._stage_service import StageService
+from ragwort_edge._stream_origins import OriginService
 
 __all__ = [
     'ADDRESS_TTL_S',
@@ -49,6 +50,7 @@
     'OpenCall',
     'PieceReply',
     'PieceResult',
+    'OriginService',
     'RelayContext',
     'RelayHost',
     'RequestHandler',
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -7,6 +7,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _metrics
 from ragwort_edge import _stage_service
+from ragwort_edge import _stream_origins
 import ragwort_model as model
 import ragwort_relay as relay
 
@@ -34,6 +35,7 @@
     catalog: relay.RelayCatalog
     budget: relay.RetryBudget
     stages: _stage_service.StageService
+    origins: _stream_origins.OriginService
     metrics: _metrics.Metrics
     logger: Any
     failure_domain: str
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -15,6 +15,7 @@
 from ragwort_edge import _runner_limits
 from ragwort_edge import _server
 from ragwort_edge import _stage_service
+from ragwort_edge import _stream_origins
 import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_peers as peers
@@ -167,6 +168,18 @@
             self.metrics,
             logger,
         )
+        self.catalog.stream_origins.started_at = now
+        self.origins = _stream_origins.OriginService(
+            reactor,
+            self.catalog,
+            self.metrics,
+            logger,
+            self.rng,
+            self._send_peer,
+            lambda attempt, count: _stream_origins.stream_homes(
+                self.members, attempt, count
+            ),
+        )
         self.context = _context.RelayContext(
             reactor,
             self.rng,
@@ -175,6 +188,7 @@
             self.catalog,
             self.budget,
             self.stages,
+            self.origins,
             self.metrics,
             logger,
             options.host.failure_domain,
@@ -250,6 +264,7 @@
         self.members.set_accepting(False, now)
         for message in self.members.announce(time.time()):
             self._send_peer(message)
+        self.origins.hand_over(now)
 
     def _continue_leaving(self, now: float) -> None:
         assert self.leaving_at is not None
@@ -292,6 +307,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         self.catalog.fleet.remove_expired(now)
+        self.origins.tick(now)
         messages = self.members.tick(now, wall)
         messages += self.gossip.tick(now, self.members.peer_addresses())
         messages += self.limit_sharing.messages(now)
@@ -430,6 +446,7 @@
                 problem=self.catalog.problems.get(item.name),
                 in_force=configuration.version if configuration else None,
             )
+        self.origins.share_newly_mixed(self.reactor.seconds())
         for service in list(self.stages.local_owner.batchers):
             self.stages.local_owner.schedule_dispatch(service, 0.0)
 
@@ -486,6 +503,12 @@
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
             case model.RunnerLimits():
                 self.limit_sharing.on_told(message.limits, now)
+            case (
+                model.StreamsBegan()
+                | model.StreamQuestion()
+                | model.StreamAnswer()
+            ):
+                self.origins.on_peer(sender, message)
             case _:
                 self.stages.on_peer(sender, message)
         return []
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -55,6 +55,12 @@
             'Runners that name a limit of requests a second',
             registry=self.registry,
         )
+        self.take_ups = prometheus.Counter(
+            'ragwort_stream_take_ups',
+            'Streams taken up, by how their software version was known',
+            ['source'],
+            registry=self.registry,
+        )
         self.overdue_watches = prometheus.Counter(
             'ragwort_overdue_watches',
             'Watches of the store given up without an answer',
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -70,6 +70,13 @@
         self.timer: Any = None
         self.is_timed_out = False
         self.log_fields: dict[str, Any] = {}
+        self.service = route.service_for(metadata.request_id)
+        self.stream_key = relay.StreamKey(
+            workspace.name if workspace else '', metadata.request_id
+        )
+        # Set once the caller holds an event.
+        self.origin: relay.StreamOrigin | None = None
+        self.is_origin_recorded = False
         self.stages = _request_stages.RequestStages(
             context,
             metadata,
@@ -188,10 +195,12 @@
     # Steps of a request.
 
     async def _run(self) -> None:
-        service = self.route.service_for(self.metadata.request_id)
+        if self._is_take_up:
+            await self._find_origin()
+        service = self.service
         self.log_fields['service'] = service
         if not self.context.catalog.has_sendable(
-            service, self.context.reactor.seconds()
+            service, self.context.reactor.seconds(), self.origin
         ):
             raise self.context.refusal('other hosts hold the runners\' limits')
         if self.route.stages:
@@ -202,6 +211,36 @@
         else:
             await self._run_plain(service)
 
+    @property
+    def _is_take_up(self) -> bool:
+        """Tell whether the caller holds events of this stream."""
+        is_stream = self.route.kind == relay.CallKind.STREAM
+        return is_stream and self.metadata.last_event is not None
+
+    async def _find_origin(self) -> None:
+        """Bind the request to what began its stream, or refuse it."""
+        context, first_attempt = self.context, self.metadata.first_attempt
+        key = None
+        if first_attempt is not None:
+            self.service = self.route.service_for(first_attempt)
+            key = relay.StreamKey(self.stream_key.workspace, first_attempt)
+            self.stream_key = key
+        self.origin, source = await context.origins.find(key, self.service)
+        context.metrics.take_ups.labels(source).inc()
+        self.log_fields['origin_source'] = source
+        if self.origin is None:
+            raise context.refusal('the stream\'s software version is unknown')
+        self.log_fields['origin_version'] = self.origin.software_version
+        self.service = self.origin.service
+        if self.service not in {s.service for s in self.route.shares}:
+            raise context.refusal('the route has left the stream\'s service')
+        if not context.catalog.usable(
+            self.service, context.reactor.seconds(), self.origin
+        ):
+            raise context.refusal(
+                'no runner of the stream\'s software version'
+            )
+
     async def _run_stages(self) -> None:
         admission = self.stages.admit()
         self.log_fields['forecast_s'] = round(admission.forecast.total_s, 3)
@@ -217,8 +256,7 @@
 
     def _likely_domain(self) -> str:
         """Return the failure domain where the main call will likely run."""
-        service = self.route.service_for(self.metadata.request_id)
-        runner = self._choose_runner(service, set())
+        runner = self._choose_runner(self.service, set())
         if runner is None:
             return self.context.failure_domain
         return runner.entry.runner.failure_domain
@@ -230,7 +268,7 @@
     ) -> relay.FleetRunner | None:
         context = self.context
         now = context.reactor.seconds()
-        sendable = context.catalog.sendable(service, now)
+        sendable = context.catalog.sendable(service, now, self.origin)
         candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
@@ -266,7 +304,9 @@
         runner = self._choose_runner(service, tried)
         if runner is None:
             now = self.context.reactor.seconds()
-            wait_s = self.context.catalog.send_wait_s(service, now)
+            wait_s = self.context.catalog.send_wait_s(
+                service, now, self.origin
+            )
             raise self.context.refusal('no runner', wait_s)
         tried.add(runner.name)
         return runner
@@ -334,10 +374,14 @@
 
     def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
+        now = self.context.reactor.seconds()
         if send.result == relay.SendResult.DONE:
             may_resend = False
+        if self.origin is not None and not self.context.catalog.usable(
+            service, now, self.origin
+        ):
+            may_resend = False
         if may_resend and send.result != relay.SendResult.NOT_SENT:
-            now = self.context.reactor.seconds()
             may_resend = self.context.budget.take(service, now)
         return relay.next_step(
             send.result, may_resend, bool(self.attempts.ran)
@@ -439,6 +483,18 @@
         self._observe_latency()
         self.stages.release_all()
 
+    def on_event_from(self, runner: model.Runner) -> None:
+        """Bind the stream to what runs on the runner that began it."""
+        if self.origin is not None and self.is_origin_recorded:
+            return
+        self.is_origin_recorded = True
+        if self.origin is None:
+            self.origin = relay.StreamOrigin(
+                runner.service, runner.software_version
+            )
+        ttl_s = self.metadata.deadline_s or self.route.timeout_s
+        self.context.origins.on_began(self.stream_key, self.origin, ttl_s)
+
     def send_outcome(
         self, result: relay.SendResult, detail: str
     ) -> '_SendOutcome':
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -37,6 +37,8 @@
         self.handler = handler
         self.context = handler.context
         self.runner = runner
+        # As of the call: the entry may be that of a new incarnation later.
+        self.called = runner.entry.runner
         self.progress = progress
         self.event_parser = relay.EventSplitter()
         self.done: defer.Deferred[Any] = defer.Deferred()
@@ -127,6 +129,7 @@
             self._finish(relay.SendResult.BROKEN, str(error))
             return
         if events:
+            self.handler.on_event_from(self.called)
             self._forward(b''.join(event.data for event in events))
 
     def _forward(self, data: bytes) -> None:
--- /dev/null
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -0,0 +1,249 @@
+"""What hosts tell and ask each other of the origins of streams.
+
+While a service has several software versions, two hosts chosen by the
+stream's first attempt are told what began it, and are asked when a caller
+takes it up at a host that doesn't know.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import math
+import random
+from typing import Any
+
+from twisted.internet import defer
+
+from ragwort_edge import _metrics
+import ragwort_membership as membership
+import ragwort_model as model
+import ragwort_relay as relay
+
+# Hosts that are told of a stream, and that are asked: one more, since a host
+# that has just joined may have taken the place of one that was told.
+TOLD_HOSTS = 2
+ASKED_HOSTS = 3
+# Streams share their hosts by shard, so that the choice can be cached.
+SHARDS = 256
+# A host that does not answer in this time is down or cut off.
+ANSWER_TIMEOUT_S = 0.3
+MAX_STREAMS_PER_MESSAGE = 200
+OBSERVE_INTERVAL_S = 1.0
+
+Homes = Callable[[str, int], list[str]]
+
+
+def stream_homes(
+    members: membership.Membership, first_attempt: str, count: int
+) -> list[str]:
+    """Return the peer addresses of the hosts that know a stream's origin."""
+    shard = model.stable_hash('stream', first_attempt) % SHARDS
+    names = membership.role_holders(
+        members, f'stream-home/{shard}', count, None
+    )
+    return [
+        members.members[name].update.peer_address
+        for name in names
+        if name != members.self_name
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class _Question:
+    """An open question to other hosts and how many have yet to answer."""
+
+    done: 'defer.Deferred[relay.StreamOrigin | None]'
+    service: str
+    open_answers: int
+    timer: Any = None
+
+
+class OriginService:
+    """Knows or finds out which software version began a stream."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        catalog: relay.RelayCatalog,
+        metrics: _metrics.Metrics,
+        logger: Any,
+        rng: random.Random,
+        send_peer: Callable[[model.SendPeerMessage], None],
+        homes: Homes,
+    ) -> None:
+        """Send to the homes of a stream, which homes returns."""
+        self.reactor = reactor
+        self.catalog = catalog
+        self.origins = catalog.stream_origins
+        self.metrics = metrics
+        self.logger = logger
+        self.rng = rng
+        self.send_peer = send_peer
+        self.homes = homes
+        self.questions: dict[str, _Question] = {}
+        self.next_observe_at = 0.0
+
+    def tick(self, now: float) -> None:
+        """Note the versions that serve; forget old streams."""
+        if now >= self.next_observe_at:
+            self.next_observe_at = now + OBSERVE_INTERVAL_S
+            self.origins.observe(self.catalog.fleet.runners.values(), now)
+            self.origins.remove_expired(now)
+        self.share_newly_mixed(now)
+
+    def share_newly_mixed(self, now: float) -> None:
+        """Tell of the streams that began before a second version came."""
+        if not self.origins.newly_mixed:
+            return
+        services = sorted(self.origins.newly_mixed)
+        self.origins.newly_mixed.clear()
+        self.logger.info(
+            'software-versions',
+            versions={
+                s: sorted(self.origins.versions(s, now)) for s in services
+            },
+        )
+        self._share(self.origins.to_share(services, now, only_own=True))
+
+    def hand_over(self, now: float) -> None:
+        """Tell others all that this host knows, before it leaves."""
+        services = [s for s in self.origins.seen_at if self._is_mixed(s, now)]
+        self._share(self.origins.to_share(services, now, only_own=False))
+
+    def _is_mixed(self, service: str, now: float) -> bool:
+        return self.origins.is_mixed(service, now)
+
+    def _share(self, streams: Iterable[model.StreamBegan]) -> None:
+        by_home: dict[str, list[model.StreamBegan]] = {}
+        for stream in streams:
+            for address in self.homes(stream.first_attempt, TOLD_HOSTS):
+                by_home.setdefault(address, []).append(stream)
+        for address, told in by_home.items():
+            for at in range(0, len(told), MAX_STREAMS_PER_MESSAGE):
+                part = told[at : at + MAX_STREAMS_PER_MESSAGE]
+                message = model.StreamsBegan(part)
+                self.send_peer(model.SendPeerMessage(address, message))
+
+    def on_began(
+        self, key: relay.StreamKey, origin: relay.StreamOrigin, ttl_s: float
+    ) -> None:
+        """Record that a caller got a stream's first event from here."""
+        now = self.reactor.seconds()
+        self.origins.record(key, origin, ttl_s, now, is_own=True)
+        told = self.origins.to_tell(key, now)
+        if told is not None and self._is_mixed(origin.service, now):
+            self._share([told])
+
+    # Questions.
+
+    async def find(
+        self, key: relay.StreamKey | None, service: str
+    ) -> tuple[relay.StreamOrigin | None, str]:
+        """Return what began a stream, and the source of that belief.
+
+        The key is None if the caller did not name the first attempt.
+        """
+        now = self.reactor.seconds()
+        known = self.origins.find(key, now) if key is not None else None
+        if known is not None:
+            return known, 'own'
+        is_sure = self.origins.remembers_all_versions(now)
+        if is_sure or key is None:
+            sole = self._sole_origin(service, now)
+            if sole is not None:
+                return sole, 'only-version'
+        if key is not None:
+            told = await self._ask(key, service)
+            if told is not None:
+                return told, 'peer'
+        sole = self._sole_origin(service, self.reactor.seconds())
+        return sole, 'only-version' if sole is not None else 'unknown'
+
+    def _sole_origin(
+        self, service: str, now: float
+    ) -> relay.StreamOrigin | None:
+        version = self.origins.sole_version(service, now)
+        return (
+            None if version is None else relay.StreamOrigin(service, version)
+        )
+
+    def _ask(
+        self, key: relay.StreamKey, service: str
+    ) -> 'defer.Deferred[relay.StreamOrigin | None]':
+        done: defer.Deferred[relay.StreamOrigin | None] = defer.Deferred()
+        addresses = self.homes(key.first_attempt, ASKED_HOSTS)
+        if not addresses:
+            done.callback(None)
+            return done
+        name = f'{self.rng.getrandbits(64):x}'
+        question = _Question(done, service, len(addresses))
+        self.questions[name] = question
+        question.timer = self.reactor.callLater(
+            ANSWER_TIMEOUT_S, self._end, name, None
+        )
+        asked = model.StreamQuestion(
+            name, key.first_attempt, key.workspace, service
+        )
+        for address in addresses:
+            self.send_peer(model.SendPeerMessage(address, asked))
+        return done
+
+    def _end(self, name: str, origin: relay.StreamOrigin | None) -> None:
+        question = self.questions.pop(name, None)
+        if question is None:
+            return
+        if question.timer.active():
+            question.timer.cancel()
+        if not question.done.called:
+            question.done.callback(origin)
+
+    # What other hosts send.
+
+    def on_peer(self, sender: str, message: model.PeerMessage) -> None:
+        """Handle another host's message on streams."""
+        match message:
+            case model.StreamsBegan():
+                self._on_told(message)
+            case model.StreamQuestion():
+                self._on_question(sender, message)
+            case model.StreamAnswer():
+                self._on_answer(message)
+
+    def _on_told(self, message: model.StreamsBegan) -> None:
+        now = self.reactor.seconds()
+        for stream in message.streams:
+            if math.isfinite(stream.ttl_s):
+                self.origins.on_told(stream, now)
+            else:
+                self.logger.warning('invalid-stream', stream=repr(stream))
+
+    def _on_question(self, sender: str, asked: model.StreamQuestion) -> None:
+        now = self.reactor.seconds()
+        key = relay.StreamKey(asked.workspace, asked.first_attempt)
+        versions = self.origins.versions(asked.service_name, now)
+        answer = model.StreamAnswer(
+            asked.question,
+            self.origins.to_tell(key, now),
+            [model.SeenVersion(v, now - at) for v, at in versions.items()],
+        )
+        self.send_peer(model.SendPeerMessage(sender, answer))
+
+    def _on_answer(self, answer: model.StreamAnswer) -> None:
+        question = self.questions.get(answer.question)
+        if question is None:
+            return
+        now = self.reactor.seconds()
+        for seen in answer.versions:
+            if math.isfinite(seen.age_s) and seen.age_s >= 0:
+                self.origins.observe_version(
+                    question.service,
+                    seen.software_version,
+                    now - seen.age_s,
+                    now,
+                )
+        question.open_answers -= 1
+        told = answer.origin
+        if told is not None and math.isfinite(told.ttl_s):
+            self._end(answer.question, self.origins.on_told(told, now))
+        elif question.open_answers <= 0:
+            self._end(answer.question, None)
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -80,6 +80,15 @@
             send_peer,
             owners_of,
         )
+        origins = edge.OriginService(
+            self.clock,
+            catalog,
+            metrics,
+            logger,
+            self.rng,
+            send_peer,
+            lambda attempt, count: [],
+        )
         context = edge.RelayContext(
             self.clock,
             self.rng,
@@ -88,6 +97,7 @@
             catalog,
             budget,
             stages,
+            origins,
             metrics,
             logger,
             DOMAINS[index % len(DOMAINS)],
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -63,6 +63,7 @@
 from ragwort_model._peer import Ping
 from ragwort_model._peer import RunnerLimit
 from ragwort_model._peer import RunnerLimits
+from ragwort_model._peer import SeenVersion
 from ragwort_model._peer import SendPeerMessage
 from ragwort_model._peer import ServiceWait
 from ragwort_model._peer import StageAsk
@@ -75,6 +76,10 @@
 from ragwort_model._peer import StatePush
 from ragwort_model._peer import StateVersions
 from ragwort_model._peer import StateWant
+from ragwort_model._peer import StreamAnswer
+from ragwort_model._peer import StreamBegan
+from ragwort_model._peer import StreamQuestion
+from ragwort_model._peer import StreamsBegan
 from ragwort_model._settings import DaemonSettings
 from ragwort_model._settings import LimitSettings
 from ragwort_model._settings import load_settings
@@ -201,6 +206,11 @@
     'ServiceKind',
     'RunnerLimit',
     'RunnerLimits',
+    'SeenVersion',
+    'StreamAnswer',
+    'StreamBegan',
+    'StreamQuestion',
+    'StreamsBegan',
     'ServiceWait',
     'SettingsError',
     'split_address',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -284,6 +284,58 @@
     limits: list[RunnerLimit]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamBegan:
+    """The software version of a service that began a stream.
+
+    first_attempt is the id of the request that brought the first event;
+    ttl_s is how long callers may still take the stream up.
+    """
+
+    first_attempt: str
+    workspace: str
+    service_name: str
+    software_version: str
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsBegan:
+    """Origins of streams, for the hosts that are asked for them."""
+
+    streams: list[StreamBegan]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamQuestion:
+    """Ask which software version of a service began a stream."""
+
+    question: str
+    first_attempt: str
+    workspace: str
+    service_name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SeenVersion:
+    """A software version that a service had age_s seconds ago."""
+
+    software_version: str
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamAnswer:
+    """Answer to a StreamQuestion; origin is None if it is not known.
+
+    versions are those that the sender knows the service to have had lately.
+    """
+
+    question: str
+    origin: StreamBegan | None
+    versions: list[SeenVersion]
+
+
 PeerMessage = (
     Ping
     | Ack
@@ -303,6 +355,9 @@
     | StageDrop
     | StageRelease
     | RunnerLimits
+    | StreamsBegan
+    | StreamQuestion
+    | StreamAnswer
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -30,6 +30,9 @@
 from ragwort_relay._order import SLACK_PER_RANK_S
 from ragwort_relay._order import Throughput
 from ragwort_relay._order import timely_groups
+from ragwort_relay._origins import StreamKey
+from ragwort_relay._origins import StreamOrigin
+from ragwort_relay._origins import StreamOrigins
 from ragwort_relay._pieces import BatchCall
 from ragwort_relay._pieces import PieceGroup
 from ragwort_relay._pieces import QueuedPiece
@@ -98,6 +101,9 @@
     'StageRun',
     'StageSpec',
     'StreamEvent',
+    'StreamKey',
+    'StreamOrigin',
+    'StreamOrigins',
     'StreamProgress',
     'Throughput',
     'time_after_stage_s',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -5,6 +5,7 @@
 import ragwort_model as model
 from ragwort_relay import _fleet
 from ragwort_relay import _limits
+from ragwort_relay import _origins
 from ragwort_relay import _prompts
 from ragwort_relay import _routes
 from ragwort_relay import _sharing
@@ -44,37 +45,66 @@
         self.configuration: _routes.RelayConfiguration | None = None
         self.fleet = _fleet.Fleet()
         self.rate_limits = _limits.RateLimits()
+        self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
         self.problems: dict[str, str] = {}
         self.now = 0.0
 
-    def sendable(self, service: str, now: float) -> list[_fleet.FleetRunner]:
-        """Return a service's usable runners whose limits allow a request."""
+    def usable(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> list[_fleet.FleetRunner]:
+        """Return a service's usable runners, for a stream those that fit."""
         return [
             runner
             for runner in self.fleet.usable(service, now)
+            if origin is None or origin.may_continue_at(runner)
+        ]
+
+    def sendable(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> list[_fleet.FleetRunner]:
+        """Return the usable runners whose limits allow a request."""
+        return [
+            runner
+            for runner in self.usable(service, now, origin)
             if self.rate_limits.may_send(runner, now)
         ]
 
-    def send_wait_s(self, service: str, now: float) -> float | None:
-        """Return the time until this host may send to a runner of a service.
+    def send_wait_s(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> float | None:
+        """Return the time until this host may send to a usable runner.
 
         None means that there is no such runner.
         """
         waits_s = [
             self.rate_limits.wait_s(runner, now)
-            for runner in self.fleet.usable(service, now)
+            for runner in self.usable(service, now, origin)
         ]
         return min((s for s in waits_s if s is not None), default=None)
 
-    def has_sendable(self, service: str, now: float) -> bool:
-        """Tell whether this host sends to any of a service's runners.
+    def has_sendable(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> bool:
+        """Tell whether this host sends to any of the usable runners.
 
         It does not if other hosts hold the limits of all of them.
         """
-        usable = self.fleet.usable(service, now)
-        return not usable or self.send_wait_s(service, now) is not None
+        usable = self.usable(service, now, origin)
+        return not usable or self.send_wait_s(service, now, origin) is not None
 
     def limited_addresses(self, now: float) -> set[str]:
         """Return the addresses of the runners that name a limit."""
@@ -104,6 +134,9 @@
                 entry = self.decoder.decode_runner(item.name, item.value)
             era = model.era_of(item.version)
             self.fleet.update(item.name, entry, self.now, era)
+            known = self.fleet.runners.get(item.name)
+            if known is not None:
+                self.stream_origins.observe([known], self.now)
             if item.name not in self.fleet.runners:
                 self.prompt_cache.remove(item.name)
         elif self.decoder.is_configuration(item.name):
@@ -122,3 +155,4 @@
                 f'{current.version}, which stays in force'
             )
         self.configuration = configuration
+        self.stream_origins.on_configuration(configuration.longest_stream_s)
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -149,6 +149,14 @@
         """Return the workspace of each access key."""
         return {key: w for w in self.workspaces for key in w.keys}
 
+    @functools.cached_property
+    def longest_stream_s(self) -> float:
+        """Return the longest timeout of a route that streams."""
+        return max(
+            (r.timeout_s for r in self.routes if r.kind == CallKind.STREAM),
+            default=0.0,
+        )
+
     @functools.cached_property
     def downstream_services(self) -> dict[str, frozenset[str]]:
         """Return the stage services that read each service's results."""
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -165,6 +165,36 @@
   1: list<RunnerLimit> limits
 }
 
+struct StreamBegan {
+  1: string first_attempt
+  2: string workspace
+  3: string service_name
+  4: string software_version
+  5: double ttl_s
+}
+
+struct StreamsBegan {
+  1: list<StreamBegan> streams
+}
+
+struct StreamQuestion {
+  1: string question
+  2: string first_attempt
+  3: string workspace
+  4: string service_name
+}
+
+struct SeenVersion {
+  1: string software_version
+  2: double age_s
+}
+
+struct StreamAnswer {
+  1: string question
+  2: optional StreamBegan origin
+  3: list<SeenVersion> versions
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -186,4 +216,7 @@
   25: optional StageDrop stage_drop
   26: optional StageRelease stage_release
   27: optional RunnerLimits runner_limits
+  28: optional StreamsBegan streams_began
+  29: optional StreamQuestion stream_question
+  30: optional StreamAnswer stream_answer
 }
