--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -33,12 +33,14 @@
 class FleetRunner:
     """A runner's entry and what this host learned of the runner.
 
-    unconfirmed_until is set while the entry is missing after an outage;
-    slowness is the decayed ratio of work time to the typical time.
+    era is that of the store which told the entry; unconfirmed_until is set
+    while the entry is missing after an outage; slowness is the decayed ratio
+    of work time to the typical time.
     """
 
     entry: RunnerEntry
     state: policy.RunnerState
+    era: int = 0
     unconfirmed_until: float | None = None
     is_misdirected: bool = False
     slowness: float = 1.0
@@ -105,14 +107,17 @@
             if known is not None:
                 self._remove(known, now, era)
             return
+        if known is not None and _is_outdated(known, entry, era):
+            return
         if entry.runner.state == model.HostState.LEAVING:
             self._record_departure(entry, now, era, is_leaving=True)
         else:
             entry = self._without_return(name, entry, now, era)
         if known is None or known.entry.started_ms != entry.started_ms:
             state = policy.RunnerState(entry.runner)
-            self.runners[name] = FleetRunner(entry, state)
+            self.runners[name] = FleetRunner(entry, state, era)
             return
+        known.era = max(known.era, era)
         if known.address != entry.runner.address:
             known.is_misdirected = False
         known.entry = entry
@@ -212,3 +217,8 @@
             if runner.entry.runner.service == service
             and runner.entry.runner.state == model.HostState.LIVE
         ]
+
+
+def _is_outdated(known: FleetRunner, entry: RunnerEntry, era: int) -> bool:
+    """Tell whether an older copy of the store shows an earlier incarnation."""
+    return era > known.era and entry.started_ms < known.entry.started_ms
