--- a/features/steps/relay_http_steps.py
+++ b/features/steps/relay_http_steps.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 from twisted.internet import error
 from twisted.internet import task
-from twisted.internet.testing import StringTransport
 from twisted.python import failure
 
+from features.support import transports
 import ragwort_edge as edge
 import ragwort_relay as relay
 
@@ -59,25 +59,6 @@
 }
 
 
-class QuietTransport(StringTransport):
-    """A transport without a socket behind it."""
-
-    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
-        """Accept the option."""
-
-    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
-        """Accept the option."""
-
-    def getHandle(self) -> Any:  # noqa: N802
-        """Return something that takes options."""
-
-        class Handle:
-            def setsockopt(self, *arguments: int) -> None:
-                pass
-
-        return Handle()
-
-
 class ServerWorld:
     """One connection to a site."""
 
@@ -93,7 +74,7 @@
             self.rejected.append,
         )
         self.protocol = self.site.buildProtocol(None)
-        self.transport = QuietTransport()
+        self.transport = transports.QuietTransport()
         self.protocol.makeConnection(self.transport)
 
     @property
@@ -274,7 +255,7 @@
     request = edge.HttpRequest(b'GET', b'/', ((b'host', b'a'),))
     client.open('10.0.0.1:80', request, context.recorder)
     (protocol,) = opened
-    protocol.makeConnection(QuietTransport())
+    protocol.makeConnection(transports.QuietTransport())
     for byte in RESPONSES[what]:
         protocol.dataReceived(bytes([byte]))
     is_reset = what.startswith('reset')
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -1,5 +1,6 @@
 """Network layer of an entry host that relays requests to runners."""
 
+from ragwort_edge._body import HeldBytes
 from ragwort_edge._client import CallError
 from ragwort_edge._client import CallErrorKind
 from ragwort_edge._client import fetch
@@ -41,6 +42,7 @@
     'fetch',
     'find_header',
     'Headers',
+    'HeldBytes',
     'HostOptions',
     'HttpClient',
     'HttpRequest',
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -4,7 +4,6 @@
 closing it cancels the call.
 """
 
-from collections.abc import Callable
 import enum
 from typing import Any
 
@@ -14,12 +13,19 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from ragwort_edge import _body
 from ragwort_edge import _messages
 from ragwort_edge import _sockets
 import ragwort_model as model
 
 CONNECT_TIMEOUT_S = 0.4
 MAX_HEADER_BYTES = 64 * 1024
+# Interim responses before the final one.
+MAX_INTERIM_HEADS = 8
+# Each part of a body costs time to parse, however small: beyond some of them,
+# their mean size must not be below this.
+MAX_SMALL_PARTS = 2000
+MIN_MEAN_PART_BYTES = 16
 
 
 class CallErrorKind(enum.StrEnum):
@@ -68,6 +74,9 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
         )
         self.is_over = False
+        self.interim_heads = 0
+        self.part_count = 0
+        self.body_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the whole request."""
@@ -117,13 +126,17 @@
         event = self.connection.next_event()
         if event in (h11.NEED_DATA, h11.PAUSED):
             return False
-        if isinstance(event, h11.Response):
+        if isinstance(event, h11.InformationalResponse):
+            self._count_interim_head()
+        elif isinstance(event, h11.Response):
             headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
             self.reader.on_head(
                 _messages.HttpResponse(event.status_code, headers)
             )
         elif isinstance(event, h11.Data):
-            self.reader.on_data(bytes(event.data))
+            self._count_part(len(event.data))
+            if not self.is_over:
+                self.reader.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
             self.reader.on_end()
@@ -131,6 +144,20 @@
             self._fail(CallErrorKind.CLOSED, 'closed without a response')
         return True
 
+    def _count_interim_head(self) -> None:
+        self.interim_heads += 1
+        if self.interim_heads > MAX_INTERIM_HEADS:
+            detail = f'over {MAX_INTERIM_HEADS} interim responses'
+            self._fail(CallErrorKind.DAMAGED, detail)
+
+    def _count_part(self, size: int) -> None:
+        self.part_count += 1
+        self.body_bytes += size
+        least = self.part_count * MIN_MEAN_PART_BYTES
+        if self.part_count > MAX_SMALL_PARTS and self.body_bytes < least:
+            detail = f'body in {self.part_count} parts'
+            self._fail(CallErrorKind.DAMAGED, detail)
+
     def _finish(self) -> None:
         self.is_over = True
         if self.transport is not None:
@@ -201,6 +228,7 @@
     def __init__(self, reactor: Any) -> None:
         """Connect through a reactor."""
         self.reactor = reactor
+        self.held = _body.HeldBytes()
 
     def open(
         self,
@@ -221,26 +249,38 @@
 class _ResponseCollector(ResponseReader):
     """Collect a complete response."""
 
-    def __init__(self, done: 'defer.Deferred[_messages.HttpResponse]') -> None:
+    def __init__(
+        self,
+        done: 'defer.Deferred[_messages.HttpResponse]',
+        held: _body.HeldBytes,
+        max_body_bytes: int,
+    ) -> None:
         self.done = done
         self.head: _messages.HttpResponse | None = None
-        self.parts: list[bytes] = []
+        self.body = _body.BodyBuffer(held, max_body_bytes, self._on_too_large)
+        self.call: OpenCall | None = None
+
+    def _on_too_large(self, reason: str) -> None:
+        if self.call is not None:
+            self.call.cancel()
+        self.on_error(CallError(CallErrorKind.DAMAGED, reason))
 
     def on_head(self, response: _messages.HttpResponse) -> None:
         self.head = response
 
     def on_data(self, data: bytes) -> None:
-        self.parts.append(data)
+        self.body.add(data)
 
     def on_end(self) -> None:
         assert self.head is not None
         self.done.callback(
             _messages.HttpResponse(
-                self.head.status, self.head.headers, b''.join(self.parts)
+                self.head.status, self.head.headers, self.body.take()
             )
         )
 
     def on_error(self, call_error: CallError) -> None:
+        self.body.drop()
         self.done.errback(call_error)
 
 
@@ -249,24 +289,26 @@
     address: str,
     request: _messages.HttpRequest,
     timeout_s: float,
-    on_open: Callable[[OpenCall], None] | None = None,
+    max_body_bytes: int = _body.MAX_ANSWER_BYTES,
 ) -> 'defer.Deferred[_messages.HttpResponse]':
     """Return the complete response; fail with CallError.
 
-    Cancelling the Deferred or reaching timeout_s closes the connection.
+    Cancelling the Deferred or reaching timeout_s closes the connection, and
+    so does a body of over max_body_bytes.
     """
 
     def cancel(_: 'defer.Deferred[_messages.HttpResponse]') -> None:
         call.cancel()
+        collector.body.drop()
         kind = CallErrorKind.CANCELLED
         if not call.was_sent:
             kind = CallErrorKind.NOT_CONNECTED
         done.errback(CallError(kind, f'no response in {timeout_s:.3f} s'))
 
     done: defer.Deferred[_messages.HttpResponse] = defer.Deferred(cancel)
-    call = client.open(address, request, _ResponseCollector(done))
-    if on_open is not None:
-        on_open(call)
+    collector = _ResponseCollector(done, client.held, max_body_bytes)
+    call = client.open(address, request, collector)
+    collector.call = call
     timer = client.reactor.callLater(max(timeout_s, 0.0), done.cancel)
 
     def stop_timer(result: Any) -> Any:
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -6,6 +6,7 @@
 import math
 from typing import Any
 
+from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
@@ -16,6 +17,8 @@
 
 RELEASE_DELAY_S = 0.015
 RELEASE_TIMEOUT_S = 1.0
+# Largest part of a stage reply for one piece: a handle or a reason.
+MAX_PIECE_REPLY_BYTES = 4096
 # Interval of checks of a runner's storage; results live for seconds.
 STORAGE_CHECK_INTERVAL_S = 0.4
 MAX_SENDS_PER_PIECE = 3
@@ -198,7 +201,11 @@
             )
             request = self.dialect.storage_request(runner.address)
             done = _client.fetch(
-                self.client, runner.address, request, STORAGE_CHECK_INTERVAL_S
+                self.client,
+                runner.address,
+                request,
+                STORAGE_CHECK_INTERVAL_S,
+                _body.MAX_REPORT_BYTES,
             )
             done.addCallback(self._on_storage, batcher, runner)
             done.addErrback(self._on_storage_error, runner)
@@ -269,7 +276,11 @@
             piece.group.sends += 1
         self._log_call(service, batcher, call)
         done = _client.fetch(
-            self.client, call.runner.address, request, call.timeout_s
+            self.client,
+            call.runner.address,
+            request,
+            call.timeout_s,
+            _body.MAX_REPORT_BYTES + len(call.pieces) * MAX_PIECE_REPLY_BYTES,
         )
         done.addCallbacks(
             self._on_response,
@@ -518,7 +529,11 @@
                 continue
             request = self.dialect.release_request(address, handles)
             done = _client.fetch(
-                self.client, address, request, RELEASE_TIMEOUT_S
+                self.client,
+                address,
+                request,
+                RELEASE_TIMEOUT_S,
+                _body.MAX_REPORT_BYTES,
             )
             # A result that is not freed expires after a few seconds.
             done.addErrback(
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _messages
 from ragwort_edge import _runner_limits
@@ -22,6 +23,9 @@
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
 MIN_FIRST_EVENT_TIMEOUT_S = 1.5
 EVENT_STREAM = b'text/event-stream'
+# Far more than the longest stream of a model.
+MAX_STREAM_BYTES = 16_000_000
+MAX_STREAM_EVENTS = 100_000
 
 
 class StreamReader(_client.ResponseReader):
@@ -43,7 +47,14 @@
         self.event_parser = relay.EventSplitter()
         self.done: defer.Deferred[Any] = defer.Deferred()
         self.head: _messages.HttpResponse | None = None
-        self.body: list[bytes] = []
+        # Of a response that is no event stream.
+        self.body = _body.BodyBuffer(
+            self.context.client.held,
+            _body.MAX_ANSWER_BYTES,
+            self._on_damaged,
+        )
+        self.stream_bytes = 0
+        self.event_count = 0
         self.is_event_stream = False
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
@@ -85,9 +96,19 @@
     def stop(self) -> None:
         """Close the connection and read no more."""
         self._set_timer(None)
+        self.body.drop()
         if self.open_call is not None:
             self.open_call.cancel()
 
+    def _on_damaged(self, reason: str) -> None:
+        """Give up a response that has no end or no sound form."""
+        self.stop()
+        is_broken = self.is_event_stream
+        result = (
+            relay.SendResult.BROKEN if is_broken else relay.SendResult.LOST
+        )
+        self._finish(result, reason)
+
     def on_head(self, response: _messages.HttpResponse) -> None:
         """Read the headers; only an event stream is forwarded as it comes."""
         self.head = response
@@ -116,7 +137,11 @@
     def on_data(self, data: bytes) -> None:
         """Forward the events that are complete."""
         if not self.is_event_stream:
-            self.body.append(data)
+            self.body.add(data)
+            return
+        self.stream_bytes += len(data)
+        if self.stream_bytes > MAX_STREAM_BYTES:
+            self._on_damaged(f'stream of over {MAX_STREAM_BYTES} bytes')
             return
         try:
             events = [
@@ -125,10 +150,12 @@
                 if self.progress.accept(event)
             ]
         except ValueError as error:
-            self.stop()
-            self._finish(relay.SendResult.BROKEN, str(error))
+            self._on_damaged(str(error))
             return
-        if events:
+        self.event_count += len(events)
+        if self.event_count > MAX_STREAM_EVENTS:
+            self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
+        elif events:
             self.handler.on_event_from(self.called)
             self._forward(b''.join(event.data for event in events))
 
@@ -154,7 +181,7 @@
         took_s = self.context.reactor.seconds() - self.opened_at
         if not self.is_event_stream:
             response = _messages.HttpResponse(
-                self.head.status, self.head.headers, b''.join(self.body)
+                self.head.status, self.head.headers, self.body.take()
             )
             if not self.done.called:
                 self.done.callback(
@@ -176,6 +203,7 @@
     def on_error(self, call_error: _client.CallError) -> None:
         """Finish the send after a failed call."""
         self._set_timer(None)
+        self.body.drop()
         if call_error.kind == _client.CallErrorKind.NOT_CONNECTED:
             self._finish(relay.SendResult.NOT_SENT, str(call_error))
         elif self.is_event_stream:
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -240,6 +240,7 @@
     def __init__(self, clock: task.Clock) -> None:
         """Start without runners."""
         self.reactor = clock
+        self.held = edge.HeldBytes()
         self.runners: dict[str, LabRunner] = {}
 
     def open(
--- a/libs/ragwort_relay/ragwort_relay/_events.py
+++ b/libs/ragwort_relay/ragwort_relay/_events.py
@@ -1,9 +1,11 @@
 """Splitting a stream of server-sent events into complete events."""
 
 import dataclasses
+import re
 
 MAX_EVENT_BYTES = 1024 * 1024
-_TERMINATORS = (b'\n\n', b'\r\n\r\n')
+_LONGEST_TERMINATOR = b'\r\n\r\n'
+_TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,30 +25,28 @@
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self.buffer = b''
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events completed by data."""
+        """Return the events completed by data.
+
+        Raise ValueError if an event is too large.
+        """
+        # A terminator may have begun in what came before.
+        search_from = max(len(self.buffer) - len(_LONGEST_TERMINATOR) + 1, 0)
         self.buffer += data
         events: list[StreamEvent] = []
-        while (end := _event_end(self.buffer)) > 0:
-            chunk, self.buffer = self.buffer[:end], self.buffer[end:]
+        start = 0
+        for match in _TERMINATOR.finditer(self.buffer, search_from):
+            chunk = bytes(self.buffer[start : match.end()])
             events.append(StreamEvent(chunk, _event_id(chunk)))
+            start = match.end()
+        del self.buffer[:start]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise ValueError(f'event of over {MAX_EVENT_BYTES} bytes')
         return events
 
 
-def _event_end(data: bytes) -> int:
-    """Return the end of the first complete event, 0 without one."""
-    ends = [
-        at + len(terminator)
-        for terminator in _TERMINATORS
-        if (at := data.find(terminator)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(b'id:'):
