--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,10 @@
     When the soak plays seed 3 with 3 hosts, limits and 10 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes whose runners have two software versions
+    When the soak plays seed 5 with 3 hosts, versions and 10 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -32,6 +36,7 @@
       | service      | a request at another route's service    |
       | budget       | a hundred second sends                  |
       | limit        | a limited runner that gets too much     |
+      | versions     | three streams of two software versions  |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -12,10 +12,17 @@
     faults_s: float = run.FAULTS_S,
     restores: bool = False,
     limits: bool = False,
+    versions: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
-        seed or run.fresh_seed(), hosts, callers, faults_s, restores, limits
+        seed or run.fresh_seed(),
+        hosts,
+        callers,
+        faults_s,
+        restores,
+        limits,
+        versions,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import itertools
 import random
+import re
 from typing import Any
 
 import h11
@@ -27,6 +28,7 @@
     'staged': ('POST', '/stream/staged/'),
 }
 STAGED_PIECES = '1,2,3'
+_SHOWN_VERSION = re.compile(rb' (v\d+)$', re.MULTILINE)
 
 
 class _Connection(protocol.Protocol):
@@ -86,10 +88,12 @@
         choose_host: Callable[[], hosts.HostProcess | None],
         choose_key: Callable[[], str],
         keeps_connections: bool,
+        takes_up: bool = False,
     ) -> None:
         """Bind to what chooses hosts and keys.
 
-        A caller that keeps its connections closes none by itself.
+        A caller that keeps its connections closes none by itself; one that
+        takes up goes on with a stream that broke.
         """
         self.reactor = reactor
         self.rng = rng
@@ -97,6 +101,8 @@
         self.choose_host = choose_host
         self.choose_key = choose_key
         self.keeps_connections = keeps_connections
+        self.takes_up = takes_up
+        self.broken: ledger.Outcome | None = None
         self.connection: _Connection | None = None
         self.host: hosts.HostProcess | None = None
         self.outcome: ledger.Outcome | None = None
@@ -149,6 +155,8 @@
         # What a host has still to show goes first.
         wanted = [k for h, k in self.records.unserved if h == self.host.name]
         kind = self.rng.choice(wanted or sorted(KINDS))
+        broken, self.broken = self.broken, None
+        kind = broken.kind if broken else kind
         method, prefix = KINDS[kind]
         request_id = f'{next(self.numbers):08x}'
         body = b'' if method == 'GET' else request_id.encode() * 20
@@ -168,7 +176,15 @@
             self.host.name,
             headers[2][1].removeprefix('Bearer '),
             self.reactor.seconds(),
+            first_attempt=request_id,
         )
+        if broken is not None:
+            self.outcome.first_attempt = broken.first_attempt
+            self.outcome.last_event = last_event(broken)
+            headers += [
+                ('resumes', broken.first_attempt),
+                ('last-event-id', str(self.outcome.last_event)),
+            ]
         request = h11.Request(
             method=method, target=prefix + request_id, headers=headers
         )
@@ -220,6 +236,10 @@
         outcome.problem = problem
         outcome.ended_at = self.reactor.seconds()
         self.records.outcomes.append(outcome)
+        if self.takes_up and problem is not None:
+            is_stream = KINDS[outcome.kind][1].startswith('/stream/')
+            if is_stream and last_event(outcome):
+                self.broken = outcome
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.start()
@@ -231,8 +251,29 @@
     if prefix.startswith('/stream/'):
         return b''.join(
             runners.event_text(outcome.request_id, number)
-            for number in range(1, runners.EVENTS + 1)
+            for number in range(outcome.last_event + 1, runners.EVENTS + 1)
         )
     body = b'' if method == 'GET' else outcome.request_id.encode() * 20
     path = prefix + outcome.request_id
     return runners.answer_body(outcome.request_id, path, body)
+
+
+def events(outcome: ledger.Outcome) -> list[bytes]:
+    """Return the whole events that a stream brought."""
+    return outcome.body.split(b'\n\n')[:-1] if outcome.status == 200 else []
+
+
+def last_event(outcome: ledger.Outcome) -> int:
+    """Return the number of the last event that the caller has, else 0."""
+    return outcome.last_event + len(events(outcome))
+
+
+def versions(outcome: ledger.Outcome) -> set[bytes]:
+    """Return the software versions that a stream's events show."""
+    found = (_SHOWN_VERSION.search(event) for event in events(outcome))
+    return {match[1] for match in found if match}
+
+
+def body_without_versions(outcome: ledger.Outcome) -> bytes:
+    """Return a stream's body as runners of one version send it."""
+    return _SHOWN_VERSION.sub(b'', outcome.body)
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -26,6 +26,8 @@
 REWRITE_S = (0.3, 1.5)
 RESTORE = 'store-restored'
 LIMIT = 'runner-limit'
+BROKEN_STREAMS = 'broken-streams'
+BREAKS = 12
 # Requests a second that a runner takes while it names a limit, and for how
 # long it does.
 LIMITS_PER_S = (0.5, 1.0, 2.0, 4.0)
@@ -381,6 +383,20 @@
     return Begun('none', end)
 
 
+def _break_streams(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Reset half of the ways to hosts, or half of those to the engine."""
+    fronts = [host.front for host in whole.hosts]
+    engines = [r.proxy for r in whole.runners if r.service == 'engine']
+    ways = rng.choice((fronts, engines))
+    for way in rng.sample(ways, (len(ways) + 1) // 2):
+        mode = way.mode
+        way.set_mode(proxy.ProxyMode.RESET)
+        # Another fault may hold the way; it goes on.
+        way.mode = mode
+    return Begun('all', lambda: None)
+
+
+EXTRA_FAULTS[BROKEN_STREAMS] = _break_streams
 EXTRA_FAULTS[RESTORE] = _restore_store
 EXTRA_FAULTS[LIMIT] = _limit_runners
 
@@ -403,6 +419,14 @@
     return [Planned(LIMIT, at, rng.uniform(*LIMITED_S)) for at in starts]
 
 
+def draw_breaks(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return moments at which streams break."""
+    return [
+        Planned(BROKEN_STREAMS, rng.uniform(0.0, length_s), 0.1)
+        for _ in range(BREAKS)
+    ]
+
+
 def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
     """Return faults in series, or overlapping, as the seed has it."""
     overlap = rng.random() < 0.6
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -28,7 +28,8 @@
     """One request as its caller saw it, times in seconds.
 
     problem says why there is no whole answer; status is then that of the
-    answer's head, or None.
+    answer's head, or None. A request that takes a stream up names the attempt
+    that brought its first event, and the last event.
     """
 
     request_id: str
@@ -41,6 +42,8 @@
     body: bytes = b''
     problem: str | None = None
     is_probe: bool = False
+    first_attempt: str = ''
+    last_event: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -15,6 +15,8 @@
 SLACK_S = 1.5
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
+# Streams of two software versions that may be, in a whole run.
+MAX_MIXED_STREAMS = 2
 NOT_RUN = (408, 421, 429, 503)
 ATTEMPTS = {'safe': 2, 'unsafe': 1, 'stream': 2, 'staged': 2}
 SERVICES = {'/safe/': 'plain', '/once/': 'plain', '/stream/': 'engine'}
@@ -56,7 +58,8 @@
     """A whole answer is that of the caller's own request."""
     for one in records.outcomes:
         if one.status == 200 and one.problem is None:
-            if one.body != clients.expected_body(one):
+            body = clients.body_without_versions(one)
+            if body != clients.expected_body(one):
                 yield f'{one.request_id} ({one.kind}) got {one.body[:60]!r}'
 
 
@@ -65,10 +68,23 @@
     """What came of a stream begins its events, none twice or left out."""
     for one in records.outcomes:
         if one.status == 200 and one.kind in ('stream', 'staged'):
-            if not clients.expected_body(one).startswith(one.body):
+            body = clients.body_without_versions(one)
+            if not clients.expected_body(one).startswith(body):
                 yield f'{one.request_id} got {one.body[-80:]!r}'
 
 
+@promise('versions')
+def versions(records: ledger.Ledger) -> Iterator[str]:
+    """Hardly any stream holds events of two software versions."""
+    shown: dict[str, set[bytes]] = collections.defaultdict(set)
+    for one in records.outcomes:
+        if one.kind in ('stream', 'staged'):
+            shown[one.first_attempt] |= clients.versions(one)
+    mixed = [name for name, found in shown.items() if len(found) > 1]
+    if len(mixed) > MAX_MIXED_STREAMS:
+        yield f'{len(mixed)} streams hold two versions, {mixed[:3]}'
+
+
 @promise('runs')
 def runs(records: ledger.Ledger) -> Iterator[str]:
     """A request runs no more often than its route allows."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -31,7 +31,8 @@
 
     has_restores adds returns of the store from an older copy, has_limits
     runners that name a limit; both are drawn apart so that the other faults
-    of a seed stay the same.
+    of a seed stay the same. With has_versions runners of two software
+    versions stream, and callers take broken streams up.
     """
 
     seed: int
@@ -40,6 +41,7 @@
     faults_s: float = FAULTS_S
     has_restores: bool = False
     has_limits: bool = False
+    has_versions: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -86,12 +88,15 @@
             base,
             options.hosts,
             options.callers,
+            options.has_versions,
         )
         self.plan = faults.draw_plan(self.rng, options.faults_s)
         if options.has_restores:
             self.plan += faults.draw_restores(self.extra_rng, options.faults_s)
         if options.has_limits:
             self.plan += faults.draw_limits(self.extra_rng, options.faults_s)
+        if options.has_versions:
+            self.plan += faults.draw_breaks(self.extra_rng, options.faults_s)
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -1,6 +1,7 @@
 """Stand-ins of runners: plain services, streams and stage services."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import enum
 import hashlib
 import itertools
@@ -18,6 +19,8 @@
 WORK_S = 0.02
 EVENTS = 8
 EVENT_S = 0.02
+# Where software versions differ, so that more streams break than end.
+LONG_EVENT_S = 0.1
 CALL_S = 0.05
 PIECE_S = 0.005
 BATCH = 6
@@ -53,9 +56,10 @@
     return f'{request_id} {path} {digest}'.encode()
 
 
-def event_text(request_id: str, number: int) -> bytes:
-    """Return one event of a stream; ids begin at 1."""
-    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+def event_text(request_id: str, number: int, version: str = '') -> bytes:
+    """Return one event of a stream, which shows the software version."""
+    shown = f' {version}' if version else ''
+    return f'id: {number}\ndata: {request_id} {number}{shown}\n\n'.encode()
 
 
 class RunnerStandIn:
@@ -73,6 +77,7 @@
         records: ledger.Ledger,
         service: str,
         zone: str,
+        versions: Sequence[str] = ('',),
     ) -> None:
         """Start and register."""
         self.reactor = reactor
@@ -83,6 +88,9 @@
         self.mode = RunnerMode.OK
         self.limit_per_s: float | None = None
         self.limited_at = 0.0
+        # Each start takes the next one.
+        self.versions = itertools.cycle(versions)
+        self.version = ''
         self.running = 0
         self.handles: set[str] = set()
         self.is_draining = False
@@ -111,6 +119,7 @@
                 self.number, self.site, interface='127.0.0.1'
             )
         self.identifier = f'i-{next(self.numbers):04x}'
+        self.version = next(self.versions)
         self.born = int(time.time() * 1000)
         self.is_draining = False
         self.is_up = True
@@ -123,7 +132,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'state': 'draining' if self.is_draining else 'ready',
             'slots': SLOTS,
             'born': self.born,
@@ -312,7 +321,7 @@
             self.running = max(self.running - 1, 0)
             exchange.finish()
             return
-        text = event_text(request_id, number)
+        text = event_text(request_id, number, self.version)
         if self.mode == RunnerMode.CUT and number > EVENTS // 2:
             self.running = max(self.running - 1, 0)
             exchange.write(text[: len(text) // 2])
@@ -320,7 +329,7 @@
             return
         exchange.write(text)
         self.reactor.callLater(
-            self._work_s(EVENT_S),
+            self._work_s(EVENT_S if not self.version else LONG_EVENT_S),
             self._next_event,
             exchange,
             request_id,
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -12,6 +12,8 @@
 from features.soak import run
 
 KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
+# What a seed may have beside its usual faults.
+EXTRAS = ('restores', 'limits', 'versions')
 RUN_TIMEOUT_S = 180.0
 
 
@@ -22,19 +24,15 @@
         _options(
             entry['seed'],
             entry.get('hosts', 4),
-            entry.get('restores', False),
-            entry.get('limits', False),
+            [extra for extra in EXTRAS if entry.get(extra, False)],
         )
         for entry in kept
     ]
 
 
-def _options(
-    seed: int, hosts: int, has_restores: bool, has_limits: bool
-) -> list[str]:
-    options = [f'--seed={seed}', f'--hosts={hosts}']
-    options += ['--restores'] if has_restores else []
-    return [*options, '--limits'] if has_limits else options
+def _options(seed: int, hosts: int, extras: list[str]) -> list[str]:
+    names = [f'--{extra}' for extra in extras]
+    return [f'--seed={seed}', f'--hosts={hosts}', *names]
 
 
 def _play(options: list[str]) -> bool:
@@ -56,12 +54,14 @@
     kept: bool = typer.Option(False, help='Seeds that failed once, first.'),
     restores: bool = typer.Option(False, help='Restore the store as well.'),
     limits: bool = typer.Option(False, help='Let runners name limits too.'),
+    versions: bool = typer.Option(False, help='Two software versions.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
+    wanted = zip(EXTRAS, (restores, limits, versions), strict=True)
+    extras = [extra for extra, is_wanted in wanted if is_wanted]
     plays = kept_options() if kept else []
     plays += [
-        _options(seed, 4, restores, limits)
-        for seed in range(first, first + count)
+        _options(seed, 4, extras) for seed in range(first, first + count)
     ]
     results = [_play(options) for options in plays]
     rng = random.Random(run.fresh_seed())
@@ -69,7 +69,7 @@
     while time.monotonic() < until:
         seed = run.fresh_seed()
         hosts = rng.choice((3, 4, 6))
-        results.append(_play(_options(seed, hosts, restores, limits)))
+        results.append(_play(_options(seed, hosts, extras)))
     typer.echo(f'{sum(results)} of {len(results)} seeds kept all promises')
     if not all(results):
         raise typer.Exit(1)
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -17,6 +17,7 @@
 
 ZONES = ('north', 'east', 'south')
 SERVICES = {'plain': 3, 'engine': 3, 'stage-a': 2, 'stage-b': 2}
+VERSIONS = (('v1', 'v2'), ('v2', 'v1'))
 STANDING_KEYS = ('key-0', 'key-1')
 ADDRESS_POLL_S = 1.0
 ASK_TIMEOUT_S = 1.0
@@ -71,8 +72,13 @@
         base: str,
         host_count: int,
         caller_count: int,
+        has_versions: bool = False,
     ) -> None:
-        """Create all parts; base is the start of the hosts' IP numbers."""
+        """Create all parts; base is the start of the hosts' IP numbers.
+
+        With has_versions the engine's runners are of two software versions,
+        in turn at each start, and callers take broken streams up.
+        """
         self.reactor = reactor
         self.rng = rng
         self.records = ledger.Ledger()
@@ -89,6 +95,9 @@
                 self.records,
                 service,
                 ZONES[index % len(ZONES)],
+                VERSIONS[index % 2]
+                if has_versions and service == 'engine'
+                else ('',),
             )
             for service, count in SERVICES.items()
             for index in range(count)
@@ -121,6 +130,7 @@
                 self._choose_host,
                 self._choose_key,
                 index % 2 == 0,
+                has_versions,
             )
             for index in range(caller_count)
         ]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -39,6 +39,15 @@
     run_soak(context, seed, count, faults_s, '--limits')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, versions '
+    'and {faults_s:d} s of faults'
+)
+def play_versions(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with runners of two software versions."""
+    run_soak(context, seed, count, faults_s, '--versions')
+
+
 def run_soak(
     context: Any, seed: int, count: int, faults_s: int, *more: str
 ) -> None:
@@ -222,6 +231,31 @@
     ]
 
 
+@defect('three streams of two software versions')
+def mix_versions(records: ledger.Ledger) -> None:
+    """Let three callers go on at another version."""
+    for number in range(3):
+        first = add_request(records, f'stream-m{number}', 'stream', 30.0)
+        again = add_request(records, f'stream-n{number}', 'stream', 31.0)
+        again.first_attempt = first.first_attempt = first.request_id
+        again.last_event = 3
+        first.problem = 'closed'
+        first.body = stream_body(first, 'v1', 1, 3)
+        again.body = stream_body(again, 'v2', 4, runners.EVENTS)
+        add_arrival(records, first)
+        add_arrival(records, again)
+
+
+def stream_body(
+    one: ledger.Outcome, version: str, first: int, last: int
+) -> bytes:
+    """Return events of one software version."""
+    return b''.join(
+        runners.event_text(one.request_id, number, version)
+        for number in range(first, last + 1)
+    )
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
