--- a/libs/ragwort_model/ragwort_model/_documents.py
+++ b/libs/ragwort_model/ragwort_model/_documents.py
@@ -85,6 +85,7 @@
     cost_rate: float = pydantic.Field(default=1.0, ge=0, allow_inf_nan=False)
     checks_fencing: bool = True
     state: _domain.HostState = _domain.HostState.LIVE
+    software_version: str = ''
 
 
 class PlacementDocument(Document):
--- a/libs/ragwort_node/ragwort_node/_dispatcher.py
+++ b/libs/ragwort_node/ragwort_node/_dispatcher.py
@@ -216,6 +216,7 @@
             state
             for state in self.runners_in_service(service.name, now)
             if state.runner.name not in exclude
+            and execution.may_continue_at(state.runner)
         ]
         probe = self._probe_target(execution, states, now)
         if probe is not None:
--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -156,6 +156,7 @@
             is_hedge,
             choice.is_probe,
             len(execution.delivered_chunks),
+            choice.state.runner.software_version,
         )
         execution.open_attempts[str(ident)] = attempt
         return attempt
@@ -283,6 +284,7 @@
             execution.streaming_attempt = ident
             self._cancel_other_attempts(execution, attempt, now)
         if execution.streaming_attempt == ident:
+            execution.stream_version = attempt.software_version
             execution.delivered_chunks.append(event.data)
             self.subscribers.notify(
                 execution, model.Chunk(event.seq, event.data), now
--- a/libs/ragwort_node/ragwort_node/_execution.py
+++ b/libs/ragwort_node/ragwort_node/_execution.py
@@ -33,6 +33,7 @@
 
     chunks holds the stage result from sequence number resume_from on;
     fresh_connection is set if the call has a connection of its own.
+    software_version is that of the runner when it was called.
     """
 
     ident: model.AttemptId
@@ -43,6 +44,7 @@
     is_hedge: bool = False
     is_probe: bool = False
     resume_from: int = 0
+    software_version: str = ''
     chunks: list[str] = dataclasses.field(default_factory=list)
 
     def accept_chunk(self, seq: int, data: str) -> ChunkVerdict:
@@ -67,8 +69,10 @@
 
     delivered_chunks were sent to the callers; streaming_attempt is the id
     of the attempt whose chunks are sent on. reconnect_runner is the runner
-    to call again over a fresh connection. in_doubt is set while a
-    non-idempotent call may have run without its result having been seen.
+    to call again over a fresh connection. stream_version is the software
+    version that began the stream, None before its first chunk. in_doubt is
+    set while a non-idempotent call may have run without its result having
+    been seen.
     """
 
     request: model.Request
@@ -85,6 +89,7 @@
     stage_started_at: float = 0.0
     open_attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     streaming_attempt: str = ''
+    stream_version: str | None = None
     failed_runners: set[str] = dataclasses.field(default_factory=set)
     reconnect_runner: str = ''
     delivered_chunks: list[str] = dataclasses.field(default_factory=list)
@@ -125,6 +130,10 @@
             service.name for service in self.services[self.stage_index :]
         )
 
+    def may_continue_at(self, runner: model.Runner) -> bool:
+        """Tell whether a runner's chunks fit behind those delivered."""
+        return self.stream_version in (None, runner.software_version)
+
     def failure_outcome(self) -> model.Outcome:
         """Return the outcome if the request ended now without an answer."""
         if self.in_doubt or self.side_effect_done:
