--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -30,3 +30,13 @@
     When 40 servers answer with a body without end at the same time
     Then at most 25 MB of them are held, and each call ends as damaged
     And a call to a sound server is answered meanwhile
+
+  Scenario Outline: a node reads a <reader> of <size> MB
+    When a server answers a node's <reader> with <size> MB
+    Then the node <result> after at most <limit> MB
+
+    Examples:
+      | reader      | size | result              | limit |
+      | store call  | 7    | gets the whole body | 7     |
+      | store call  | 64   | closes the call     | 8     |
+      | load report | 64   | closes the call     | 0.1   |
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -8,10 +8,13 @@
 from behave import then
 from behave import when
 from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
 
 from features.steps import relay_decision_steps
 from features.support import transports
 import ragwort_edge as edge
+import ragwort_http as http
 import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
 import ragwort_relay as relay
@@ -218,3 +221,45 @@
 def check_sound(context: Any) -> None:
     """Look at its answer."""
     assert context.sound[0].body == b'abc', context.sound
+
+
+class BodyResponse:
+    """A response of the nodes' HTTP client, whose body comes in pieces."""
+
+    def __init__(self) -> None:
+        """Wait for a reader."""
+        self.reader: Any = None
+
+    def deliverBody(self, reader: Any) -> None:  # noqa: N802
+        """Hand the body to a reader."""
+        self.reader = reader
+        reader.makeConnection(transports.QuietTransport())
+
+
+NODE_BOUNDS = {'store call': (), 'load report': (http.MAX_REPORT_BYTES,)}
+
+
+@when("a server answers a node's {reader} with {size:d} MB")
+def answer_node(context: Any, reader: str, size: int) -> None:
+    """Send a body until it ends or the node closes."""
+    response: Any = BodyResponse()
+    context.ends = []
+    http.read_body(response, *NODE_BOUNDS[reader]).addBoth(context.ends.append)
+    context.fed = 0
+    while context.fed < size * MB:
+        if response.reader.transport.disconnected:
+            return
+        response.reader.dataReceived(b'x' * 50_000)
+        context.fed += 50_000
+    response.reader.connectionLost(failure.Failure(client.ResponseDone()))
+
+
+@then('the node {result} after at most {limit:g} MB')
+def check_node(context: Any, result: str, limit: float) -> None:
+    """Look at the end and at what was read by then."""
+    (end,) = context.ends
+    assert context.fed <= limit * MB + 50_000, context.fed
+    if result == 'gets the whole body':
+        assert len(end) == context.fed
+    else:
+        assert end.check(http.BodyTooLargeError), end
--- a/libs/ragwort_cli/ragwort_cli/_operator.py
+++ b/libs/ragwort_cli/ragwort_cli/_operator.py
@@ -8,7 +8,6 @@
 import uuid
 
 from twisted.internet import defer
-from twisted.web import client
 
 import ragwort_http as http
 import ragwort_model as model
@@ -185,7 +184,7 @@
     sent.addTimeout(REQUEST_TIMEOUT_S, reactor)
     try:
         response = yield sent
-        body = yield client.readBody(response)
+        body = yield http.read_body(response)
     except Exception as error:
         raise model.RequestError(
             f'{address} does not answer: {error or type(error).__name__}'
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -10,7 +10,6 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import iweb
 
 import ragwort_http as http
@@ -191,7 +190,7 @@
             )
             try:
                 response = yield self._get(url)
-                body = yield client.readBody(response)
+                body = yield http.read_body(response)
                 record = wire.decode_addresses(body)
             except Exception:  # noqa: B902
                 continue
@@ -271,7 +270,7 @@
             self.expires_at = 0.0
             return
         if response.code != 200:
-            content = yield client.readBody(response)
+            content = yield http.read_body(response)
             progress.refusal = _parse_problem(response.code, content)
             self.expires_at = 0.0
             if response.code == 404 and progress.host:
--- a/libs/ragwort_http/ragwort_http/__init__.py
+++ b/libs/ragwort_http/ragwort_http/__init__.py
@@ -1,11 +1,17 @@
 """HTTP client for IPv4 addresses, with pooled or new connections."""
 
+from ragwort_http._client import BodyTooLargeError
 from ragwort_http._client import CONNECT_ERRORS
 from ragwort_http._client import HttpClient
 from ragwort_http._client import LineReader
+from ragwort_http._client import MAX_REPORT_BYTES
+from ragwort_http._client import read_body
 
 __all__ = [
+    'BodyTooLargeError',
     'CONNECT_ERRORS',
     'HttpClient',
     'LineReader',
+    'MAX_REPORT_BYTES',
+    'read_body',
 ]
--- a/libs/ragwort_http/ragwort_http/_client.py
+++ b/libs/ragwort_http/ragwort_http/_client.py
@@ -18,6 +18,9 @@
 MAX_IDLE_CONNECTIONS = 64
 IDLE_TIMEOUT_S = 30.0
 MAX_LINE_BYTES = 1024 * 1024
+# Largest body of an answer, and of a short one as a load report.
+MAX_BODY_BYTES = 8_000_000
+MAX_REPORT_BYTES = 64_000
 
 CONNECT_ERRORS = (
     error.ConnectError,
@@ -91,6 +94,65 @@
         return closed
 
 
+class BodyTooLargeError(ValueError):
+    """Raise when the body of an answer exceeds its bound."""
+
+
+class _BodyReader(protocol.Protocol):
+    """Collect a body up to a size."""
+
+    def __init__(self, max_bytes: int, done: 'defer.Deferred[bytes]') -> None:
+        self.max_bytes = max_bytes
+        self.done = done
+        self.body = bytearray()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Add a part; end the call if the body is too large."""
+        if self.done.called:
+            return
+        if len(self.body) + len(data) > self.max_bytes:
+            self.body.clear()
+            self.close()
+            self.done.errback(
+                BodyTooLargeError(f'body of over {self.max_bytes} bytes')
+            )
+            return
+        self.body += data
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Return the body if it is complete."""
+        if self.done.called:
+            return
+        if reason.check(client.ResponseDone):
+            self.done.callback(bytes(self.body))
+        else:
+            self.done.errback(reason)
+
+    def close(self) -> None:
+        """Reset the connection."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+
+def read_body(
+    response: iweb.IResponse, max_bytes: int = MAX_BODY_BYTES
+) -> 'defer.Deferred[bytes]':
+    """Return a whole body; fail if it is cut short or over max_bytes.
+
+    Cancelling the Deferred closes the connection.
+    """
+
+    def cancel(_: 'defer.Deferred[bytes]') -> None:
+        reader.close()
+
+    done: defer.Deferred[bytes] = defer.Deferred(cancel)
+    reader: _BodyReader = _BodyReader(max_bytes, done)
+    response.deliverBody(reader)
+    return done
+
+
 class LineReader(protocol.Protocol):
     """Split a response body into lines."""
 
--- a/libs/ragwort_node/ragwort_node/_runner_client.py
+++ b/libs/ragwort_node/ragwort_node/_runner_client.py
@@ -5,7 +5,6 @@
 
 from twisted.internet import defer
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import iweb
 
 import ragwort_http as http
@@ -137,7 +136,7 @@
     @defer.inlineCallbacks
     def _fetch_load(self, url: str) -> Any:
         response = yield self.http_client.request(b'GET', url)
-        content = yield client.readBody(response)
+        content = yield http.read_body(response, http.MAX_REPORT_BYTES)
         return wire.decode_load(content)
 
     def send_order(self, effect: model.SendOrder) -> None:
@@ -147,6 +146,6 @@
         pending_reply = self.http_client.request(
             b'POST', url, body, fresh=True
         )
-        pending_reply.addCallback(client.readBody)
+        pending_reply.addCallback(http.read_body, http.MAX_REPORT_BYTES)
         pending_reply.addTimeout(REPLY_TIMEOUT_S, self.reactor)
         pending_reply.addErrback(lambda _: None)
--- a/libs/ragwort_node/ragwort_node/_store_client.py
+++ b/libs/ragwort_node/ragwort_node/_store_client.py
@@ -6,7 +6,6 @@
 
 from twisted.internet import defer
 from twisted.python import failure
-from twisted.web import client
 from twisted.web import iweb
 
 import ragwort_http as http
@@ -83,7 +82,7 @@
         response: iweb.IResponse = yield self.http_client.request(
             method, url, body
         )
-        content: bytes = yield client.readBody(response)
+        content: bytes = yield http.read_body(response)
         return wire.decode_store_result(call.op, response.code, content)
 
     def _unavailable(
