--- a/features/platform.feature
+++ b/features/platform.feature
@@ -143,6 +143,15 @@
       | nothing         | unavailable  |
       | unreadable text | unavailable  |
 
+  Scenario Outline: a host that starts and gets <signal> ends with <status>
+    When a host that has not read its settings yet gets <signal>
+    Then it ends with status <status>
+
+    Examples:
+      | signal  | status |
+      | SIGTERM | 0      |
+      | SIGHUP  | 2      |
+
   Scenario: no name of the platform stands outside the adapter
     Then no library holds a header, path or field of the platform
 
