--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -74,7 +74,7 @@
         self.stream_key = relay.StreamKey(
             workspace.name if workspace else '', metadata.request_id
         )
-        # Set once the caller holds an event.
+        # Set once the caller holds an event, here or from an attempt before.
         self.origin: relay.StreamOrigin | None = None
         self.is_origin_recorded = False
         self.stages = _request_stages.RequestStages(
@@ -485,7 +485,7 @@
 
     def on_event_from(self, runner: model.Runner) -> None:
         """Bind the stream to what runs on the runner that began it."""
-        if self.origin is not None and self.is_origin_recorded:
+        if self.is_origin_recorded:
             return
         self.is_origin_recorded = True
         if self.origin is None:
--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -141,7 +141,9 @@
     ) -> tuple[relay.StreamOrigin | None, str]:
         """Return what began a stream, and the source of that belief.
 
-        The key is None if the caller did not name the first attempt.
+        The key is None if the caller did not name the first attempt. A host
+        that started lately may have missed a version; it asks others before
+        it takes the only one that it knows.
         """
         now = self.reactor.seconds()
         known = self.origins.find(key, now) if key is not None else None
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -23,6 +23,8 @@
 FALLBACK_LIST_JITTER_S = 3.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
+# With two watchers a region, a lost answer is found well within the 11 s in
+# which a change has to be in force.
 DEFAULT_RENEWAL_S = 4.0
 # In a new era all watchers list at once; the delay spreads their calls.
 RELIST_JITTER_S = 0.3
