--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -194,15 +194,19 @@
 
     def _on_call(self, exchange: edge.Exchange) -> None:
         self._note_limited()
+        expected = exchange.request.header(b'expected-instance')
+        is_other = (
+            expected is not None and expected.decode() != self.identifier
+        )
+        # Also one that hangs or resets runs nothing that is for another.
         if self.mode == RunnerMode.HANG:
-            self._note_main(exchange, True)
+            self._note_main(exchange, not is_other)
             return
         if self.mode == RunnerMode.RESET:
-            self._note_main(exchange, True)
+            self._note_main(exchange, not is_other)
             exchange.abort()
             return
-        expected = exchange.request.header(b'expected-instance')
-        if expected is not None and expected.decode() != self.identifier:
+        if is_other:
             self._note_main(exchange, False)
             self._reply(exchange, 421, (NOT_RUN,))
             return
