--- a/features/soak.feature
+++ b/features/soak.feature
@@ -42,6 +42,13 @@
       | leaving      | a request that a leaving host cut       |
       | recovery     | a host that serves nobody any more      |
 
+  Scenario: a host that starts may answer a key that was taken with 503
+    Given the records of a sound run
+    When a refusal of a key that was taken is in the records
+    Then only the promise "keys" is broken
+    When its host was started just before
+    Then no promise is broken
+
   Scenario: a host that a fault concerned may leave a request unanswered
     Given the records of a sound run
     When a request that got no answer is in the records
--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -43,6 +43,8 @@
         self.folder = folder
         self.clock_file = folder / f'{self.name}.clock'
         self.process: subprocess.Popen[bytes] | None = None
+        self.reactor = reactor
+        self.starts: list[float] = []
         self.is_paused = False
         self.is_leaving = False
         self.store = proxy.FaultProxy(reactor, store_address)
@@ -88,6 +90,7 @@
             'PYTHONPATH': f'{ROOT / "platform"}:{CLOCK_FOLDER}',
         }
         self.is_paused = self.is_leaving = False
+        self.starts.append(self.reactor.seconds())
         log = (self.folder / f'{self.name}.log').open('ab')
         self.process = subprocess.Popen(
             [sys.executable, str(ROOT / 'platform' / 'serve.py')],
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -79,7 +79,8 @@
 class Ledger:
     """All records of a run; quiet_at is when the last fault was over.
 
-    handles are the results that lie at runners now; unserved are the
+    starts are the times at which each host was started; handles are the
+    results that lie at runners now; unserved are the
     hosts and kinds that were not served since, at the end.
     """
 
@@ -89,6 +90,7 @@
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
+    starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     handles: set[str] = dataclasses.field(default_factory=set)
     quiet_at: float = 0.0
     recovered_at: float | None = None
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -140,6 +140,8 @@
                 continue
             if not in_force <= one.asked_at < until:
                 continue
+            if not change.is_valid and _is_starting(records, one):
+                continue
             if (one.status != 401) != change.is_valid:
                 yield (
                     f'{one.request_id} got {one.status} with {one.key}, '
@@ -147,6 +149,14 @@
                 )
 
 
+def _is_starting(records: ledger.Ledger, one: ledger.Outcome) -> bool:
+    """Tell whether a host that may not know the keys yet refused to serve."""
+    return one.status == 503 and any(
+        at <= one.asked_at < at + RECOVERY_S
+        for at in records.starts.get(one.host, ())
+    )
+
+
 @promise('known-routes')
 def known_routes(records: ledger.Ledger) -> Iterator[str]:
     """Routes and keys that always held are never denied."""
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -118,6 +118,7 @@
             )
             for index in range(host_count)
         ]
+        self.records.starts = {h.name: h.starts for h in self.hosts}
         self.by_front = {h.address('front'): h for h in self.hosts}
         self.listed: list[hosts.HostProcess] = []
         self.avoided: dict[str, float] = {}
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -192,6 +192,14 @@
     add_request(records, 'safe-99', 'safe', 30.0).key = 'given'
 
 
+@defect('a refusal of a key that was taken')
+def refuse_key(records: ledger.Ledger) -> None:
+    """Answer 503 well after a key was taken."""
+    one = add_request(records, 'safe-99', 'safe', 30.0)
+    one.key, one.status, one.body = 'given', 503, b''
+    records.arrivals.pop()
+
+
 @defect('a key that is not known when given')
 def miss_key(records: ledger.Ledger) -> None:
     """Deny a key well after it was given and before it was taken."""
@@ -300,6 +308,13 @@
     )
 
 
+@when('its host was started just before')
+def start_host(context: Any) -> None:
+    """Note a start of the host that refused."""
+    one = find(context.records, 'safe-99')
+    context.records.starts[one.host] = [one.asked_at - 1.0]
+
+
 @then('no promise is broken')
 def check_kept(context: Any) -> None:
     """Check all promises."""
