--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -49,8 +49,10 @@
             return
         if self.mode == ProxyMode.ONE_WAY and is_answer:
             return
-        if self.mode == ProxyMode.DELAY:
-            self.reactor.callLater(DELAY_S, to.transport.write, data)
+        if self.mode == ProxyMode.DELAY or to.delayed:
+            # Bytes of a connection never overtake those before them.
+            to.delayed.append(data)
+            self.reactor.callLater(DELAY_S, to.write_delayed)
         else:
             to.transport.write(data)
 
@@ -70,6 +72,7 @@
         self.proxy = proxy
         self.other: _Side | None = None
         self.early: list[bytes] = []
+        self.delayed: list[bytes] = []
 
     def connectionMade(self) -> None:  # noqa: N802
         self.proxy.sides.add(self)
@@ -80,6 +83,10 @@
         else:
             self.proxy.carry(data, self.other, self.is_answer)
 
+    def write_delayed(self) -> None:
+        """Write the bytes that were held back first."""
+        self.transport.write(self.delayed.pop(0))
+
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         self.proxy.sides.discard(self)
         other, self.other = self.other, None
