Show changes that come late where connections between hosts fell silent

The scenarios connect whole hosts through connections on a virtual clock, half of which fall silent at 70 % of the hosts.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -158,3 +158,28 @@
       | reads          | frame        |
       | reads          | a compressed |
       | does not read  | a plain      |
+
+  Scenario Outline: a change is in force in time though connections between hosts fell silent, luck <seed>
+    Given <count> relay hosts that reach each other over connections
+    When 20 s passes
+    And connections of 70 % of the hosts fall silent, with luck <seed>
+    And <pause> s later a configuration of 12 KB withdraws key "k1"
+    Then within 3 s every host answers key "k1" with 401
+
+    Examples:
+      | count | seed | pause |
+      | 8     | 1    | 0.5   |
+      | 40    | 0    | 2.0   |
+      | 40    | 1    | 0.67  |
+      | 40    | 2    | 4.0   |
+
+  Scenario Outline: no host is believed dead since connections fell silent, luck <seed>
+    Given 40 relay hosts that reach each other over connections
+    When 20 s passes
+    And connections of 70 % of the hosts fall silent, with luck <seed>
+    Then no host suspects another for the next 8 s
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -1,6 +1,7 @@
 """Steps of whole relay hosts."""
 
 import math
+import random
 import subprocess
 import sys
 from typing import Any
@@ -50,6 +51,42 @@
     )
 
 
+@given('{count:d} relay hosts that reach each other over connections')
+def start_connected(context: Any, count: int) -> None:
+    """Start hosts whose connections may go silent."""
+    context.world = relay_hosts.HostWorld(count, has_connections=True)
+
+
+@when(
+    'connections of {percent:d} % of the hosts fall silent, with luck {seed:d}'
+)
+def silence_connections(context: Any, percent: int, seed: int) -> None:
+    """Lose what connections carry from now on."""
+    context.world.peer_network.silence(percent / 100, random.Random(seed))
+
+
+@when(
+    '{seconds:g} s later a configuration of {size_kb:d} KB withdraws key'
+    ' "{key}"'
+)
+def withdraw_later(
+    context: Any, seconds: float, size_kb: int, key: str
+) -> None:
+    """Withdraw a key some time later, by a configuration of some size."""
+    context.world.run(seconds)
+    context.world.keep_keys(['other'], size_kb * 1000)
+
+
+@then('no host suspects another for the next {seconds:d} s')
+def check_no_suspicion(context: Any, seconds: int) -> None:
+    """Look every second at what all hosts believe of the others."""
+    world = context.world
+    for _ in range(seconds):
+        world.run(1.0)
+        known = [len(host.members.live()) for host in world.hosts]
+        assert known == [len(world.hosts)] * len(world.hosts), known
+
+
 @given('{count:d} relay hosts with seeds that are gone')
 def start_seedless(context: Any, count: int) -> None:
     """Start hosts whose seeds don't exist."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -11,10 +11,12 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from features.steps import relay_decision_steps
+from features.support import peer_links
 import ragwort_edge as edge
 import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
 import ragwort_model as model
+import ragwort_peers as peers
 import ragwort_relay as relay
 import ragwort_wire as wire
 
@@ -276,11 +278,19 @@
         is_away: bool = False,
         seeds: tuple[str, ...] = ('10.0.0.1:84', '10.0.1.1:84'),
         link_bytes_per_s: float = math.inf,
+        has_connections: bool = False,
     ) -> None:
-        """Start hosts whose store answers or not."""
+        """Start hosts whose store answers or not.
+
+        With has_connections they reach each other over connections, which
+        may go silent; else messages are always delivered.
+        """
         self.seeds = seeds
         self.link_bytes_per_s = link_bytes_per_s
         self.clock = MemoryReactorClock()
+        self.peer_network: peer_links.PeerNetwork | None = None
+        if has_connections:
+            self.peer_network = peer_links.PeerNetwork(self.clock)
         self.network = fakes.LabNetwork(self.clock)
         self.objects = StoreObjects(self.clock, is_away)
         self.runners: list[lab.ScriptedRunner] = []
@@ -362,6 +372,8 @@
         host.stages.local_owner.client = client
         links: Any = FakeLinks(self, entry.peer_address)
         host.peers = links
+        if self.peer_network is not None:
+            host.peers = self._connected(host, entry.peer_address)
         if self.link_bytes_per_s != math.inf:
             way: Any = host.store
             way.carry = links.carry
@@ -372,6 +384,17 @@
         host.on_stopped = note_stop
         return host
 
+    def _connected(
+        self, host: edge.RelayHost, address: str
+    ) -> peers.PeerConnections:
+        """Return a host's connections to peers; let it accept theirs."""
+        assert self.peer_network is not None
+        self.peer_network.listeners[address] = peers.IncomingPeerFactory(
+            host._on_frame, host._on_invalid_frame
+        )
+        reactor = self.peer_network.reactor_of(address)
+        return peers.PeerConnections(reactor, address)
+
     def restart(self, index: int) -> None:
         """Replace a host by a new process that knows nothing."""
         old = self.hosts[index]
