Replace connections between hosts that stop delivering

Callers saw, on large fleets whose connections between hosts had gone silent, requests handled by a version older than 3 s ago, 404 for a route that had been added, and runners that leave still got requests.

Cause: messages to a peer went one way over a connection on which nothing came back, without keep-alive or user timeout. A host wrote into silence and learned of it only by a probe of its own, one peer a second; an offer, the request for it and its answer each go over another connection. Class: a path that is trusted without evidence that it delivers.

Change: frames have numbers; the peer answers on the same connection with receipts. An overdue receipt replaces the connection, and what was not confirmed and is younger than 2 s is sent again. Peers of earlier versions send no receipts and get everything once, as before. A message of an unknown type no longer ends the connection. Both ends set the socket options that connections to callers and runners have. peer-connection-silent and a counter tell of it.

--- a/features/support/peer_links.py
+++ b/features/support/peer_links.py
@@ -52,8 +52,10 @@
 
     def carry(self, data: bytes, to_caller: bool) -> None:
         """Deliver bytes after the time of the link."""
-        if not self.is_silent and self.is_open:
-            self.net.clock.callLater(LINK_S, self._deliver, data, to_caller)
+        arriving = self.net.carry(self, data, to_caller)
+        if arriving and not self.is_silent and self.is_open:
+            clock = self.net.clock
+            clock.callLater(LINK_S, self._deliver, arriving, to_caller)
 
     def _deliver(self, data: bytes, to_caller: bool) -> None:
         if self.is_open and not self.is_silent:
@@ -70,6 +72,9 @@
                 end.connectionLost(failure.Failure(reason))
 
 
+Carry = Callable[[Connection, bytes, bool], bytes | None]
+
+
 class PeerNetwork:
     """Carries the connections between hosts."""
 
@@ -78,6 +83,9 @@
         self.clock = clock
         self.listeners: dict[str, Any] = {}
         self.connections: list[Connection] = []
+        self.opened = 0
+        # Returns what arrives of some bytes, None if nothing does.
+        self.carry: Carry = lambda connection, data, to_caller: data
         self.is_reachable: Callable[[str, str], bool] = lambda one, other: True
 
     def reactor_of(self, address: str) -> 'HostReactor':
@@ -146,6 +154,7 @@
             )
 
     def _connect(self, target: str, listener: Any) -> None:
+        self.net.opened += 1
         self.net.connections.append(
             Connection(
                 self.net,
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -15,8 +15,8 @@
 
 from ragwort_edge import _body
 from ragwort_edge import _messages
-from ragwort_edge import _sockets
 import ragwort_model as model
+import ragwort_peers as peers
 
 CONNECT_TIMEOUT_S = 0.4
 MAX_HEADER_BYTES = 64 * 1024
@@ -80,7 +80,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the whole request."""
-        _sockets.set_options(self.transport)
+        peers.set_socket_options(self.transport)
         request = self.request
         headers = list(request.headers)
         if request.body or request.method in (b'POST', b'PUT', b'PATCH'):
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -142,6 +142,7 @@
             options.host, self.store_era, self.rng, now
         )
         self.peers = peers.PeerConnections(reactor, options.host.peer_address)
+        self.peers.on_silent = self._on_silent_peer
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
         self.client = _client.HttpClient(reactor)
@@ -467,6 +468,18 @@
             _stage_service.OWNER_CANDIDATES,
         )
 
+    def _on_silent_peer(
+        self, address: str, frame_count: int, age_s: float
+    ) -> None:
+        """Record that a connection was replaced as it does not deliver."""
+        self.metrics.silent_peer_connections.inc()
+        self.logger.warning(
+            'peer-connection-silent',
+            peer=address,
+            unconfirmed=frame_count,
+            age_s=round(age_s, 3),
+        )
+
     def _on_invalid_frame(self, detail: str) -> None:
         self.logger.warning('invalid-peer-frame', detail=detail)
 
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -61,6 +61,11 @@
             ['source'],
             registry=self.registry,
         )
+        self.silent_peer_connections = prometheus.Counter(
+            'ragwort_silent_peer_connections',
+            'Connections to hosts replaced since receipts were overdue',
+            registry=self.registry,
+        )
         self.overdue_watches = prometheus.Counter(
             'ragwort_overdue_watches',
             'Watches of the store given up without an answer',
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -9,7 +9,7 @@
 from twisted.python import failure
 
 from ragwort_edge import _messages
-from ragwort_edge import _sockets
+import ragwort_peers as peers
 import ragwort_relay as relay
 
 # Pipelined bytes that are buffered while a request is being served.
@@ -113,7 +113,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request."""
-        _sockets.set_options(self.transport)
+        peers.set_socket_options(self.transport)
         self.site.connections.add(self)
         self._set_timer(self.site.limits().idle_timeout_s)
 
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -36,6 +36,7 @@
 from ragwort_model._errors import StoreError
 from ragwort_model._errors import StoreUnavailableError
 from ragwort_model._errors import TargetConflictError
+from ragwort_model._errors import UnknownMessageError
 from ragwort_model._errors import VersionConflictError
 from ragwort_model._errors import WireError
 from ragwort_model._hashing import content_digest
@@ -243,6 +244,7 @@
     'to_class_of_work',
     'to_runner',
     'to_service',
+    'UnknownMessageError',
     'VersionConflictError',
     'WireError',
     'WorkspaceDocument',
--- a/libs/ragwort_model/ragwort_model/_errors.py
+++ b/libs/ragwort_model/ragwort_model/_errors.py
@@ -21,6 +21,15 @@
     """Raise when bytes from another process cannot be decoded."""
 
 
+class UnknownMessageError(WireError):
+    """Raise for a sound message of a type that this version does not know."""
+
+    def __init__(self, number: int) -> None:
+        """Keep the number of the message's frame."""
+        super().__init__('frame has no message of a known type')
+        self.number = number
+
+
 class StoreError(RagwortError):
     """Base class of failures of the platform's object API."""
 
--- a/libs/ragwort_node/ragwort_node/_daemon.py
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -52,6 +52,7 @@
             reactor, self.http, settings.platform, self._on_store
         )
         self.peers = peers.PeerConnections(reactor, settings.peers)
+        self.peers.on_silent = self._on_silent_peer
         self.streams: dict[str, _caller_http.CallerStream] = {}
         self.unflushed_streams: dict[str, _caller_http.CallerStream] = {}
         self.flush_call: Any = None
@@ -217,6 +218,17 @@
         )
         self.perform(effects)
 
+    def _on_silent_peer(
+        self, address: str, frame_count: int, age_s: float
+    ) -> None:
+        self.metrics.count('peer.silent')
+        self.logger.warning(
+            'peer-connection-silent',
+            peer=address,
+            unconfirmed=frame_count,
+            age_s=round(age_s, 3),
+        )
+
     def _on_invalid_frame(self, detail: str) -> None:
         self.metrics.count('peer.damaged')
         self.logger.warning('invalid-peer-frame', detail=detail)
--- a/libs/ragwort_edge/ragwort_edge/_sockets.py
+++ b/libs/ragwort_peers/ragwort_peers/_socket_options.py
@@ -10,7 +10,7 @@
 USER_TIMEOUT_MS = 3000
 
 
-def set_options(transport: Any) -> None:
+def set_socket_options(transport: Any) -> None:
     """Disable Nagle's algorithm and detect dead peers in seconds."""
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
--- a/libs/ragwort_wire/ragwort_wire/__init__.py
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -12,9 +12,12 @@
 from ragwort_wire._caller_http import RequestRecord
 from ragwort_wire._caller_http import STREAM_TYPE
 from ragwort_wire._peer_codec import decode_peer
+from ragwort_wire._peer_codec import decode_receipt
 from ragwort_wire._peer_codec import encode_peer
+from ragwort_wire._peer_codec import encode_receipt
 from ragwort_wire._peer_codec import MAX_FRAME_BYTES
 from ragwort_wire._peer_codec import PeerFrame
+from ragwort_wire._peer_codec import RECEIPT_BYTES
 from ragwort_wire._peer_codec import WIRE_VERSION
 from ragwort_wire._platform_http import decode_store_result
 from ragwort_wire._platform_http import decode_write
@@ -53,6 +56,7 @@
     'decode_load',
     'decode_order',
     'decode_peer',
+    'decode_receipt',
     'decode_result',
     'decode_store_result',
     'decode_write',
@@ -61,6 +65,7 @@
     'encode_json',
     'encode_order',
     'encode_peer',
+    'encode_receipt',
     'encode_result',
     'encode_store_result',
     'encode_write',
@@ -74,6 +79,7 @@
     'PeerFrame',
     'Problem',
     'PROBLEM_TYPE',
+    'RECEIPT_BYTES',
     'RequestBody',
     'RequestRecord',
     'ResultChunk',
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -6,6 +6,7 @@
 import functools
 import pathlib
 import re
+import struct
 import types
 import typing
 from typing import Any
@@ -25,6 +26,9 @@
 # No envelope begins so: its first byte is the type of a thrift field.
 ZLIB_FIRST_BYTE = b'\x78'
 
+_RECEIPT = struct.Struct('>q')
+RECEIPT_BYTES = _RECEIPT.size
+
 _new_protocol: Any = protocol.TCyBinaryProtocol
 _IDL: Any = thriftpy2.load(
     str(pathlib.Path(__file__).with_name('peer.thrift')),
@@ -34,10 +38,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerFrame:
-    """A decoded message and the name of its sender."""
+    """A decoded message and the name of its sender.
+
+    number is 0 if the sender expects no receipt.
+    """
 
     sender: str
     message: model.PeerMessage
+    number: int = 0
 
 
 @functools.cache
@@ -52,14 +60,20 @@
 
 
 def encode_peer(
-    sender: str, message: model.PeerMessage, is_compressed: bool = False
+    sender: str,
+    message: model.PeerMessage,
+    is_compressed: bool = False,
+    number: int = 0,
 ) -> bytes:
     """Encode a message as one frame, without the length prefix.
 
-    Only peers that say so can read a compressed frame.
+    Only peers that say so can read a compressed frame. A frame with a number
+    asks for a receipt.
     """
     value_type = typing.cast(type, type(message))
-    envelope = _IDL.Envelope(version=WIRE_VERSION, sender=sender)
+    envelope = _IDL.Envelope(
+        version=WIRE_VERSION, sender=sender, number=number
+    )
     setattr(envelope, _field_name(value_type), _to_thrift(value_type)(message))
     buffer = cymemory.TCyMemoryBuffer()
     _new_protocol(buffer).write_struct(envelope)
@@ -86,6 +100,19 @@
         raise model.WireError(f'damaged frame: {error!r}') from None
 
 
+def encode_receipt(number: int) -> bytes:
+    """Encode the receipt for all frames up to a number."""
+    return _RECEIPT.pack(number)
+
+
+def decode_receipt(data: bytes) -> int:
+    """Return the number in a receipt; raise WireError if it is damaged."""
+    if len(data) != RECEIPT_BYTES:
+        raise model.WireError(f'receipt of {len(data)} bytes')
+    number: int = _RECEIPT.unpack(data)[0]
+    return number
+
+
 def _decompress(data: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
@@ -103,10 +130,11 @@
     if not envelope.sender:
         raise model.WireError('frame has no sender')
     for name, value_type in _MESSAGE_TYPES.items():
-        struct = getattr(envelope, name)
-        if struct is not None:
-            return PeerFrame(envelope.sender, _from_thrift(value_type)(struct))
-    raise model.WireError('frame has no message of a known type')
+        value = getattr(envelope, name)
+        if value is not None:
+            message = _from_thrift(value_type)(value)
+            return PeerFrame(envelope.sender, message, envelope.number or 0)
+    raise model.UnknownMessageError(envelope.number or 0)
 
 
 Converter = Callable[[Any], Any]
@@ -146,10 +174,10 @@
     ]
 
     def convert(value: Any) -> Any:
-        struct = struct_type()
+        record = struct_type()
         for name, convert_inner in fields:
-            setattr(struct, name, convert_inner(getattr(value, name)))
-        return struct
+            setattr(record, name, convert_inner(getattr(value, name)))
+        return record
 
     return convert
 
@@ -182,11 +210,11 @@
         for name, hint in typing.get_type_hints(value_type).items()
     ]
 
-    def convert(struct: Any) -> Any:
-        _require(struct)
+    def convert(record: Any) -> Any:
+        _require(record)
         return value_type(
             *[
-                convert_inner(getattr(struct, name))
+                convert_inner(getattr(record, name))
                 for name, convert_inner in fields
             ]
         )
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -198,6 +198,9 @@
 struct Envelope {
   1: i32 version
   2: string sender
+  // Counts a sender's frames to one peer from 1. The peer answers on the same
+  // connection with a receipt: the highest number read, in 8 bytes.
+  3: i64 number = 0
   10: optional Ping ping
   11: optional Ack ack
   12: optional IndirectPing indirect_ping
