Let the soak silence connections between hosts and cut hosts off

The soak never severed paths between hosts, since a host listens on the address that its peers know and no proxy fits in between. The new promise 'changes' says that a key which one host knows is known to all within 3 s; a defect in sound records shows that its check fails.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -12,6 +12,10 @@
     When the soak plays seed 5 with 3 hosts, versions and 10 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of more hosts whose connections to each other fall silent
+    When the soak plays seed 11 with 14 hosts, silence between them and 8 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -32,6 +36,7 @@
       | answered     | a request that got no answer            |
       | keys         | a key that is still valid when taken    |
       | keys         | a key that is not known when given      |
+      | changes      | a host that learns of a key long after another |
       | known-routes | a denied standing key                   |
       | service      | a request at another route's service    |
       | budget       | a hundred second sends                  |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -13,6 +13,7 @@
     restores: bool = False,
     limits: bool = False,
     versions: bool = False,
+    severed: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -23,6 +24,7 @@
         restores,
         limits,
         versions,
+        severed,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 import signal
 
@@ -28,6 +29,12 @@
 LIMIT = 'runner-limit'
 BROKEN_STREAMS = 'broken-streams'
 BREAKS = 12
+SILENT_PEERS = 'silent-peers'
+CUT_PEERS = 'cut-peers'
+# Shares of the hosts, and of their connections to others, that fall silent.
+SILENT_HOSTS = (0.4, 1.0)
+SILENT_SHARE = (0.3, 0.9)
+CUT_S = (1.0, 4.0)
 # Requests a second that a runner takes while it names a limit, and for how
 # long it does.
 LIMITS_PER_S = (0.5, 1.0, 2.0, 4.0)
@@ -396,7 +403,38 @@
     return Begun('all', lambda: None)
 
 
+def _silence_peers(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Let connections between hosts fall silent for good."""
+    count = round(rng.uniform(*SILENT_HOSTS) * len(whole.hosts))
+    share = rng.uniform(*SILENT_SHARE)
+    for host in rng.sample(whole.hosts, max(count, 1)):
+        host.silence_peers(share)
+    return Begun('none', lambda: None)
+
+
+def _cut_peers(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Cut some hosts off from all others for a while."""
+    chosen = rng.sample(whole.hosts, max(len(whole.hosts) // 4, 1))
+    now = whole.reactor.seconds()
+    cuts = [
+        ledger.Disturbance(CUT_PEERS, host.name, now, math.inf)
+        for host in chosen
+    ]
+    whole.records.cuts += cuts
+    for host in chosen:
+        host.silence_peers(1.0, is_cut=True)
+
+    def heal() -> None:
+        for host, cut in zip(chosen, cuts, strict=True):
+            host.silence_peers(0.0)
+            cut.until = whole.reactor.seconds()
+
+    return Begun('none', heal)
+
+
 EXTRA_FAULTS[BROKEN_STREAMS] = _break_streams
+EXTRA_FAULTS[SILENT_PEERS] = _silence_peers
+EXTRA_FAULTS[CUT_PEERS] = _cut_peers
 EXTRA_FAULTS[RESTORE] = _restore_store
 EXTRA_FAULTS[LIMIT] = _limit_runners
 
@@ -427,6 +465,16 @@
     ]
 
 
+def draw_severed(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return moments at which hosts stop hearing each other."""
+    silences = [
+        Planned(SILENT_PEERS, rng.uniform(0.0, length_s), 0.1)
+        for _ in range(rng.choice((2, 3, 4)))
+    ]
+    cut_at = rng.uniform(0.0, length_s - max(CUT_S))
+    return [*silences, Planned(CUT_PEERS, cut_at, rng.uniform(*CUT_S))]
+
+
 def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
     """Return faults in series, or overlapping, as the seed has it."""
     overlap = rng.random() < 0.6
--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -15,7 +15,7 @@
 
 ROOT = pathlib.Path(__file__).parents[2]
 TEMPLATE = ROOT / 'deploy' / 'host.yaml.template'
-CLOCK_FOLDER = pathlib.Path(__file__).parent / 'clock'
+INSIDE_FOLDER = pathlib.Path(__file__).parent / 'inside'
 PORTS = {'front': 18081, 'ready': 18082, 'directory': 18083, 'control': 18084}
 GRACE_S = 8
 RETRY_RATIO = 0.2
@@ -42,6 +42,8 @@
         self.zone = zone
         self.folder = folder
         self.clock_file = folder / f'{self.name}.clock'
+        self.silence_file = folder / f'{self.name}.silence'
+        self.silence_orders = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.reactor = reactor
         self.starts: list[float] = []
@@ -87,7 +89,9 @@
         environment = os.environ | {
             'RAGWORTWORKS_SETTINGS': str(self.settings),
             'SOAK_CLOCK_FILE': str(self.clock_file),
-            'PYTHONPATH': f'{ROOT / "platform"}:{CLOCK_FOLDER}',
+            'SOAK_SILENCE_FILE': str(self.silence_file),
+            'SOAK_PEER_PORT': str(PORTS['control']),
+            'PYTHONPATH': f'{ROOT / "platform"}:{INSIDE_FOLDER}',
         }
         self.is_paused = self.is_leaving = False
         self.starts.append(self.reactor.seconds())
@@ -124,6 +128,18 @@
         """Step the time of day that the process sees."""
         self.clock_file.write_text(str(seconds))
 
+    def silence_peers(self, share: float, is_cut: bool = False) -> None:
+        """Silence a share of the open connections to other hosts for good.
+
+        While the host is cut off, all connections are silenced.
+        """
+        self.silence_orders += 1
+        mode = 'cut' if is_cut else 'open'
+        text = f'{self.silence_orders} {share} {mode}'
+        temporary = self.silence_file.with_suffix('.new')
+        temporary.write_text(text)
+        temporary.replace(self.silence_file)
+
     def end(self) -> None:
         """End the process for good and reap it."""
         if self.process is not None:
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -80,8 +80,9 @@
     """All records of a run; quiet_at is when the last fault was over.
 
     starts are the times at which each host was started; handles are the
-    results that lie at runners now; unserved are the
-    hosts and kinds that were not served since, at the end.
+    results that lie at runners now; cuts are the times at which a host was
+    cut off from all others; unserved are the hosts and kinds that were not
+    served since, at the end.
     """
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
@@ -89,6 +90,7 @@
     outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    cuts: list[Disturbance] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     handles: set[str] = dataclasses.field(default_factory=set)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+import math
 
 from features.soak import clients
 from features.soak import hosts
@@ -12,6 +13,8 @@
 # Time within which a change of keys is in force, and slack for the host
 # that is asked and for this machine.
 KEYS_BOUND_S = 6.0
+# Time within which all hosts know what one of them knows.
+CHANGE_BOUND_S = 3.0
 SLACK_S = 1.5
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
@@ -149,6 +152,47 @@
                 )
 
 
+@promise('changes')
+def changes(records: ledger.Ledger) -> Iterator[str]:
+    """A key that one host knows is soon known to all."""
+    for change in records.key_changes:
+        if not change.is_valid:
+            continue
+        asked = [o for o in records.outcomes if o.key == change.key]
+        known_at = min(
+            (o.ended_at for o in asked if o.status == 200), default=None
+        )
+        if known_at is None:
+            continue
+        taken_at = min(
+            (
+                later.at
+                for later in records.key_changes
+                if later.key == change.key and later.at > change.at
+            ),
+            default=math.inf,
+        )
+        late_at = known_at + CHANGE_BOUND_S + SLACK_S
+        for one in asked:
+            is_late = late_at <= one.asked_at < taken_at
+            if is_late and one.status == 401 and not _is_apart(records, one):
+                yield (
+                    f'{one.request_id} got 401 with {one.key}, '
+                    f'{one.asked_at - known_at:.1f} s after it was known'
+                )
+
+
+def _is_apart(records: ledger.Ledger, one: ledger.Outcome) -> bool:
+    """Tell whether a host was kept from the others shortly before."""
+    since = one.asked_at - CHANGE_BOUND_S - SLACK_S
+    return any(
+        fault.target == one.host
+        and fault.at <= one.asked_at
+        and fault.until >= since
+        for fault in [*records.cuts, *records.disturbances]
+    )
+
+
 def _is_starting(records: ledger.Ledger, one: ledger.Outcome) -> bool:
     """Tell whether a host that may not know the keys yet refused to serve."""
     return one.status == 503 and any(
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -32,7 +32,8 @@
     has_restores adds returns of the store from an older copy, has_limits
     runners that name a limit; both are drawn apart so that the other faults
     of a seed stay the same. With has_versions runners of two software
-    versions stream, and callers take broken streams up.
+    versions stream, and callers take broken streams up. has_severed lets
+    connections between hosts fall silent.
     """
 
     seed: int
@@ -42,6 +43,7 @@
     has_restores: bool = False
     has_limits: bool = False
     has_versions: bool = False
+    has_severed: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,6 +99,8 @@
             self.plan += faults.draw_limits(self.extra_rng, options.faults_s)
         if options.has_versions:
             self.plan += faults.draw_breaks(self.extra_rng, options.faults_s)
+        if options.has_severed:
+            self.plan += faults.draw_severed(self.extra_rng, options.faults_s)
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -13,7 +13,7 @@
 
 KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
 # What a seed may have beside its usual faults.
-EXTRAS = ('restores', 'limits', 'versions')
+EXTRAS = ('restores', 'limits', 'versions', 'severed')
 RUN_TIMEOUT_S = 180.0
 
 
@@ -55,21 +55,22 @@
     restores: bool = typer.Option(False, help='Restore the store as well.'),
     limits: bool = typer.Option(False, help='Let runners name limits too.'),
     versions: bool = typer.Option(False, help='Two software versions.'),
+    severed: bool = typer.Option(False, help='Silence between hosts.'),
+    hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
-    wanted = zip(EXTRAS, (restores, limits, versions), strict=True)
+    wanted = zip(EXTRAS, (restores, limits, versions, severed), strict=True)
     extras = [extra for extra, is_wanted in wanted if is_wanted]
     plays = kept_options() if kept else []
     plays += [
-        _options(seed, 4, extras) for seed in range(first, first + count)
+        _options(seed, hosts, extras) for seed in range(first, first + count)
     ]
     results = [_play(options) for options in plays]
     rng = random.Random(run.fresh_seed())
     until = time.monotonic() + 60.0 * minutes
     while time.monotonic() < until:
         seed = run.fresh_seed()
-        hosts = rng.choice((3, 4, 6))
-        results.append(_play(_options(seed, hosts, extras)))
+        results.append(_play(_options(seed, rng.choice((3, 4, 6)), extras)))
     typer.echo(f'{sum(results)} of {len(results)} seeds kept all promises')
     if not all(results):
         raise typer.Exit(1)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -39,6 +39,15 @@
     run_soak(context, seed, count, faults_s, '--limits')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, silence between them '
+    'and {faults_s:d} s of faults'
+)
+def play_severed(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with connections between hosts that fall silent."""
+    run_soak(context, seed, count, faults_s, '--severed')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -207,6 +216,15 @@
     one.key, one.status, one.body = 'given', 401, b''
 
 
+@defect('a host that learns of a key long after another')
+def hear_late(records: ledger.Ledger) -> None:
+    """Serve with a new key at one host and deny it at another."""
+    add_request(records, 'safe-98', 'safe', 5.5).key = 'given'
+    one = add_request(records, 'safe-99', 'safe', 11.0)
+    one.key, one.status, one.body = 'given', 401, b''
+    one.host = 'host-2'
+
+
 @defect('a denied standing key')
 def deny_key(records: ledger.Ledger) -> None:
     """Deny a key that always held."""
