Send nothing more to runners whose answers say that they leave

Callers' requests still went to runners that had said in each answer that they leave, as long as the store's entry said nothing of it (DRAIN). Cause: no reader of an answer knew of it; only entries told. Class: a participant's own word is older news than its record.

All readers of answers (main calls, streams, stage calls, reports, releases) now hand what a runner says of itself to one place. It holds for the incarnation that was called, outlasts entries of any kind, and is told to other hosts by rumour. Reports and releases name the runner they are for, since addresses are used again; leaving runners get no releases.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -101,6 +101,8 @@
       | a limit of 1.5         | 1.5 a second     |
       | a limit in words       | no limit         |
       | a limit below zero     | no limit         |
+      | the mark for leaving   | leaving          |
+      | leaving in words       | staying          |
 
   Scenario: a stage reply is read in order, a wrong number is an error
     When a runner answers for three pieces
--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -122,6 +122,35 @@
     Then each stage runner gets at most one and a half times that and 5 requests in any 4 s
     And it gets more than half of what it allows
 
+  Scenario Outline: a stage runner that says in <answer> that it leaves gets no more work
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    When staged requests are sent 5 times a second for 4 s
+    And a stage runner says in <answer> that it leaves
+    And staged requests are sent 5 times a second for 4 s
+    Then that runner has got no work, release or check since 0.5 s after such an answer
+    And all of these requests were answered
+
+    Examples:
+      | answer       |
+      | any answer   |
+      | stage calls  |
+      | releases     |
+      | reports      |
+
+  Scenario Outline: a <kind> runner that says in its answers that it leaves is called no more
+    Given 3 runners, of which the first chosen does "<script>"
+    And its runners say in answers that they leave, but one
+    When a <kind> request is sent
+    And 20 more <kind> requests are sent
+    Then the runner that stays gets the last 17 of them
+
+    Examples:
+      | kind       | script   |
+      | once       | ok       |
+      | once       | error    |
+      | once       | full     |
+      | stream     | events:3 |
+
   Scenario: a question that crosses the answer makes nothing twice
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     And the owner of the stage services is asked again all the time
--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -183,3 +183,45 @@
       | seed |
       | 1    |
       | 2    |
+
+  Scenario Outline: a runner whose answers say that it leaves gets nothing more, its entry <entry>
+    Given 8 relay hosts whose store answers
+    When callers send 40 requests a second
+    And the answers of runner "a" say that it leaves, and its entry <entry>
+    Then runner "a" gets nothing from 1 s after its first such answer on
+    And no caller was refused
+
+    Examples:
+      | entry                        |
+      | stays as it was              |
+      | is written again as live     |
+      | says so, then is live again  |
+      | is removed and written again |
+      | comes from an older copy     |
+
+  Scenario: hosts that started after a runner had said that it leaves hear of it
+    Given 8 relay hosts whose store answers
+    When callers send 40 requests a second
+    And the answers of runner "a" say that it leaves, and its entry stays as it was
+    And the hosts restart in turn, one every 1 s
+    Then no host has sent to runner "a" more than twice since its start
+
+  Scenario: a runner that starts again under its name is used again
+    Given 8 relay hosts whose store answers
+    When callers send 40 requests a second
+    And the answers of runner "a" say that it leaves, and its entry stays as it was
+    And runner "a" starts again under its name
+    Then within 3 s every host sends to runner "a"
+
+  Scenario Outline: news of a leaving runner <what> from a peer is skipped
+    Given 2 relay hosts whose store answers
+    When a peer tells host 0 of a leaving runner "a" <what>
+    Then within 3 s every host sends to runner "a"
+
+    Examples:
+      | what                    |
+      | that is nan s old       |
+      | that is 1e9 s old       |
+      | of start 0              |
+      | of start -5             |
+      | of an earlier start     |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -393,6 +393,12 @@
         'a limit below zero': edge.HttpResponse(
             200, (*sealed, (b'server-limit', b'-1'))
         ),
+        'the mark for leaving': edge.HttpResponse(
+            200, (*sealed, (b'server-leaving', b'1'))
+        ),
+        'leaving in words': edge.HttpResponse(
+            200, (*sealed, (b'server-leaving', b'no'))
+        ),
         'its load': edge.HttpResponse(
             200, (*sealed, (b'server-load', b'3,1,8'))
         ),
@@ -409,6 +415,8 @@
         assert (reply.load.running, reply.load.queued) == (3, 1)
     elif meaning == '1.5 a second':
         assert reply.limit_per_s == 1.5
+    elif meaning in ('leaving', 'staying'):
+        assert reply.is_leaving == (meaning == 'leaving')
     elif meaning == 'no limit':
         assert reply.limit_per_s is None
     elif meaning == 'not run':
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -31,6 +31,13 @@
 # The stages take about 0.2 s, so that the main call runs by then.
 DEATH_S = 0.4
 GONE = 409
+# The requests whose answers say that a runner leaves.
+LEAVING_TARGETS = {
+    'any answer': None,
+    'stage calls': b'/make',
+    'releases': b'/free',
+    'reports': b'/room',
+}
 # Time for which limits are watched, and before they must be kept.
 LIMITED_S = 20.0
 NOTICE_S = 3.0
@@ -447,3 +454,91 @@
     for runner in context.stage_runners[:2]:
         times = [a.at for a in runner.arrivals if a.at >= NOTICE_S]
         assert len(times) > expected, (runner.name, len(times), expected)
+
+
+@when('staged requests are sent {per_s:d} times a second for {seconds:d} s')
+def send_staged_evenly(context: Any, per_s: int, seconds: int) -> None:
+    """Send to all hosts in turn; the first one calls the stage runners."""
+    world = context.world
+    context.exchanges = []
+    for index in range(per_s * seconds):
+        facts = edge.RequestMetadata(
+            f'request-{world.clock.seconds()}',
+            ROUTE_S,
+            pieces=PIECES,
+            piece_key='key',
+        )
+        host = world.hosts[index % len(world.hosts)]
+        asked = world.submit(host, context.route, facts)
+        context.exchanges.append(asked)
+        world.run(1.0 / per_s)
+
+
+@when('a stage runner says in {answer} that it leaves')
+def leave_in(context: Any, answer: str) -> None:
+    """Let the first stage runner say so in some of its answers only."""
+    context.leaving = context.stage_runners[0]
+    context.leaving.leaving_target = LEAVING_TARGETS[answer]
+    context.leaving.is_leaving = True
+    if answer == 'reports':
+        check_storage(context)
+
+
+def check_storage(context: Any) -> None:
+    """Let the owner ask the leaving runner for its free storage."""
+    owner = context.world.hosts[0].stages.local_owner
+    batcher = owner.batchers['first']
+    batcher.storage.may_hold_foreign = lambda runner, now: True
+    name = f'runner/{context.leaving.name}'
+    runner = context.world.hosts[0].catalog.fleet.runners[name]
+    owner._check_storage(batcher, [runner])
+
+
+@then(
+    'that runner has got no work, release or check since {seconds:g} s after'
+    ' such an answer'
+)
+def check_left_alone(context: Any, seconds: float) -> None:
+    """Look at all that has reached the runner."""
+    arrivals = context.leaving.arrivals
+    target = context.leaving.leaving_target
+    left_s = context.world.clock.seconds() - 4.0
+    told = [
+        a.at
+        for a in arrivals
+        if a.at > left_s - 0.1 and target in (None, a.request.target)
+    ]
+    assert told
+    late = [a for a in arrivals if a.at > told[0] + seconds]
+    assert not late, [(a.at, a.request.target) for a in late]
+
+
+@then('all of these requests were answered')
+def check_all_answered(context: Any) -> None:
+    """Look at the answers once the last request has had its time."""
+    context.world.run(ROUTE_S)
+    statuses = [exchange.status for exchange in context.exchanges]
+    assert statuses == [200] * len(statuses), statuses
+
+
+@given('its runners say in answers that they leave, but one')
+def leave_all_but_one(context: Any) -> None:
+    """Let all but the last runner say so in all of their answers."""
+    for runner in context.runners[:-1]:
+        runner.is_leaving = True
+
+
+@when('{count:d} more {kind} requests are sent')
+def send_more(context: Any, count: int, kind: str) -> None:
+    """Send requests one after another."""
+    for _ in range(count):
+        send(context, **KINDS[kind])
+        context.world.run(0.1)
+
+
+@then('the runner that stays gets the last {count:d} of them')
+def check_stays(context: Any, count: int) -> None:
+    """Look at where the last requests went."""
+    stays = context.runners[-1].name
+    last = [arrival.runner for arrival in arrivals(context)[-count:]]
+    assert last == [stays] * count, last
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -310,13 +310,16 @@
         self.runners.append(runner)
         self.set_runner(runner, 'live')
 
-    def set_runner(self, runner: lab.ScriptedRunner, state: str) -> None:
+    def set_runner(
+        self, runner: lab.ScriptedRunner, state: str, born: int = 1
+    ) -> None:
         """Write a runner's entry."""
         text = relay_decision_steps.entry_text(
             domain=runner.domain,
             address=runner.address,
             state=state,
             version=runner.version,
+            born=born,
         )
         self.objects.put(f'runner/{runner.name}', text)
 
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -50,7 +50,5 @@
     def failure_domain_of(self, handle: str) -> str:
         """Return the failure domain that stores a result, '' if unknown."""
         address = self.dialect.handle_address(handle)
-        for runner in self.catalog.fleet.runners.values():
-            if runner.address == address:
-                return runner.entry.runner.failure_domain
-        return ''
+        runner = self.catalog.runner_at(address)
+        return '' if runner is None else runner.entry.runner.failure_domain
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -55,7 +55,7 @@
     is_authentic tells whether the response answers this call and carries a
     runner's seal; an encoded body does not come from the runner. limit_per_s
     is how many requests a second the runner takes from all hosts together,
-    None if it names no limit.
+    None if it names no limit. is_leaving tells that it says it leaves.
     """
 
     is_authentic: bool
@@ -64,6 +64,7 @@
     is_input_gone: bool
     load: model.LoadReport | None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class PieceResult(enum.StrEnum):
@@ -109,11 +110,19 @@
         """Return the pieces' results in order; raise WireError."""
 
     def release_request(
-        self, address: str, handles: Sequence[str]
+        self,
+        address: str,
+        handles: Sequence[str],
+        runner: relay.FleetRunner | None,
     ) -> _messages.HttpRequest:
-        """Return the request that frees results."""
+        """Return the request that frees results.
 
-    def storage_request(self, address: str) -> _messages.HttpRequest:
+        runner is None if no runner with that address is known.
+        """
+
+    def storage_request(
+        self, runner: relay.FleetRunner
+    ) -> _messages.HttpRequest:
         """Return the request for a runner's free storage."""
 
     def read_free_storage(self, response: _messages.HttpResponse) -> float:
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -13,6 +13,7 @@
 from ragwort_edge import _metrics
 from ragwort_edge import _request_handler
 from ragwort_edge import _runner_limits
+from ragwort_edge import _runner_replies
 from ragwort_edge import _server
 from ragwort_edge import _stage_service
 from ragwort_edge import _stream_origins
@@ -169,6 +170,9 @@
             self.metrics,
             logger,
         )
+        self.departure_sharing = _runner_replies.DepartureSharing(
+            self.catalog.departure_news, self.members, self.rng, logger
+        )
         self.catalog.stream_origins.started_at = now
         self.origins = _stream_origins.OriginService(
             reactor,
@@ -312,6 +316,7 @@
         messages = self.members.tick(now, wall)
         messages += self.gossip.tick(now, self.members.peer_addresses())
         messages += self.limit_sharing.messages(now)
+        messages += self.departure_sharing.messages(now)
         for message in messages:
             self._send_peer(message)
         self._watch(now)
@@ -319,6 +324,7 @@
         host_count = len(self.members.live())
         self.budget.on_host_count(host_count, now)
         self.catalog.prompt_sharing.hosts = host_count
+        self.catalog.departure_news.host_count = host_count
         self.peers.close_idle(now)
         self._update_readiness(now)
         for change in self.members.take_changes():
@@ -514,6 +520,8 @@
                 self._observe_era(era, sender, now)
                 count = len(members.peer_addresses())
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
+            case model.RunnersLeaving():
+                self.departure_sharing.on_told(message.runners, now)
             case model.RunnerLimits():
                 self.limit_sharing.on_told(message.limits, now)
             case (
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -11,7 +11,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _request_stages
-from ragwort_edge import _runner_limits
+from ragwort_edge import _runner_replies
 from ragwort_edge import _server
 from ragwort_edge import _stream
 import ragwort_model as model
@@ -435,7 +435,7 @@
         )
         if reply.load is not None:
             runner.state.on_report(reply.load, now)
-        _runner_limits.on_reply(
+        _runner_replies.on_reply(
             self.context.catalog,
             self.context.logger,
             runner,
--- a/libs/ragwort_edge/ragwort_edge/_runner_limits.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_limits.py
@@ -6,7 +6,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from ragwort_edge import _dialect
 from ragwort_edge import _metrics
 import ragwort_membership as membership
 import ragwort_model as model
@@ -18,35 +17,6 @@
 HOLDER_ROLE = 'limit-holder'
 
 
-def on_reply(
-    catalog: relay.RelayCatalog,
-    logger: Any,
-    runner: relay.FleetRunner,
-    reply: _dialect.RunnerReply,
-    is_whole: bool,
-    sent_at: float,
-    now: float,
-) -> None:
-    """Record the limit that a runner's answer names, or its end.
-
-    An answer that may be damaged ends no limit; one that another runner at
-    the same address gave says nothing.
-    """
-    if reply.is_misdirected:
-        return
-    rate_per_s = reply.limit_per_s
-    if rate_per_s is None and not (is_whole or reply.is_not_run):
-        return
-    if catalog.rate_limits.on_answer(runner, rate_per_s, sent_at, now):
-        logger.info(
-            'runner-limit',
-            runner=runner.name,
-            rate_per_s=rate_per_s,
-            source='answer',
-            age_s=0.0,
-        )
-
-
 class LimitSharing:
     """Divides the limits of runners among hosts and tells them to others."""
 
@@ -86,8 +56,7 @@
     def messages(self, now: float) -> list[model.SendPeerMessage]:
         """Return what to tell some other hosts, if it is time to."""
         limits = self.catalog.rate_limits.to_spread(now)
-        limited = self.catalog.limited_addresses(now)
-        self.metrics.limited_runners.set(len(limited))
+        self.metrics.limited_runners.set(self.catalog.limited_count(now))
         if not limits:
             return []
         peer_addresses = self.members.peer_addresses()
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -11,7 +11,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
-from ragwort_edge import _runner_limits
+from ragwort_edge import _runner_replies
 import ragwort_model as model
 import ragwort_relay as relay
 
@@ -189,7 +189,7 @@
         now = self.reactor.seconds()
         for runner in runners:
             due = self.storage_check_due.get(runner.name, -math.inf)
-            if self.catalog.rate_limits.is_limited(runner, now):
+            if not self.catalog.takes_chores(runner, now):
                 # The requests that it takes are kept for work.
                 continue
             if now < due or not batcher.storage.may_hold_foreign(
@@ -199,7 +199,7 @@
             self.storage_check_due[runner.name] = (
                 now + STORAGE_CHECK_INTERVAL_S
             )
-            request = self.dialect.storage_request(runner.address)
+            request = self.dialect.storage_request(runner)
             done = _client.fetch(
                 self.client,
                 runner.address,
@@ -207,7 +207,7 @@
                 STORAGE_CHECK_INTERVAL_S,
                 _body.MAX_REPORT_BYTES,
             )
-            done.addCallback(self._on_storage, batcher, runner)
+            done.addCallback(self._on_storage, batcher, runner, now)
             done.addErrback(self._on_storage_error, runner)
 
     def _on_storage(
@@ -215,9 +215,11 @@
         response: _messages.HttpResponse,
         batcher: relay.Batcher,
         runner: relay.FleetRunner,
+        sent_at: float,
     ) -> None:
-        free_bytes = self.dialect.read_free_storage(response)
         now = self.reactor.seconds()
+        self._read_notices(response, runner, sent_at)
+        free_bytes = self.dialect.read_free_storage(response)
         batcher.storage.on_report(runner.name, free_bytes, now)
         foreign = batcher.storage.foreign_bytes(runner.name, now)
         if foreign:
@@ -228,6 +230,25 @@
                 foreign_bytes=int(foreign),
             )
 
+    def _read_notices(
+        self,
+        response: _messages.HttpResponse,
+        runner: relay.FleetRunner,
+        sent_at: float,
+    ) -> _dialect.RunnerReply:
+        """Record what a runner's answer says of itself."""
+        reply = self.dialect.read_reply(response, '')
+        _runner_replies.on_reply(
+            self.catalog,
+            self.logger,
+            runner,
+            reply,
+            response.status == 200,
+            sent_at,
+            self.reactor.seconds(),
+        )
+        return reply
+
     def _on_storage_error(
         self, failure: Any, runner: relay.FleetRunner
     ) -> None:
@@ -327,19 +348,10 @@
         call: relay.BatchCall,
     ) -> None:
         now = self.reactor.seconds()
-        reply = self.dialect.read_reply(response, '')
+        reply = self._read_notices(response, call.runner, call.sent_at)
         state = call.runner.state
         if reply.load is not None:
             state.on_report(reply.load, now)
-        _runner_limits.on_reply(
-            self.catalog,
-            self.logger,
-            call.runner,
-            reply,
-            response.status == 200,
-            call.sent_at,
-            now,
-        )
         if response.status != 200:
             if reply.is_misdirected:
                 call.runner.is_misdirected = True
@@ -519,15 +531,18 @@
     def _send_releases(self) -> None:
         self.release_timer = None
         releases, self.releases = self.releases, {}
-        limited = self.catalog.limited_addresses(self.reactor.seconds())
+        now = self.reactor.seconds()
         for address, handles in releases.items():
-            if address in limited:
+            runner = self.catalog.runner_at(address)
+            if runner is not None and not self.catalog.takes_chores(
+                runner, now
+            ):
                 # They expire; the requests that it takes are kept for work.
                 self.logger.info(
                     'release-skipped', runner=address, results=len(handles)
                 )
                 continue
-            request = self.dialect.release_request(address, handles)
+            request = self.dialect.release_request(address, handles, runner)
             done = _client.fetch(
                 self.client,
                 address,
@@ -541,10 +556,18 @@
                     'release-failed', detail=failure.getErrorMessage()
                 )
             )
-            done.addCallback(self._on_released, handles)
+            done.addCallback(self._on_released, handles, runner, now)
 
-    def _on_released(self, _: object, handles: list[str]) -> None:
+    def _on_released(
+        self,
+        response: _messages.HttpResponse | None,
+        handles: list[str],
+        runner: relay.FleetRunner | None,
+        sent_at: float,
+    ) -> None:
         """Count storage as free only after the runner has freed it."""
+        if response is not None and runner is not None:
+            self._read_notices(response, runner, sent_at)
         for service, batcher in self.batchers.items():
             batcher.storage.release(handles)
             if batcher.queue:
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -8,7 +8,7 @@
 from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _messages
-from ragwort_edge import _runner_limits
+from ragwort_edge import _runner_replies
 import ragwort_relay as relay
 
 if TYPE_CHECKING:
@@ -119,7 +119,7 @@
         now = self.context.reactor.seconds()
         if reply.load is not None:
             self.runner.state.on_report(reply.load, now)
-        _runner_limits.on_reply(
+        _runner_replies.on_reply(
             self.context.catalog,
             self.context.logger,
             self.runner,
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -92,6 +92,7 @@
             response.status == 409,
             None,
             float(limit) if limit else None,
+            response.header(b'leaving') is not None,
         )
 
     def stage_request(
@@ -118,13 +119,16 @@
         ]
 
     def release_request(
-        self, address: str, handles: Sequence[str]
+        self,
+        address: str,
+        handles: Sequence[str],
+        runner: relay.FleetRunner | None,
     ) -> edge.HttpRequest:
         """Return the call that frees results."""
         body = json.dumps(list(handles)).encode()
         return edge.HttpRequest(b'POST', b'/free', (), body)
 
-    def storage_request(self, address: str) -> edge.HttpRequest:
+    def storage_request(self, runner: relay.FleetRunner) -> edge.HttpRequest:
         """Return the request for a runner's free storage."""
         return edge.HttpRequest(b'GET', b'/room', ())
 
@@ -175,12 +179,27 @@
         self.arrivals: list[Arrival] = []
         # Named in each answer, for all hosts together.
         self.limit_per_s: float | None = None
-
-    def limit_header(self) -> edge.Headers:
-        """Return the header that names the limit, if there is one."""
-        if self.limit_per_s is None:
-            return ()
-        return ((b'limit', str(self.limit_per_s).encode()),)
+        self.is_leaving = False
+        # The requests whose answers tell of leaving, None for all.
+        self.leaving_target: bytes | None = None
+        # Time for which a host that is turned away is to send nothing.
+        self.pause_s: float | None = None
+
+    def notices(self, target: bytes = b'') -> edge.Headers:
+        """Return the headers that tell of a limit and of leaving."""
+        found: edge.Headers = ()
+        if self.limit_per_s is not None:
+            found += ((b'limit', str(self.limit_per_s).encode()),)
+        if self.is_leaving and self.leaving_target in (None, target):
+            found += ((b'leaving', b'1'),)
+        return found
+
+    def turn_away(self, open_call: 'LabCall') -> None:
+        """Answer that a request has not run."""
+        headers = ((b'not-run', b'1'), *self.notices())
+        if self.pause_s is not None:
+            headers += ((b'pause', str(self.pause_s).encode()),)
+        open_call.respond(HTTP_FULL, headers)
 
     def serve(self, request: edge.HttpRequest, open_call: 'LabCall') -> None:
         """Take a request that has arrived."""
@@ -272,7 +291,8 @@
 
     Steps: ok, error (its own failure), full (not run), reset (ran, answer
     lost), refused (not run, 421), silent, foreign (another's answer),
-    gone (not run, its inputs are gone), events:N (a stream of N events),
+    gone (not run, its inputs are gone), pause:S (not run, and nothing is
+    wanted for S seconds), events:N (a stream of N events),
     cut:N (a stream reset behind event N). Events show the software version,
     which runners don't check.
     """
@@ -296,7 +316,12 @@
         self.arrivals.append(arrival)
         default = f'events:{self.events}' if self.events else 'ok'
         step = self.script.pop(0) if self.script else default
-        arrival.ran = step not in ('full', 'refused', 'gone')
+        arrival.ran = step.partition(':')[0] not in (
+            'full',
+            'refused',
+            'gone',
+            'pause',
+        )
 
         def close() -> None:
             arrival.closed_at = self.clock.seconds()
@@ -314,14 +339,17 @@
 
     def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
-        echo += self.limit_header()
+        echo += self.notices()
         kind, _, count = step.partition(':')
-        if kind == 'ok':
+        if kind == 'pause':
+            self.pause_s = float(count)
+            self.turn_away(call)
+        elif kind == 'ok':
             call.respond(HTTP_OK, echo, b'whole')
         elif kind == 'error':
             call.respond(500, echo, b'own failure')
         elif kind == 'full':
-            call.respond(HTTP_FULL, ((b'not-run', b'1'),))
+            self.turn_away(call)
         elif kind == 'refused':
             call.respond(421, ((b'not-run', b'1'),))
         elif kind == 'gone':
@@ -386,20 +414,24 @@
         self.arrivals.append(
             Arrival(self.clock.seconds(), self.name, request, {})
         )
+        if self.pause_s is not None:
+            self.turn_away(open_call)
+            return
         if request.target == b'/free':
             for handle in json.loads(request.body):
                 self.results.pop(handle, None)
-            open_call.respond(HTTP_OK, self.limit_header())
+            open_call.respond(HTTP_OK, self.notices(request.target))
             return
         if request.target == b'/room':
             used = sum(self.results.values())
             free = self.limits.storage_bytes - used
-            open_call.respond(HTTP_OK, self.limit_header(), str(free).encode())
+            open_call.respond(
+                HTTP_OK, self.notices(request.target), str(free).encode()
+            )
             return
         if len(self.waiting) >= QUEUE:
             self.turned_away += 1
-            headers = ((b'not-run', b'1'), *self.limit_header())
-            open_call.respond(HTTP_FULL, headers)
+            self.turn_away(open_call)
             return
         self.waiting.append((request, open_call))
         self._next()
@@ -443,7 +475,8 @@
         self, made: list[tuple[str, str | None]], call: LabCall
     ) -> None:
         self.is_busy = False
-        call.respond(HTTP_OK, self.limit_header(), json.dumps(made).encode())
+        headers = self.notices(b'/make')
+        call.respond(HTTP_OK, headers, json.dumps(made).encode())
         self._next()
 
 
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -55,6 +55,7 @@
 from ragwort_model._peer import Follow
 from ragwort_model._peer import FollowEvent
 from ragwort_model._peer import IndirectPing
+from ragwort_model._peer import LeavingRunner
 from ragwort_model._peer import MemberStatus
 from ragwort_model._peer import MemberSync
 from ragwort_model._peer import MemberUpdate
@@ -64,6 +65,7 @@
 from ragwort_model._peer import Ping
 from ragwort_model._peer import RunnerLimit
 from ragwort_model._peer import RunnerLimits
+from ragwort_model._peer import RunnersLeaving
 from ragwort_model._peer import SeenVersion
 from ragwort_model._peer import SendPeerMessage
 from ragwort_model._peer import ServiceWait
@@ -166,6 +168,7 @@
     'make_version',
     'MAX_DEADLINE_S',
     'MAX_HISTORY',
+    'LeavingRunner',
     'MemberStatus',
     'MemberSync',
     'MemberUpdate',
@@ -207,6 +210,7 @@
     'ServiceKind',
     'RunnerLimit',
     'RunnerLimits',
+    'RunnersLeaving',
     'SeenVersion',
     'StreamAnswer',
     'StreamBegan',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -299,6 +299,22 @@
     ttl_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingRunner:
+    """A runner's incarnation that said age_s seconds ago that it leaves."""
+
+    runner: str
+    started_ms: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnersLeaving:
+    """Runners whose answers said that they leave."""
+
+    runners: list[LeavingRunner]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamsBegan:
     """Origins of streams, for the hosts that are asked for them."""
@@ -358,6 +374,7 @@
     | StreamsBegan
     | StreamQuestion
     | StreamAnswer
+    | RunnersLeaving
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -18,6 +18,7 @@
 from ragwort_relay._budget import WindowCounter
 from ragwort_relay._catalog import ObjectDecoder
 from ragwort_relay._catalog import RelayCatalog
+from ragwort_relay._departures import DepartureNews
 from ragwort_relay._events import EventSplitter
 from ragwort_relay._events import StreamEvent
 from ragwort_relay._events import StreamProgress
@@ -68,6 +69,7 @@
     'choose_by_load',
     'choose_by_prompt_cache',
     'ChooseTimely',
+    'DepartureNews',
     'EventSplitter',
     'first_event_s',
     'Fleet',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import ragwort_model as model
+from ragwort_relay import _departures
 from ragwort_relay import _fleet
 from ragwort_relay import _limits
 from ragwort_relay import _origins
@@ -44,6 +45,7 @@
         self.decoder = decoder
         self.configuration: _routes.RelayConfiguration | None = None
         self.fleet = _fleet.Fleet()
+        self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
@@ -106,14 +108,29 @@
         usable = self.usable(service, now, origin)
         return not usable or self.send_wait_s(service, now, origin) is not None
 
-    def limited_addresses(self, now: float) -> set[str]:
-        """Return the addresses of the runners that name a limit."""
+    def limited_count(self, now: float) -> int:
+        """Return how many runners name a limit."""
         found = [self.fleet.runners.get(n) for n in self.rate_limits.limits]
-        return {
-            runner.address
+        return sum(
+            runner is not None and self.rate_limits.is_limited(runner, now)
             for runner in found
-            if runner is not None and self.rate_limits.is_limited(runner, now)
-        }
+        )
+
+    def runner_at(self, address: str) -> _fleet.FleetRunner | None:
+        """Return the latest runner with an address, None if there is none."""
+        return max(
+            (r for r in self.fleet.runners.values() if r.address == address),
+            key=lambda runner: runner.entry.started_ms,
+            default=None,
+        )
+
+    def takes_chores(self, runner: _fleet.FleetRunner, now: float) -> bool:
+        """Tell whether a runner gets requests that are no work for callers.
+
+        One that leaves or names a limit gets none.
+        """
+        is_leaving = runner.entry.runner.state == model.HostState.LEAVING
+        return not is_leaving and not self.rate_limits.is_limited(runner, now)
 
     def apply(self, item: model.StoredObject) -> None:
         """Apply a newer version of a stored object."""
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -66,9 +66,10 @@
 class _Departure:
     """A runner's incarnation that leaves or whose entry was removed.
 
-    is_leaving tells whether the runner itself said that it leaves. era is
-    that of the store which told it. restored_at is when an older copy of
-    the store brought a removed entry back.
+    is_leaving tells whether the runner itself said that it leaves, is_final
+    whether it did so in an answer, which no entry takes back. era is that of
+    the store which told it. restored_at is when an older copy of the store
+    brought a removed entry back.
     """
 
     started_ms: int
@@ -76,6 +77,7 @@
     at: float
     is_leaving: bool
     restored_at: float | None = None
+    is_final: bool = False
 
 
 class Fleet:
@@ -120,8 +122,7 @@
         known.era = max(known.era, era)
         if known.address != entry.runner.address:
             known.is_misdirected = False
-        known.entry = entry
-        known.state.runner = entry.runner
+        self._set_entry(known, entry)
         known.unconfirmed_until = None
 
     def _without_return(
@@ -131,6 +132,8 @@
         departure = self.departures.get(name)
         if departure is None or departure.started_ms != entry.started_ms:
             return entry
+        if departure.is_final:
+            return _as_leaving(entry)
         if era == departure.era:
             # The runner itself has registered again.
             del self.departures[name]
@@ -138,20 +141,38 @@
         if not departure.is_leaving:
             departure.era = era
             departure.restored_at = now
-        leaving = dataclasses.replace(
-            entry.runner, state=model.HostState.LEAVING
+        return _as_leaving(entry)
+
+    def on_leaving(self, name: str, started_ms: int, now: float) -> bool:
+        """Record that a runner's incarnation said in an answer that it leaves.
+
+        Return whether that is news.
+        """
+        departure = self.departures.get(name)
+        if departure is not None and departure.started_ms >= started_ms:
+            is_known = departure.started_ms > started_ms or departure.is_final
+            if is_known:
+                return False
+        era = departure.era if departure is not None else 0
+        self.departures[name] = _Departure(
+            started_ms, era, now, is_leaving=True, is_final=True
         )
-        return dataclasses.replace(entry, runner=leaving)
+        known = self.runners.get(name)
+        if known is not None and known.entry.started_ms == started_ms:
+            self._set_entry(known, _as_leaving(known.entry))
+        return True
 
     def _record_departure(
         self, entry: RunnerEntry, now: float, era: int, is_leaving: bool
     ) -> None:
         name = entry.runner.name
         known = self.departures.get(name)
+        is_final = False
         if known is not None and known.started_ms == entry.started_ms:
             is_leaving = is_leaving or known.is_leaving
+            is_final = known.is_final
         self.departures[name] = _Departure(
-            entry.started_ms, era, now, is_leaving
+            entry.started_ms, era, now, is_leaving, is_final=is_final
         )
 
     def _remove(self, known: FleetRunner, now: float, era: int) -> None:
@@ -179,6 +200,12 @@
     ) -> None:
         """Forget an old departure, or one that was not one after all."""
         restored_at = departure.restored_at
+        known = self.runners.get(name)
+        is_listed = known is not None and (
+            known.entry.started_ms == departure.started_ms
+        )
+        if departure.is_final and is_listed:
+            return
         if restored_at is None:
             if now >= departure.at + DEPARTURE_MEMORY_S:
                 del self.departures[name]
@@ -186,18 +213,14 @@
         if now < restored_at + RESTORED_ENTRY_DOUBT_S:
             return
         del self.departures[name]
-        known = self.runners.get(name)
-        if known is not None and known.entry.started_ms == (
-            departure.started_ms
-        ):
-            self._set_live(known)
+        if known is not None and is_listed:
+            self._set_entry(
+                known, _in_state(known.entry, model.HostState.LIVE)
+            )
 
-    def _set_live(self, known: FleetRunner) -> None:
-        runner = dataclasses.replace(
-            known.entry.runner, state=model.HostState.LIVE
-        )
-        known.entry = dataclasses.replace(known.entry, runner=runner)
-        known.state.runner = runner
+    def _set_entry(self, known: FleetRunner, entry: RunnerEntry) -> None:
+        known.entry = entry
+        known.state.runner = entry.runner
 
     def usable(self, service: str, now: float) -> list[FleetRunner]:
         """Return a service's usable runners, only confirmed ones if any."""
@@ -219,6 +242,15 @@
         ]
 
 
+def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
+    runner = dataclasses.replace(entry.runner, state=state)
+    return dataclasses.replace(entry, runner=runner)
+
+
+def _as_leaving(entry: RunnerEntry) -> RunnerEntry:
+    return _in_state(entry, model.HostState.LEAVING)
+
+
 def _is_outdated(known: FleetRunner, entry: RunnerEntry, era: int) -> bool:
     """Tell whether an older copy of the store shows an earlier incarnation."""
     return era > known.era and entry.started_ms < known.entry.started_ms
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -195,6 +195,16 @@
   3: list<SeenVersion> versions
 }
 
+struct LeavingRunner {
+  1: string runner
+  2: i64 started_ms
+  3: double age_s
+}
+
+struct RunnersLeaving {
+  1: list<LeavingRunner> runners
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -222,4 +232,5 @@
   28: optional StreamsBegan streams_began
   29: optional StreamQuestion stream_question
   30: optional StreamAnswer stream_answer
+  31: optional RunnersLeaving runners_leaving
 }
