Send nothing to a runner while it asked this host for a pause

The class is the same as with runners that leave: a participant's own word that no reader hears.

A pause is kept by incarnation on the host that was asked, for main calls, repeats, take-ups, stage calls, reports and releases, and ends after 60 s at the latest; what can't be read is no pause. While all runners of a service are paused, callers are refused at once with the time that is known: main calls before their stages begin, stages through the queueing times that their owner reports. Refusals now add the known time to the usual random one; before, the jitter could tell callers to return up to 30 % too early.

With the reading switched off by hand all 5 new scenarios of calls failed; they pass with it, as do 4 of the adapter.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -103,6 +103,10 @@
       | a limit below zero     | no limit         |
       | the mark for leaving   | leaving          |
       | leaving in words       | staying          |
+      | a pause of 1.5 s       | a pause          |
+      | a pause below zero     | no pause         |
+      | a pause until a date   | no pause         |
+      | a pause but status 200 | no pause         |
 
   Scenario: a stage reply is read in order, a wrong number is an error
     When a runner answers for three pieces
--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -151,6 +151,51 @@
       | once       | full     |
       | stream     | events:3 |
 
+  Scenario: a runner that asks for a pause gets nothing until it is over
+    Given 2 runners, of which the first chosen does "pause:2"
+    When a once request is sent and answered
+    And 40 more once requests are sent at once
+    And 20 more once requests are sent in 1.7 s
+    Then every request got 200 and the first runner got 1 of them
+    When 20 more once requests are sent in 0.3 s
+    And 40 more once requests are sent at once
+    Then the first runner got more than 1 of them
+
+  Scenario: callers are told the time when all runners asked for a pause
+    Given 3 runners that all do "pause:3"
+    When a once request is sent and answered
+    Then the caller gets 503 after 0 runs
+    And it is told to come back after 2.8 s at the earliest
+    When a once request is sent and answered
+    Then the caller gets 503 after 0 runs
+    And it is told to come back after 2.8 s at the earliest
+    And each runner got one request
+
+  Scenario: an absurd pause ends
+    Given 1 runners that all do "pause:900000000"
+    When a once request is sent and answered
+    And 61 s pass and a once request is sent and answered
+    Then the runner got 2 requests
+
+  Scenario: no stage begins while all runners of the main call are paused
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the main runners ask for a pause of 20 s
+    When a staged request is sent
+    Then the caller gets 503 after 0 runs
+    And the pieces were made at most once
+    When a staged request is sent soon
+    Then the caller gets 503 after 0 runs
+    And it is told to come back after 10 s at the earliest
+    And the pieces were made at most once
+
+  Scenario: stage calls, releases and checks keep the pauses of runners
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    When staged requests are sent 5 times a second for 1 s
+    And the stage runners ask for a pause of 3.5 s
+    And staged requests are sent 5 times a second for 6 s
+    Then no stage runner got more than 2 requests while it was paused
+    And callers were refused within 0.5 s, with a time to come back
+
   Scenario: a question that crosses the answer makes nothing twice
     Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
     And the owner of the stage services is asked again all the time
--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -187,7 +187,7 @@
   Scenario Outline: a runner whose answers say that it leaves gets nothing more, its entry <entry>
     Given 8 relay hosts whose store answers
     When callers send 40 requests a second
-    And the answers of runner "a" say that it leaves, and its entry <entry>
+    And the answers of runner "a" say it leaves, and its entry <entry>
     Then runner "a" gets nothing from 1 s after its first such answer on
     And no caller was refused
 
@@ -202,14 +202,14 @@
   Scenario: hosts that started after a runner had said that it leaves hear of it
     Given 8 relay hosts whose store answers
     When callers send 40 requests a second
-    And the answers of runner "a" say that it leaves, and its entry stays as it was
+    And the answers of runner "a" say it leaves, and its entry stays as it was
     And the hosts restart in turn, one every 1 s
     Then no host has sent to runner "a" more than twice since its start
 
   Scenario: a runner that starts again under its name is used again
     Given 8 relay hosts whose store answers
     When callers send 40 requests a second
-    And the answers of runner "a" say that it leaves, and its entry stays as it was
+    And the answers of runner "a" say it leaves, and its entry stays as it was
     And runner "a" starts again under its name
     Then within 3 s every host sends to runner "a"
 
--- a/features/steps/leaving_runner_steps.py
+++ b/features/steps/leaving_runner_steps.py
@@ -37,9 +37,7 @@
     context.asks.run(WARM_S)
 
 
-@when(
-    'the answers of runner "{name}" say that it leaves, and its entry {then_it}'
-)
+@when('the answers of runner "{name}" say it leaves, and its entry {then_it}')
 def begin_leaving(context: Any, name: str, then_it: str) -> None:
     """Let the runner leave, and its entry say something else."""
     world, runner = context.world, find_runner(context, name)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -399,6 +399,18 @@
         'leaving in words': edge.HttpResponse(
             200, (*sealed, (b'server-leaving', b'no'))
         ),
+        'a pause of 1.5 s': edge.HttpResponse(
+            503, ((b'not-executed', b'1'), (b'retry-after', b'1.5'))
+        ),
+        'a pause below zero': edge.HttpResponse(
+            503, ((b'not-executed', b'1'), (b'retry-after', b'-1'))
+        ),
+        'a pause until a date': edge.HttpResponse(
+            503, ((b'retry-after', b'Fri, 04 Dec 2026 12:00:00 GMT'),)
+        ),
+        'a pause but status 200': edge.HttpResponse(
+            200, (*sealed, (b'retry-after', b'1.5'))
+        ),
         'its load': edge.HttpResponse(
             200, (*sealed, (b'server-load', b'3,1,8'))
         ),
@@ -417,6 +429,8 @@
         assert reply.limit_per_s == 1.5
     elif meaning in ('leaving', 'staying'):
         assert reply.is_leaving == (meaning == 'leaving')
+    elif meaning in ('a pause', 'no pause'):
+        assert reply.pause_s == (1.5 if meaning == 'a pause' else None)
     elif meaning == 'no limit':
         assert reply.limit_per_s is None
     elif meaning == 'not run':
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -274,13 +274,19 @@
     )
 
 
-def send_staged(context: Any, host: int, pieces: tuple[int, ...]) -> None:
+def submit_staged(context: Any, host: int, pieces: tuple[int, ...]) -> None:
     """Send a request with stages."""
     facts = edge.RequestMetadata(
         'request-1', ROUTE_S, pieces=pieces, piece_key='key'
     )
     world = context.world
     context.exchange = world.submit(world.hosts[host], context.route, facts)
+
+
+def send_staged(context: Any, host: int, pieces: tuple[int, ...]) -> None:
+    """Send a request with stages and let its time pass."""
+    submit_staged(context, host, pieces)
+    world = context.world
     if getattr(context, 'pester', False):
         for _ in range(100):
             ask_again(context)
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -44,8 +44,8 @@
         self, reason: str, wait_s: float | None = None
     ) -> RefusedError:
         """Return an error with a randomised retry delay, at least wait_s."""
-        delay_s = max(wait_s or 0.0, DEFAULT_RETRY_AFTER_S)
-        return RefusedError(reason, relay.retry_after_s(delay_s, self.rng))
+        delay_s = relay.retry_after_s(DEFAULT_RETRY_AFTER_S, self.rng)
+        return RefusedError(reason, delay_s + (wait_s or 0.0))
 
     def failure_domain_of(self, handle: str) -> str:
         """Return the failure domain that stores a result, '' if unknown."""
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -56,6 +56,8 @@
     runner's seal; an encoded body does not come from the runner. limit_per_s
     is how many requests a second the runner takes from all hosts together,
     None if it names no limit. is_leaving tells that it says it leaves.
+    pause_s is the time for which it wants nothing more from this host, None if
+    it turned nothing away or named no time.
     """
 
     is_authentic: bool
@@ -65,6 +67,7 @@
     load: model.LoadReport | None
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class PieceResult(enum.StrEnum):
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -250,6 +250,10 @@
             raise _context.RefusedError(
                 'queues are too long', admission.retry_after_s
             )
+        now = self.context.reactor.seconds()
+        pause_s = self.context.catalog.pause_s(self.service, now)
+        if pause_s > admission.forecast.total_s:
+            raise self._refusal('all runners asked for a pause')
         await self.stages.execute()
         elapsed_s = self.context.reactor.seconds() - self.started_at
         self.log_fields['stages_s'] = round(elapsed_s, 3)
@@ -303,11 +307,7 @@
         """Return a runner and mark it tried; raise RefusedError if none."""
         runner = self._choose_runner(service, tried)
         if runner is None:
-            now = self.context.reactor.seconds()
-            wait_s = self.context.catalog.send_wait_s(
-                service, now, self.origin
-            )
-            raise self.context.refusal('no runner', wait_s)
+            raise self._refusal('no runner')
         tried.add(runner.name)
         return runner
 
@@ -367,11 +367,19 @@
             if step == relay.NextStep.DELIVER and send.response is not None:
                 self._deliver(send.response)
             elif step == relay.NextStep.REFUSE:
-                raise self.context.refusal(send.detail)
+                raise self._refusal(send.detail)
             else:
                 self._fail(HTTP_BAD_GATEWAY, send.detail)
             return
 
+    def _refusal(self, reason: str) -> _context.RefusedError:
+        """Return a refusal until a runner takes a request again."""
+        now = self.context.reactor.seconds()
+        wait_s = self.context.catalog.send_wait_s(
+            self.service, now, self.origin
+        )
+        return self.context.refusal(reason, wait_s)
+
     def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
         now = self.context.reactor.seconds()
@@ -525,7 +533,7 @@
                 else:
                     self._fail(HTTP_BAD_GATEWAY, send.detail)
             elif step == relay.NextStep.REFUSE:
-                raise self.context.refusal(send.detail)
+                raise self._refusal(send.detail)
             else:
                 self._fail(HTTP_BAD_GATEWAY, send.detail)
             return
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -292,7 +292,10 @@
     ) -> model.RagwortError:
         if INPUT_GONE in reasons:
             return ResultsGoneError(f'stage {stage}')
-        return self.context.refusal(f'stage {stage}: {reasons[0]}')
+        wait_s = self.context.stages.waits.late_wait_s(
+            self.route.stages[stage].service, self.context.reactor.seconds()
+        )
+        return self.context.refusal(f'stage {stage}: {reasons[0]}', wait_s)
 
     def input_bytes(self) -> dict[str, float]:
         """Return the bytes that the main call reads, by failure domain."""
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -20,7 +20,7 @@
     sent_at: float,
     now: float,
 ) -> None:
-    """Record what a runner's answer says of its limit and of its leaving.
+    """Record what a runner's answer says of its limit, leaving and pause.
 
     Every reader of an answer calls this. An answer that another runner at
     the same address gave says nothing.
@@ -31,6 +31,15 @@
         logger.info(
             'runner-leaving', runner=runner.name, source='answer', age_s=0.0
         )
+    if reply.pause_s is not None and catalog.pauses.on_answer(
+        runner, reply.pause_s, now
+    ):
+        logger.info(
+            'runner-pause',
+            runner=runner.name,
+            asked_s=reply.pause_s,
+            kept_s=round(catalog.pauses.left_s(runner, now), 3),
+        )
     _on_limit(catalog, logger, runner, reply, is_whole, sent_at, now)
 
 
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -87,8 +87,18 @@
         batcher = self._batcher(service)
         if batcher is not None:
             now = self.reactor.seconds()
-            runners = self.catalog.fleet.usable(service, now)
-            self.waits.update(service, batcher.queue_wait(runners, now))
+            runners, pause_s = self._working(service, now)
+            wait = batcher.queue_wait(runners, now + pause_s)
+            self.waits.update(service, wait.delayed(pause_s, now))
+
+    def _working(
+        self, service: str, now: float
+    ) -> tuple[list[relay.FleetRunner], float]:
+        """Return the runners not paused and 0.0, or all and their pause."""
+        usable = self.catalog.fleet.usable(service, now)
+        pauses = self.catalog.pauses
+        working = [r for r in usable if pauses.left_s(r, now) == 0.0]
+        return working or usable, self.catalog.pause_s(service, now)
 
     def _known_waits(self, service: str) -> list[model.ServiceWait]:
         self.update_wait(service)
@@ -264,8 +274,8 @@
         if batcher is None:
             return
         now = self.reactor.seconds()
-        runners = self.catalog.fleet.usable(service, now)
-        for piece in batcher.remove_too_late(runners, now):
+        runners, pause_s = self._working(service, now)
+        for piece in batcher.remove_too_late(runners, now + pause_s):
             self._fail_pieces(piece.group, [piece.work.piece], 'late')
         if batcher.queue:
             self._check_storage(batcher, runners)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -85,6 +85,7 @@
         echoed = (response.header(b'echo') or b'').decode()
         not_run = response.header(b'not-run') is not None
         limit = response.header(b'limit')
+        pause = response.header(b'pause')
         return edge.RunnerReply(
             echoed == request_id,
             not_run,
@@ -93,6 +94,7 @@
             None,
             float(limit) if limit else None,
             response.header(b'leaving') is not None,
+            float(pause) if pause else None,
         )
 
     def stage_request(
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -7,6 +7,7 @@
 from ragwort_relay import _fleet
 from ragwort_relay import _limits
 from ragwort_relay import _origins
+from ragwort_relay import _pauses
 from ragwort_relay import _prompts
 from ragwort_relay import _routes
 from ragwort_relay import _sharing
@@ -47,6 +48,7 @@
         self.fleet = _fleet.Fleet()
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
+        self.pauses = _pauses.Pauses()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
@@ -72,13 +74,33 @@
         now: float,
         origin: _origins.StreamOrigin | None = None,
     ) -> list[_fleet.FleetRunner]:
-        """Return the usable runners whose limits allow a request."""
+        """Return the usable runners that take a request from this host now."""
         return [
             runner
             for runner in self.usable(service, now, origin)
-            if self.rate_limits.may_send(runner, now)
+            if self._wait_s(runner, now) == 0.0
         ]
 
+    def _wait_s(self, runner: _fleet.FleetRunner, now: float) -> float | None:
+        """Return the time until this host may send to a runner.
+
+        None means that other hosts hold its limit.
+        """
+        limit_s = self.rate_limits.wait_s(runner, now)
+        if limit_s is None:
+            return None
+        return max(limit_s, self.pauses.left_s(runner, now))
+
+    def pause_s(self, service: str, now: float) -> float:
+        """Return the time until the first usable runner's pause is over."""
+        return min(
+            (
+                self.pauses.left_s(runner, now)
+                for runner in self.fleet.usable(service, now)
+            ),
+            default=0.0,
+        )
+
     def send_wait_s(
         self,
         service: str,
@@ -90,7 +112,7 @@
         None means that there is no such runner.
         """
         waits_s = [
-            self.rate_limits.wait_s(runner, now)
+            self._wait_s(runner, now)
             for runner in self.usable(service, now, origin)
         ]
         return min((s for s in waits_s if s is not None), default=None)
@@ -127,10 +149,13 @@
     def takes_chores(self, runner: _fleet.FleetRunner, now: float) -> bool:
         """Tell whether a runner gets requests that are no work for callers.
 
-        One that leaves or names a limit gets none.
+        One that leaves, names a limit or asked for a pause gets none.
         """
-        is_leaving = runner.entry.runner.state == model.HostState.LEAVING
-        return not is_leaving and not self.rate_limits.is_limited(runner, now)
+        if runner.entry.runner.state == model.HostState.LEAVING:
+            return False
+        if self.pauses.left_s(runner, now) > 0.0:
+            return False
+        return not self.rate_limits.is_limited(runner, now)
 
     def apply(self, item: model.StoredObject) -> None:
         """Apply a newer version of a stored object."""
--- a/libs/ragwort_relay/ragwort_relay/_limits.py
+++ b/libs/ragwort_relay/ragwort_relay/_limits.py
@@ -141,10 +141,6 @@
             limit.next_send_at = now + limit.interval_s(holders)
         return max(limit.next_send_at - now, 0.0)
 
-    def may_send(self, runner: _fleet.FleetRunner, now: float) -> bool:
-        """Tell whether this host may send a request to a runner now."""
-        return self.wait_s(runner, now) == 0.0
-
     def on_send(self, runner: _fleet.FleetRunner, now: float) -> None:
         """Record a request to a runner."""
         limit = self._limit_in_force(runner, now)
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -22,6 +22,17 @@
     late_wait_s: float
     measured_at: float
 
+    def delayed(self, delay_s: float, now: float) -> 'QueueWait':
+        """Return the waits, measured now, if no call starts before a delay."""
+        waits_s = self.waits_s
+        if delay_s and not waits_s:
+            waits_s = (0.0,) * len(DUE_POINTS_S)
+        return QueueWait(
+            tuple(wait_s + delay_s for wait_s in waits_s),
+            self.late_wait_s + delay_s,
+            now,
+        )
+
 
 class QueueWaits:
     """Latest queueing times of all services, those queued here included."""
