Teach the soak runners that leave or ask for pauses in their answers alone

--notices draws two runners that say in their answers, but not in the store, that they leave, and some that turn hosts away for 1 to 4 s, apart from a seed's other faults. Draining runners say so in their answers too. The promises 'drain' (nothing 3 s after a host was told) and 'pause' (at most two requests in it) look at what reached runners; defects in sound records show that both checks fail.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,10 @@
     When the soak plays seed 11 with 14 hosts, silence between them and 8 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes whose runners leave and ask for pauses
+    When the soak plays seed 9 with 3 hosts, notices and 10 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -42,6 +46,8 @@
       | budget       | a hundred second sends                  |
       | limit        | a limited runner that gets too much     |
       | versions     | three streams of two software versions  |
+      | drain        | a leaving runner that gets more         |
+      | pause        | a paused runner that gets three requests |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -14,6 +14,7 @@
     limits: bool = False,
     versions: bool = False,
     severed: bool = False,
+    notices: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -25,6 +26,7 @@
         limits,
         versions,
         severed,
+        notices,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -178,6 +178,7 @@
             self.reactor.seconds(),
             first_attempt=request_id,
         )
+        self.records.asked_hosts[request_id] = self.host.name
         if broken is not None:
             self.outcome.first_attempt = broken.first_attempt
             self.outcome.last_event = last_event(broken)
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -9,6 +9,7 @@
 
 from features.soak import hosts
 from features.soak import ledger
+from features.soak import notices
 from features.soak import proxy
 from features.soak import runners
 from features.soak import store
@@ -30,6 +31,8 @@
 BROKEN_STREAMS = 'broken-streams'
 BREAKS = 12
 SILENT_PEERS = 'silent-peers'
+QUIET_LEAVE = 'runner-leaves-quietly'
+PAUSE = 'runner-pause'
 CUT_PEERS = 'cut-peers'
 # Shares of the hosts, and of their connections to others, that fall silent.
 SILENT_HOSTS = (0.4, 1.0)
@@ -432,7 +435,28 @@
     return Begun('none', heal)
 
 
+def _leave_quietly(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have a runner say in its answers alone that it leaves."""
+    runner = rng.choice([r for r in whole.runners if r.is_up] or whole.runners)
+    runner.leave_quietly()
+
+    def restart() -> None:
+        whole.reactor.callLater(REUSE_S, _start_if_down, whole, runner)
+
+    return Begun('none', restart, REUSE_S)
+
+
+def _pause_runners(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Have some runners ask for a pause."""
+    now = whole.reactor.seconds()
+    for runner in _some_runners(whole, rng):
+        runner.notices.pause(now, rng)
+    return Begun('none', lambda: None)
+
+
 EXTRA_FAULTS[BROKEN_STREAMS] = _break_streams
+EXTRA_FAULTS[QUIET_LEAVE] = _leave_quietly
+EXTRA_FAULTS[PAUSE] = _pause_runners
 EXTRA_FAULTS[SILENT_PEERS] = _silence_peers
 EXTRA_FAULTS[CUT_PEERS] = _cut_peers
 EXTRA_FAULTS[RESTORE] = _restore_store
@@ -475,6 +499,19 @@
     return [*silences, Planned(CUT_PEERS, cut_at, rng.uniform(*CUT_S))]
 
 
+def draw_notices(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return runners that leave quietly and such that ask for pauses."""
+    leaves = [
+        Planned(QUIET_LEAVE, rng.uniform(0.0, length_s), notices.LEAVING_S)
+        for _ in range(2)
+    ]
+    pauses = [
+        Planned(PAUSE, rng.uniform(0.0, length_s), notices.PAUSE_S[1])
+        for _ in range(rng.choice((2, 3)))
+    ]
+    return [*leaves, *pauses]
+
+
 def draw_plan(rng: random.Random, length_s: float) -> list[Planned]:
     """Return faults in series, or overlapping, as the seed has it."""
     overlap = rng.random() < 0.6
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -23,6 +23,22 @@
     at: float
 
 
+@dataclasses.dataclass(slots=True)
+class NoticedArrivals:
+    """Main calls from a host that a runner had told of a pause or leaving.
+
+    told_at is when the first of them was answered so; times are those of the
+    later ones.
+    """
+
+    kind: str
+    runner: str
+    host: str
+    told_at: float
+    until: float
+    times: list[float] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """One request as its caller saw it, times in seconds.
@@ -79,6 +95,7 @@
 class Ledger:
     """All records of a run; quiet_at is when the last fault was over.
 
+    asked_hosts names the host that got each request;
     starts are the times at which each host was started; handles are the
     results that lie at runners now; cuts are the times at which a host was
     cut off from all others; unserved are the hosts and kinds that were not
@@ -87,6 +104,8 @@
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     limited: list[LimitedArrival] = dataclasses.field(default_factory=list)
+    noticed: list[NoticedArrivals] = dataclasses.field(default_factory=list)
+    asked_hosts: dict[str, str] = dataclasses.field(default_factory=dict)
     outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -16,6 +16,11 @@
 # Time within which all hosts know what one of them knows.
 CHANGE_BOUND_S = 3.0
 SLACK_S = 1.5
+# Time after which a leaving runner gets nothing from a host that it told.
+DRAIN_BOUND_S = 3.0
+# Requests that may reach a runner in its pause, and from when on they count.
+MOST_IN_PAUSE = 2
+PAUSE_NOTICE_S = 0.5
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
 # Streams of two software versions that may be, in a whole run.
@@ -254,6 +259,29 @@
             yield f'{runner} got {most} requests in 4 s, allowed {allowed:g}'
 
 
+@promise('drain')
+def drain(records: ledger.Ledger) -> Iterator[str]:
+    """A host sends nothing to a runner that told it that it leaves."""
+    for found in records.noticed:
+        late_at = found.told_at + DRAIN_BOUND_S + SLACK_S
+        late = [at for at in found.times if at > late_at]
+        if found.kind == 'leaving' and late:
+            yield f'{found.runner} got {len(late)} requests from {found.host}'
+
+
+@promise('pause')
+def pause(records: ledger.Ledger) -> Iterator[str]:
+    """A host lets a runner alone for as long as that asked it to."""
+    for found in records.noticed:
+        early = [
+            at
+            for at in found.times
+            if found.told_at + PAUSE_NOTICE_S < at < found.until
+        ]
+        if found.kind == 'pause' and len(early) > MOST_IN_PAUSE:
+            yield f'{found.runner} got {len(early)} requests from {found.host}'
+
+
 @promise('leaving')
 def leaving(records: ledger.Ledger) -> Iterator[str]:
     """A host that is told to leave ends what it took in, in time."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -33,7 +33,8 @@
     runners that name a limit; both are drawn apart so that the other faults
     of a seed stay the same. With has_versions runners of two software
     versions stream, and callers take broken streams up. has_severed lets
-    connections between hosts fall silent.
+    connections between hosts fall silent. With has_notices runners leave
+    or ask for pauses in their answers alone.
     """
 
     seed: int
@@ -44,6 +45,7 @@
     has_limits: bool = False
     has_versions: bool = False
     has_severed: bool = False
+    has_notices: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -99,6 +101,8 @@
             self.plan += faults.draw_limits(self.extra_rng, options.faults_s)
         if options.has_versions:
             self.plan += faults.draw_breaks(self.extra_rng, options.faults_s)
+        if options.has_notices:
+            self.plan += faults.draw_notices(self.extra_rng, options.faults_s)
         if options.has_severed:
             self.plan += faults.draw_severed(self.extra_rng, options.faults_s)
         self.open_faults = 0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from features.soak import ledger
+from features.soak import notices
 from features.soak import proxy
 from features.soak import store
 import ragwort_edge as edge
@@ -94,6 +95,7 @@
         self.running = 0
         self.handles: set[str] = set()
         self.is_draining = False
+        self.notices = notices.Notices(records)
         self.is_up = False
         self.site = edge.Site(
             reactor, relay.CallerLimits, self._on_call, lambda status: None
@@ -124,6 +126,7 @@
         self.is_draining = False
         self.is_up = True
         self.limit_per_s = None
+        self.notices = notices.Notices(self.records)
         self.register()
 
     def register(self) -> None:
@@ -159,9 +162,20 @@
             return
         self.is_draining = True
         self.site.is_closing = True
+        self.notices.leave()
         self.register()
         self.reactor.callLater(DRAIN_S, self._end_drain, self.identifier)
 
+    def leave_quietly(self) -> None:
+        """Say in answers alone that it leaves, go on for long, then end."""
+        if self.is_draining or not self.is_up:
+            return
+        self.is_draining = True
+        self.notices.leave()
+        self.reactor.callLater(
+            notices.LEAVING_S, self._end_drain, self.identifier
+        )
+
     def _end_drain(self, identifier: str) -> None:
         self.store.remove(KIND, identifier)
         if self.identifier == identifier and self.is_up:
@@ -210,6 +224,13 @@
             self._note_main(exchange, False)
             self._reply(exchange, 421, (NOT_RUN,))
             return
+        now = self.reactor.seconds()
+        request_id = exchange.request.header(b'request-id') or b''
+        self.notices.on_arrival(self, request_id.decode(), now)
+        if now < self.notices.pause_until:
+            self._note_main(exchange, False)
+            self._reply(exchange, 503, (NOT_RUN,))
+            return
         handler = self._handlers().get(exchange.request.path, self._main)
         handler(exchange)
 
@@ -235,6 +256,7 @@
             SEAL,
             self._load(),
             *self._limit(),
+            *self.notices.headers(self.reactor.seconds()),
             *extra,
         )
         exchange.respond(edge.HttpResponse(status, headers, body))
@@ -312,6 +334,7 @@
             (b'transfer-encoding', b'chunked'),
             SEAL,
             *self._limit(),
+            *self.notices.headers(self.reactor.seconds()),
         )
         exchange.start(200, headers)
         self._next_event(exchange, request_id, last + 1, self.born)
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -13,7 +13,7 @@
 
 KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
 # What a seed may have beside its usual faults.
-EXTRAS = ('restores', 'limits', 'versions', 'severed')
+EXTRAS = ('restores', 'limits', 'versions', 'severed', 'notices')
 RUN_TIMEOUT_S = 180.0
 
 
@@ -56,10 +56,13 @@
     limits: bool = typer.Option(False, help='Let runners name limits too.'),
     versions: bool = typer.Option(False, help='Two software versions.'),
     severed: bool = typer.Option(False, help='Silence between hosts.'),
+    notices: bool = typer.Option(False, help='Runners that leave or pause.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
-    wanted = zip(EXTRAS, (restores, limits, versions, severed), strict=True)
+    wanted = zip(
+        EXTRAS, (restores, limits, versions, severed, notices), strict=True
+    )
     extras = [extra for extra, is_wanted in wanted if is_wanted]
     plays = kept_options() if kept else []
     plays += [
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,6 +48,15 @@
     run_soak(context, seed, count, faults_s, '--severed')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, notices '
+    'and {faults_s:d} s of faults'
+)
+def play_notices(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with runners that leave or ask for pauses."""
+    run_soak(context, seed, count, faults_s, '--notices')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -282,6 +291,25 @@
     )
 
 
+@defect('a leaving runner that gets more')
+def send_to_leaving(records: ledger.Ledger) -> None:
+    """Send to a runner well after it said that it leaves."""
+    records.noticed.append(
+        ledger.NoticedArrivals(
+            'leaving', 'i-0001', 'host-0', 10.0, 99.0, [12.0, 15.0]
+        )
+    )
+
+
+@defect('a paused runner that gets three requests')
+def send_to_paused(records: ledger.Ledger) -> None:
+    """Send three requests in the pause and one behind it."""
+    times = [10.1, 11.0, 12.0, 12.5, 14.0]
+    records.noticed.append(
+        ledger.NoticedArrivals('pause', 'i-0001', 'host-0', 10.0, 13.0, times)
+    )
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
