Show a part of a prompt that crashes one runner after the other

Lab runners crash as they begin their answer to a prompt with a given part, break all their calls, refuse connections and come back as a new incarnation 4 s later.

--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -58,8 +58,11 @@
 
     def read_request(self, request: edge.HttpRequest) -> edge.RequestMetadata:
         """Return the facts as the caller stated them."""
+        facts = json.loads(request.header(b'facts') or b'{}')
+        prompt = facts.pop('prompt', ())
         return edge.RequestMetadata(
-            **json.loads(request.header(b'facts') or b'{}')
+            **facts,
+            prompt=tuple(relay.PromptPart(*part) for part in prompt),
         )
 
     def main_request(self, call: edge.MainCall) -> edge.HttpRequest:
@@ -71,6 +74,7 @@
             'inputs': call.inputs,
             'last_event': call.last_event,
             'workspace': call.workspace,
+            'parts': [part.part_id for part in call.metadata.prompt],
         }
         headers = ((b'call', json.dumps(told).encode()),)
         request = call.request
@@ -310,6 +314,9 @@
         self.event_gap_s = 0.0
         self.version = ''
         self.calls: list[LabCall] = []
+        # Parts of a prompt on which it crashes as it begins its answer.
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.on_crash: Callable[[], None] = lambda: None
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a request that has arrived."""
@@ -338,8 +345,14 @@
         for call in self.calls:
             call.fail(edge.CallErrorKind.CLOSED)
         self.calls.clear()
+        self.on_crash()
 
     def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
+        if call.is_over:
+            return
+        if self.deadly_parts & set(told['parts']):
+            self.crash()
+            return
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
         echo += self.notices()
         kind, _, count = step.partition(':')
