Keep parts of prompts that crash runners from them

Requests with one part in common crashed one runner after the other: repeats, take-ups and new requests carried it on for as long as they came (BUDGET), and sound streams broke with them (LOST). Cause: nothing tied the crashes to what they had in common. Class: a query of death.

A call that breaks before its answer began, at a runner that then refuses connections (or whose entry goes, or is that of a later start), speaks against the parts of its prompt between the first and the last one; an answer that began clears its parts, anywhere. Hosts tell each other both by rumour and each judges: three crashes at different moments and no answer, and requests with the part are refused at once, before their stages, with a long Retry-After. A request under a suspect is not repeated after such a crash. Runners that leave and connections that break alone are no evidence. A host that joins is told what is refused.

Another 15 scenarios: two parts at once, hosts that restart, runners that crash, leave or lose connections for other reasons, damaged messages.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -14,3 +14,63 @@
       | 1    |
       | 2    |
       | 3    |
+
+  Scenario: two parts that crash runners at the same time
+    Given 6 relay hosts and 8 runners, luck 4
+    And another part crashes runners too
+    When callers send 12 streams a second for 10 s
+    And a quarter of them have a part that crashes runners for 24 s
+    Then at most 3 requests with that part reach runners later than 4 s after its fifth crash
+    And sound streams begin half as often as before, from 12 s after the fifth crash
+
+  Scenario Outline: hosts that <what> in the middle know of the part
+    Given 6 relay hosts and 8 runners, luck 5
+    When callers send 12 streams a second for 10 s
+    And a quarter of them have a part that crashes runners, and hosts <what>
+    Then at most 3 requests with that part reach runners later than 4 s after its fifth crash
+    And sound streams begin half as often as before, from 8 s after the fifth crash
+
+    Examples:
+      | what                     |
+      | restart one by one       |
+      | are killed, but for one  |
+
+  Scenario Outline: no part is kept from runners that crash <why>
+    Given 6 relay hosts and 8 runners, luck <seed>
+    When callers send 12 streams a second for 10 s
+    And runners crash <why> for 20 s, while 60 rare parts are sent
+    Then no part is refused
+    And sound streams begin half as often as before, from 5 s after the last crash
+
+    Examples:
+      | why                       | seed |
+      | one after the other       | 6    |
+      | one after the other       | 7    |
+      | three at a time           | 8    |
+      | a failure domain at once  | 9    |
+
+  Scenario: calls that break while their runners live are no evidence
+    Given 6 relay hosts and 8 runners, luck 10
+    When callers send 12 streams a second for 10 s
+    And connections to runners are reset for 20 s, while 60 rare parts are sent
+    Then no part is suspected
+
+  Scenario: runners that leave with calls are no evidence
+    Given 6 relay hosts and 8 runners, luck 11
+    When callers send 12 streams a second for 10 s
+    And runners leave and end with their calls for 20 s, while 60 rare parts are sent
+    Then no part is refused
+
+  Scenario Outline: evidence from a peer with <what> convicts nobody
+    Given 6 relay hosts and 8 runners, luck 12
+    When a peer tells host 0 of three crashes with <what>
+    Then no part is suspected
+
+    Examples:
+      | what           |
+      | age nan        |
+      | age -1         |
+      | age 1e9        |
+      | no part        |
+      | no runner      |
+      | start 0        |
--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -8,6 +8,8 @@
 
 from features.support import deadly_parts
 import ragwort_edge as edge
+import ragwort_model as model
+import ragwort_wire as wire
 
 # Bounds of the users: crashes until a part counts, and requests after that.
 COUNTED_CRASHES = 5
@@ -16,6 +18,13 @@
 # A refusal at once, as a caller sees it.
 AT_ONCE_S = 0.05
 LONG_RETRY_S = 10.0
+DISTURBED_S = 20.0
+RARE_PARTS = 60
+CRASH_GAPS_S = {
+    'one after the other': 0.75,
+    'three at a time': 4.5,
+    'a failure domain at once': 4.5,
+}
 
 
 @given('{hosts:d} relay hosts and {runners:d} runners, luck {seed:d}')
@@ -89,3 +98,176 @@
         assert took_s <= AT_ONCE_S, took_s
         value = edge.find_header(one.exchange.headers, b'retry-after')
         assert value is not None and float(value) >= LONG_RETRY_S, value
+
+
+@given('another part crashes runners too')
+def add_deadly(context: Any) -> None:
+    """Let two parts be deadly."""
+    context.deadly.append(f'{deadly_parts.DEADLY}-too')
+
+
+@when(
+    'a quarter of them have a part that crashes runners, and hosts'
+    ' restart one by one'
+)
+def restart_hosts(context: Any) -> None:
+    """Restart each host while the part is sent."""
+    crash = context.crash
+    crash.set_deadly(*context.deadly)
+    for index in range(len(crash.world.hosts)):
+        crash.run(4.0, context.per_s, *context.deadly)
+        crash.world.restart(index)
+    context.deadly_until = crash.clock.seconds()
+    crash.world.run(LAST_S)
+
+
+@when(
+    'a quarter of them have a part that crashes runners, and hosts'
+    ' are killed, but for one'
+)
+def kill_hosts(context: Any) -> None:
+    """Restart all hosts but the first at the same time."""
+    crash = context.crash
+    crash.set_deadly(*context.deadly)
+    crash.run(12.0, context.per_s, *context.deadly)
+    for index in range(1, len(crash.world.hosts)):
+        crash.world.restart(index)
+    crash.run(12.0, context.per_s, *context.deadly)
+    context.deadly_until = crash.clock.seconds()
+    crash.world.run(LAST_S)
+
+
+def disturb(context: Any, gap_s: float, what: Any) -> None:
+    """Send sound and rare parts for 20 s and disturb runners meanwhile."""
+    crash = context.crash
+    until = crash.clock.seconds() + DISTURBED_S
+    while crash.clock.seconds() < until:
+        what()
+        for _ in range(round(gap_s * context.per_s)):
+            is_rare = crash.rng.random() < 0.5
+            rare = f'rare-{crash.rng.randrange(RARE_PARTS)}'
+            crash.send(
+                rare if is_rare else crash.rng.choice(deadly_parts.SOUND_PARTS)
+            )
+            crash.world.run(1.0 / context.per_s)
+    context.disturbed_until = crash.clock.seconds()
+    crash.run(12.0, context.per_s)
+    context.deadly_until = crash.clock.seconds()
+    crash.world.run(LAST_S)
+
+
+@when('runners crash {why} for 20 s, while 60 rare parts are sent')
+def crash_runners(context: Any, why: str) -> None:
+    """Crash runners whatever they answer."""
+    crash = context.crash
+
+    def crash_some() -> None:
+        up = [
+            runner
+            for runner in crash.world.runners
+            if runner.address in crash.world.network.runners
+        ]
+        if why == 'three at a time':
+            chosen = crash.rng.sample(up, min(3, len(up)))
+        elif why == 'a failure domain at once':
+            domain = crash.rng.choice(up).domain if up else ''
+            chosen = [runner for runner in up if runner.domain == domain]
+        else:
+            chosen = crash.rng.sample(up, min(1, len(up)))
+        for runner in chosen:
+            runner.crash()
+
+    disturb(context, CRASH_GAPS_S[why], crash_some)
+
+
+@when(
+    'connections to runners are reset for 20 s, while 60 rare parts are sent'
+)
+def reset_connections(context: Any) -> None:
+    """Break the calls of runners that go on."""
+    crash = context.crash
+
+    def reset_some() -> None:
+        for runner in crash.rng.sample(crash.world.runners, 3):
+            for call in runner.calls:
+                call.fail(edge.CallErrorKind.CLOSED)
+
+    disturb(context, 0.5, reset_some)
+
+
+@when(
+    'runners leave and end with their calls for 20 s, while 60 rare parts'
+    ' are sent'
+)
+def leave_with_calls(context: Any) -> None:
+    """Let runners say that they leave, and end while calls go on."""
+    crash = context.crash
+
+    def leave_one() -> None:
+        up = [
+            runner
+            for runner in crash.world.runners
+            if runner.address in crash.world.network.runners
+        ]
+        runner = crash.rng.choice(up)
+        crash.world.set_runner(runner, 'leaving')
+        crash.clock.callLater(0.3, runner.crash)
+
+    disturb(context, 2.0, leave_one)
+
+
+def evidence_of(context: Any) -> list[Any]:
+    """Return what each host holds against parts."""
+    return [host.catalog.crash_evidence for host in context.crash.world.hosts]
+
+
+@then('no part is refused')
+def check_none_refused(context: Any) -> None:
+    """Look at what the hosts believe and at what callers got."""
+    counts = [found.refused_count() for found in evidence_of(context)]
+    assert not any(counts), counts
+
+
+@then('no part is suspected')
+def check_none_suspected(context: Any) -> None:
+    """Look at what the hosts believe."""
+    records = [len(found.records) for found in evidence_of(context)]
+    assert not any(records), records
+
+
+@then(
+    'sound streams begin half as often as before, from {seconds:g} s after'
+    ' the last crash'
+)
+def check_after_crashes(context: Any, seconds: float) -> None:
+    """Compare the shares of sound streams that began."""
+    crash = context.crash
+    before = crash.share_begun(context.sound_from, context.sound_until)
+    since = context.disturbed_until + seconds
+    after = crash.share_begun(since, context.deadly_until)
+    assert after >= before / 2, (before, after)
+
+
+@when('a peer tells host 0 of three crashes with {what}')
+def tell_strange(context: Any, what: str) -> None:
+    """Deliver evidence as a damaged peer might send it."""
+    fields = {'part': 'p1', 'runner': 'runner/x', 'start': '5', 'age': '1.0'}
+    name, _, value = what.partition(' ')
+    if name == 'no':
+        fields[value] = ''
+    else:
+        fields[name] = value
+    crashes = [
+        model.PartCrash(
+            'main',
+            fields['part'],
+            fields['runner'] and f'{fields["runner"]}{number}',
+            int(fields['start']),
+            float(fields['age']),
+        )
+        for number in range(3)
+    ]
+    data = wire.encode_peer('10.0.1.1:84', model.PartEvidence(crashes, []))
+    world = context.crash.world
+    world.hosts[0]._on_frame(wire.decode_peer(data))
+    world.run(2.0)
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -371,7 +371,7 @@
             random.Random(index),
         )
         client: Any = self.network
-        host.client = host.context.client = client
+        host.client = host.context.client = host.crashes.client = client
         host.stages.local_owner.client = client
         links: Any = FakeLinks(self, entry.peer_address)
         host.peers = links
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -8,6 +8,7 @@
 from ragwort_edge._client import OpenCall
 from ragwort_edge._client import ResponseReader
 from ragwort_edge._context import RelayContext
+from ragwort_edge._crash_watch import CrashWatch
 from ragwort_edge._dialect import Dialect
 from ragwort_edge._dialect import MainCall
 from ragwort_edge._dialect import PieceReply
@@ -36,6 +37,7 @@
     'CallError',
     'CallErrorKind',
     'configure_logs',
+    'CrashWatch',
     'Dialect',
     'end_to_end',
     'Exchange',
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -46,6 +46,32 @@
         self.kind = kind
 
 
+class _ConnectionCheck(protocol.ClientFactory):
+    """Opens a connection, sends nothing and closes it."""
+
+    noisy = False
+
+    def __init__(self, done: 'defer.Deferred[bool]') -> None:
+        self.done = done
+
+    def buildProtocol(self, addr: Any) -> protocol.Protocol:  # noqa: N802
+        checked = protocol.Protocol()
+        checked.connectionMade = lambda: self._close(checked)
+        return checked
+
+    def _close(self, checked: protocol.Protocol) -> None:
+        assert checked.transport is not None
+        checked.transport.loseConnection()
+        self.done.callback(False)
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: Any, reason: failure.Failure
+    ) -> None:
+        self.done.callback(
+            reason.check(error.ConnectionRefusedError) is not None
+        )
+
+
 class ResponseReader:
     """Callbacks for the parts of a response."""
 
@@ -245,6 +271,15 @@
         )
         return OpenCall(factory, connector)
 
+    def is_refused(self, address: str) -> 'defer.Deferred[bool]':
+        """Return whether an address refuses connections; False if unclear."""
+        done: defer.Deferred[bool] = defer.Deferred()
+        host, port = model.split_address(address)
+        self.reactor.connectTCP(
+            host, port, _ConnectionCheck(done), CONNECT_TIMEOUT_S
+        )
+        return done
+
 
 class _ResponseCollector(ResponseReader):
     """Collect a complete response."""
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from ragwort_edge import _client
+from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
 from ragwort_edge import _metrics
 from ragwort_edge import _stage_service
@@ -13,6 +14,8 @@
 
 # Mean Retry-After delay of a refusal that is not due to a known queue.
 DEFAULT_RETRY_AFTER_S = 0.5
+# To come back soon with a prompt that crashes runners doesn't help.
+REFUSED_PART_RETRY_S = (30.0, 60.0)
 
 
 class RefusedError(model.RagwortError):
@@ -36,6 +39,7 @@
     budget: relay.RetryBudget
     stages: _stage_service.StageService
     origins: _stream_origins.OriginService
+    crashes: _crash_watch.CrashWatch
     metrics: _metrics.Metrics
     logger: Any
     failure_domain: str
@@ -47,6 +51,28 @@
         delay_s = relay.retry_after_s(DEFAULT_RETRY_AFTER_S, self.rng)
         return RefusedError(reason, delay_s + (wait_s or 0.0))
 
+    def refuse_deadly_prompt(
+        self, service: str, prompt: tuple[relay.PromptPart, ...]
+    ) -> None:
+        """Raise RefusedError if a part of a prompt crashes runners."""
+        now = self.reactor.seconds()
+        evidence = self.catalog.crash_evidence
+        part = evidence.refused_part(service, prompt, now)
+        if part is None:
+            return
+        crashes = evidence.records[service, part].crashes
+        self.logger.warning(
+            'part-refused',
+            service=service,
+            part=part,
+            runners=[name for name, _ in crashes],
+            ages_s=[round(now - at, 1) for at in crashes.values()],
+        )
+        raise RefusedError(
+            f'part {part} of the prompt crashes runners',
+            self.rng.uniform(*REFUSED_PART_RETRY_S),
+        )
+
     def failure_domain_of(self, handle: str) -> str:
         """Return the failure domain that stores a result, '' if unknown."""
         address = self.dialect.handle_address(handle)
--- /dev/null
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -0,0 +1,113 @@
+"""Evidence of parts of prompts that crash runners, from calls and peers."""
+
+from collections.abc import Iterable
+import random
+from typing import Any
+
+from ragwort_edge import _client
+from ragwort_edge import _metrics
+import ragwort_membership as membership
+import ragwort_model as model
+import ragwort_relay as relay
+
+
+class CrashWatch:
+    """Learns from broken calls and from other hosts, and tells them."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        client: _client.HttpClient,
+        evidence: relay.CrashEvidence,
+        rng: random.Random,
+        metrics: _metrics.Metrics,
+        logger: Any,
+    ) -> None:
+        """Add to a host's evidence."""
+        self.reactor = reactor
+        self.client = client
+        self.evidence = evidence
+        self.rng = rng
+        self.metrics = metrics
+        self.logger = logger
+
+    def on_began(
+        self, service: str, prompt: tuple[relay.PromptPart, ...]
+    ) -> None:
+        """Clear the parts of a prompt whose answer began."""
+        now = self.reactor.seconds()
+        for part in self.evidence.on_began(service, prompt, now):
+            self.logger.info('part-cleared', service=service, part=part)
+
+    async def has_crashed(
+        self,
+        runner: relay.FleetRunner,
+        prompt: tuple[relay.PromptPart, ...],
+        request_id: str,
+    ) -> bool:
+        """Tell whether a call broke since its runner ended, under a suspect.
+
+        A runner that refuses connections has ended. Without a suspect in
+        the prompt it makes no difference and is not looked at.
+        """
+        service = runner.entry.runner.service
+        if not self.evidence.suspects(service, prompt):
+            return False
+        incarnation = (runner.name, runner.entry.started_ms)
+        address = runner.address
+        now = self.reactor.seconds()
+        self._log(self.evidence.on_broken(runner, prompt, now), request_id)
+        if incarnation in self.evidence.ended:
+            return True
+        if not await self.client.is_refused(address):
+            return False
+        now = self.reactor.seconds()
+        self._log(self.evidence.on_ended(incarnation, now), request_id)
+        return True
+
+    def _log(
+        self, crashes: Iterable[model.PartCrash], request_id: str | None
+    ) -> None:
+        for crash in crashes:
+            record = self.evidence.records.get(
+                (crash.service_name, crash.part)
+            )
+            self.logger.warning(
+                'part-suspected',
+                service=crash.service_name,
+                part=crash.part,
+                runner=crash.runner,
+                age_s=round(crash.age_s, 3),
+                crashes=record.moments() if record else 0,
+                request=request_id,
+                source='peer' if request_id is None else 'call',
+            )
+        self.metrics.refused_parts.set(self.evidence.refused_count())
+
+    def messages(
+        self, members: membership.Membership, now: float
+    ) -> list[model.SendPeerMessage]:
+        """Return what to tell some other hosts, if it is time to."""
+        told = self.evidence.to_spread(now)
+        if not told.crashes and not told.cleared:
+            return []
+        peer_addresses = members.peer_addresses()
+        count = min(relay.SPREAD_FANOUT, len(peer_addresses))
+        return [
+            model.SendPeerMessage(address, told)
+            for address in self.rng.sample(peer_addresses, count)
+        ]
+
+    def on_told(self, told: model.PartEvidence) -> None:
+        """Take over what another host knows, unless it is damaged."""
+        if not relay.is_sound_evidence(told):
+            self.logger.warning('invalid-part-evidence', told=repr(told)[:500])
+            return
+        self._log(self.evidence.merge(told, self.reactor.seconds()), None)
+
+    def for_new_host(self, address: str) -> list[model.SendPeerMessage]:
+        """Return what a host needs to know that has just started."""
+        told = self.evidence.for_new_host(self.reactor.seconds())
+        if not told.crashes:
+            return []
+        return [model.SendPeerMessage(address, told)]
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -8,6 +8,7 @@
 
 from ragwort_edge import _client
 from ragwort_edge import _context
+from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
@@ -185,6 +186,14 @@
                 self.members, attempt, count
             ),
         )
+        self.crashes = _crash_watch.CrashWatch(
+            reactor,
+            self.client,
+            self.catalog.crash_evidence,
+            self.rng,
+            self.metrics,
+            logger,
+        )
         self.context = _context.RelayContext(
             reactor,
             self.rng,
@@ -194,6 +203,7 @@
             self.budget,
             self.stages,
             self.origins,
+            self.crashes,
             self.metrics,
             logger,
             options.host.failure_domain,
@@ -317,6 +327,7 @@
         messages += self.gossip.tick(now, self.members.peer_addresses())
         messages += self.limit_sharing.messages(now)
         messages += self.departure_sharing.messages(now)
+        messages += self.crashes.messages(self.members, now)
         for message in messages:
             self._send_peer(message)
         self._watch(now)
@@ -324,7 +335,8 @@
         host_count = len(self.members.live())
         self.budget.on_host_count(host_count, now)
         self.catalog.prompt_sharing.hosts = host_count
-        self.catalog.departure_news.host_count = host_count
+        self.catalog.departure_news.rumours.host_count = host_count
+        self.catalog.crash_evidence.set_host_count(host_count)
         self.peers.close_idle(now)
         self._update_readiness(now)
         for change in self.members.take_changes():
@@ -508,7 +520,10 @@
             case model.IndirectPing():
                 return members.on_indirect(sender, message, now, wall)
             case model.MemberSync():
-                return members.on_sync(sender, message, now)
+                told = members.on_sync(sender, message, now)
+                if message.reply:
+                    told += self.crashes.for_new_host(sender)
+                return told
             case model.StateDigest():
                 return gossip.on_digest(sender, message)
             case model.StateVersions():
@@ -520,6 +535,8 @@
                 self._observe_era(era, sender, now)
                 count = len(members.peer_addresses())
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
+            case model.PartEvidence():
+                self.crashes.on_told(message)
             case model.RunnersLeaving():
                 self.departure_sharing.on_told(message.runners, now)
             case model.RunnerLimits():
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -61,6 +61,11 @@
             ['source'],
             registry=self.registry,
         )
+        self.refused_parts = prometheus.Gauge(
+            'ragwort_refused_parts',
+            'Parts of prompts that are kept from runners, which they crash',
+            registry=self.registry,
+        )
         self.silent_peer_connections = prometheus.Counter(
             'ragwort_silent_peer_connections',
             'Connections to hosts replaced since receipts were overdue',
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -31,12 +31,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _SendOutcome:
-    """Outcome of one send to a runner."""
+    """Outcome of one send to a runner.
+
+    is_closed_early tells that the connection closed before any of the answer
+    proper had come.
+    """
 
     result: relay.SendResult
     response: _messages.HttpResponse | None = None
     detail: str = ''
     is_input_gone: bool = False
+    is_closed_early: bool = False
 
 
 class RequestHandler:
@@ -199,6 +204,7 @@
             await self._find_origin()
         service = self.service
         self.log_fields['service'] = service
+        self.context.refuse_deadly_prompt(service, self.metadata.prompt)
         if not self.context.catalog.has_sendable(
             service, self.context.reactor.seconds(), self.origin
         ):
@@ -305,6 +311,7 @@
 
     def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
         """Return a runner and mark it tried; raise RefusedError if none."""
+        self.context.refuse_deadly_prompt(service, self.metadata.prompt)
         runner = self._choose_runner(service, tried)
         if runner is None:
             raise self._refusal('no runner')
@@ -361,7 +368,7 @@
             runner = self._take_runner(service, tried)
             send = await self._send_plain(service, runner)
             self._record_send(service, runner, send)
-            step = self._next_step(service, send)
+            step = await self._step_after(service, runner, send)
             if step == relay.NextStep.SEND_AGAIN:
                 continue
             if step == relay.NextStep.DELIVER and send.response is not None:
@@ -380,6 +387,16 @@
         )
         return self.context.refusal(reason, wait_s)
 
+    async def _step_after(
+        self, service: str, runner: relay.FleetRunner, send: _SendOutcome
+    ) -> relay.NextStep:
+        """Return the next step after a send; don't repeat a likely crash."""
+        if send.is_closed_early and await self.context.crashes.has_crashed(
+            runner, self.metadata.prompt, self.metadata.request_id
+        ):
+            return relay.NextStep.FAIL
+        return self._next_step(service, send)
+
     def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
         now = self.context.reactor.seconds()
@@ -426,7 +443,11 @@
                 self.attempts.ran += 1
                 runner.state.on_cancel()
                 raise
-            return _SendOutcome(relay.SendResult.LOST, detail=str(error))
+            return _SendOutcome(
+                relay.SendResult.LOST,
+                detail=str(error),
+                is_closed_early=error.kind == _client.CallErrorKind.CLOSED,
+            )
         took_s = context.reactor.seconds() - sent_at
         return self.classify_response(runner, response, took_s)
 
@@ -468,8 +489,12 @@
                 detail=f'status {response.status}',
             )
         runner.state.on_result(took_s, took_s, now)
+        self._clear_prompt()
         return _SendOutcome(relay.SendResult.DONE, response)
 
+    def _clear_prompt(self) -> None:
+        self.context.crashes.on_began(self.service, self.metadata.prompt)
+
     def _deliver(self, response: _messages.HttpResponse) -> None:
         self._observe_latency()
         self._log('answered', status=response.status)
@@ -496,6 +521,7 @@
         if self.is_origin_recorded:
             return
         self.is_origin_recorded = True
+        self._clear_prompt()
         if self.origin is None:
             self.origin = relay.StreamOrigin(
                 runner.service, runner.software_version
@@ -504,10 +530,15 @@
         self.context.origins.on_began(self.stream_key, self.origin, ttl_s)
 
     def send_outcome(
-        self, result: relay.SendResult, detail: str
+        self,
+        result: relay.SendResult,
+        detail: str,
+        is_closed_early: bool = False,
     ) -> '_SendOutcome':
         """Return the outcome of a send without a complete response."""
-        return _SendOutcome(result, detail=detail)
+        return _SendOutcome(
+            result, detail=detail, is_closed_early=is_closed_early
+        )
 
     async def _run_stream(self, service: str) -> None:
         progress = relay.StreamProgress(self.metadata.last_event)
@@ -516,7 +547,7 @@
             runner = self._take_runner(service, tried)
             send = await self._send_stream(runner, progress)
             self._record_send(service, runner, send)
-            step = self._next_step(service, send)
+            step = await self._step_after(service, runner, send)
             if step == relay.NextStep.SEND_AGAIN:
                 if self.stages.run is None or send.is_input_gone:
                     self.log_fields['remade'] = True
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -191,7 +191,9 @@
                 )
             return
         if self.event_parser.buffer.strip():
-            self._finish(relay.SendResult.BROKEN, 'ends within an event')
+            self._finish(
+                relay.SendResult.BROKEN, 'ends within an event', is_closed=True
+            )
             return
         if not self.handler.exchange.is_started:
             self._forward(b'')
@@ -206,11 +208,21 @@
         self.body.drop()
         if call_error.kind == _client.CallErrorKind.NOT_CONNECTED:
             self._finish(relay.SendResult.NOT_SENT, str(call_error))
-        elif self.is_event_stream:
-            self._finish(relay.SendResult.BROKEN, str(call_error))
         else:
-            self._finish(relay.SendResult.LOST, str(call_error))
+            is_broken = self.is_event_stream
+            self._finish(
+                relay.SendResult.BROKEN
+                if is_broken
+                else relay.SendResult.LOST,
+                str(call_error),
+                is_closed=call_error.kind == _client.CallErrorKind.CLOSED,
+            )
 
-    def _finish(self, result: relay.SendResult, detail: str) -> None:
+    def _finish(
+        self, result: relay.SendResult, detail: str, is_closed: bool = False
+    ) -> None:
         if not self.done.called:
-            self.done.callback(self.handler.send_outcome(result, detail))
+            is_closed_early = is_closed and not self.event_count
+            self.done.callback(
+                self.handler.send_outcome(result, detail, is_closed_early)
+            )
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -12,6 +12,7 @@
 import json
 from typing import Any
 
+from twisted.internet import defer
 from twisted.internet import task
 
 import ragwort_edge as edge
@@ -285,6 +286,13 @@
         self.reactor.callLater(ONE_WAY_S, self._arrive, runner, request, call)
         return call
 
+    def is_refused(self, address: str) -> 'defer.Deferred[bool]':
+        """Return whether no runner listens at an address."""
+        done: defer.Deferred[bool] = defer.Deferred()
+        is_refused = address not in self.runners
+        self.reactor.callLater(ONE_WAY_S, done.callback, is_refused)
+        return done
+
     def _arrive(
         self, runner: LabRunner, request: edge.HttpRequest, call: LabCall
     ) -> None:
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -89,6 +89,14 @@
             send_peer,
             lambda attempt, count: [],
         )
+        crashes = edge.CrashWatch(
+            self.clock,
+            client,
+            catalog.crash_evidence,
+            self.rng,
+            metrics,
+            logger,
+        )
         context = edge.RelayContext(
             self.clock,
             self.rng,
@@ -98,6 +106,7 @@
             budget,
             stages,
             origins,
+            crashes,
             metrics,
             logger,
             DOMAINS[index % len(DOMAINS)],
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -52,6 +52,7 @@
 from ragwort_model._peer import ClaimForward
 from ragwort_model._peer import ClaimReply
 from ragwort_model._peer import ClaimStatus
+from ragwort_model._peer import ClearedPart
 from ragwort_model._peer import Follow
 from ragwort_model._peer import FollowEvent
 from ragwort_model._peer import IndirectPing
@@ -60,6 +61,8 @@
 from ragwort_model._peer import MemberSync
 from ragwort_model._peer import MemberUpdate
 from ragwort_model._peer import ObjectVersion
+from ragwort_model._peer import PartCrash
+from ragwort_model._peer import PartEvidence
 from ragwort_model._peer import PeerMessage
 from ragwort_model._peer import PieceOutcome
 from ragwort_model._peer import Ping
@@ -143,6 +146,7 @@
     'ClaimStatus',
     'ClassDocument',
     'ClassOfWork',
+    'ClearedPart',
     'ConfigurationError',
     'content_digest',
     'DaemonSettings',
@@ -183,6 +187,8 @@
     'parse_document',
     'parse_duration',
     'parse_settings',
+    'PartCrash',
+    'PartEvidence',
     'PeerMessage',
     'PieceOutcome',
     'Ping',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -315,6 +315,36 @@
     runners: list[LeavingRunner]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrash:
+    """A runner's incarnation that ended before it answered a prompt's part.
+
+    The call broke age_s seconds ago.
+    """
+
+    service_name: str
+    part: str
+    runner: str
+    started_ms: int
+    age_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearedPart:
+    """A part of a prompt whose answer a service's runner began."""
+
+    service_name: str
+    part: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartEvidence:
+    """Crashes under parts of prompts, and parts that are not to blame."""
+
+    crashes: list[PartCrash]
+    cleared: list[ClearedPart]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamsBegan:
     """Origins of streams, for the hosts that are asked for them."""
@@ -375,6 +405,7 @@
     | StreamQuestion
     | StreamAnswer
     | RunnersLeaving
+    | PartEvidence
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -18,6 +18,8 @@
 from ragwort_relay._budget import WindowCounter
 from ragwort_relay._catalog import ObjectDecoder
 from ragwort_relay._catalog import RelayCatalog
+from ragwort_relay._crash_evidence import CrashEvidence
+from ragwort_relay._crash_evidence import is_sound_evidence
 from ragwort_relay._departures import DepartureNews
 from ragwort_relay._events import EventSplitter
 from ragwort_relay._events import StreamEvent
@@ -26,7 +28,6 @@
 from ragwort_relay._fleet import FleetRunner
 from ragwort_relay._fleet import RunnerEntry
 from ragwort_relay._limits import RateLimits
-from ragwort_relay._limits import SPREAD_FANOUT
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import SLACK_PER_RANK_S
 from ragwort_relay._order import Throughput
@@ -49,6 +50,7 @@
 from ragwort_relay._routes import ServiceSpec
 from ragwort_relay._routes import StageSpec
 from ragwort_relay._routes import Workspace
+from ragwort_relay._rumours import SPREAD_FANOUT
 from ragwort_relay._sharing import Home
 from ragwort_relay._sharing import PromptPart
 from ragwort_relay._sharing import PromptSharing
@@ -69,6 +71,7 @@
     'choose_by_load',
     'choose_by_prompt_cache',
     'ChooseTimely',
+    'CrashEvidence',
     'DepartureNews',
     'EventSplitter',
     'first_event_s',
@@ -77,6 +80,7 @@
     'forecast',
     'Forecast',
     'Home',
+    'is_sound_evidence',
     'next_step',
     'NextStep',
     'ObjectDecoder',
@@ -88,12 +92,12 @@
     'QueuedPiece',
     'QueueWait',
     'QueueWaits',
+    'RateLimits',
     'RelayCatalog',
     'RelayConfiguration',
     'retry_after_s',
     'RetryBudget',
     'Route',
-    'RateLimits',
     'RunnerEntry',
     'SendResult',
     'ServiceShare',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import ragwort_model as model
+from ragwort_relay import _crash_evidence
 from ragwort_relay import _departures
 from ragwort_relay import _fleet
 from ragwort_relay import _limits
@@ -49,6 +50,7 @@
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
         self.pauses = _pauses.Pauses()
+        self.crash_evidence = _crash_evidence.CrashEvidence()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
@@ -175,8 +177,13 @@
             if item.value is not None:
                 entry = self.decoder.decode_runner(item.name, item.value)
             era = model.era_of(item.version)
+            before = self.fleet.runners.get(item.name)
             self.fleet.update(item.name, entry, self.now, era)
             known = self.fleet.runners.get(item.name)
+            if before is not None and before is not known:
+                # Its entry is gone, or that of a later start.
+                incarnation = (before.name, before.entry.started_ms)
+                self.crash_evidence.on_ended(incarnation, self.now)
             if known is not None:
                 self.stream_origins.observe([known], self.now)
             if item.name not in self.fleet.runners:
--- a/libs/ragwort_relay/ragwort_relay/_departures.py
+++ b/libs/ragwort_relay/ragwort_relay/_departures.py
@@ -6,35 +6,22 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
-import math
 
 import ragwort_model as model
 from ragwort_relay import _fleet
+from ragwort_relay import _rumours
 
-SPREAD_INTERVAL_S = 0.2
-SPREAD_FANOUT = 2
-EXTRA_ROUNDS = 3
-MAX_TOLD = 50
 # An older message says nothing that is not known otherwise.
 MAX_AGE_S = 60.0
 
 
-@dataclasses.dataclass(slots=True)
-class _Rumour:
-    observed_at: float
-    rounds_left: int
-
-
 class DepartureNews:
     """What one host heard of leaving runners and still tells others."""
 
     def __init__(self, fleet: _fleet.Fleet) -> None:
-        """Record departures in a fleet, as the only host at first."""
+        """Record departures in a fleet; start with nothing to tell."""
         self.fleet = fleet
-        self.host_count = 1
-        self.rumours: dict[tuple[str, int], _Rumour] = {}
-        self.next_spread_at = 0.0
+        self.rumours: _rumours.Rumours[tuple[str, int]] = _rumours.Rumours()
 
     def on_answer(self, runner: _fleet.FleetRunner, now: float) -> bool:
         """Record that a runner's answer says so; return whether it is news.
@@ -60,31 +47,16 @@
         ]
 
     def _record(
-        self,
-        name: str,
-        started_ms: int,
-        observed_at: float,
-        now: float,
+        self, name: str, started_ms: int, observed_at: float, now: float
     ) -> bool:
         if not self.fleet.on_leaving(name, started_ms, now):
             return False
-        rounds = math.ceil(math.log2(self.host_count + 1)) + EXTRA_ROUNDS
-        self.rumours[name, started_ms] = _Rumour(observed_at, rounds)
-        self.next_spread_at = now
+        self.rumours.add((name, started_ms), observed_at, now)
         return True
 
     def to_spread(self, now: float) -> list[model.LeavingRunner]:
         """Return what to tell some other hosts now."""
-        if not self.rumours or now < self.next_spread_at:
-            return []
-        self.next_spread_at = now + SPREAD_INTERVAL_S
-        told = []
-        for (name, started_ms), rumour in list(self.rumours.items())[
-            :MAX_TOLD
-        ]:
-            age_s = now - rumour.observed_at
-            told.append(model.LeavingRunner(name, started_ms, age_s))
-            rumour.rounds_left -= 1
-            if rumour.rounds_left <= 0:
-                del self.rumours[name, started_ms]
-        return told
+        return [
+            model.LeavingRunner(name, started_ms, age_s)
+            for (name, started_ms), age_s in self.rumours.take(now)
+        ]
--- a/libs/ragwort_relay/ragwort_relay/_limits.py
+++ b/libs/ragwort_relay/ragwort_relay/_limits.py
@@ -24,7 +24,6 @@
 MIN_RATE_PER_S = 0.1
 # Interval at which a host tells others the limits that it knows.
 SPREAD_INTERVAL_S = 1.0
-SPREAD_FANOUT = 2
 MAX_SPREAD_LIMITS = 50
 
 # Returns how many hosts send to a limited runner if this is one of them, else
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -205,6 +205,24 @@
   1: list<LeavingRunner> runners
 }
 
+struct PartCrash {
+  1: string service_name
+  2: string part
+  3: string runner
+  4: i64 started_ms
+  5: double age_s
+}
+
+struct ClearedPart {
+  1: string service_name
+  2: string part
+}
+
+struct PartEvidence {
+  1: list<PartCrash> crashes
+  2: list<ClearedPart> cleared
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -233,4 +251,5 @@
   29: optional StreamQuestion stream_question
   30: optional StreamAnswer stream_answer
   31: optional RunnersLeaving runners_leaving
+  32: optional PartEvidence part_evidence
 }
