Take news of leaving runners whose entries name no start

The test world's runners all named a start; they name none now. The new scenario failed before and passes; the example that took a start of 0 for damage was wrong and is gone, a negative one stays.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -213,6 +213,11 @@
     And runner "a" starts again under its name
     Then within 3 s every host sends to runner "a"
 
+  Scenario: a leaving runner whose entry names no start is known by what a peer tells
+    Given 8 relay hosts whose store answers
+    When a peer tells host 0 of a leaving runner "a" whose entry names no start
+    Then within 2 s no host sends to runner "a"
+
   Scenario Outline: news of a leaving runner <what> from a peer is skipped
     Given 2 relay hosts whose store answers
     When a peer tells host 0 of a leaving runner "a" <what>
@@ -222,6 +227,5 @@
       | what                    |
       | that is nan s old       |
       | that is 1e9 s old       |
-      | of start 0              |
       | of start -5             |
       | of an earlier start     |
--- a/features/steps/leaving_runner_steps.py
+++ b/features/steps/leaving_runner_steps.py
@@ -17,7 +17,6 @@
 STRANGE_NEWS = {
     'that is nan s old': (1, float('nan')),
     'that is 1e9 s old': (1, 1e9),
-    'of start 0': (0, 0.0),
     'of start -5': (-5, 0.0),
     'of an earlier start': (1, 0.0),
 }
@@ -103,6 +102,17 @@
     context.world.set_runner(runner, 'live', born=ASKED_START)
 
 
+@when(
+    'a peer tells host {index:d} of a leaving runner "{name}" whose entry'
+    ' names no start'
+)
+def tell_leaving(context: Any, index: int, name: str) -> None:
+    """Deliver news of a runner that is known by its name alone."""
+    news = model.LeavingRunner(f'runner/{name}', 0, 0.1)
+    data = wire.encode_peer('10.0.1.1:84', model.RunnersLeaving([news]))
+    context.world.hosts[index]._on_frame(wire.decode_peer(data))
+
+
 @when('a peer tells host {index:d} of a leaving runner "{name}" {what}')
 def tell_strange(context: Any, index: int, name: str, what: str) -> None:
     """Deliver a message as a damaged or late peer might send it."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -311,9 +311,9 @@
         self.set_runner(runner, 'live')
 
     def set_runner(
-        self, runner: lab.ScriptedRunner, state: str, born: int = 1
+        self, runner: lab.ScriptedRunner, state: str, born: int = 0
     ) -> None:
-        """Write a runner's entry."""
+        """Write a runner's entry; born is 0 where it names no start."""
         text = relay_decision_steps.entry_text(
             domain=runner.domain,
             address=runner.address,
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -98,7 +98,7 @@
         """Record what another host knows; skip damaged items."""
         sound = []
         for item in told:
-            if item.started_ms > 0 and math.isfinite(item.age_s):
+            if item.started_ms >= 0 and math.isfinite(item.age_s):
                 sound.append(item)
             else:
                 self.logger.warning(
