Count crashes under a part only since an answer with it began

A trial with crashes and full logs shows two causes. Hosts dropped each other's evidence, since the check for damage wanted a start above 0, which entries of most runners don't name: no host ever learned of a crash from another. And a part that had served before was cleared for good, so that one that turns deadly later was never suspected.

An answer that begins now clears the parts of its prompt of the crashes before it, with its age; what the part with the most crashes explains speaks against no other, so that a caller's own parts, which are in the same prompts, are not refused with it. A request is not repeated after a crash only if one of its parts has two crashes, or one and never led to an answer.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -73,4 +73,4 @@
       | age 1e9        |
       | no part        |
       | no runner      |
-      | start 0        |
+      | start -1       |
--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -224,7 +224,7 @@
 @then('no part is refused')
 def check_none_refused(context: Any) -> None:
     """Look at what the hosts believe and at what callers got."""
-    counts = [found.refused_count() for found in evidence_of(context)]
+    counts = [len(found.refused()) for found in evidence_of(context)]
     assert not any(counts), counts
 
 
@@ -261,6 +261,7 @@
         model.PartCrash(
             'main',
             fields['part'],
+            False,
             fields['runner'] and f'{fields["runner"]}{number}',
             int(fields['start']),
             float(fields['age']),
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -11,6 +11,10 @@
 import ragwort_relay as relay
 
 
+# Parts of a prompt of which one is not the request's own.
+MIN_PARTS = 2
+
+
 class CrashWatch:
     """Learns from broken calls and from other hosts, and tells them."""
 
@@ -45,13 +49,12 @@
         prompt: tuple[relay.PromptPart, ...],
         request_id: str,
     ) -> bool:
-        """Tell whether a call broke since its runner ended, under a suspect.
+        """Tell whether a call broke since its runner ended.
 
-        A runner that refuses connections has ended. Without a suspect in
-        the prompt it makes no difference and is not looked at.
+        A runner that refuses connections has ended. Without a part that
+        requests share it makes no difference and is not looked at.
         """
-        service = runner.entry.runner.service
-        if not self.evidence.suspects(service, prompt):
+        if len(prompt) < MIN_PARTS:
             return False
         incarnation = (runner.name, runner.entry.started_ms)
         address = runner.address
@@ -82,7 +85,7 @@
                 request=request_id,
                 source='peer' if request_id is None else 'call',
             )
-        self.metrics.refused_parts.set(self.evidence.refused_count())
+        self.metrics.refused_parts.set(len(self.evidence.refused()))
 
     def messages(
         self, members: membership.Membership, now: float
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -23,6 +23,7 @@
 # time left, with a minimum.
 SEND_TIMEOUT_SHARE = 0.45
 MIN_SEND_TIMEOUT_S = 0.7
+MAX_LOGGED_PARTS = 8
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_GATEWAY = 502
@@ -190,6 +191,7 @@
             rank=self.rank,
             first_attempt=self.metadata.first_attempt,
             last_event=self.metadata.last_event,
+            parts=[p.part_id for p in self.metadata.prompt[:MAX_LOGGED_PARTS]],
             took_s=round(context.reactor.seconds() - self.started_at, 3),
             ran=self.attempts.ran,
             turned_away=self.attempts.not_run,
@@ -391,10 +393,13 @@
         self, service: str, runner: relay.FleetRunner, send: _SendOutcome
     ) -> relay.NextStep:
         """Return the next step after a send; don't repeat a likely crash."""
+        prompt = self.metadata.prompt
         if send.is_closed_early and await self.context.crashes.has_crashed(
-            runner, self.metadata.prompt, self.metadata.request_id
+            runner, prompt, self.metadata.request_id
         ):
-            return relay.NextStep.FAIL
+            evidence = self.context.catalog.crash_evidence
+            if evidence.is_doubtful(service, prompt):
+                return relay.NextStep.FAIL
         return self._next_step(service, send)
 
     def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -319,11 +319,13 @@
 class PartCrash:
     """A runner's incarnation that ended before it answered a prompt's part.
 
-    The call broke age_s seconds ago.
+    The call broke age_s seconds ago; is_first tells that the part was the
+    first one of its prompt.
     """
 
     service_name: str
     part: str
+    is_first: bool
     runner: str
     started_ms: int
     age_s: float
@@ -331,10 +333,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearedPart:
-    """A part of a prompt whose answer a service's runner began."""
+    """A part of a prompt whose answer began age_s seconds ago."""
 
     service_name: str
     part: str
+    age_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -208,14 +208,16 @@
 struct PartCrash {
   1: string service_name
   2: string part
-  3: string runner
-  4: i64 started_ms
-  5: double age_s
+  3: bool is_first
+  4: string runner
+  5: i64 started_ms
+  6: double age_s
 }
 
 struct ClearedPart {
   1: string service_name
   2: string part
+  3: double age_s
 }
 
 struct PartEvidence {
