Keep refused parts of prompts in the store

One elected host writes each refused part to the store, each host reads them once before it is ready, and again in a new era of the store. An operator ends a refusal by removing the object and reloading the hosts. Damaged entries are skipped.

The scenario in which all hosts are killed in the middle passes with it; six more show the operator's way and damaged entries.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -34,6 +34,29 @@
       | what                     |
       | restart one by one       |
       | are killed, but for one  |
+      | are all killed           |
+
+  Scenario: a part that an operator removes from the store is tried again
+    Given 6 relay hosts and 8 runners, luck 13
+    When callers send 12 streams a second for 10 s
+    And a quarter of them have a part that crashes runners for 12 s
+    And runners are mended and the operator removes the part from the store
+    And all hosts read their settings anew
+    Then requests with the part are answered
+
+  Scenario Outline: a damaged entry of a refused part is skipped: <entry>
+    Given 6 relay hosts and 8 runners, luck 14
+    When the store holds the refused part <entry> and hosts start anew
+    Then no part is refused
+    And every host is ready
+
+    Examples:
+      | entry                         |
+      | nothing                       |
+      | {}                            |
+      | {"service": 1, "part": "a"}   |
+      | {"service": "main"}           |
+      | [1, 2                         |
 
   Scenario Outline: no part is kept from runners that crash <why>
     Given 6 relay hosts and 8 runners, luck <seed>
--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -137,6 +137,69 @@
     crash.world.run(LAST_S)
 
 
+@when(
+    'a quarter of them have a part that crashes runners, and hosts'
+    ' are all killed'
+)
+def kill_all_hosts(context: Any) -> None:
+    """Restart all hosts at the same time; only the store remembers."""
+    crash = context.crash
+    crash.set_deadly(*context.deadly)
+    crash.run(12.0, context.per_s, *context.deadly)
+    for index in range(len(crash.world.hosts)):
+        crash.world.restart(index)
+    crash.world.run(2.0)
+    crash.run(12.0, context.per_s, *context.deadly)
+    context.deadly_until = crash.clock.seconds()
+    crash.world.run(LAST_S)
+
+
+@when('runners are mended and the operator removes the part from the store')
+def mend_runners(context: Any) -> None:
+    """Let no part be deadly any more."""
+    crash = context.crash
+    crash.set_deadly()
+    items = crash.world.objects.items
+    stored = [name for name in items if name.startswith('refused-parts/')]
+    assert len(stored) == 1, stored
+    del items[stored[0]]
+
+
+@when('all hosts read their settings anew')
+def reload_hosts(context: Any) -> None:
+    """Let all hosts reload at about the same time."""
+    world = context.crash.world
+    for host in world.hosts:
+        host.reload(host.options)
+    world.run(2.0)
+
+
+@then('requests with the part are answered')
+def check_tried_again(context: Any) -> None:
+    """Send some and look at their answers."""
+    crash = context.crash
+    found = [crash.send(deadly_parts.DEADLY) for _ in range(5)]
+    crash.world.run(LAST_S)
+    assert all(one.has_begun for one in found)
+
+
+@when('the store holds the refused part {entry} and hosts start anew')
+def store_entry(context: Any, entry: str) -> None:
+    """Write an entry as a damaged writer might, and restart all hosts."""
+    world = context.crash.world
+    value = '' if entry == 'nothing' else entry
+    world.objects.put('refused-parts/x', value)
+    for index in range(len(world.hosts)):
+        world.restart(index)
+    world.run(3.0)
+
+
+@then('every host is ready')
+def check_ready(context: Any) -> None:
+    """Look at the readiness."""
+    assert all(host.is_ready for host in context.crash.world.hosts)
+
+
 def disturb(context: Any, gap_s: float, what: Any) -> None:
     """Send sound and rare parts for 20 s and disturb runners meanwhile."""
     crash = context.crash
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -39,6 +39,7 @@
 WATCH_RENEWAL_S = 1.0
 STORE_WATCHER_ROLE = 'store-watcher'
 HOST_CLEANUP_ROLE = 'host-janitor'
+PART_WRITER_ROLE = 'part-writer'
 # Time after which the entry of a host that is down is deleted.
 HOST_EXPIRY_S = 60.0
 # Delay between join attempts of a host that knows no other: until it joins,
@@ -143,6 +144,7 @@
         self.registry = state.HostRegistry(
             options.host, self.store_era, self.rng, now
         )
+        self.parts = state.PartRegister(self.store_era, self.rng, now)
         self.peers = peers.PeerConnections(reactor, options.host.peer_address)
         self.peers.on_silent = self._on_silent_peer
         self.store = store_factory(self._on_store)
@@ -266,6 +268,7 @@
             for seed in options.seeds
             if seed != self.options.host.peer_address
         ]
+        self.parts.read_again()
         self.logger.info('reload', seeds=list(options.seeds))
 
     def leave(self) -> None:
@@ -313,7 +316,8 @@
         """Tell whether the configuration and the runners are known."""
         if self.catalog.configuration is None:
             return False
-        if all(watcher.has_listed for watcher in self.watchers.values()):
+        is_listed = all(w.has_listed for w in self.watchers.values())
+        if is_listed and self.parts.has_listed:
             return True
         age_s = self.reactor.seconds() - self.started_at
         return self.replica.synced and age_s >= STORE_SYNC_TIMEOUT_S
@@ -332,6 +336,7 @@
             self._send_peer(message)
         self._watch(now)
         self._register(now)
+        self._keep_parts(now)
         host_count = len(self.members.live())
         self.budget.on_host_count(host_count, now)
         self.catalog.prompt_sharing.hosts = host_count
@@ -397,6 +402,25 @@
         for call in self.registry.tick(now, is_alone, expired):
             self.store.call(call)
 
+    def _keep_parts(self, now: float) -> None:
+        """Read and write the parts of prompts that crash runners."""
+        is_writer = membership.is_elected(
+            self.members, PART_WRITER_ROLE, 1, None
+        )
+        refused = self.catalog.crash_evidence.refused()
+        for call in self.parts.tick(now, refused, is_writer):
+            self.store.call(call)
+
+    def _on_parts(self, result: model.StoreResult, now: float) -> None:
+        stored = self.parts.on_store_result(result, now)
+        if stored is None:
+            return
+        if self.parts.is_reread:
+            self.parts.is_reread = False
+            self.catalog.crash_evidence.forget_all_but(stored)
+        self.catalog.crash_evidence.on_stored(stored, now)
+        self.logger.info('refused-parts-read', count=len(stored))
+
     def _observe_era(self, era: int, source: str, now: float) -> None:
         """Record the store's era; in a later one, wait for lost entries."""
         earlier = self.store_era.current
@@ -426,6 +450,9 @@
         if result.op.startswith(state.HOSTS_OP):
             self._on_registry(result, now)
             return
+        if result.op.startswith(state.PARTS_OP):
+            self._on_parts(result, now)
+            return
         for prefix, watcher in self.watchers.items():
             if not result.op.startswith(prefix):
                 continue
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -58,7 +58,6 @@
     used_at: float
     is_first: bool = False
     is_refused: bool = False
-    is_stored: bool = False
     crashes: dict[Incarnation, float] = dataclasses.field(default_factory=dict)
 
     def moments(self) -> int:
@@ -285,14 +284,17 @@
         return [k for k, record in self.records.items() if record.is_refused]
 
     def on_stored(self, stored: Iterable[PartKey], now: float) -> None:
-        """Refuse the parts in the store, and those only that were there."""
+        """Refuse the parts that the store holds."""
+        for key in set(stored) - self.began_at.keys():
+            record = self.records.setdefault(key, _Record(now))
+            record.is_refused = True
+
+    def forget_all_but(self, stored: Iterable[PartKey]) -> None:
+        """Forget the refused parts that an operator has removed."""
         keys = set(stored)
-        for key, record in list(self.records.items()):
-            if record.is_stored and key not in keys:
+        for key in self.refused():
+            if key not in keys:
                 del self.records[key]
-        for key in keys - self.began_at.keys():
-            record = self.records.setdefault(key, _Record(now))
-            record.is_stored = record.is_refused = True
 
     def merge(
         self, told: model.PartEvidence, now: float
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -28,6 +28,8 @@
 from ragwort_state._ledger import LedgerEffect
 from ragwort_state._ledger import SHARD_COUNT
 from ragwort_state._ledger import shard_of
+from ragwort_state._part_register import PartRegister
+from ragwort_state._part_register import PARTS_OP
 from ragwort_state._registry import HostRegistry
 from ragwort_state._registry import HOSTS_OP
 from ragwort_state._registry import HOSTS_PREFIX
@@ -75,6 +77,8 @@
     'ObjectProblem',
     'ORDER_EXPIRY_S',
     'parse_target',
+    'PartRegister',
+    'PARTS_OP',
     'Replica',
     'SHARD_COUNT',
     'shard_of',
