Read answers that have neither a length nor chunks

Such an answer ends with its connection. The client of the product's own nodes, operators and callers' library gave it up as a whole (PotentialDataLoss); it now returns the body, and readers tell from its content whether it was cut short. The relay's client read them already, but took a stream that ended before its first event for a whole, empty one: that is how a runner's crash looks on such an answer. It is broken off now, and counts as a call that broke before it began.

--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -195,6 +195,15 @@
                 relay.SendResult.BROKEN, 'ends within an event', is_closed=True
             )
             return
+        is_empty = not self.event_count and self.progress.last_event_id is None
+        if is_empty and _ends_with_connection(self.head):
+            # The runner may have ended before it began.
+            self._finish(
+                relay.SendResult.BROKEN,
+                'ends without an event',
+                is_closed=True,
+            )
+            return
         if not self.handler.exchange.is_started:
             self._forward(b'')
         self.runner.state.on_result(
@@ -226,3 +235,11 @@
             self.done.callback(
                 self.handler.send_outcome(result, detail, is_closed_early)
             )
+
+
+def _ends_with_connection(head: _messages.HttpResponse) -> bool:
+    """Tell whether a response has neither a length nor chunks."""
+    return (
+        head.header(b'content-length') is None
+        and head.header(b'transfer-encoding') is None
+    )
--- a/libs/ragwort_http/ragwort_http/_client.py
+++ b/libs/ragwort_http/ragwort_http/_client.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 from zope.interface import implementer
@@ -125,7 +126,9 @@
         """Return the body if it is complete."""
         if self.done.called:
             return
-        if reason.check(client.ResponseDone):
+        # A body with neither a length nor chunks ends with its connection; its
+        # reader tells from the content whether it was cut short.
+        if reason.check(client.ResponseDone, http.PotentialDataLoss):
             self.done.callback(bytes(self.body))
         else:
             self.done.errback(reason)
@@ -141,6 +144,8 @@
 ) -> 'defer.Deferred[bytes]':
     """Return a whole body; fail if it is cut short or over max_bytes.
 
+    One without a length or chunks ends with its connection, in whatever way.
+
     Cancelling the Deferred closes the connection.
     """
 
