Teach the soak a part of a prompt that crashes runners

--deadly gives a fifth of the streams a part on which each engine runner crashes as it begins its answer; it comes back 2.5 s later. The promise 'deadly' allows three requests with the part later than 4 s after the fifth crash; a defect in sound records shows that its check fails.

A crashed runner's proxy now refuses connections.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,6 +20,10 @@
     When the soak plays seed 9 with 3 hosts, notices and 10 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes with a part of a prompt that crashes runners
+    When the soak plays seed 4 with 4 hosts, a deadly part and 12 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -48,6 +52,7 @@
       | versions     | three streams of two software versions  |
       | drain        | a leaving runner that gets more         |
       | pause        | a paused runner that gets three requests |
+      | deadly       | a part that goes on crashing runners    |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -15,6 +15,7 @@
     versions: bool = False,
     severed: bool = False,
     notices: bool = False,
+    deadly: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -27,6 +28,7 @@
         versions,
         severed,
         notices,
+        deadly,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -19,6 +19,8 @@
 # Pause between requests of one caller.
 THINK_S = (0.02, 0.15)
 # Share of answers after which other callers go on with their connection.
+# Share of the streams with a part that crashes runners.
+DEADLY_SHARE = 0.2
 KEEP_SHARE = 0.8
 # Requests by path, with what goes before the main call.
 KINDS = {
@@ -89,11 +91,13 @@
         choose_key: Callable[[], str],
         keeps_connections: bool,
         takes_up: bool = False,
+        has_deadly: bool = False,
     ) -> None:
         """Bind to what chooses hosts and keys.
 
         A caller that keeps its connections closes none by itself; one that
-        takes up goes on with a stream that broke.
+        takes up goes on with a stream that broke. With has_deadly some streams
+        have a part in their prompts that crashes runners.
         """
         self.reactor = reactor
         self.rng = rng
@@ -102,6 +106,7 @@
         self.choose_key = choose_key
         self.keeps_connections = keeps_connections
         self.takes_up = takes_up
+        self.has_deadly = has_deadly
         self.broken: ledger.Outcome | None = None
         self.connection: _Connection | None = None
         self.host: hosts.HostProcess | None = None
@@ -179,6 +184,16 @@
             first_attempt=request_id,
         )
         self.records.asked_hosts[request_id] = self.host.name
+        if kind == 'stream' and self.has_deadly:
+            is_deadly = self.rng.random() < DEADLY_SHARE
+            middle = (
+                runners.DEADLY_PART
+                if is_deadly
+                else f'b{self.rng.randrange(9)}'
+            )
+            headers += [
+                ('prompt-prefix', f'a0:900,{middle}:90,c0{request_id}:9')
+            ]
         if broken is not None:
             self.outcome.first_attempt = broken.first_attempt
             self.outcome.last_event = last_event(broken)
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -95,7 +95,9 @@
 class Ledger:
     """All records of a run; quiet_at is when the last fault was over.
 
-    asked_hosts names the host that got each request;
+    asked_hosts names the host that got each request; deadly_crashes and
+    deadly_arrivals are the times at which runners crashed on a part of a
+    prompt and got requests with it;
     starts are the times at which each host was started; handles are the
     results that lie at runners now; cuts are the times at which a host was
     cut off from all others; unserved are the hosts and kinds that were not
@@ -111,6 +113,8 @@
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     cuts: list[Disturbance] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
+    deadly_crashes: list[float] = dataclasses.field(default_factory=list)
+    deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     handles: set[str] = dataclasses.field(default_factory=set)
     quiet_at: float = 0.0
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -21,6 +21,11 @@
 # Requests that may reach a runner in its pause, and from when on they count.
 MOST_IN_PAUSE = 2
 PAUSE_NOTICE_S = 0.5
+# Crashes under a part after which it counts, the time for all hosts to know,
+# and the requests with it that may reach runners from then on.
+COUNTED_CRASHES = 5
+DEADLY_BOUND_S = 4.0
+MOST_DEADLY = 3
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
 # Streams of two software versions that may be, in a whole run.
@@ -282,6 +287,18 @@
             yield f'{found.runner} got {len(early)} requests from {found.host}'
 
 
+@promise('deadly')
+def deadly(records: ledger.Ledger) -> Iterator[str]:
+    """A part that has crashed enough runners is kept from them."""
+    crashes = records.deadly_crashes
+    if len(crashes) < COUNTED_CRASHES:
+        return
+    late_at = crashes[COUNTED_CRASHES - 1] + DEADLY_BOUND_S + SLACK_S
+    late = [at for at in records.deadly_arrivals if at > late_at]
+    if len(late) > MOST_DEADLY:
+        yield f'{len(late)} more requests after {COUNTED_CRASHES} crashes'
+
+
 @promise('leaving')
 def leaving(records: ledger.Ledger) -> Iterator[str]:
     """A host that is told to leave ends what it took in, in time."""
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -30,10 +30,26 @@
         self.target = (host, int(port))
         self.mode = ProxyMode.PASS
         self.sides: set[_Side] = set()
-        factory = protocol.Factory.forProtocol(lambda: _Incoming(self))
-        factory.noisy = False
-        self.port = reactor.listenTCP(0, factory, interface='127.0.0.1')
-        self.address = f'127.0.0.1:{self.port.getHost().port}'
+        self.factory = protocol.Factory.forProtocol(lambda: _Incoming(self))
+        self.factory.noisy = False
+        self.port: Any = None
+        self.number = 0
+        self.listen()
+        self.address = f'127.0.0.1:{self.number}'
+
+    def listen(self) -> None:
+        """Accept connections, always on the same port."""
+        if self.port is None:
+            self.port = self.reactor.listenTCP(
+                self.number, self.factory, interface='127.0.0.1'
+            )
+            self.number = self.port.getHost().port
+
+    def refuse(self) -> None:
+        """Refuse connections, as where nobody listens."""
+        port, self.port = self.port, None
+        if port is not None:
+            port.stopListening()
 
     def set_mode(self, mode: ProxyMode) -> None:
         """Change what happens from now on; what was held back is lost."""
@@ -58,7 +74,7 @@
 
     def close(self) -> None:
         """Stop listening and cut all connections."""
-        self.port.stopListening()
+        self.refuse()
         for side in list(self.sides):
             side.transport.abortConnection()
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -34,7 +34,8 @@
     of a seed stay the same. With has_versions runners of two software
     versions stream, and callers take broken streams up. has_severed lets
     connections between hosts fall silent. With has_notices runners leave
-    or ask for pauses in their answers alone.
+    or ask for pauses in their answers alone. With has_deadly a part of a
+    prompt crashes runners.
     """
 
     seed: int
@@ -46,6 +47,7 @@
     has_versions: bool = False
     has_severed: bool = False
     has_notices: bool = False
+    has_deadly: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +95,7 @@
             options.hosts,
             options.callers,
             options.has_versions,
+            options.has_deadly,
         )
         self.plan = faults.draw_plan(self.rng, options.faults_s)
         if options.has_restores:
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -34,6 +34,9 @@
 DRAIN_S = 2.0
 # Time after a runner names a limit from which hosts must keep it.
 LIMIT_NOTICE_S = 3.0
+# A part of a prompt that crashes each runner, for so long.
+DEADLY_PART = 'dead'
+DEADLY_DOWN_S = 2.5
 SEAL = (b'response-seal', b'soak')
 NOT_RUN = (b'not-executed', b'1')
 
@@ -116,6 +119,7 @@
 
     def start(self) -> None:
         """Begin as a new incarnation."""
+        self.proxy.listen()
         if self.port is None:
             self.port = self.reactor.listenTCP(
                 self.number, self.site, interface='127.0.0.1'
@@ -156,6 +160,18 @@
             LAPSE_S, self.store.remove, KIND, self.identifier
         )
 
+    def _die_of_prompt(self) -> None:
+        """Crash under a prompt and come back later."""
+        now = self.reactor.seconds()
+        self.records.deadly_arrivals.append(now)
+        self.records.deadly_crashes.append(now)
+        self.crash()
+        self.reactor.callLater(DEADLY_DOWN_S, self._start_if_down)
+
+    def _start_if_down(self) -> None:
+        if not self.is_up:
+            self.start()
+
     def drain(self) -> None:
         """Announce the end, go on for a while, then end."""
         if self.is_draining or not self.is_up:
@@ -183,6 +199,7 @@
 
     def _stop(self) -> None:
         self.is_up = False
+        self.proxy.refuse()
         self.site.is_closing = False
         port, self.port = self.port, None
         if port is not None:
@@ -337,6 +354,10 @@
             *self.notices.headers(self.reactor.seconds()),
         )
         exchange.start(200, headers)
+        prompt = (request.header(b'prompt-prefix') or b'').decode()
+        if f'{DEADLY_PART}:' in prompt:
+            self._die_of_prompt()
+            return
         self._next_event(exchange, request_id, last + 1, self.born)
 
     def _next_event(
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -13,7 +13,7 @@
 
 KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
 # What a seed may have beside its usual faults.
-EXTRAS = ('restores', 'limits', 'versions', 'severed', 'notices')
+EXTRAS = ('restores', 'limits', 'versions', 'severed', 'notices', 'deadly')
 RUN_TIMEOUT_S = 180.0
 
 
@@ -57,11 +57,14 @@
     versions: bool = typer.Option(False, help='Two software versions.'),
     severed: bool = typer.Option(False, help='Silence between hosts.'),
     notices: bool = typer.Option(False, help='Runners that leave or pause.'),
+    deadly: bool = typer.Option(False, help='A part that crashes runners.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
     wanted = zip(
-        EXTRAS, (restores, limits, versions, severed, notices), strict=True
+        EXTRAS,
+        (restores, limits, versions, severed, notices, deadly),
+        strict=True,
     )
     extras = [extra for extra, is_wanted in wanted if is_wanted]
     plays = kept_options() if kept else []
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -73,6 +73,7 @@
         host_count: int,
         caller_count: int,
         has_versions: bool = False,
+        has_deadly: bool = False,
     ) -> None:
         """Create all parts; base is the start of the hosts' IP numbers.
 
@@ -132,6 +133,7 @@
                 self._choose_key,
                 index % 2 == 0,
                 has_versions,
+                has_deadly,
             )
             for index in range(caller_count)
         ]
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -57,6 +57,15 @@
     run_soak(context, seed, count, faults_s, '--notices')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, a deadly part '
+    'and {faults_s:d} s of faults'
+)
+def play_deadly(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with a part of a prompt that crashes runners."""
+    run_soak(context, seed, count, faults_s, '--deadly')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -310,6 +319,13 @@
     )
 
 
+@defect('a part that goes on crashing runners')
+def crash_on(records: ledger.Ledger) -> None:
+    """Crash a runner each second for fifteen seconds."""
+    times = [10.0 + second for second in range(15)]
+    records.deadly_crashes, records.deadly_arrivals = times, times
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
