Teach the relay's fault matrix runners that leave or ask for a pause

Two more answers meet each kind of request, followed by twenty more requests, and come among the random faults of many requests. What runners get after they said that they leave, or in their pause, is checked for every case; with either rule switched off the promises notice it.

--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -25,6 +25,8 @@
       | broken streams ended as whole        |
       | streams resumed from their beginning |
       | calls that go on without their caller |
+      | requests to runners that leave       |
+      | requests to runners in a pause       |
 
   Scenario Outline: any <input> is read or refused with a typed error
     Then any <input> is read or refused with a typed error
--- a/features/steps/relay_fault_steps.py
+++ b/features/steps/relay_fault_steps.py
@@ -49,6 +49,12 @@
     'streams resumed from their beginning': lambda: mock.patch.object(
         relay.StreamProgress, 'accept', resume_at_start
     ),
+    'requests to runners that leave': lambda: mock.patch.object(
+        relay.Fleet, 'on_leaving', lambda *_: False
+    ),
+    'requests to runners in a pause': lambda: mock.patch.object(
+        relay.Pauses, 'left_s', lambda *_: 0.0
+    ),
     'calls that go on without their caller': lambda: mock.patch.object(
         _request_handler.RequestHandler, '_on_disconnect', lambda *_: None
     ),
--- a/features/support/relay_promises.py
+++ b/features/support/relay_promises.py
@@ -29,13 +29,21 @@
     'silent',
     'cut:0',
     'cut:3',
+    'leave',
+    'pause:2',
 )
+NOTICES = ('leave', 'pause:2')
 RUNNERS = 3
 EVENTS = 5
 ROUTE_S = 3.0
 # Sends over those that ran: runners that turned a call away.
 MAX_SENDS = 6
 LATE_S = 0.5
+# Time after which a host has read an answer and what it says of the runner.
+NOTICE_S = 0.1
+# Requests in a pause that are allowed, and from when on they count.
+MOST_IN_PAUSE = 2
+PAUSE_NOTICE_S = 0.5
 LEAVE_SHARE = 0.15
 
 
@@ -57,8 +65,21 @@
         runner.script = [step] * (9 if everywhere else 1)
     played = [_submit(world, 'r1', kind)]
     world.run(ROUTE_S + 1.0)
-    left = _leave_case(step, kind)
-    return _broken(world, runners, played) + left
+    broken = _broken(world, runners, played) + _leave_case(step, kind)
+    return broken + (_notice_case(step, kind) if step in NOTICES else [])
+
+
+def _notice_case(step: str, kind: str) -> list[str]:
+    """Return what is broken by requests after what runners said."""
+    world, runners = _world(3)
+    for runner in runners:
+        runner.script = [step]
+    played = []
+    for number in range(20):
+        played.append(_submit(world, f'r{number}', kind))
+        world.run(NOTICE_S)
+    world.run(ROUTE_S + 1.0)
+    return _broken(world, runners, played)
 
 
 def _leave_case(step: str, kind: str) -> list[str]:
@@ -135,7 +156,7 @@
     played: list[Played],
 ) -> list[str]:
     arrivals = [a for runner in runners for a in runner.arrivals]
-    return [
+    return _unheeded(runners) + [
         f'{one.name} ({one.kind}): {text}'
         for one in played
         for text in _broken_by(
@@ -144,6 +165,22 @@
     ]
 
 
+def _unheeded(runners: list[lab.ScriptedRunner]) -> list[str]:
+    """Return what runners got though they had asked for nothing."""
+    found = []
+    for runner in runners:
+        times = [arrival.at for arrival in runner.arrivals]
+        left_at = runner.left_at
+        late = [t for t in times if left_at and t > left_at + NOTICE_S]
+        if late:
+            found.append(f'{runner.name} leaves and got {len(late)} requests')
+        for told_at, until in runner.pauses:
+            early = [t for t in times if told_at + PAUSE_NOTICE_S < t < until]
+            if len(early) > MOST_IN_PAUSE:
+                found.append(f'{runner.name} got {len(early)} in its pause')
+    return found
+
+
 def _broken_by(one: Played, arrivals: list[lab.Arrival]) -> list[str]:
     exchange = one.exchange
     ran = [arrival for arrival in arrivals if arrival.ran]
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -191,6 +191,9 @@
         self.leaving_target: bytes | None = None
         # Time for which a host that is turned away is to send nothing.
         self.pause_s: float | None = None
+        # When the first answer told of leaving, and the pauses asked for.
+        self.left_at: float | None = None
+        self.pauses: list[tuple[float, float]] = []
 
     def notices(self, target: bytes = b'') -> edge.Headers:
         """Return the headers that tell of a limit and of leaving."""
@@ -198,6 +201,8 @@
         if self.limit_per_s is not None:
             found += ((b'limit', str(self.limit_per_s).encode()),)
         if self.is_leaving and self.leaving_target in (None, target):
+            if self.left_at is None:
+                self.left_at = self.clock.seconds()
             found += ((b'leaving', b'1'),)
         return found
 
@@ -205,6 +210,8 @@
         """Answer that a request has not run."""
         headers = ((b'not-run', b'1'), *self.notices())
         if self.pause_s is not None:
+            now = self.clock.seconds()
+            self.pauses.append((now, now + self.pause_s))
             headers += ((b'pause', str(self.pause_s).encode()),)
         open_call.respond(HTTP_FULL, headers)
 
@@ -305,10 +312,10 @@
 
     Steps: ok, error (its own failure), full (not run), reset (ran, answer
     lost), refused (not run, 421), silent, foreign (another's answer),
-    gone (not run, its inputs are gone), pause:S (not run, and nothing is
-    wanted for S seconds), events:N (a stream of N events),
-    cut:N (a stream reset behind event N). Events show the software version,
-    which runners don't check.
+    gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
+    (not run, and nothing is wanted for S seconds), events:N (a stream of N
+    events), cut:N (a stream reset behind event N). Events show the software
+    version, which runners don't check.
     """
 
     def __init__(
@@ -364,7 +371,10 @@
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
         echo += self.notices()
         kind, _, count = step.partition(':')
-        if kind == 'pause':
+        if kind == 'leave':
+            self.is_leaving = True
+            call.respond(HTTP_OK, echo + self.notices(), b'whole')
+        elif kind == 'pause':
             self.pause_s = float(count)
             self.turn_away(call)
         elif kind == 'ok':
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -35,6 +35,7 @@
 from ragwort_relay._origins import StreamKey
 from ragwort_relay._origins import StreamOrigin
 from ragwort_relay._origins import StreamOrigins
+from ragwort_relay._pauses import Pauses
 from ragwort_relay._pieces import BatchCall
 from ragwort_relay._pieces import PieceGroup
 from ragwort_relay._pieces import QueuedPiece
@@ -84,6 +85,7 @@
     'next_step',
     'NextStep',
     'ObjectDecoder',
+    'Pauses',
     'PieceGroup',
     'PieceWork',
     'PromptCacheIndex',
