Spread the lists of refused parts over two seconds in a new era

When the store returns in a new era all hosts read the parts again, at the same tick. The new scenario counts the lists of 30 hosts within 0.2 s: more than 8 before, at most 8 with the spread.

--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -222,3 +222,35 @@
     """Look for the claims in the store and for the decisions."""
     assert context.lost <= _claims(context.world)
     assert _decisions(context, 'claims-rewritten')
+
+
+@when("the store's refused parts are listed by all hosts in a new era")
+def list_parts(context: Any) -> None:
+    """Restore the store and note when it is asked for the parts."""
+    world = context.world
+    world.run(relay_host_steps.ANSWER_S)
+    context.listed_at = []
+    for host, way in zip(world.hosts, world.objects.ways, strict=True):
+        _note_lists(context, host, way)
+    world.objects.restore(world.objects.copy())
+    world.run(8.0)
+    assert len(context.listed_at) >= len(world.hosts)
+
+
+def _note_lists(context: Any, host: Any, way: Any) -> None:
+    call = way.call
+
+    def note(effect: model.StoreCall) -> None:
+        if effect.name == 'refused-parts/':
+            context.listed_at.append(context.world.clock.seconds())
+        call(effect)
+
+    way.call = note
+
+
+@then('at most {most:d} of these lists come within {seconds:g} s')
+def check_spread(context: Any, most: int, seconds: float) -> None:
+    """Count the lists in each window that ends with one."""
+    times = context.listed_at
+    counts = [sum(end - seconds < at <= end for at in times) for end in times]
+    assert max(counts) <= most, max(counts)
--- a/libs/ragwort_state/ragwort_state/_part_register.py
+++ b/libs/ragwort_state/ragwort_state/_part_register.py
@@ -18,6 +18,8 @@
 REMOVE_OP = PARTS_OP + 'remove'
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 5.0
+# In a new era all hosts list; the delay spreads their calls.
+RELIST_SPREAD_S = 2.0
 
 # Service and part.
 PartKey = tuple[str, str]
@@ -53,6 +55,7 @@
         if self.era < self.store_era.current:
             self.era = self.store_era.current
             self.has_listed = False
+            self.next_call_at = now + self.rng.uniform(0, RELIST_SPREAD_S)
         if self.pending is not None or now < self.next_call_at:
             return []
         if not self.has_listed:
