--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -52,17 +52,18 @@
         return RefusedError(reason, delay_s + (wait_s or 0.0))
 
     def refuse_deadly_prompt(
-        self, service: str, prompt: tuple[relay.PromptPart, ...]
+        self, service: str, metadata: _dialect.RequestMetadata
     ) -> None:
-        """Raise RefusedError if a part of a prompt crashes runners."""
+        """Raise RefusedError if a part of the prompt crashes runners."""
         now = self.reactor.seconds()
         evidence = self.catalog.crash_evidence
-        part = evidence.refused_part(service, prompt, now)
+        part = evidence.refused_part(service, metadata.prompt, now)
         if part is None:
             return
         crashes = evidence.records[service, part].crashes
         self.logger.warning(
             'part-refused',
+            request=metadata.request_id,
             service=service,
             part=part,
             runners=[name for name, _ in crashes],
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -12,7 +12,6 @@
 import ragwort_state as state
 
 PART_WRITER_ROLE = 'part-writer'
-
 # Parts of a prompt of which one is not the request's own.
 MIN_PARTS = 2
 
@@ -53,10 +52,10 @@
         prompt: tuple[relay.PromptPart, ...],
         request_id: str,
     ) -> bool:
-        """Tell whether a call broke since its runner ended.
+        """Tell whether a call broke because its runner has ended.
 
-        A runner that refuses connections has ended. Without a part that
-        requests share it makes no difference and is not looked at.
+        A runner that refuses connections has ended. For a prompt without a
+        part that requests share it makes no difference: False.
         """
         if len(prompt) < MIN_PARTS:
             return False
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -55,7 +55,7 @@
     is_authentic tells whether the response answers this call and carries a
     runner's seal; an encoded body does not come from the runner. limit_per_s
     is how many requests a second the runner takes from all hosts together,
-    None if it names no limit. is_leaving tells that it says it leaves.
+    None if it names no limit. is_leaving tells whether it says that it leaves.
     pause_s is the time for which it wants nothing more from this host, None if
     it turned nothing away or named no time.
     """
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -206,7 +206,7 @@
             await self._find_origin()
         service = self.service
         self.log_fields['service'] = service
-        self.context.refuse_deadly_prompt(service, self.metadata.prompt)
+        self.context.refuse_deadly_prompt(service, self.metadata)
         if not self.context.catalog.has_sendable(
             service, self.context.reactor.seconds(), self.origin
         ):
@@ -313,7 +313,7 @@
 
     def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
         """Return a runner and mark it tried; raise RefusedError if none."""
-        self.context.refuse_deadly_prompt(service, self.metadata.prompt)
+        self.context.refuse_deadly_prompt(service, self.metadata)
         runner = self._choose_runner(service, tried)
         if runner is None:
             raise self._refusal('no runner')
