Tell hosts that start between two crashes what they lack

Its logs: host-3 started after the second crash, knew only the later two of four and refused nothing; it was the host that writes to the store, so that the part was not there when all hosts were killed.

A host that joins is told all evidence, that on refused parts first, and a host that convicts a part tells its evidence once more. In the new scenario all hosts but one start anew after two crashes: before, none refuses the part after the third; now all do.

--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -153,6 +153,35 @@
     restart_between(context, range(len(context.crash.world.hosts)), 2.0)
 
 
+@when(
+    'the part crashes runners twice, all hosts but one start anew,'
+    ' and it goes on'
+)
+def start_between(context: Any) -> None:
+    """Restart hosts that know of two crashes, before the third."""
+    crash = context.crash
+    crash.set_deadly(*context.deadly)
+    key = ('main', deadly_parts.DEADLY)
+    evidence = evidence_of(context)[0]
+    while key not in evidence.records or evidence.records[key].moments() < 2:
+        crash.run(0.25, context.per_s, *context.deadly)
+    for index in range(1, len(crash.world.hosts)):
+        crash.world.restart(index)
+    crash.world.run(2.0)
+    crash_count = len(crash.crashes)
+    while len(crash.crashes) == crash_count:
+        crash.run(0.25, context.per_s, *context.deadly)
+    crash.world.run(2.0)
+
+
+@then('every host refuses the part')
+def check_all_refuse(context: Any) -> None:
+    """Look at what the hosts believe."""
+    refused = [found.refused() for found in evidence_of(context)]
+    expected = [('main', deadly_parts.DEADLY)]
+    assert refused == [expected] * len(refused), refused
+
+
 @when('the store returns from a copy without the part')
 def restore_without(context: Any) -> None:
     """Restore the store from a copy that was made before the verdict."""
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -230,8 +230,11 @@
             key = max(likely)[2]
             record = self.records[key]
             record.is_refused = True
-            for incarnation in record.crashes:
+            for incarnation, at in record.crashes.items():
                 self.explained[incarnation] = None
+                # Hosts that started since may lack some of the evidence.
+                told = (key, record.is_first, incarnation)
+                self.crash_rumours.add(told, at, now)
             _keep_latest(self.explained, MAX_ENDED)
             self._drop_explained(key)
 
@@ -333,11 +336,12 @@
         )
 
     def for_new_host(self, now: float) -> model.PartEvidence:
-        """Return the evidence against the parts that are refused."""
+        """Return the evidence, that on refused parts first."""
         crashes = [
             _told(key, record, incarnation, now - at)
-            for key, record in self.records.items()
-            if record.is_refused
+            for key, record in sorted(
+                self.records.items(), key=lambda item: not item[1].is_refused
+            )
             for incarnation, at in record.crashes.items()
         ]
         return model.PartEvidence(crashes[: 4 * _rumours.MAX_TOLD], [])
