--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -274,25 +274,25 @@
 @when('runners crash {why} for 20 s, while 60 rare parts are sent')
 def crash_runners(context: Any, why: str) -> None:
     """Crash runners whatever they answer."""
-    crash = context.crash
+    disturb(context, CRASH_GAPS_S[why], lambda: crash_some(context.crash, why))
 
-    def crash_some() -> None:
-        up = [
-            runner
-            for runner in crash.world.runners
-            if runner.address in crash.world.network.runners
-        ]
-        if why == 'three at a time':
-            chosen = crash.rng.sample(up, min(3, len(up)))
-        elif why == 'a failure domain at once':
-            domain = crash.rng.choice(up).domain if up else ''
-            chosen = [runner for runner in up if runner.domain == domain]
-        else:
-            chosen = crash.rng.sample(up, min(1, len(up)))
-        for runner in chosen:
-            runner.crash()
-
-    disturb(context, CRASH_GAPS_S[why], crash_some)
+
+def crash_some(crash: deadly_parts.CrashWorld, why: str) -> None:
+    """Crash some of the runners that are up."""
+    up = [
+        runner
+        for runner in crash.world.runners
+        if runner.address in crash.world.network.runners
+    ]
+    if why == 'three at a time':
+        chosen = crash.rng.sample(up, min(3, len(up)))
+    elif why == 'a failure domain at once':
+        domain = crash.rng.choice(up).domain if up else ''
+        chosen = [runner for runner in up if runner.domain == domain]
+    else:
+        chosen = crash.rng.sample(up, min(1, len(up)))
+    for runner in chosen:
+        runner.crash()
 
 
 @when(
--- a/features/support/deadly_parts.py
+++ b/features/support/deadly_parts.py
@@ -66,12 +66,15 @@
     def _go_down(self, runner: lab.ScriptedRunner) -> None:
         if self.world.network.runners.pop(runner.address, None) is None:
             return
+        if runner.crashes_silently:
+            self.world.network.silent.add(runner.address)
         now = self.clock.seconds()
         self.crashes.append(now)
         self.clock.callLater(LAPSE_S, self.world.remove_runner, runner.name)
         self.clock.callLater(DOWN_S, self._come_back, runner)
 
     def _come_back(self, runner: lab.ScriptedRunner) -> None:
+        self.world.network.silent.discard(runner.address)
         self.world.network.runners[runner.address] = runner
         born = 1 + int(self.clock.seconds() * 1000)
         self.world.set_runner(runner, 'live', born)
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -31,7 +31,7 @@
     """Reads configurations that list the keys in force."""
 
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
-        """Return a private, a public and a stream route, one workspace."""
+        """Return routes of all kinds, one public, and two workspaces."""
         fields = json.loads(value)
         make = relay_decision_steps.make_route
         once = {'kind': relay.CallKind.ONCE, 'attempts': 1}
@@ -42,6 +42,7 @@
                 make(path_prefix='/job/', **once),
                 make(path_prefix='/open/', is_public=True, **once),
                 make(path_prefix='/stream/', timeout_s=8.0, **stream),
+                make(path_prefix='/safe/'),
             ),
             {},
             (
@@ -458,7 +459,7 @@
 
     def ask(self, index: int, path: str, key: str) -> fakes.LabExchange:
         """Let a caller send a request to a host."""
-        return self._submit(
+        return self.submit(
             index, path, {'request_id': 'r1', 'access_key': key}
         )
 
@@ -466,11 +467,12 @@
         self, index: int, facts: dict[str, Any]
     ) -> fakes.LabExchange:
         """Let a caller send a stream request to a host."""
-        return self._submit(index, f'/stream/{facts["request_id"]}', facts)
+        return self.submit(index, f'/stream/{facts["request_id"]}', facts)
 
-    def _submit(
+    def submit(
         self, index: int, path: str, facts: dict[str, Any]
     ) -> fakes.LabExchange:
+        """Let a caller send a request with these facts to a host."""
         request = edge.HttpRequest(
             b'POST',
             path.encode(),
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -20,6 +20,7 @@
 import ragwort_relay as relay
 
 ONE_WAY_S = 0.001
+CONNECT_TIMEOUT_S = 0.4
 QUEUE = 2
 HTTP_OK = 200
 HTTP_FULL = 503
@@ -229,6 +230,8 @@
         self.reader = reader
         self.is_over = False
         self.sent = False
+        # Set once its runner has ended without a word.
+        self.is_abandoned = False
         self.on_close: Callable[[], None] = lambda: None
 
     @property
@@ -275,16 +278,22 @@
         self.reactor = clock
         self.held = edge.HeldBytes()
         self.runners: dict[str, LabRunner] = {}
+        # Addresses that answer nothing, not even that nobody listens.
+        self.silent: set[str] = set()
 
     def open(
         self,
         address: str,
         request: edge.HttpRequest,
         reader: edge.ResponseReader,
-        connect_timeout_s: float = 0.4,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> LabCall:
         """Send a request."""
         call = LabCall(self.reactor, reader)
+        if address in self.silent:
+            not_connected = edge.CallErrorKind.NOT_CONNECTED
+            self.reactor.callLater(connect_timeout_s, call.fail, not_connected)
+            return call
         runner = self.runners.get(address)
         if runner is None:
             call.fail(edge.CallErrorKind.NOT_CONNECTED)
@@ -296,6 +305,9 @@
     def is_refused(self, address: str) -> 'defer.Deferred[bool]':
         """Return whether no runner listens at an address."""
         done: defer.Deferred[bool] = defer.Deferred()
+        if address in self.silent:
+            self.reactor.callLater(CONNECT_TIMEOUT_S, done.callback, False)
+            return done
         is_refused = address not in self.runners
         self.reactor.callLater(ONE_WAY_S, done.callback, is_refused)
         return done
@@ -329,8 +341,12 @@
         self.event_gap_s = 0.0
         self.version = ''
         self.calls: list[LabCall] = []
-        # Parts of a prompt on which it crashes as it begins its answer.
+        # Parts of a prompt, and requests by target, on which it crashes as it
+        # begins its answer.
         self.deadly_parts: frozenset[str] = frozenset()
+        self.deadly_targets: frozenset[bytes] = frozenset()
+        # A silent crash resets no connection.
+        self.crashes_silently = False
         self.on_crash: Callable[[], None] = lambda: None
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
@@ -353,19 +369,26 @@
         open_call.on_close = close
         self.calls = [call for call in self.calls if not call.is_over]
         self.calls.append(open_call)
-        self.clock.callLater(self.work_s, self._answer, step, told, open_call)
+        self.clock.callLater(
+            self.work_s, self._answer, step, arrival, open_call
+        )
 
     def crash(self) -> None:
-        """Reset all open connections."""
+        """Answer no open call any more; reset the connections."""
         for call in self.calls:
-            call.fail(edge.CallErrorKind.CLOSED)
+            call.is_abandoned = True
+            if not self.crashes_silently:
+                call.fail(edge.CallErrorKind.CLOSED)
         self.calls.clear()
         self.on_crash()
 
-    def _answer(self, step: str, told: dict[str, Any], call: LabCall) -> None:
-        if call.is_over:
+    def _answer(self, step: str, arrival: Arrival, call: LabCall) -> None:
+        if call.is_over or call.is_abandoned:
             return
-        if self.deadly_parts & set(told['parts']):
+        told = arrival.told
+        if self.deadly_parts & set(told['parts']) or (
+            arrival.request.target in self.deadly_targets
+        ):
             self.crash()
             return
         echo: edge.Headers = ((b'echo', str(told['id']).encode()),)
