Keep requests that crash runners from them

What callers saw: one request, repeated by hosts and by its caller, crashed a service's runners one after the other, and everything else on them failed.

Cause: only parts of prompts were judged (a request without two of them was no suspect at all), and crashes within 0.3 s counted once, so that a chain of repeats 0.1 s apart was a single moment. Class: a query of death.

Now a request itself is a suspect beside the parts of its prompt, named by a digest of caller, method, target and body, and judged by the same evidence. A crash counts if its call was sent after the crash counted before: a runner that begins the request only then is evidence of its own, while runners that end together, under calls that overlap, count once as before. The clock still decides for suspects that have been answered. A request that has not begun when its runner ends is no longer repeated by the host, as the repeat is the second crash and carries its neighbours along; the caller gets 502. The parts engine is renamed after suspects on the way; the store keeps its format.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -109,3 +109,5 @@
       | no part        |
       | no runner      |
       | start -1       |
+      | run nan        |
+      | run -1         |
--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -172,10 +172,10 @@
 
 def tell_crash(context: Any, number: int) -> None:
     """Tell host 0 of the crash of a runner under the part."""
-    crash = model.PartCrash(
-        'main', deadly_parts.DEADLY, False, f'runner/x{number}', 0, 0.0
+    crash = model.SuspectCrash(
+        'main', deadly_parts.DEADLY, False, f'runner/x{number}', 0, 0.0, 0.1
     )
-    data = wire.encode_peer('10.0.1.1:84', model.PartEvidence([crash], []))
+    data = wire.encode_peer('10.0.1.1:84', model.CrashNews([crash], []))
     context.crash.world.hosts[0]._on_frame(wire.decode_peer(data))
 
 
@@ -366,24 +366,31 @@
 @when('a peer tells host 0 of three crashes with {what}')
 def tell_strange(context: Any, what: str) -> None:
     """Deliver evidence as a damaged peer might send it."""
-    fields = {'part': 'p1', 'runner': 'runner/x', 'start': '5', 'age': '1.0'}
+    fields = {
+        'part': 'p1',
+        'runner': 'runner/x',
+        'start': '5',
+        'age': '1.0',
+        'run': '0.1',
+    }
     name, _, value = what.partition(' ')
     if name == 'no':
         fields[value] = ''
     else:
         fields[name] = value
     crashes = [
-        model.PartCrash(
+        model.SuspectCrash(
             'main',
             fields['part'],
             False,
             fields['runner'] and f'{fields["runner"]}{number}',
             int(fields['start']),
             float(fields['age']),
+            float(fields['run']),
         )
         for number in range(3)
     ]
-    data = wire.encode_peer('10.0.1.1:84', model.PartEvidence(crashes, []))
+    data = wire.encode_peer('10.0.1.1:84', model.CrashNews(crashes, []))
     world = context.crash.world
     world.hosts[0]._on_frame(wire.decode_peer(data))
     world.run(2.0)
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -14,8 +14,8 @@
 
 # Mean Retry-After delay of a refusal that is not due to a known queue.
 DEFAULT_RETRY_AFTER_S = 0.5
-# To come back soon with a prompt that crashes runners doesn't help.
-REFUSED_PART_RETRY_S = (30.0, 60.0)
+# To come back soon with what crashes runners doesn't help.
+REFUSED_SUSPECT_RETRY_S = (30.0, 60.0)
 
 
 class RefusedError(model.RagwortError):
@@ -51,27 +51,27 @@
         delay_s = relay.retry_after_s(DEFAULT_RETRY_AFTER_S, self.rng)
         return RefusedError(reason, delay_s + (wait_s or 0.0))
 
-    def refuse_deadly_prompt(
-        self, service: str, metadata: _dialect.RequestMetadata
+    def refuse_deadly(
+        self, service: str, suspects: relay.Suspects, request_id: str
     ) -> None:
-        """Raise RefusedError if a part of the prompt crashes runners."""
+        """Raise RefusedError if a request or its parts crash runners."""
         now = self.reactor.seconds()
         evidence = self.catalog.crash_evidence
-        part = evidence.refused_part(service, metadata.prompt, now)
-        if part is None:
+        name = evidence.refused_suspect(service, suspects, now)
+        if name is None:
             return
-        crashes = evidence.records[service, part].crashes
+        crashes = evidence.records[service, name].crashes
         self.logger.warning(
-            'part-refused',
-            request=metadata.request_id,
+            'suspect-refused',
+            request=request_id,
             service=service,
-            part=part,
+            suspect=name,
             runners=[name for name, _ in crashes],
-            ages_s=[round(now - at, 1) for at in crashes.values()],
+            ages_s=[round(now - crash.at, 1) for crash in crashes.values()],
         )
         raise RefusedError(
-            f'part {part} of the prompt crashes runners',
-            self.rng.uniform(*REFUSED_PART_RETRY_S),
+            f'{name} crashes runners',
+            self.rng.uniform(*REFUSED_SUSPECT_RETRY_S),
         )
 
     def failure_domain_of(self, handle: str) -> str:
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -1,4 +1,4 @@
-"""Evidence of parts of prompts that crash runners, from calls and peers."""
+"""Evidence of what crashes runners, from calls and peers."""
 
 from collections.abc import Iterable
 import random
@@ -11,9 +11,7 @@
 import ragwort_relay as relay
 import ragwort_state as state
 
-PART_WRITER_ROLE = 'part-writer'
-# Parts of a prompt of which one is not the request's own.
-MIN_PARTS = 2
+SUSPECT_WRITER_ROLE = 'suspect-writer'
 
 
 class CrashWatch:
@@ -24,7 +22,7 @@
         reactor: Any,
         client: _client.HttpClient,
         evidence: relay.CrashEvidence,
-        register: state.PartRegister,
+        register: state.SuspectRegister,
         rng: random.Random,
         metrics: _metrics.Metrics,
         logger: Any,
@@ -38,31 +36,28 @@
         self.metrics = metrics
         self.logger = logger
 
-    def on_began(
-        self, service: str, prompt: tuple[relay.PromptPart, ...]
-    ) -> None:
-        """Clear the parts of a prompt whose answer began."""
+    def on_began(self, service: str, suspects: relay.Suspects) -> None:
+        """Clear the suspects of a request whose answer began."""
         now = self.reactor.seconds()
-        for part in self.evidence.on_began(service, prompt, now):
-            self.logger.info('part-cleared', service=service, part=part)
+        for name in self.evidence.on_began(service, suspects, now):
+            self.logger.info('suspect-cleared', service=service, suspect=name)
 
     async def has_crashed(
         self,
         runner: relay.FleetRunner,
-        prompt: tuple[relay.PromptPart, ...],
+        suspects: relay.Suspects,
+        sent_at: float,
         request_id: str,
     ) -> bool:
         """Tell whether a call broke because its runner has ended.
 
-        A runner that refuses connections has ended. For a prompt without a
-        part that requests share it makes no difference: False.
+        A runner that refuses connections has ended.
         """
-        if len(prompt) < MIN_PARTS:
-            return False
         incarnation = (runner.name, runner.entry.started_ms)
         address = runner.address
         now = self.reactor.seconds()
-        self._log(self.evidence.on_broken(runner, prompt, now), request_id)
+        news = self.evidence.on_broken(runner, suspects, sent_at, now)
+        self._log(news, request_id)
         if incarnation in self.evidence.ended:
             return True
         if not await self.client.is_refused(address):
@@ -72,23 +67,23 @@
         return True
 
     def _log(
-        self, crashes: Iterable[model.PartCrash], request_id: str | None
+        self, crashes: Iterable[model.SuspectCrash], request_id: str | None
     ) -> None:
         for crash in crashes:
             record = self.evidence.records.get(
-                (crash.service_name, crash.part)
+                (crash.service_name, crash.suspect)
             )
             self.logger.warning(
-                'part-suspected',
+                'suspect-crash',
                 service=crash.service_name,
-                part=crash.part,
+                suspect=crash.suspect,
                 runner=crash.runner,
                 age_s=round(crash.age_s, 3),
-                crashes=record.moments() if record else 0,
+                crashes=record.in_turn() if record else 0,
                 request=request_id,
                 source='peer' if request_id is None else 'call',
             )
-        self.metrics.refused_parts.set(len(self.evidence.refused()))
+        self.metrics.refused_suspects.set(len(self.evidence.refused()))
 
     def messages(
         self, members: membership.Membership, now: float
@@ -104,22 +99,24 @@
             for address in self.rng.sample(peer_addresses, count)
         ]
 
-    def on_told(self, told: model.PartEvidence) -> None:
+    def on_told(self, told: model.CrashNews) -> None:
         """Take over what another host knows, unless it is damaged."""
-        if not relay.is_sound_evidence(told):
-            self.logger.warning('invalid-part-evidence', told=repr(told)[:500])
+        if not relay.is_sound_news(told):
+            self.logger.warning('invalid-crash-news', told=repr(told)[:500])
             return
         self._log(self.evidence.merge(told, self.reactor.seconds()), None)
 
     def store_calls(
         self, members: membership.Membership, now: float
     ) -> list[model.StoreCall]:
-        """Return the call that reads or writes refused parts, if any."""
-        is_writer = membership.is_elected(members, PART_WRITER_ROLE, 1, None)
+        """Return the call that reads or writes refused suspects, if any."""
+        is_writer = membership.is_elected(
+            members, SUSPECT_WRITER_ROLE, 1, None
+        )
         return self.register.tick(now, self.evidence.refused(), is_writer)
 
     def on_store_result(self, result: model.StoreResult, now: float) -> None:
-        """Refuse the parts that the store holds."""
+        """Refuse the suspects that the store holds."""
         stored = self.register.on_store_result(result, now)
         if stored is None:
             return
@@ -127,7 +124,7 @@
             self.register.is_reread = False
             self.evidence.forget_all_but(stored)
         self.evidence.on_stored(stored, now)
-        self.logger.info('refused-parts-read', count=len(stored))
+        self.logger.info('refused-suspects-read', count=len(stored))
 
     def for_new_host(self, address: str) -> list[model.SendPeerMessage]:
         """Return what a host needs to know that has just started."""
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -143,7 +143,7 @@
         self.registry = state.HostRegistry(
             options.host, self.store_era, self.rng, now
         )
-        self.parts = state.PartRegister(self.store_era, self.rng, now)
+        self.parts = state.SuspectRegister(self.store_era, self.rng, now)
         self.peers = peers.PeerConnections(reactor, options.host.peer_address)
         self.peers.on_silent = self._on_silent_peer
         self.store = store_factory(self._on_store)
@@ -432,7 +432,7 @@
         if result.op.startswith(state.HOSTS_OP):
             self._on_registry(result, now)
             return
-        if result.op.startswith(state.PARTS_OP):
+        if result.op.startswith(state.SUSPECTS_OP):
             self.crashes.on_store_result(result, now)
             return
         for prefix, watcher in self.watchers.items():
@@ -544,7 +544,7 @@
                 self._observe_era(era, sender, now)
                 count = len(members.peer_addresses())
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
-            case model.PartEvidence():
+            case model.CrashNews():
                 self.crashes.on_told(message)
             case model.RunnersLeaving():
                 self.departure_sharing.on_told(message.runners, now)
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -61,8 +61,8 @@
             ['source'],
             registry=self.registry,
         )
-        self.refused_parts = prometheus.Gauge(
-            'ragwort_refused_parts',
+        self.refused_suspects = prometheus.Gauge(
+            'ragwort_refused_suspects',
             'Parts of prompts that are kept from runners, which they crash',
             registry=self.registry,
         )
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -77,6 +77,13 @@
         self.is_timed_out = False
         self.log_fields: dict[str, Any] = {}
         self.service = route.service_for(metadata.request_id)
+        self.suspects = relay.suspects_of(
+            metadata.prompt,
+            workspace.name if workspace else metadata.access_key or '',
+            exchange.request.method,
+            exchange.request.target,
+            exchange.request.body,
+        )
         self.stream_key = relay.StreamKey(
             workspace.name if workspace else '', metadata.request_id
         )
@@ -206,7 +213,7 @@
             await self._find_origin()
         service = self.service
         self.log_fields['service'] = service
-        self.context.refuse_deadly_prompt(service, self.metadata)
+        self._refuse_deadly(service)
         if not self.context.catalog.has_sendable(
             service, self.context.reactor.seconds(), self.origin
         ):
@@ -266,6 +273,11 @@
         elapsed_s = self.context.reactor.seconds() - self.started_at
         self.log_fields['stages_s'] = round(elapsed_s, 3)
 
+    def _refuse_deadly(self, service: str) -> None:
+        self.context.refuse_deadly(
+            service, self.suspects, self.metadata.request_id
+        )
+
     def _likely_domain(self) -> str:
         """Return the failure domain where the main call will likely run."""
         runner = self._choose_runner(self.service, set())
@@ -313,7 +325,7 @@
 
     def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
         """Return a runner and mark it tried; raise RefusedError if none."""
-        self.context.refuse_deadly_prompt(service, self.metadata)
+        self._refuse_deadly(service)
         runner = self._choose_runner(service, tried)
         if runner is None:
             raise self._refusal('no runner')
@@ -368,9 +380,10 @@
         tried: set[str] = set()
         while True:
             runner = self._take_runner(service, tried)
+            sent_at = self.context.reactor.seconds()
             send = await self._send_plain(service, runner)
             self._record_send(service, runner, send)
-            step = await self._step_after(service, runner, send)
+            step = await self._step_after(service, runner, send, sent_at)
             if step == relay.NextStep.SEND_AGAIN:
                 continue
             if step == relay.NextStep.DELIVER and send.response is not None:
@@ -390,15 +403,18 @@
         return self.context.refusal(reason, wait_s)
 
     async def _step_after(
-        self, service: str, runner: relay.FleetRunner, send: _SendOutcome
+        self,
+        service: str,
+        runner: relay.FleetRunner,
+        send: _SendOutcome,
+        sent_at: float,
     ) -> relay.NextStep:
         """Return the next step after a send; don't repeat a likely crash."""
-        prompt = self.metadata.prompt
         if send.is_closed_early and await self.context.crashes.has_crashed(
-            runner, prompt, self.metadata.request_id
+            runner, self.suspects, sent_at, self.metadata.request_id
         ):
             evidence = self.context.catalog.crash_evidence
-            if evidence.is_doubtful(service, prompt):
+            if evidence.is_doubtful(service, self.suspects):
                 return relay.NextStep.FAIL
         return self._next_step(service, send)
 
@@ -494,11 +510,11 @@
                 detail=f'status {response.status}',
             )
         runner.state.on_result(took_s, took_s, now)
-        self._clear_prompt()
+        self._clear_suspects()
         return _SendOutcome(relay.SendResult.DONE, response)
 
-    def _clear_prompt(self) -> None:
-        self.context.crashes.on_began(self.service, self.metadata.prompt)
+    def _clear_suspects(self) -> None:
+        self.context.crashes.on_began(self.service, self.suspects)
 
     def _deliver(self, response: _messages.HttpResponse) -> None:
         self._observe_latency()
@@ -526,7 +542,7 @@
         if self.is_origin_recorded:
             return
         self.is_origin_recorded = True
-        self._clear_prompt()
+        self._clear_suspects()
         if self.origin is None:
             self.origin = relay.StreamOrigin(
                 runner.service, runner.software_version
@@ -550,9 +566,10 @@
         tried: set[str] = set()
         while True:
             runner = self._take_runner(service, tried)
+            sent_at = self.context.reactor.seconds()
             send = await self._send_stream(runner, progress)
             self._record_send(service, runner, send)
-            step = await self._step_after(service, runner, send)
+            step = await self._step_after(service, runner, send, sent_at)
             if step == relay.NextStep.SEND_AGAIN:
                 if self.stages.run is None or send.is_input_gone:
                     self.log_fields['remade'] = True
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -94,7 +94,7 @@
             self.clock,
             client,
             catalog.crash_evidence,
-            state.PartRegister(state.StoreEra(), self.rng, 0.0),
+            state.SuspectRegister(state.StoreEra(), self.rng, 0.0),
             self.rng,
             metrics,
             logger,
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -40,6 +40,7 @@
 from ragwort_model._errors import VersionConflictError
 from ragwort_model._errors import WireError
 from ragwort_model._hashing import content_digest
+from ragwort_model._hashing import fields_digest
 from ragwort_model._hashing import select_by_rendezvous
 from ragwort_model._hashing import stable_hash
 from ragwort_model._ids import AttemptId
@@ -52,7 +53,8 @@
 from ragwort_model._peer import ClaimForward
 from ragwort_model._peer import ClaimReply
 from ragwort_model._peer import ClaimStatus
-from ragwort_model._peer import ClearedPart
+from ragwort_model._peer import ClearedSuspect
+from ragwort_model._peer import CrashNews
 from ragwort_model._peer import Follow
 from ragwort_model._peer import FollowEvent
 from ragwort_model._peer import IndirectPing
@@ -61,8 +63,6 @@
 from ragwort_model._peer import MemberSync
 from ragwort_model._peer import MemberUpdate
 from ragwort_model._peer import ObjectVersion
-from ragwort_model._peer import PartCrash
-from ragwort_model._peer import PartEvidence
 from ragwort_model._peer import PeerMessage
 from ragwort_model._peer import PieceOutcome
 from ragwort_model._peer import Ping
@@ -86,6 +86,7 @@
 from ragwort_model._peer import StreamBegan
 from ragwort_model._peer import StreamQuestion
 from ragwort_model._peer import StreamsBegan
+from ragwort_model._peer import SuspectCrash
 from ragwort_model._settings import DaemonSettings
 from ragwort_model._settings import LimitSettings
 from ragwort_model._settings import load_settings
@@ -146,9 +147,10 @@
     'ClaimStatus',
     'ClassDocument',
     'ClassOfWork',
-    'ClearedPart',
+    'ClearedSuspect',
     'ConfigurationError',
     'content_digest',
+    'CrashNews',
     'DaemonSettings',
     'describe_problem',
     'DesiredState',
@@ -156,6 +158,7 @@
     'End',
     'EntryHost',
     'era_of',
+    'fields_digest',
     'Follow',
     'FollowEvent',
     'format_version',
@@ -165,6 +168,7 @@
     'IndirectPing',
     'InvalidInputError',
     'is_finite',
+    'LeavingRunner',
     'LimitSettings',
     'load_settings',
     'LoadReport',
@@ -172,7 +176,6 @@
     'make_version',
     'MAX_DEADLINE_S',
     'MAX_HISTORY',
-    'LeavingRunner',
     'MemberStatus',
     'MemberSync',
     'MemberUpdate',
@@ -187,8 +190,6 @@
     'parse_document',
     'parse_duration',
     'parse_settings',
-    'PartCrash',
-    'PartEvidence',
     'PeerMessage',
     'PieceOutcome',
     'Ping',
@@ -205,8 +206,12 @@
     'revision_of',
     'Runner',
     'RunnerDocument',
+    'RunnerLimit',
+    'RunnerLimits',
     'RunnerOrder',
     'RunnerSettings',
+    'RunnersLeaving',
+    'SeenVersion',
     'select_by_rendezvous',
     'select_settings',
     'SendOrder',
@@ -214,14 +219,6 @@
     'Service',
     'ServiceDocument',
     'ServiceKind',
-    'RunnerLimit',
-    'RunnerLimits',
-    'RunnersLeaving',
-    'SeenVersion',
-    'StreamAnswer',
-    'StreamBegan',
-    'StreamQuestion',
-    'StreamsBegan',
     'ServiceWait',
     'SettingsError',
     'split_address',
@@ -248,6 +245,11 @@
     'StoreStatus',
     'StoreUnavailableError',
     'StoreVerb',
+    'StreamAnswer',
+    'StreamBegan',
+    'StreamQuestion',
+    'StreamsBegan',
+    'SuspectCrash',
     'Target',
     'TargetConflictError',
     'TargetDocument',
--- a/libs/ragwort_model/ragwort_model/_hashing.py
+++ b/libs/ragwort_model/ragwort_model/_hashing.py
@@ -16,6 +16,15 @@
     return digest.hexdigest()
 
 
+def fields_digest(fields: Iterable[bytes]) -> str:
+    """Return a digest of fields, which differs if their borders do."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field in fields:
+        digest.update(len(field).to_bytes(8))
+        digest.update(field)
+    return digest.hexdigest()
+
+
 def stable_hash(*parts: str) -> int:
     """Return a 64-bit hash that is the same in every process."""
     return xxhash.xxh3_64_intdigest('\x00'.join(parts).encode())
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -316,36 +316,38 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PartCrash:
-    """A runner's incarnation that ended before it answered a prompt's part.
+class SuspectCrash:
+    """A runner's incarnation that ended before it answered a suspect.
 
-    The call broke age_s seconds ago; is_first tells that the part was the
-    first one of its prompt.
+    A suspect is a part of a prompt, or a whole request. The call broke age_s
+    seconds ago, ran_s seconds after it was sent; is_first tells that the
+    suspect is a part that was the first one of its prompt.
     """
 
     service_name: str
-    part: str
+    suspect: str
     is_first: bool
     runner: str
     started_ms: int
     age_s: float
+    ran_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ClearedPart:
-    """A part of a prompt whose answer began age_s seconds ago."""
+class ClearedSuspect:
+    """A suspect whose answer began age_s seconds ago."""
 
     service_name: str
-    part: str
+    suspect: str
     age_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PartEvidence:
-    """Crashes under parts of prompts, and parts that are not to blame."""
+class CrashNews:
+    """Crashes under suspects, and suspects that are not to blame."""
 
-    crashes: list[PartCrash]
-    cleared: list[ClearedPart]
+    crashes: list[SuspectCrash]
+    cleared: list[ClearedSuspect]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -408,7 +410,7 @@
     | StreamQuestion
     | StreamAnswer
     | RunnersLeaving
-    | PartEvidence
+    | CrashNews
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -19,7 +19,7 @@
 from ragwort_relay._catalog import ObjectDecoder
 from ragwort_relay._catalog import RelayCatalog
 from ragwort_relay._crash_evidence import CrashEvidence
-from ragwort_relay._crash_evidence import is_sound_evidence
+from ragwort_relay._crash_evidence import is_sound_news
 from ragwort_relay._departures import DepartureNews
 from ragwort_relay._events import EventSplitter
 from ragwort_relay._events import StreamEvent
@@ -57,6 +57,8 @@
 from ragwort_relay._sharing import PromptSharing
 from ragwort_relay._stages import PieceWork
 from ragwort_relay._stages import StageRun
+from ragwort_relay._suspects import Suspects
+from ragwort_relay._suspects import suspects_of
 from ragwort_relay._waits import QueueWait
 from ragwort_relay._waits import QueueWaits
 
@@ -81,7 +83,7 @@
     'forecast',
     'Forecast',
     'Home',
-    'is_sound_evidence',
+    'is_sound_news',
     'next_step',
     'NextStep',
     'ObjectDecoder',
@@ -113,6 +115,8 @@
     'StreamOrigin',
     'StreamOrigins',
     'StreamProgress',
+    'Suspects',
+    'suspects_of',
     'Throughput',
     'time_after_stage_s',
     'timely_groups',
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -1,45 +1,49 @@
-"""Parts of prompts that crash runners ("query of death").
-
-Load pattern: requests with one part in common crash each runner that begins
-to answer them; repeats and new requests carry the part to the next runner. A
-runner's crash speaks against all parts of the prompts that it was to answer
-and had not begun to. An answer that begins, anywhere, clears the parts of its
-prompt of the crashes before it: sound parts are cleared again and again. The
-part with the most crashes explains them, and they speak against no other part
-any more. Hosts tell each other of crashes and of parts that are cleared, and
-each judges by what it knows.
+"""Requests, and parts of prompts, that crash runners ("query of death").
+
+Load pattern: one request comes again and again, or requests with one part in
+common do, and each crashes the runner that begins to answer it; repeats and
+new requests carry it to the next runner. A runner's crash speaks against all
+suspects that it was to answer and had not begun to: the requests themselves
+and the parts of their prompts. An answer that begins, anywhere, clears its
+suspects of the crashes before it: sound ones are cleared again and again. The
+part with the most crashes explains them, and they speak against no other
+suspect any more. Hosts tell each other of crashes and of suspects that are
+cleared, and each judges by what it knows.
 """
 
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Sequence
 import dataclasses
 import math
 from typing import Any
 
 import ragwort_model as model
+from ragwort_relay import _crash_records
 from ragwort_relay import _fleet
 from ragwort_relay import _rumours
-from ragwort_relay import _sharing
+from ragwort_relay import _suspects
 
-# Crashes at different moments after which a part is kept from runners. The
-# first part is in many prompts, and so in many that crashed for another one.
+# Crashes after which a suspect is kept from runners. The first part is in many
+# prompts, and so in many that crashed for another one; so is a request that
+# has been answered and comes again often.
 MIN_CRASHES = 3
-MIN_CRASHES_FIRST_PART = 5
-# Crashes within this time count once: a failure domain may go down as a whole.
+MIN_CRASHES_COMMON = 5
+# Crashes within this time count once for a suspect that has been answered: a
+# failure domain may go down as a whole, and takes some time to.
 MOMENT_S = 0.3
 # Time from a broken call to the proof that its runner has ended.
 BREAK_TTL_S = 6.0
-# A part that is not asked for is forgotten after this time.
+# A suspect that is not asked for is forgotten after this time.
 EVIDENCE_TTL_S = 3600.0
-MAX_BEGAN = 8192
+MAX_ANSWERED_PARTS = 8192
+MAX_ANSWERED_REQUESTS = 8192
 MAX_RECORDS = 512
-MAX_CRASHES_PER_PART = 16
+MAX_CRASHES_PER_SUSPECT = 16
 MAX_ENDED = 512
 
-PartKey = tuple[str, str]
-Incarnation = tuple[str, int]
+SuspectKey = _crash_records.SuspectKey
+Incarnation = _crash_records.Incarnation
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,46 +51,23 @@
     """A call that broke before its answer began."""
 
     service: str
-    parts: list[str]
+    suspects: _suspects.Suspects
+    sent_at: float
     at: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Record:
-    """The crashes under a part since an answer began, and its last use."""
-
-    used_at: float
-    is_first: bool = False
-    is_refused: bool = False
-    crashes: dict[Incarnation, float] = dataclasses.field(default_factory=dict)
-
-    def moments(self) -> int:
-        """Return how many crashes there were, those at once counted once."""
-        count, last_at = 0, -math.inf
-        for at in sorted(self.crashes.values()):
-            if at > last_at + MOMENT_S:
-                count += 1
-                last_at = at
-        return count
-
-    @property
-    def is_convincing(self) -> bool:
-        """Tell whether there are enough crashes to refuse the part."""
-        least = MIN_CRASHES_FIRST_PART if self.is_first else MIN_CRASHES
-        return self.moments() >= least
-
-
 class CrashEvidence:
-    """What one host knows of parts of prompts and crashes."""
+    """What one host knows of suspects and crashes."""
 
     def __init__(self) -> None:
         """Start with nothing seen."""
-        self.began_at: collections.OrderedDict[PartKey, float] = (
-            collections.OrderedDict()
-        )
-        self.records: collections.OrderedDict[PartKey, _Record] = (
-            collections.OrderedDict()
+        self.answered_parts = _crash_records.AnswerTimes(MAX_ANSWERED_PARTS)
+        self.answered_requests = _crash_records.AnswerTimes(
+            MAX_ANSWERED_REQUESTS
         )
+        self.records: collections.OrderedDict[
+            SuspectKey, _crash_records.CrashRecord
+        ] = collections.OrderedDict()
         self.breaks: dict[Incarnation, list[_Break]] = {}
         self.ended: collections.OrderedDict[Incarnation, float] = (
             collections.OrderedDict()
@@ -96,35 +77,42 @@
             collections.OrderedDict()
         )
         self.crash_rumours: _rumours.Rumours[
-            tuple[PartKey, bool, Incarnation]
+            tuple[SuspectKey, bool, Incarnation, float]
         ] = _rumours.Rumours()
-        self.cleared_rumours: _rumours.Rumours[PartKey] = _rumours.Rumours()
+        self.cleared_rumours: _rumours.Rumours[SuspectKey] = _rumours.Rumours()
 
     def set_host_count(self, count: int) -> None:
         """Set how many hosts there are to tell."""
         self.crash_rumours.host_count = count
         self.cleared_rumours.host_count = count
 
+    def _answered(self, key: SuspectKey) -> _crash_records.AnswerTimes:
+        if _suspects.is_request(key[1]):
+            return self.answered_requests
+        return self.answered_parts
+
+    def answered_at(self, key: SuspectKey) -> float:
+        """Return when the latest answer began; minus infinity for none."""
+        return self._answered(key).get(key)
+
     def on_began(
-        self, service: str, prompt: Sequence[_sharing.PromptPart], now: float
+        self, service: str, suspects: _suspects.Suspects, now: float
     ) -> list[str]:
-        """Clear the parts of an answer that began; return former suspects."""
+        """Clear the suspects of an answer; return those with crashes."""
         return [
-            part.part_id
-            for part in prompt
-            if self._clear((service, part.part_id), now, now)
+            name
+            for name in (*suspects.parts, suspects.request)
+            if self._clear((service, name), now, now)
         ]
 
-    def _clear(self, key: PartKey, began_at: float, now: float) -> bool:
+    def _clear(self, key: SuspectKey, began_at: float, now: float) -> bool:
         """Drop the crashes before an answer; tell whether there were any."""
-        self.began_at[key] = max(began_at, self.began_at.get(key, -math.inf))
-        self.began_at.move_to_end(key)
-        _keep_latest(self.began_at, MAX_BEGAN)
+        self._answered(key).add(key, began_at)
         record = self.records.get(key)
         if record is None:
             return False
-        for incarnation, at in list(record.crashes.items()):
-            if at <= began_at:
+        for incarnation, crash in list(record.crashes.items()):
+            if crash.at <= began_at:
                 del record.crashes[incarnation]
         if record.crashes:
             return False
@@ -135,9 +123,10 @@
     def on_broken(
         self,
         runner: _fleet.FleetRunner,
-        prompt: Sequence[_sharing.PromptPart],
+        suspects: _suspects.Suspects,
+        sent_at: float,
         now: float,
-    ) -> list[model.PartCrash]:
+    ) -> list[model.SuspectCrash]:
         """Record a call that broke before its answer began.
 
         Return the news if the runner is known to have ended. One that leaves
@@ -145,14 +134,11 @@
         """
         if runner.entry.runner.state == model.HostState.LEAVING:
             return []
-        # The last part is the request's own.
-        parts = [part.part_id for part in prompt[:-1]]
-        if not parts:
-            return []
         incarnation = (runner.name, runner.entry.started_ms)
         self._drop_old_breaks(now)
         found = self.breaks.setdefault(incarnation, [])
-        found.append(_Break(runner.entry.runner.service, parts, now))
+        service = runner.entry.runner.service
+        found.append(_Break(service, suspects, sent_at, now))
         ended_at = self.ended.get(incarnation)
         if ended_at is not None and now < ended_at + BREAK_TTL_S:
             return self.on_ended(incarnation, now)
@@ -165,49 +151,62 @@
 
     def on_ended(
         self, incarnation: Incarnation, now: float
-    ) -> list[model.PartCrash]:
+    ) -> list[model.SuspectCrash]:
         """Record the end of a runner's incarnation; return the news."""
         self.ended.setdefault(incarnation, now)
         _keep_latest(self.ended, MAX_ENDED)
-        news: list[model.PartCrash] = []
+        news: list[model.SuspectCrash] = []
         for broken in self.breaks.pop(incarnation, []):
             if now >= broken.at + BREAK_TTL_S:
                 continue
-            for index, part in enumerate(broken.parts):
-                key = (broken.service, part)
-                news += self._crash(
-                    key, index == 0, incarnation, broken.at, now
-                )
+            crash = _crash_records.Crash(broken.sent_at, broken.at)
+            for name in broken.suspects.names():
+                key = (broken.service, name)
+                is_first = broken.suspects.is_first_part(name)
+                news += self._crash(key, is_first, incarnation, crash, now)
         self._judge(now)
         return news
 
     def _crash(
         self,
-        key: PartKey,
+        key: SuspectKey,
         is_first: bool,
         incarnation: Incarnation,
-        at: float,
+        crash: _crash_records.Crash,
         now: float,
-    ) -> Iterator[model.PartCrash]:
+    ) -> Iterator[model.SuspectCrash]:
         """Add evidence; yield it if it is news."""
         if incarnation in self.explained:
             return
-        began_at = self.began_at.get(key, -math.inf)
-        if at <= began_at:
-            self.cleared_rumours.add(key, began_at, now)
+        answered_at = self.answered_at(key)
+        if crash.at <= answered_at:
+            self.cleared_rumours.add(key, answered_at, now)
             return
-        record = self.records.setdefault(key, _Record(now, is_first))
+        record = self.records.setdefault(
+            key, _crash_records.CrashRecord(now, is_first)
+        )
         self.records.move_to_end(key)
         if incarnation in record.crashes:
             return
-        if len(record.crashes) >= MAX_CRASHES_PER_PART:
+        if len(record.crashes) >= MAX_CRASHES_PER_SUSPECT:
             return
-        record.crashes[incarnation] = at
+        record.crashes[incarnation] = crash
         record.used_at = now
         while len(self.records) > MAX_RECORDS:
             self._drop_record()
-        self.crash_rumours.add((key, is_first, incarnation), at, now)
-        yield _told(key, record, incarnation, now - at)
+        self._tell(key, record, incarnation, now)
+        yield _told(key, record, incarnation, now)
+
+    def _tell(
+        self,
+        key: SuspectKey,
+        record: _crash_records.CrashRecord,
+        incarnation: Incarnation,
+        now: float,
+    ) -> None:
+        crash = record.crashes[incarnation]
+        told = (key, record.is_first, incarnation, crash.at - crash.sent_at)
+        self.crash_rumours.add(told, crash.at, now)
 
     def _drop_record(self) -> None:
         """Drop the oldest record, one that is not refused if there is any."""
@@ -217,140 +216,198 @@
                 return
         self.records.popitem(last=False)
 
+    def _is_convincing(
+        self, key: SuspectKey, record: _crash_records.CrashRecord
+    ) -> bool:
+        """Tell whether there are enough crashes to refuse a suspect."""
+        is_request = _suspects.is_request(key[1])
+        if self.answered_at(key) > -math.inf or record.is_first:
+            is_common = is_request or record.is_first
+            least = MIN_CRASHES_COMMON if is_common else MIN_CRASHES
+            return record.in_turn(MOMENT_S) >= least
+        return record.in_turn() >= MIN_CRASHES
+
     def _judge(self, now: float) -> None:
-        """Refuse the parts that explain the most crashes, one by one."""
-        while True:
-            likely = [
-                (record.moments(), -self.began_at.get(key, -math.inf), key)
-                for key, record in self.records.items()
-                if not record.is_refused and record.is_convincing
-            ]
-            if not likely:
-                return
-            key = max(likely)[2]
-            record = self.records[key]
-            record.is_refused = True
-            for incarnation, at in record.crashes.items():
-                self.explained[incarnation] = None
-                # Hosts that started since may lack some of the evidence.
-                told = (key, record.is_first, incarnation)
-                self.crash_rumours.add(told, at, now)
-            _keep_latest(self.explained, MAX_ENDED)
+        """Refuse requests with enough crashes, then parts, one by one."""
+        while requests := self._convincing(are_requests=True):
+            self._refuse(max(requests, key=self._likelihood), now)
+        while parts := self._convincing(are_requests=False):
+            key = max(parts, key=self._likelihood)
+            self._refuse(key, now)
             self._drop_explained(key)
 
-    def _drop_explained(self, culprit: PartKey) -> None:
+    def _convincing(self, are_requests: bool) -> list[SuspectKey]:
+        """Return the suspects of a kind that are to be refused."""
+        return [
+            key
+            for key, record in self.records.items()
+            if not record.is_refused
+            and _suspects.is_request(key[1]) == are_requests
+            and self._is_convincing(key, record)
+            and not self._is_explained(key, record)
+        ]
+
+    def _is_explained(
+        self, key: SuspectKey, record: _crash_records.CrashRecord
+    ) -> bool:
+        """Tell whether a refused request was in all crashes of a suspect.
+
+        Another request must have been in more of them: what crashes runners
+        and a request that shared them are else not to be told apart.
+        """
+        is_request = _suspects.is_request(key[1])
+        return any(
+            record.crashes.keys() <= other.crashes.keys()
+            and not (is_request and len(record.crashes) == len(other.crashes))
+            for (_, name), other in self.records.items()
+            if other.is_refused and _suspects.is_request(name)
+        )
+
+    def _likelihood(
+        self, key: SuspectKey
+    ) -> tuple[int, int, float, SuspectKey]:
+        """Order suspects by how many crashes they would explain."""
+        record = self.records[key]
+        return (
+            record.in_turn(),
+            len(record.crashes),
+            -self.answered_at(key),
+            key,
+        )
+
+    def _refuse(self, key: SuspectKey, now: float) -> None:
+        record = self.records[key]
+        record.is_refused = True
+        for incarnation in record.crashes:
+            # Hosts that started since may lack some of the evidence.
+            self._tell(key, record, incarnation, now)
+
+    def _drop_explained(self, culprit: SuspectKey) -> None:
+        """Hold the crashes under a refused part against no other suspect."""
+        explained = self.records[culprit].crashes
+        for incarnation in explained:
+            self.explained[incarnation] = None
+        _keep_latest(self.explained, MAX_ENDED)
         for key, record in list(self.records.items()):
             if key == culprit or record.is_refused:
                 continue
-            for incarnation in self.records[culprit].crashes:
+            for incarnation in explained:
                 record.crashes.pop(incarnation, None)
             if not record.crashes:
                 del self.records[key]
 
-    def is_doubtful(
-        self, service: str, prompt: Sequence[_sharing.PromptPart]
-    ) -> bool:
+    def is_doubtful(self, service: str, suspects: _suspects.Suspects) -> bool:
         """Tell whether a request should not be repeated after a crash.
 
-        That is so if a part has crashed two runners, or one and never led to
-        an answer.
+        That is so if a suspect has crashed two runners, or one and never led
+        to an answer.
         """
-        for part in prompt[:-1]:
-            key = (service, part.part_id)
+        for name in suspects.names():
+            key = (service, name)
             record = self.records.get(key)
             if record is None:
                 continue
-            if record.moments() > 1 or key not in self.began_at:
+            if record.in_turn() > 1 or self.answered_at(key) == -math.inf:
                 return True
         return False
 
-    def refused_part(
-        self,
-        service: str,
-        prompt: Sequence[_sharing.PromptPart],
-        now: float,
+    def refused_suspect(
+        self, service: str, suspects: _suspects.Suspects, now: float
     ) -> str | None:
-        """Return a part that keeps a prompt from runners, None if none."""
-        for part in prompt[:-1]:
-            record = self.records.get((service, part.part_id))
+        """Return a suspect that keeps a request from runners, or None."""
+        for name in suspects.names():
+            record = self.records.get((service, name))
             if record is None:
                 continue
             if now >= record.used_at + EVIDENCE_TTL_S:
-                del self.records[service, part.part_id]
+                del self.records[service, name]
             elif record.is_refused:
                 record.used_at = now
-                return part.part_id
+                return name
         return None
 
-    def refused(self) -> list[PartKey]:
-        """Return the services and parts that are kept from runners."""
+    def refused(self) -> list[SuspectKey]:
+        """Return the services and suspects that are kept from runners."""
         return [k for k, record in self.records.items() if record.is_refused]
 
-    def on_stored(self, stored: Iterable[PartKey], now: float) -> None:
-        """Refuse the parts that the store holds."""
-        for key in set(stored) - self.began_at.keys():
-            record = self.records.setdefault(key, _Record(now))
+    def on_stored(self, stored: Iterable[SuspectKey], now: float) -> None:
+        """Refuse the suspects that the store holds."""
+        for key in stored:
+            if self.answered_at(key) > -math.inf:
+                continue
+            record = self.records.setdefault(
+                key, _crash_records.CrashRecord(now)
+            )
             record.is_refused = True
 
-    def forget_all_but(self, stored: Iterable[PartKey]) -> None:
-        """Forget the refused parts that an operator has removed."""
+    def forget_all_but(self, stored: Iterable[SuspectKey]) -> None:
+        """Forget the refused suspects that an operator has removed."""
         keys = set(stored)
         for key in self.refused():
             if key not in keys:
                 del self.records[key]
 
     def merge(
-        self, told: model.PartEvidence, now: float
-    ) -> list[model.PartCrash]:
+        self, told: model.CrashNews, now: float
+    ) -> list[model.SuspectCrash]:
         """Take over what another host knows; return the crashes it adds."""
         for item in told.cleared:
-            key = (item.service_name, item.part)
+            key = (item.service_name, item.suspect)
             self._clear(key, now - item.age_s, now)
-        news = [
-            crash
-            for item in told.crashes
-            for crash in self._crash(
-                (item.service_name, item.part),
-                item.is_first,
-                (item.runner, item.started_ms),
-                now - item.age_s,
+        news: list[model.SuspectCrash] = []
+        for crash in told.crashes:
+            at = now - crash.age_s
+            news += self._crash(
+                (crash.service_name, crash.suspect),
+                crash.is_first,
+                (crash.runner, crash.started_ms),
+                _crash_records.Crash(at - crash.ran_s, at),
                 now,
             )
-        ]
         self._judge(now)
         return news
 
-    def to_spread(self, now: float) -> model.PartEvidence:
+    def to_spread(self, now: float) -> model.CrashNews:
         """Return what to tell some other hosts now."""
-        return model.PartEvidence(
+        return model.CrashNews(
             [
-                model.PartCrash(*key, is_first, *incarnation, age_s)
-                for (key, is_first, incarnation), age_s in (
+                model.SuspectCrash(*key, is_first, *incarnation, age_s, ran_s)
+                for (key, is_first, incarnation, ran_s), age_s in (
                     self.crash_rumours.take(now)
                 )
             ],
             [
-                model.ClearedPart(*key, age_s)
+                model.ClearedSuspect(*key, age_s)
                 for key, age_s in self.cleared_rumours.take(now)
             ],
         )
 
-    def for_new_host(self, now: float) -> model.PartEvidence:
-        """Return the evidence, that on refused parts first."""
+    def for_new_host(self, now: float) -> model.CrashNews:
+        """Return the evidence, that on refused suspects first."""
         crashes = [
-            _told(key, record, incarnation, now - at)
+            _told(key, record, incarnation, now)
             for key, record in sorted(
                 self.records.items(), key=lambda item: not item[1].is_refused
             )
-            for incarnation, at in record.crashes.items()
+            for incarnation in record.crashes
         ]
-        return model.PartEvidence(crashes[: 4 * _rumours.MAX_TOLD], [])
+        return model.CrashNews(crashes[: 4 * _rumours.MAX_TOLD], [])
 
 
 def _told(
-    key: PartKey, record: _Record, incarnation: Incarnation, age_s: float
-) -> model.PartCrash:
-    return model.PartCrash(*key, record.is_first, *incarnation, age_s)
+    key: SuspectKey,
+    record: _crash_records.CrashRecord,
+    incarnation: Incarnation,
+    now: float,
+) -> model.SuspectCrash:
+    crash = record.crashes[incarnation]
+    return model.SuspectCrash(
+        *key,
+        record.is_first,
+        *incarnation,
+        now - crash.at,
+        crash.at - crash.sent_at,
+    )
 
 
 def _keep_latest(
@@ -360,12 +417,13 @@
         known.popitem(last=False)
 
 
-def is_sound_evidence(told: model.PartEvidence) -> bool:
-    """Tell whether evidence from another host has the form of evidence."""
+def is_sound_news(told: model.CrashNews) -> bool:
+    """Tell whether news from another host has the form of evidence."""
     return all(
-        item.part
+        item.suspect
         and item.runner
         and item.started_ms >= 0
         and 0.0 <= item.age_s < EVIDENCE_TTL_S
+        and 0.0 <= item.ran_s < EVIDENCE_TTL_S
         for item in told.crashes
     ) and all(0.0 <= item.age_s < EVIDENCE_TTL_S for item in told.cleared)
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -28,12 +28,12 @@
 from ragwort_state._ledger import LedgerEffect
 from ragwort_state._ledger import SHARD_COUNT
 from ragwort_state._ledger import shard_of
-from ragwort_state._part_register import PartRegister
-from ragwort_state._part_register import PARTS_OP
 from ragwort_state._registry import HostRegistry
 from ragwort_state._registry import HOSTS_OP
 from ragwort_state._registry import HOSTS_PREFIX
 from ragwort_state._replica import Replica
+from ragwort_state._suspect_register import SuspectRegister
+from ragwort_state._suspect_register import SUSPECTS_OP
 from ragwort_state._targets import apply_change
 from ragwort_state._targets import is_applied
 from ragwort_state._targets import parse_target
@@ -77,12 +77,12 @@
     'ObjectProblem',
     'ORDER_EXPIRY_S',
     'parse_target',
-    'PartRegister',
-    'PARTS_OP',
     'Replica',
     'SHARD_COUNT',
     'shard_of',
     'StoreEra',
+    'SuspectRegister',
+    'SUSPECTS_OP',
     'TARGET_FIELDS',
     'TargetChange',
     'WATCH_OP',
--- a/libs/ragwort_state/ragwort_state/_part_register.py
+++ b/libs/ragwort_state/ragwort_state/_suspect_register.py
@@ -12,19 +12,19 @@
 import ragwort_model as model
 from ragwort_state import _era
 
-PARTS_PREFIX = 'refused-parts/'
-PARTS_OP = 'parts:'
-LIST_OP = PARTS_OP + 'list'
-WRITE_OP = PARTS_OP + 'write'
-REMOVE_OP = PARTS_OP + 'remove'
+SUSPECTS_PREFIX = 'refused-parts/'
+SUSPECTS_OP = 'parts:'
+LIST_OP = SUSPECTS_OP + 'list'
+WRITE_OP = SUSPECTS_OP + 'write'
+REMOVE_OP = SUSPECTS_OP + 'remove'
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 5.0
 
 # Service and part.
-PartKey = tuple[str, str]
+SuspectKey = tuple[str, str]
 
 
-class PartRegister:
+class SuspectRegister:
     """Reads the parts at the start, and writes new ones if it is to."""
 
     def __init__(
@@ -39,8 +39,8 @@
         self.is_outdated = False
         # Set while the parts that are not in the store are to be dropped.
         self.is_reread = False
-        self.stored: set[PartKey] = set()
-        self.pending: tuple[str, PartKey | None] | None = None
+        self.stored: set[SuspectKey] = set()
+        self.pending: tuple[str, SuspectKey | None] | None = None
         self.next_call_at = now
         self.backoff_s = MIN_BACKOFF_S
 
@@ -50,7 +50,7 @@
         self.is_reread = True
 
     def tick(
-        self, now: float, refused: Collection[PartKey], is_writer: bool
+        self, now: float, refused: Collection[SuspectKey], is_writer: bool
     ) -> list[model.StoreCall]:
         """Return the store call due now, if any."""
         if self.era < self.store_era.current:
@@ -61,7 +61,7 @@
         if not self.has_listed or (is_writer and self.is_outdated):
             self.pending = (LIST_OP, None)
             return [
-                model.StoreCall(LIST_OP, model.StoreVerb.LIST, PARTS_PREFIX)
+                model.StoreCall(LIST_OP, model.StoreVerb.LIST, SUSPECTS_PREFIX)
             ]
         if not is_writer:
             return []
@@ -80,15 +80,15 @@
         self,
         op: str,
         verb: model.StoreVerb,
-        key: PartKey,
+        key: SuspectKey,
         value: str | None = None,
     ) -> model.StoreCall:
-        name = PARTS_PREFIX + model.content_digest([key[0], '/', key[1]])
+        name = SUSPECTS_PREFIX + model.content_digest([key[0], '/', key[1]])
         return model.StoreCall(op, verb, name, value)
 
     def on_store_result(
         self, result: model.StoreResult, now: float
-    ) -> set[PartKey] | None:
+    ) -> set[SuspectKey] | None:
         """Handle a result; return the parts that a list holds."""
         if self.pending is None or self.pending[0] != result.op:
             return None
@@ -116,7 +116,7 @@
         return set(self.stored)
 
 
-def _key(item: model.StoredObject) -> PartKey | None:
+def _key(item: model.StoredObject) -> SuspectKey | None:
     """Return the service and the part of an entry, None if it is damaged."""
     try:
         fields = json.loads(item.value or '')
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -205,24 +205,25 @@
   1: list<LeavingRunner> runners
 }
 
-struct PartCrash {
+struct SuspectCrash {
   1: string service_name
-  2: string part
+  2: string suspect
   3: bool is_first
   4: string runner
   5: i64 started_ms
   6: double age_s
+  7: double ran_s = 0.3
 }
 
-struct ClearedPart {
+struct ClearedSuspect {
   1: string service_name
-  2: string part
+  2: string suspect
   3: double age_s
 }
 
-struct PartEvidence {
-  1: list<PartCrash> crashes
-  2: list<ClearedPart> cleared
+struct CrashNews {
+  1: list<SuspectCrash> crashes
+  2: list<ClearedSuspect> cleared
 }
 
 struct Envelope {
@@ -253,5 +254,5 @@
   29: optional StreamQuestion stream_question
   30: optional StreamAnswer stream_answer
   31: optional RunnersLeaving runners_leaving
-  32: optional PartEvidence part_evidence
+  32: optional CrashNews crash_news
 }
