Convict what was never answered by crashes at the same time

Cause: that runners which end together count once protects what is common, but it was applied to suspects of which no host has ever seen an answer, too. They are not common. Three incarnations that crashed under such a request, or five under such a part, now convict it in whatever order they did.

A part that has been answered is not convicted by five crashes at once, and runners that crash three at a time or by failure domain still convict nothing. The new scenario of the part fails without the change.

--- a/features/deadly_parts.feature
+++ b/features/deadly_parts.feature
@@ -41,6 +41,16 @@
     When a host hears of two crashes, all others start anew, and it hears of a third
     Then every host refuses the part
 
+  Scenario: five crashes at once convict a part that never led to an answer
+    Given 6 relay hosts and 8 runners, luck 17
+    When a host hears of 5 crashes at once under the part
+    Then every host refuses the part
+
+  Scenario: five crashes at once convict no part that has been answered
+    Given 6 relay hosts and 8 runners, luck 18
+    When the part is answered, and a host hears of 5 crashes at once under it
+    Then no part is refused
+
   Scenario: a refused part that a restored store lacks is written again
     Given 6 relay hosts and 8 runners, luck 15
     When callers send 12 streams a second for 10 s
--- a/features/steps/deadly_part_steps.py
+++ b/features/steps/deadly_part_steps.py
@@ -179,6 +179,26 @@
     context.crash.world.hosts[0]._on_frame(wire.decode_peer(data))
 
 
+@when('a host hears of {count:d} crashes at once under the part')
+def tell_at_once(context: Any, count: int) -> None:
+    """Tell one host, and let it tell the others."""
+    for number in range(count):
+        tell_crash(context, number)
+    context.crash.world.run(3.0)
+
+
+@when(
+    'the part is answered, and a host hears of {count:d} crashes at once'
+    ' under it'
+)
+def tell_after_answer(context: Any, count: int) -> None:
+    """Let each host answer a request with the part before."""
+    for _ in range(4 * len(context.crash.world.hosts)):
+        context.crash.send(deadly_parts.DEADLY)
+    context.crash.world.run(3.0)
+    tell_at_once(context, count)
+
+
 @then('every host refuses the part')
 def check_all_refuse(context: Any) -> None:
     """Look at what the hosts believe."""
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -225,7 +225,11 @@
             is_common = is_request or record.is_first
             least = MIN_CRASHES_COMMON if is_common else MIN_CRASHES
             return record.in_turn(MOMENT_S) >= least
-        return record.in_turn() >= MIN_CRASHES
+        if record.in_turn() >= MIN_CRASHES:
+            return True
+        # Copies of what was never answered may crash runners at once.
+        least = MIN_CRASHES if is_request else MIN_CRASHES_COMMON
+        return len(record.crashes) >= least
 
     def _judge(self, now: float) -> None:
         """Refuse requests with enough crashes, then parts, one by one."""
