Count runners that fall silent under a request as crashed

Cause: only calls whose connection had closed before an answer were kept for the proof that their runner ended; a call that got no answer in time, or whose caller had left, was forgotten.

Such calls are kept as well.

Runners that fall silent one after the other, three at a time or by failure domain, under requests that come again, convict nothing.

--- a/features/deadly_requests.feature
+++ b/features/deadly_requests.feature
@@ -63,3 +63,16 @@
       | one after the other      | 8    |
       | three at a time          | 9    |
       | a failure domain at once | 10   |
+
+  Scenario Outline: no request is kept from runners that fall silent <why>
+    Given 6 relay hosts and 8 runners of "safe" requests, luck <seed>
+    And runners fall silent when they crash
+    When callers send 12 requests a second for 10 s
+    And runners crash <why> under 40 requests that come again and again
+    Then no request is kept from runners
+
+    Examples:
+      | why                      | seed |
+      | one after the other      | 11   |
+      | three at a time          | 12   |
+      | a failure domain at once | 13   |
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -42,6 +42,21 @@
         for name in self.evidence.on_began(service, suspects, now):
             self.logger.info('suspect-cleared', service=service, suspect=name)
 
+    def on_silent(
+        self,
+        runner: relay.FleetRunner,
+        suspects: relay.Suspects,
+        sent_at: float,
+        request_id: str,
+    ) -> None:
+        """Record a call without an answer; its runner may have ended.
+
+        Only the runner's entry will tell.
+        """
+        now = self.reactor.seconds()
+        news = self.evidence.on_broken(runner, suspects, sent_at, now)
+        self._log(news, request_id)
+
     async def has_crashed(
         self,
         runner: relay.FleetRunner,
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -35,7 +35,7 @@
     """Outcome of one send to a runner.
 
     is_closed_early tells that the connection closed before any of the answer
-    proper had come.
+    proper had come, is_silent that nothing of it came in time.
     """
 
     result: relay.SendResult
@@ -43,6 +43,7 @@
     detail: str = ''
     is_input_gone: bool = False
     is_closed_early: bool = False
+    is_silent: bool = False
 
 
 class RequestHandler:
@@ -410,6 +411,8 @@
         sent_at: float,
     ) -> relay.NextStep:
         """Return the next step after a send; don't repeat a likely crash."""
+        if send.is_silent:
+            self._note_silence(runner, sent_at)
         if send.is_closed_early and await self.context.crashes.has_crashed(
             runner, self.suspects, sent_at, self.metadata.request_id
         ):
@@ -418,6 +421,11 @@
                 return relay.NextStep.FAIL
         return self._next_step(service, send)
 
+    def _note_silence(self, runner: relay.FleetRunner, sent_at: float) -> None:
+        self.context.crashes.on_silent(
+            runner, self.suspects, sent_at, self.metadata.request_id
+        )
+
     def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
         now = self.context.reactor.seconds()
@@ -463,11 +471,13 @@
             if self.is_timed_out or self.log_fields.get('gone'):
                 self.attempts.ran += 1
                 runner.state.on_cancel()
+                self._note_silence(runner, sent_at)
                 raise
             return _SendOutcome(
                 relay.SendResult.LOST,
                 detail=str(error),
                 is_closed_early=error.kind == _client.CallErrorKind.CLOSED,
+                is_silent=error.kind == _client.CallErrorKind.CANCELLED,
             )
         took_s = context.reactor.seconds() - sent_at
         return self.classify_response(runner, response, took_s)
@@ -555,10 +565,14 @@
         result: relay.SendResult,
         detail: str,
         is_closed_early: bool = False,
+        is_silent: bool = False,
     ) -> '_SendOutcome':
         """Return the outcome of a send without a complete response."""
         return _SendOutcome(
-            result, detail=detail, is_closed_early=is_closed_early
+            result,
+            detail=detail,
+            is_closed_early=is_closed_early,
+            is_silent=is_silent,
         )
 
     async def _run_stream(self, service: str) -> None:
@@ -609,4 +623,6 @@
             runner.state.on_cancel()
             if reader.was_sent:
                 self.attempts.ran += 1
+                if not reader.event_count:
+                    self._note_silence(runner, reader.opened_at)
             raise
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -91,7 +91,9 @@
     def _on_timeout(self) -> None:
         self.timer = None
         self.stop()
-        self._finish(relay.SendResult.BROKEN, 'runner is silent')
+        self._finish(
+            relay.SendResult.BROKEN, 'runner is silent', is_silent=True
+        )
 
     def stop(self) -> None:
         """Close the connection and read no more."""
@@ -228,13 +230,23 @@
             )
 
     def _finish(
-        self, result: relay.SendResult, detail: str, is_closed: bool = False
+        self,
+        result: relay.SendResult,
+        detail: str,
+        is_closed: bool = False,
+        is_silent: bool = False,
     ) -> None:
-        if not self.done.called:
-            is_closed_early = is_closed and not self.event_count
-            self.done.callback(
-                self.handler.send_outcome(result, detail, is_closed_early)
+        if self.done.called:
+            return
+        has_begun = self.event_count > 0
+        self.done.callback(
+            self.handler.send_outcome(
+                result,
+                detail,
+                is_closed_early=is_closed and not has_begun,
+                is_silent=is_silent and not has_begun,
             )
+        )
 
 
 def _ends_with_connection(head: _messages.HttpResponse) -> bool:
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -127,7 +127,7 @@
         sent_at: float,
         now: float,
     ) -> list[model.SuspectCrash]:
-        """Record a call that broke before its answer began.
+        """Record a call that broke, or got no answer, before one began.
 
         Return the news if the runner is known to have ended. One that leaves
         may end with calls; that says nothing of them.
