Show hosts without runners that refuse their callers

Whole hosts on a virtual clock (6 hosts, 4 runners, 24 requests a second): three or five hosts lose all runners for 12 s, their connections hang, are reset, or live on while new ones are refused. The lab's network has one view for each host now, which can be cut off.

--- /dev/null
+++ b/features/steps/hosts_without_runners_steps.py
@@ -0,0 +1,177 @@
+"""Steps of hosts that lost all runners."""
+
+import json
+from typing import Any
+
+from behave import then
+from behave import when
+
+import ragwort_lab as lab
+
+# The users' bound of what a cut host serves, as a share of the others.
+MIN_SHARE_OF_OTHERS = 2 / 3
+# Longest time of a refusal at once, as a caller sees it.
+AT_ONCE_S = 0.05
+LAST_S = 6.0
+CUT_S = 12.0
+
+
+def cut_off(context: Any, count: int, manner: str) -> None:
+    """Cut hosts off from all runners."""
+    context.cut_hosts = set(range(count))
+    context.cut_at = context.crash.clock.seconds()
+    for index in context.cut_hosts:
+        context.crash.world.ways[index].cut_off(lab.CutManner(manner))
+
+
+def heal(context: Any) -> None:
+    """Let the hosts reach their runners and send for some time."""
+    context.healed_at = context.crash.clock.seconds()
+    for index in context.cut_hosts:
+        context.crash.world.ways[index].heal()
+    context.requests.run(LAST_S, context.per_s, 0.0)
+    context.crash.world.run(LAST_S)
+
+
+@when('{count:d} hosts lose all runners for 12 s and connections {manner}')
+def cut_for_long(context: Any, count: int, manner: str) -> None:
+    """Cut hosts off, send requests and heal the cut."""
+    cut_off(context, count, manner)
+    context.requests.run(CUT_S, context.per_s, 0.0)
+    heal(context)
+
+
+@when('a helper {what} while 3 hosts are without runners for 12 s')
+def cut_with_helper(context: Any, what: str) -> None:
+    """Cut hosts off, and let another host fail in the middle."""
+    cut_off(context, 3, 'reset')
+    context.requests.run(CUT_S / 2, context.per_s, 0.0)
+    world = context.crash.world
+    if what == 'is killed':
+        world.kill(4)
+    elif what == 'leaves':
+        world.hosts[4].leave()
+    else:
+        world.ways[4].cut_off(lab.CutManner.HANG)
+        context.cut_hosts.add(4)
+    context.requests.avoided = {4}
+    context.requests.run(CUT_S / 2, context.per_s, 0.0)
+    heal(context)
+
+
+@when('{count:d} hosts lose all runners and connections {manner}')
+def cut_for_good(context: Any, count: int, manner: str) -> None:
+    """Cut hosts off and send requests for long enough to notice."""
+    cut_off(context, count, manner)
+    context.requests.run(4.0, context.per_s, 0.0)
+
+
+def request_id_of(exchange: Any) -> str:
+    """Return the id under which a caller sent a request."""
+    facts = json.loads(exchange.request.header(b'facts'))
+    return str(facts['request_id'])
+
+
+def first_tries(
+    context: Any, are_cut: bool, since: float, until: float
+) -> list[Any]:
+    """Return requests by whether their first try was at a cut host."""
+    return [
+        asked
+        for asked in context.requests.asked
+        if since <= asked.at < until
+        and (asked.hosts[0] in context.cut_hosts) == are_cut
+    ]
+
+
+def share_served(found: list[Any]) -> float:
+    """Return the share of first tries that were served."""
+    assert len(found) >= 10, len(found)
+    return sum(asked.is_first_try_served for asked in found) / len(found)
+
+
+@then(
+    'from {seconds:g} s on, first tries at the cut hosts are served two thirds'
+    ' as often as at the others'
+)
+def check_shares(context: Any, seconds: float) -> None:
+    """Compare the first tries during the cut."""
+    span = (context.cut_at + seconds, context.healed_at)
+    at_cut = share_served(first_tries(context, True, *span))
+    at_others = share_served(first_tries(context, False, *span))
+    assert at_cut >= MIN_SHARE_OF_OTHERS * at_others, (at_cut, at_others)
+
+
+@then(
+    'from {seconds:g} s on, first tries at the other hosts are served as'
+    ' before'
+)
+def check_others(context: Any, seconds: float) -> None:
+    """Look for requests of other hosts that the cut has harmed."""
+    span = (context.cut_at + seconds, context.healed_at)
+    failed = [
+        asked.exchanges[0].body
+        for asked in first_tries(context, False, *span)
+        if not asked.is_first_try_served
+    ]
+    assert not failed, failed
+
+
+@then('nothing is suspected of crashing runners')
+def check_no_evidence(context: Any) -> None:
+    """Look at what the hosts believe."""
+    records = [
+        list(host.catalog.crash_evidence.records)
+        for host in context.crash.world.hosts
+    ]
+    assert not any(records), records
+
+
+@then('no request has run twice, or was refused and has run')
+def check_truth(context: Any) -> None:
+    """Compare what runners ran with what callers were told."""
+    runs: dict[str, int] = {}
+    for runner in context.crash.world.runners:
+        for arrival in runner.arrivals:
+            if arrival.ran:
+                name = arrival.told['id']
+                runs[name] = runs.get(name, 0) + 1
+    may_repeat = context.requests.route != 'job'
+    for asked in context.requests.asked:
+        for exchange in asked.exchanges:
+            name = request_id_of(exchange)
+            assert may_repeat or runs.get(name, 0) <= 1, name
+            refused = exchange.status in (429, 503)
+            assert not refused or name not in runs, name
+
+
+@then(
+    'the cut hosts serve their callers themselves, {seconds:g} s after they'
+    ' have their runners back'
+)
+def check_healed(context: Any, seconds: float) -> None:
+    """Look for requests that went to other hosts after the cut."""
+    since = context.healed_at + seconds
+    found = first_tries(context, True, since, context.healed_at + LAST_S)
+    assert share_served(found) == 1.0
+    handed = [hop.at for hop in context.crash.world.hops if hop.at >= since]
+    assert not handed, handed
+
+
+@then(
+    'from {seconds:g} s on, requests are refused at once, with a time to come'
+    ' back'
+)
+def check_refused(context: Any, seconds: float) -> None:
+    """Look at the answers during the cut."""
+    span = (context.cut_at + seconds, context.healed_at)
+    found = first_tries(context, True, *span)
+    slow = [
+        (asked.at, first.status, first.ended_at - asked.at)
+        for asked in found
+        for first in asked.exchanges[:1]
+        if first.status != 503
+        or first.ended_at - asked.at > AT_ONCE_S
+        or b'retry-after' not in dict(first.headers)
+    ]
+    assert not slow, slow
--- a/features/support/deadly_requests.py
+++ b/features/support/deadly_requests.py
@@ -1,15 +1,19 @@
 """A plain request that crashes each runner, and callers that repeat it."""
 
 import dataclasses
+from typing import Any
 
 from features.support import deadly_parts
+from features.support import relay_hosts
+import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
 
 DEADLY = 'same-again'
 # A caller repeats a request that may be repeated once, after a failure.
 CALLER_TRIES = 2
 RETRY_S = 0.05
-STEP_S = 0.05
+STREAMS = ('stream', 'staged')
+STAGE_RUNNERS = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,12 +23,20 @@
     path: str
     at: float
     exchanges: list[fakes.LabExchange]
+    # Indexes of the hosts that were asked, in turn.
+    hosts: list[int] = dataclasses.field(default_factory=list)
 
     @property
     def is_deadly(self) -> bool:
         """Tell whether it crashes runners."""
         return self.path.endswith(DEADLY)
 
+    @property
+    def is_first_try_served(self) -> bool:
+        """Tell whether the first answer is a whole one of a runner."""
+        first = self.exchanges[0]
+        return first.status == 200 and first.is_whole
+
     @property
     def is_served(self) -> bool:
         """Tell whether one of the answers is a runner's."""
@@ -41,9 +53,27 @@
         self.crash = deadly_parts.CrashWorld(hosts, runner_count, seed)
         self.route = route
         self.asked: list[Asked] = []
-        if route != 'stream':
+        # Hosts that callers don't ask.
+        self.avoided: set[int] = set()
+        if route not in STREAMS:
             for runner in self.crash.world.runners:
                 runner.events = 0
+        if route == 'staged':
+            self._add_stage_runners()
+
+    def _add_stage_runners(self) -> None:
+        world = self.crash.world
+        for number in range(1, STAGE_RUNNERS + 1):
+            runner = lab.LabStageRunner(
+                self.crash.clock,
+                f'prep-{number}',
+                f'10.0.7.{number}:80',
+                relay_hosts.DOMAINS[number % len(relay_hosts.DOMAINS)],
+                relay_hosts.PREP_LIMITS,
+            )
+            world.network.runners[runner.address] = runner
+            world.set_runner(runner, 'live', service='prep')
+        world.run(1.0)
 
     def set_deadly(self) -> None:
         """Let all runners crash on the request."""
@@ -51,22 +81,27 @@
         for runner in self.crash.world.runners:
             runner.deadly_targets = frozenset([target])
 
-    def send(self, name: str) -> None:
-        """Let a caller send a request to a random host."""
+    def send(self, name: str, index: int | None = None) -> Asked:
+        """Let a caller send a request to a host, a random one for None."""
         now = self.crash.clock.seconds()
         asked = Asked(f'/{self.route}/{name}', now, [])
         self.asked.append(asked)
-        self._try(asked)
+        self._try(asked, index)
+        return asked
 
-    def _try(self, asked: Asked) -> None:
+    def _try(self, asked: Asked, index: int | None = None) -> None:
         number = next(self.crash.numbers)
-        hosts = self.crash.world.hosts
-        facts = {
+        facts: dict[str, Any] = {
             'request_id': f'q{number:05d}',
             'access_key': 'k1',
             'deadline_s': 4.0,
         }
-        index = self.crash.rng.randrange(len(hosts))
+        if self.route == 'staged':
+            facts |= {'pieces': (2,), 'piece_key': f'q{number:05d}'}
+        if index is None:
+            up = set(range(len(self.crash.world.hosts))) - self.avoided
+            index = self.crash.rng.choice(sorted(up))
+        asked.hosts.append(index)
         asked.exchanges.append(
             self.crash.world.submit(index, asked.path, facts)
         )
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from features.steps import relay_decision_steps
+from features.support import host_hops
 from features.support import peer_links
 import ragwort_edge as edge
 import ragwort_lab as lab
@@ -20,6 +21,7 @@
 import ragwort_relay as relay
 import ragwort_wire as wire
 
+PREP_LIMITS = relay.BatchLimits(8, 0.05, 0.005, 1e6, 5.0)
 DOMAINS = ('north', 'east', 'south')
 LINK_S = 0.002
 STEP_S = 0.01
@@ -32,6 +34,7 @@
 
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
         """Return routes of all kinds, one public, and two workspaces."""
+        prep = relay.StageSpec('prep', (), 1000.0)
         fields = json.loads(value)
         make = relay_decision_steps.make_route
         once = {'kind': relay.CallKind.ONCE, 'attempts': 1}
@@ -43,8 +46,14 @@
                 make(path_prefix='/open/', is_public=True, **once),
                 make(path_prefix='/stream/', timeout_s=8.0, **stream),
                 make(path_prefix='/safe/'),
+                make(
+                    path_prefix='/staged/',
+                    timeout_s=8.0,
+                    stages=(prep,),
+                    **stream,
+                ),
             ),
-            {},
+            {'prep': relay.ServiceSpec('prep', PREP_LIMITS)},
             (
                 relay.Workspace('school', frozenset(fields['keys'])),
                 relay.Workspace('museum', frozenset(['k2'])),
@@ -293,6 +302,10 @@
         if has_connections:
             self.peer_network = peer_links.PeerNetwork(self.clock)
         self.network = fakes.LabNetwork(self.clock)
+        # Each host's way into the network.
+        self.ways: list[fakes.LabNetwork] = []
+        # Requests that hosts handed to each other.
+        self.hops: list[host_hops.HopExchange] = []
         self.objects = StoreObjects(self.clock, is_away)
         self.runners: list[lab.ScriptedRunner] = []
         self.runner_numbers = itertools.count(1)
@@ -312,14 +325,19 @@
         self.set_runner(runner, 'live')
 
     def set_runner(
-        self, runner: lab.ScriptedRunner, state: str, born: int = 0
+        self,
+        runner: fakes.LabRunner,
+        state: str,
+        born: int = 0,
+        service: str = 'main',
     ) -> None:
         """Write a runner's entry; born is 0 where it names no start."""
         text = relay_decision_steps.entry_text(
+            service=service,
             domain=runner.domain,
             address=runner.address,
             state=state,
-            version=runner.version,
+            version=getattr(runner, 'version', ''),
             born=born,
         )
         self.objects.put(f'runner/{runner.name}', text)
@@ -371,7 +389,11 @@
             logger,
             random.Random(index),
         )
-        client: Any = self.network
+        client: Any = self.network.view()
+        if index < len(self.ways):
+            self.ways[index] = client
+        else:
+            self.ways.append(client)
         host.client = host.context.client = host.crashes.client = client
         host.stages.local_owner.client = client
         links: Any = FakeLinks(self, entry.peer_address)
@@ -408,6 +430,12 @@
         self.hosts[index] = self._host(index)
         self.hosts[index].start()
 
+    def kill(self, index: int) -> None:
+        """End a host's process; all of its connections break."""
+        self.stop_for_good(index)
+        for call in self.ways[index].runner_calls:
+            call.cancel()
+
     def stop_for_good(self, index: int) -> None:
         """Let a host lose power and never return."""
         links: Any = FakeLinks(self, 'nowhere')
--- a/libs/ragwort_lab/ragwort_lab/__init__.py
+++ b/libs/ragwort_lab/ragwort_lab/__init__.py
@@ -23,6 +23,7 @@
 from ragwort_lab._policy_bench import run
 from ragwort_lab._policy_bench import SCENARIOS
 from ragwort_lab._relay_fakes import Arrival
+from ragwort_lab._relay_fakes import CutManner
 from ragwort_lab._relay_fakes import LabExchange
 from ragwort_lab._relay_fakes import LabRunner
 from ragwort_lab._relay_fakes import LabStageRunner
@@ -58,6 +59,7 @@
     'CaseResult',
     'CaseRun',
     'cold_start_s',
+    'CutManner',
     'Dispatch',
     'DOMAIN',
     'Fault',
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import enum
 import json
 from typing import Any
 
@@ -232,6 +233,8 @@
         self.sent = False
         # Set once its runner has ended without a word.
         self.is_abandoned = False
+        # Set while nothing passes on its connection.
+        self.is_muted = False
         self.on_close: Callable[[], None] = lambda: None
 
     @property
@@ -249,7 +252,7 @@
         """Let the reader hear something, unless the call is over."""
 
         def deliver() -> None:
-            if self.is_over:
+            if self.is_over or self.is_muted:
                 return
             self.is_over = ends
             getattr(self.reader, name)(*arguments)
@@ -270,6 +273,15 @@
         self.send('on_error', edge.CallError(kind, 'lab'), ends=True)
 
 
+class CutManner(enum.StrEnum):
+    """What becomes of a host's connections when it loses all runners."""
+
+    HANG = 'hang'
+    RESET = 'reset'
+    # Open connections live on, new ones are refused.
+    REFUSE = 'refuse'
+
+
 class LabNetwork:
     """Stands in for the HTTP client; addresses lead to lab runners."""
 
@@ -280,6 +292,31 @@
         self.runners: dict[str, LabRunner] = {}
         # Addresses that answer nothing, not even that nobody listens.
         self.silent: set[str] = set()
+        # Hosts by the addresses at which they take requests of other hosts.
+        self.hosts: dict[str, LabRunner] = {}
+        self.cut: CutManner | None = None
+        self.runner_calls: list[LabCall] = []
+
+    def view(self) -> 'LabNetwork':
+        """Return the way of one host into this network."""
+        view = LabNetwork(self.reactor)
+        view.runners, view.silent = self.runners, self.silent
+        view.hosts = self.hosts
+        return view
+
+    def cut_off(self, manner: CutManner) -> None:
+        """Lose all runners, but not the other hosts."""
+        self.cut = manner
+        for call in self.runner_calls:
+            if manner == CutManner.HANG:
+                call.is_muted = True
+            elif manner == CutManner.RESET and not call.is_over:
+                call.fail(edge.CallErrorKind.CLOSED)
+                self.reactor.callLater(ONE_WAY_S, call.on_close)
+
+    def heal(self) -> None:
+        """Reach the runners again."""
+        self.cut = None
 
     def open(
         self,
@@ -290,33 +327,43 @@
     ) -> LabCall:
         """Send a request."""
         call = LabCall(self.reactor, reader)
-        if address in self.silent:
-            not_connected = edge.CallErrorKind.NOT_CONNECTED
-            self.reactor.callLater(connect_timeout_s, call.fail, not_connected)
-            return call
-        runner = self.runners.get(address)
-        if runner is None:
+        target = self.hosts.get(address)
+        if target is None:
+            if self._is_silent(address):
+                self.reactor.callLater(
+                    connect_timeout_s,
+                    call.fail,
+                    edge.CallErrorKind.NOT_CONNECTED,
+                )
+                return call
+            target = self.runners.get(address) if self.cut is None else None
+            self.runner_calls = [c for c in self.runner_calls if not c.is_over]
+            self.runner_calls.append(call)
+        if target is None:
             call.fail(edge.CallErrorKind.NOT_CONNECTED)
             return call
         call.sent = True
-        self.reactor.callLater(ONE_WAY_S, self._arrive, runner, request, call)
+        self.reactor.callLater(ONE_WAY_S, self._arrive, target, request, call)
         return call
 
+    def _is_silent(self, address: str) -> bool:
+        return address in self.silent or self.cut == CutManner.HANG
+
     def is_refused(self, address: str) -> 'defer.Deferred[bool]':
         """Return whether no runner listens at an address."""
         done: defer.Deferred[bool] = defer.Deferred()
-        if address in self.silent:
+        if self._is_silent(address):
             self.reactor.callLater(CONNECT_TIMEOUT_S, done.callback, False)
             return done
-        is_refused = address not in self.runners
+        is_refused = address not in self.runners or self.cut is not None
         self.reactor.callLater(ONE_WAY_S, done.callback, is_refused)
         return done
 
     def _arrive(
-        self, runner: LabRunner, request: edge.HttpRequest, call: LabCall
+        self, target: LabRunner, request: edge.HttpRequest, call: LabCall
     ) -> None:
         if not call.is_over:
-            runner.serve(request, call)
+            target.serve(request, call)
 
 
 class ScriptedRunner(LabRunner):
