Have other hosts serve the callers of a host without runners

Cause: each host could serve only through runners that it reaches itself. Callers hold addresses, so that leaving the directory would not help.

A service whose runners took no connection, two in a row without an answer in between, is out of reach; its requests go whole to another host, over a port of its own between hosts, before anything else is tried. The caller's leaving, the time left and the runner's answer pass through.

Seven scenarios of hops (leaving callers, no second hop, damaged hops) are new.

--- a/features/hosts_without_runners.feature
+++ b/features/hosts_without_runners.feature
@@ -49,3 +49,30 @@
     Then from 3 s on, requests are refused at once, with a time to come back
     And no request has run twice, or was refused and has run
     And the cut hosts serve their callers themselves, 3 s after they have their runners back
+
+  Scenario: a caller leaves while another host serves it
+    Given 6 relay hosts and 4 runners of "stream" requests, luck 16
+    When callers send 24 requests a second for 6 s
+    And 3 hosts lose all runners and connections reset
+    And a caller of a cut host leaves after its first event
+    Then its runner hears of it within 0.1 s
+
+  Scenario: requests that other hosts hand over go no further
+    Given 6 relay hosts and 4 runners of "safe" requests, luck 17
+    When callers send 24 requests a second for 6 s
+    And 6 hosts lose all runners and connections reset
+    And a host is handed a request by another
+    Then it declines the request at once
+
+  Scenario Outline: a host declines a request that is handed over with <what>
+    Given 6 relay hosts and 4 runners of "safe" requests, luck 18
+    When a host is handed a request with <what>
+    Then it declines the request at once
+
+    Examples:
+      | what                          |
+      | a newer configuration         |
+      | no name of a host             |
+      | the name of a stranger        |
+      | no time left                  |
+      | a time that can't be read     |
--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -17,6 +17,7 @@
 TEMPLATE = ROOT / 'deploy' / 'host.yaml.template'
 INSIDE_FOLDER = pathlib.Path(__file__).parent / 'inside'
 PORTS = {'front': 18081, 'ready': 18082, 'directory': 18083, 'control': 18084}
+HAND_OVER_PORT = 18085
 GRACE_S = 8
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
@@ -62,6 +63,8 @@
             'node': self.name,
             'zone': self.zone,
             'region': 'here',
+            'ipAddress': self.ip_number,
+            'internalPorts.0': str(HAND_OVER_PORT),
             'seeds|json': json.dumps(seeds),
             'platform.address': self.store.address,
             'bounds.graceS': str(GRACE_S),
--- a/features/steps/hosts_without_runners_steps.py
+++ b/features/steps/hosts_without_runners_steps.py
@@ -175,3 +175,56 @@
         or b'retry-after' not in dict(first.headers)
     ]
     assert not slow, slow
+
+
+@when('a caller of a cut host leaves after its first event')
+def leave_after_event(context: Any) -> None:
+    """Let a stream begin at a helper, then close the caller's end."""
+    world = context.crash.world
+    asked = context.requests.send('leaver', 0)
+    exchange = asked.exchanges[0]
+    while not exchange.body:
+        world.run(0.01)
+    exchange.leave()
+    context.left_at = context.crash.clock.seconds()
+    context.leaver = request_id_of(exchange)
+    world.run(1.0)
+
+
+@then('its runner hears of it within {seconds:g} s')
+def check_heard(context: Any, seconds: float) -> None:
+    """Look at when the runner's connection closed."""
+    [arrival] = [
+        arrival
+        for runner in context.crash.world.runners
+        for arrival in runner.arrivals
+        if arrival.told['id'] == context.leaver
+    ]
+    assert arrival.closed_at is not None
+    assert arrival.closed_at - context.left_at <= seconds, arrival.closed_at
+
+
+@when('a host is handed a request by another')
+def hand_over(context: Any) -> None:
+    """Hand a sound request to a host that has no runner either."""
+    context.hop = context.crash.world.hand(3, {})
+
+
+@when('a host is handed a request with {what}')
+def hand_damaged(context: Any, what: str) -> None:
+    """Hand over a request whose hop is damaged or outdated."""
+    changed = {
+        'a newer configuration': {'version': '999999'},
+        'no name of a host': {'host': ''},
+        'the name of a stranger': {'host': 'stranger'},
+        'no time left': {'left-ms': '0'},
+        'a time that can\'t be read': {'left-ms': 'soon'},
+    }[what]
+    context.hop = context.crash.world.hand(3, changed)
+
+
+@then('it declines the request at once')
+def check_declined(context: Any) -> None:
+    """Look at the answer on the hop."""
+    context.crash.world.run(AT_ONCE_S)
+    assert context.hop.is_declined, context.hop
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -26,6 +26,8 @@
     'listen.ready': '10.0.0.1:82',
     'listen.directory': '10.0.0.1:83',
     'listen.control': '10.0.0.1:84',
+    'ipAddress': '10.0.0.1',
+    'internalPorts.0': '85',
     'seeds|json': '["10.0.0.2:84"]',
     'platform.address': STORE,
     'bounds.graceS': '8',
@@ -126,7 +128,9 @@
     assert settings.store == STORE
     assert settings.seeds == ['10.0.0.2:84']
     assert settings.retries.slack == 52
-    assert platform.host_options(settings).host.capacity == 0.4
+    host = platform.host_options(settings).host
+    assert host.capacity == 0.4
+    assert host.hand_over_address == '10.0.0.1:85'
 
 
 DEPLOY = pathlib.Path('deploy/system.toml')
--- a/features/support/host_hops.py
+++ b/features/support/host_hops.py
@@ -69,6 +69,7 @@
         super().__init__(clock, address, address, '')
         self.serve_exchange = serve_exchange
         self.hops = hops
+        self.exchanges: list[HopExchange] = []
 
     def serve(
         self, request: edge.HttpRequest, open_call: fakes.LabCall
@@ -76,10 +77,10 @@
         """Take a request that has arrived."""
         exchange = HopExchange(self.clock, request, open_call)
         self.hops.append(exchange)
+        self.exchanges.append(exchange)
         self.serve_exchange(exchange)
 
     def stop(self) -> None:
         """Break all open calls, as a process does that is killed."""
-        for exchange in self.hops:
-            if exchange.call.on_close == exchange.leave:
-                exchange.abort()
+        for exchange in self.exchanges:
+            exchange.abort()
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -366,6 +366,8 @@
             f'{base}:84',
             DOMAINS[index % len(DOMAINS)],
             'here',
+            1.0,
+            f'{base}:85',
         )
         options = edge.HostOptions(
             entry,
@@ -396,6 +398,12 @@
             self.ways.append(client)
         host.client = host.context.client = host.crashes.client = client
         host.stages.local_owner.client = client
+        host.reach_probe.client = client
+        assert host.context.hand_over is not None
+        host.context.hand_over.client = client
+        self.network.hosts[f'{base}:85'] = host_hops.HopPort(
+            self.clock, f'{base}:85', host._on_handed, self.hops
+        )
         links: Any = FakeLinks(self, entry.peer_address)
         host.peers = links
         if self.peer_network is not None:
@@ -435,6 +443,32 @@
         self.stop_for_good(index)
         for call in self.ways[index].runner_calls:
             call.cancel()
+        address = self.hosts[index].options.host.hand_over_address
+        port = self.network.hosts.pop(address)
+        assert isinstance(port, host_hops.HopPort)
+        port.stop()
+
+    def hand(self, index: int, changed: dict[str, str]) -> Any:
+        """Hand a request to a host as another one does; return the hop."""
+        hop = {'host': 'host-0', 'left-ms': '2000', 'version': '1'} | changed
+        headers = tuple(
+            (f'ragwort-{name}'.encode(), value.encode())
+            for name, value in hop.items()
+        )
+        facts = json.dumps({'request_id': 'h1', 'access_key': 'k1'})
+        request = edge.HttpRequest(
+            b'GET',
+            b'/safe/handed',
+            (
+                (b'host', b'one.example'),
+                (b'facts', facts.encode()),
+                *headers,
+            ),
+        )
+        address = self.hosts[index].options.host.hand_over_address
+        self.ways[0].open(address, request, edge.ResponseReader())
+        self.run(0.01)
+        return self.hops[-1]
 
     def stop_for_good(self, index: int) -> None:
         """Let a host lose power and never return."""
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -1,6 +1,7 @@
 """Network layer of an entry host that relays requests to runners."""
 
 from ragwort_edge._body import HeldBytes
+from ragwort_edge._client import AddressState
 from ragwort_edge._client import CallError
 from ragwort_edge._client import CallErrorKind
 from ragwort_edge._client import fetch
@@ -34,6 +35,7 @@
 
 __all__ = [
     'ADDRESS_TTL_S',
+    'AddressState',
     'CallError',
     'CallErrorKind',
     'configure_logs',
@@ -52,9 +54,9 @@
     'MainCall',
     'Metrics',
     'OpenCall',
+    'OriginService',
     'PieceReply',
     'PieceResult',
-    'OriginService',
     'RelayContext',
     'RelayHost',
     'RequestHandler',
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -37,6 +37,14 @@
     CANCELLED = 'cancelled'
 
 
+class AddressState(enum.StrEnum):
+    """What a new connection to an address met."""
+
+    OPEN = 'open'
+    REFUSED = 'refused'
+    SILENT = 'silent'
+
+
 class CallError(model.RagwortError):
     """Raise when a call ends without a complete response."""
 
@@ -51,7 +59,7 @@
 
     noisy = False
 
-    def __init__(self, done: 'defer.Deferred[bool]') -> None:
+    def __init__(self, done: 'defer.Deferred[AddressState]') -> None:
         self.done = done
 
     def buildProtocol(self, addr: Any) -> protocol.Protocol:  # noqa: N802
@@ -62,13 +70,14 @@
     def _close(self, checked: protocol.Protocol) -> None:
         assert checked.transport is not None
         checked.transport.loseConnection()
-        self.done.callback(False)
+        self.done.callback(AddressState.OPEN)
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: Any, reason: failure.Failure
     ) -> None:
+        is_refused = reason.check(error.ConnectionRefusedError) is not None
         self.done.callback(
-            reason.check(error.ConnectionRefusedError) is not None
+            AddressState.REFUSED if is_refused else AddressState.SILENT
         )
 
 
@@ -271,9 +280,9 @@
         )
         return OpenCall(factory, connector)
 
-    def is_refused(self, address: str) -> 'defer.Deferred[bool]':
-        """Return whether an address refuses connections; False if unclear."""
-        done: defer.Deferred[bool] = defer.Deferred()
+    def check(self, address: str) -> 'defer.Deferred[AddressState]':
+        """Open a connection to an address and close it again."""
+        done: defer.Deferred[AddressState] = defer.Deferred()
         host, port = model.split_address(address)
         self.reactor.connectTCP(
             host, port, _ConnectionCheck(done), CONNECT_TIMEOUT_S
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -6,6 +6,7 @@
 from ragwort_edge import _client
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
+from ragwort_edge import _hand_over
 from ragwort_edge import _metrics
 from ragwort_edge import _stage_service
 from ragwort_edge import _stream_origins
@@ -43,6 +44,7 @@
     metrics: _metrics.Metrics
     logger: Any
     failure_domain: str
+    hand_over: _hand_over.HandOver | None = None
 
     def refusal(
         self, reason: str, wait_s: float | None = None
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -22,6 +22,7 @@
         reactor: Any,
         client: _client.HttpClient,
         evidence: relay.CrashEvidence,
+        reach: relay.Reach,
         register: state.SuspectRegister,
         rng: random.Random,
         metrics: _metrics.Metrics,
@@ -31,6 +32,7 @@
         self.reactor = reactor
         self.client = client
         self.evidence = evidence
+        self.reach = reach
         self.register = register
         self.rng = rng
         self.metrics = metrics
@@ -75,7 +77,8 @@
         self._log(news, request_id)
         if incarnation in self.evidence.ended:
             return True
-        if not await self.client.is_refused(address):
+        state = await self.client.check(address)
+        if state != _client.AddressState.REFUSED:
             return False
         now = self.reactor.seconds()
         self._log(self.evidence.on_ended(incarnation, now), request_id)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -10,8 +10,10 @@
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
+from ragwort_edge import _hand_over
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
+from ragwort_edge import _reach_probe
 from ragwort_edge import _request_handler
 from ragwort_edge import _runner_limits
 from ragwort_edge import _runner_replies
@@ -191,6 +193,7 @@
             reactor,
             self.client,
             self.catalog.crash_evidence,
+            self.catalog.reach,
             self.parts,
             self.rng,
             self.metrics,
@@ -209,6 +212,12 @@
             self.metrics,
             logger,
             options.host.failure_domain,
+            _hand_over.HandOver(
+                reactor, self.client, self.members, self.rng, self.metrics
+            ),
+        )
+        self.reach_probe = _reach_probe.ReachProbe(
+            reactor, self.client, self.catalog, self.rng, logger
         )
         self.open_requests: set[_request_handler.RequestHandler] = set()
         self.caller_site = _server.Site(
@@ -243,6 +252,14 @@
                 self._on_invalid_request,
             )
             self._listen(address, site)
+        if options.host.hand_over_address:
+            site = _server.Site(
+                self.reactor,
+                self._hop_limits,
+                self._on_handed,
+                self._on_invalid_request,
+            )
+            self._listen(options.host.hand_over_address, site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
         )
@@ -334,6 +351,7 @@
         messages += self.crashes.messages(self.members, now)
         for message in messages:
             self._send_peer(message)
+        self.reach_probe.tick(now)
         self._watch(now)
         self._register(now)
         for call in self.crashes.store_calls(self.members, now):
@@ -570,7 +588,43 @@
         self.metrics.rejected.labels(status).inc()
         self.logger.info('request-invalid', status=status)
 
+    def _hop_limits(self) -> relay.CallerLimits:
+        limits = self._limits()
+        size = limits.header_bytes + _hand_over.MAX_HOP_HEADER_BYTES
+        return dataclasses.replace(limits, header_bytes=size)
+
+    def _on_handed(self, exchange: _server.Exchange) -> None:
+        """Serve a request for another host, or decline it."""
+        try:
+            hop, exchange.request = _hand_over.read_hop(exchange.request)
+        except model.InvalidInputError as error:
+            reason: str | None = str(error)
+        else:
+            reason = self._reason_to_decline(hop)
+        if reason is not None:
+            self.logger.info('hop-declined', reason=reason)
+            exchange.respond(_hand_over.decline(reason))
+            return
+        self._serve(exchange, hop)
+
+    def _reason_to_decline(self, hop: _hand_over.Hop) -> str | None:
+        """Return why this host serves nothing for another, None if it may."""
+        configuration = self.catalog.configuration
+        if not self.members.is_alive(hop.host):
+            return 'not from a member'
+        if configuration is None or not self.is_ready:
+            return 'not ready'
+        if configuration.version < hop.version:
+            return 'older configuration'
+        return None
+
     def _on_request(self, exchange: _server.Exchange) -> None:
+        self._serve(exchange, None)
+
+    def _serve(
+        self, exchange: _server.Exchange, hop: _hand_over.Hop | None
+    ) -> None:
+        """Route a request of a caller, or one that another host handed on."""
         configuration = self.catalog.configuration
         if configuration is None or not self.has_synced_state:
             self._reject(exchange, HTTP_UNAVAILABLE, 'no configuration yet')
@@ -581,6 +635,9 @@
         except model.InvalidInputError as error:
             self._reject(exchange, HTTP_BAD_REQUEST, str(error))
             return
+        if hop is not None:
+            left_s = min(hop.left_s, metadata.deadline_s or hop.left_s)
+            metadata = dataclasses.replace(metadata, deadline_s=left_s)
         host = (request.header(b'host') or b'').decode('latin-1').lower()
         name = host.rpartition(':')[0] if ':' in host else host
         route = configuration.find_route(name, request.path)
@@ -604,6 +661,7 @@
             workspace,
             configuration,
             self.open_requests.discard,
+            hop,
         )
         self.open_requests.add(handler)
         handler.start()
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -66,6 +66,12 @@
             'Parts of prompts that are kept from runners, which they crash',
             registry=self.registry,
         )
+        self.hops = prometheus.Counter(
+            'ragwort_hops',
+            'Requests handed to other hosts, by service and result',
+            ['service', 'result'],
+            registry=self.registry,
+        )
         self.silent_peer_connections = prometheus.Counter(
             'ragwort_silent_peer_connections',
             'Connections to hosts replaced since receipts were overdue',
--- /dev/null
+++ b/libs/ragwort_edge/ragwort_edge/_reach_probe.py
@@ -0,0 +1,71 @@
+"""Finds out whether services are out of reach, and when they are back."""
+
+import random
+from typing import Any
+
+from ragwort_edge import _client
+import ragwort_relay as relay
+
+# Interval between checks of each service while one is out of reach.
+PROBE_INTERVAL_S = 0.5
+
+
+class ReachProbe:
+    """Opens connections to runners while a service is out of reach.
+
+    A host that loses one service has likely lost others; it learns so before
+    their requests come.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        client: _client.HttpClient,
+        catalog: relay.RelayCatalog,
+        rng: random.Random,
+        logger: Any,
+    ) -> None:
+        """Start with all services in reach."""
+        self.reactor = reactor
+        self.client = client
+        self.catalog = catalog
+        self.rng = rng
+        self.logger = logger
+        self.lost: set[str] = set()
+        self.next_probe_at = 0.0
+
+    def tick(self, now: float) -> None:
+        """Log what has changed; check all services if one is lost."""
+        services = self.catalog.fleet.services()
+        lost = {s for s in services if self.catalog.is_lost(s)}
+        for service in sorted(lost ^ self.lost):
+            self.logger.warning(
+                'service-reach', service=service, in_reach=service not in lost
+            )
+        self.lost = lost
+        if not lost or now < self.next_probe_at:
+            return
+        self.next_probe_at = now + PROBE_INTERVAL_S
+        for service in sorted(services):
+            self._probe(service)
+
+    def _probe(self, service: str) -> None:
+        live = self.catalog.fleet.live_runners(service)
+        if not live:
+            return
+        runner = self.rng.choice(live)
+        checked = self.client.check(runner.address)
+        checked.addCallback(self._on_checked, runner)
+
+    def _on_checked(
+        self, state: _client.AddressState, runner: relay.FleetRunner
+    ) -> None:
+        reach = self.catalog.reach
+        service = runner.entry.runner.service
+        if state != _client.AddressState.OPEN:
+            if service not in self.lost:
+                reach.on_unreachable(runner)
+            return
+        reach.on_connected(service)
+        if service in self.lost:
+            self.catalog.fleet.end_backoffs(service, self.reactor.seconds())
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -9,6 +9,7 @@
 from ragwort_edge import _client
 from ragwort_edge import _context
 from ragwort_edge import _dialect
+from ragwort_edge import _hand_over
 from ragwort_edge import _messages
 from ragwort_edge import _request_stages
 from ragwort_edge import _runner_replies
@@ -58,8 +59,12 @@
         workspace: relay.Workspace | None,
         configuration: relay.RelayConfiguration,
         on_end: Callable[['RequestHandler'], None],
+        hop: _hand_over.Hop | None = None,
     ) -> None:
-        """Prepare to handle a request; start() begins."""
+        """Prepare to handle a request; start() begins.
+
+        hop is set if another host handed the request over.
+        """
         self.context = context
         self.exchange = exchange
         self.metadata = metadata
@@ -67,6 +72,8 @@
         self.workspace = workspace
         self.configuration = configuration
         self.on_end = on_end
+        self.hop = hop
+        self.helpers_asked = 0
         self.started_at = context.reactor.seconds()
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
@@ -169,6 +176,10 @@
         if self.attempts.ran:
             self._fail(HTTP_BAD_GATEWAY, reason)
             return
+        if self.hop is not None and self.context.catalog.is_lost(self.service):
+            self._log('declined', reason=reason)
+            self.exchange.respond(_hand_over.decline(reason))
+            return
         self._log('refused', reason=reason, retry_after_s=retry_after_s)
         self._respond_error(HTTP_UNAVAILABLE, retry_after_s, reason)
 
@@ -210,6 +221,11 @@
     # Steps of a request.
 
     async def _run(self) -> None:
+        self._refuse_deadly(self.service)
+        if self.hop is not None and self.context.hand_over is not None:
+            self.context.hand_over.on_asked(self.hop.host, self.service)
+        if await self._is_served_elsewhere():
+            return
         if self._is_take_up:
             await self._find_origin()
         service = self.service
@@ -286,6 +302,88 @@
             return self.context.failure_domain
         return runner.entry.runner.failure_domain
 
+    # Another host.
+
+    @property
+    def _may_be_handed_over(self) -> bool:
+        """Tell whether another host may serve this request from its start."""
+        if self.hop is not None or self.exchange.is_started:
+            return False
+        return self.route.may_repeat or not self.attempts.ran
+
+    async def _is_served_elsewhere(self) -> bool:
+        """Hand the request over if its service is out of reach here.
+
+        Return whether that ended it.
+        """
+        hand_over = self.context.hand_over
+        while (
+            hand_over is not None
+            and self._may_be_handed_over
+            and self.context.catalog.is_lost(self.service)
+        ):
+            helper = hand_over.choose(self.service, self.helpers_asked)
+            if helper is None:
+                return False
+            self.helpers_asked += 1
+            self.stages.release_all()
+            if await self._hand_to(hand_over, helper):
+                return True
+        return False
+
+    async def _hand_to(
+        self, hand_over: _hand_over.HandOver, helper: model.MemberUpdate
+    ) -> bool:
+        """Hand the request to one host; return whether that ended it."""
+        left_s = self.left_s()
+        hop = _hand_over.Hop(
+            hand_over.members.self_name, left_s, self.configuration.version
+        )
+        head_timeout_s = None
+        if self.route.may_repeat:
+            head_timeout_s = max(
+                MIN_SEND_TIMEOUT_S, left_s * SEND_TIMEOUT_SHARE
+            )
+        call = hand_over.open(
+            helper, self.service, self.exchange, hop, head_timeout_s
+        )
+        try:
+            result, detail = await call.done
+        except defer.CancelledError:
+            call.cancel()
+            self.attempts.ran += call.was_sent
+            raise
+        self.log_fields['helper'] = helper.name
+        if result == _hand_over.HopResult.ANSWERED:
+            self._log('handed-over')
+            return True
+        self.context.logger.info(
+            'hop-failed',
+            request=self.metadata.request_id,
+            service=self.service,
+            helper=helper.name,
+            result=result,
+            detail=detail,
+        )
+        if result == _hand_over.HopResult.BROKEN:
+            self._fail(HTTP_BAD_GATEWAY, detail)
+            return True
+        if result == _hand_over.HopResult.LOST:
+            return not self._may_repeat_hop(detail)
+        return False
+
+    def _may_repeat_hop(self, detail: str) -> bool:
+        """Tell whether a request may go on that may have run elsewhere."""
+        lost = relay.SendResult.LOST
+        self.attempts.on_result(lost)
+        now = self.context.reactor.seconds()
+        if self.attempts.may_send_again(lost, self.left_s()) and (
+            self.context.budget.take(self.service, now)
+        ):
+            return True
+        self._fail(HTTP_BAD_GATEWAY, detail)
+        return False
+
     # Main call.
 
     def _choose_runner(
@@ -294,6 +392,9 @@
         context = self.context
         now = context.reactor.seconds()
         sendable = context.catalog.sendable(service, now, self.origin)
+        if context.hand_over is not None and context.catalog.is_lost(service):
+            reach = context.catalog.reach
+            sendable = [r for r in sendable if not reach.has_failed(r)]
         candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
@@ -365,6 +466,8 @@
             relay.SendResult.BROKEN: model.CallFailure.LOST,
         }
         failure = failures.get(send.result)
+        if send.result == relay.SendResult.NOT_SENT:
+            self.context.catalog.reach.on_unreachable(runner)
         if failure is not None:
             runner.state.on_failure(failure, now)
             self.context.logger.info(
@@ -379,7 +482,7 @@
 
     async def _run_plain(self, service: str) -> None:
         tried: set[str] = set()
-        while True:
+        while not await self._is_served_elsewhere():
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
             send = await self._send_plain(service, runner)
@@ -578,7 +681,7 @@
     async def _run_stream(self, service: str) -> None:
         progress = relay.StreamProgress(self.metadata.last_event)
         tried: set[str] = set()
-        while True:
+        while not await self._is_served_elsewhere():
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
             send = await self._send_stream(runner, progress)
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -23,8 +23,9 @@
     """Record what a runner's answer says of its limit, leaving and pause.
 
     Every reader of an answer calls this. An answer that another runner at
-    the same address gave says nothing.
+    the same address gave says nothing but that runners are in reach.
     """
+    catalog.reach.on_answer(runner, now)
     if reply.is_misdirected:
         return
     if reply.is_leaving and catalog.departure_news.on_answer(runner, now):
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -349,14 +349,15 @@
     def _is_silent(self, address: str) -> bool:
         return address in self.silent or self.cut == CutManner.HANG
 
-    def is_refused(self, address: str) -> 'defer.Deferred[bool]':
-        """Return whether no runner listens at an address."""
-        done: defer.Deferred[bool] = defer.Deferred()
+    def check(self, address: str) -> 'defer.Deferred[edge.AddressState]':
+        """Return what a connection to a runner's address meets."""
+        done: defer.Deferred[edge.AddressState] = defer.Deferred()
+        state, delay_s = edge.AddressState.OPEN, ONE_WAY_S
         if self._is_silent(address):
-            self.reactor.callLater(CONNECT_TIMEOUT_S, done.callback, False)
-            return done
-        is_refused = address not in self.runners or self.cut is not None
-        self.reactor.callLater(ONE_WAY_S, done.callback, is_refused)
+            state, delay_s = edge.AddressState.SILENT, CONNECT_TIMEOUT_S
+        elif address not in self.runners or self.cut is not None:
+            state = edge.AddressState.REFUSED
+        self.reactor.callLater(delay_s, done.callback, state)
         return done
 
     def _arrive(
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -94,6 +94,7 @@
             self.clock,
             client,
             catalog.crash_evidence,
+            catalog.reach,
             state.SuspectRegister(state.StoreEra(), self.rng, 0.0),
             self.rng,
             metrics,
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -101,6 +101,7 @@
             host.region,
             False,
             host.capacity,
+            host.hand_over_address,
         )
         self.members: dict[str, Member] = {host.name: Member(own, now)}
         self.by_address: dict[str, str] = {host.peer_address: host.name}
--- a/libs/ragwort_model/ragwort_model/_domain.py
+++ b/libs/ragwort_model/ragwort_model/_domain.py
@@ -99,7 +99,8 @@
     """An entry host and the addresses that it listens on.
 
     capacity is relative to a host with one core and a link of matching
-    bandwidth.
+    bandwidth. hand_over_address takes requests from other hosts; it is empty
+    if the host takes none.
     """
 
     name: str
@@ -108,6 +109,7 @@
     failure_domain: str
     region: str
     capacity: float = 1.0
+    hand_over_address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -32,7 +32,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberUpdate:
-    """State of a node as seen by the sender; capacity as in EntryHost."""
+    """State of a node as seen by the sender.
+
+    capacity and hand_over_address are as in EntryHost.
+    """
 
     name: str
     incarnation: int
@@ -43,6 +46,7 @@
     region: str
     accepting: bool
     capacity: float = 1.0
+    hand_over_address: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -18,6 +18,7 @@
 from ragwort_relay._budget import WindowCounter
 from ragwort_relay._catalog import ObjectDecoder
 from ragwort_relay._catalog import RelayCatalog
+from ragwort_relay._crash_evidence import BREAK_TTL_S
 from ragwort_relay._crash_evidence import CrashEvidence
 from ragwort_relay._crash_evidence import is_sound_news
 from ragwort_relay._departures import DepartureNews
@@ -27,6 +28,7 @@
 from ragwort_relay._fleet import Fleet
 from ragwort_relay._fleet import FleetRunner
 from ragwort_relay._fleet import RunnerEntry
+from ragwort_relay._helpers import Helpers
 from ragwort_relay._limits import RateLimits
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import SLACK_PER_RANK_S
@@ -42,6 +44,7 @@
 from ragwort_relay._prompts import choose_by_load
 from ragwort_relay._prompts import choose_by_prompt_cache
 from ragwort_relay._prompts import PromptCacheIndex
+from ragwort_relay._reach import Reach
 from ragwort_relay._routes import BatchLimits
 from ragwort_relay._routes import CallerLimits
 from ragwort_relay._routes import CallKind
@@ -67,6 +70,7 @@
     'admit',
     'Attempts',
     'BatchCall',
+    'BREAK_TTL_S',
     'Batcher',
     'BatchLimits',
     'CallerLimits',
@@ -82,6 +86,7 @@
     'FleetRunner',
     'forecast',
     'Forecast',
+    'Helpers',
     'Home',
     'is_sound_news',
     'next_step',
@@ -97,6 +102,7 @@
     'QueueWait',
     'QueueWaits',
     'RateLimits',
+    'Reach',
     'RelayCatalog',
     'RelayConfiguration',
     'retry_after_s',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -10,6 +10,7 @@
 from ragwort_relay import _origins
 from ragwort_relay import _pauses
 from ragwort_relay import _prompts
+from ragwort_relay import _reach
 from ragwort_relay import _routes
 from ragwort_relay import _sharing
 
@@ -50,6 +51,7 @@
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
         self.pauses = _pauses.Pauses()
+        self.reach = _reach.Reach()
         self.crash_evidence = _crash_evidence.CrashEvidence()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
@@ -132,6 +134,13 @@
         usable = self.usable(service, now, origin)
         return not usable or self.send_wait_s(service, now, origin) is not None
 
+    def is_lost(self, service: str) -> bool:
+        """Tell whether this host reaches no runner of a service.
+
+        All of the runners may as well have ended.
+        """
+        return self.reach.is_lost(service, self.fleet.live_runners(service))
+
     def limited_count(self, now: float) -> int:
         """Return how many runners name a limit."""
         found = [self.fleet.runners.get(n) for n in self.rate_limits.limits]
@@ -184,6 +193,8 @@
                 # Its entry is gone, or that of a later start.
                 incarnation = (before.name, before.entry.started_ms)
                 self.crash_evidence.on_ended(incarnation, self.now)
+            if known is not None and known is not before:
+                self.reach.on_started(known)
             if known is not None:
                 self.stream_origins.observe([known], self.now)
             if item.name not in self.fleet.runners:
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -232,6 +232,16 @@
         confirmed = [r for r in found if r.unconfirmed_until is None]
         return confirmed or found
 
+    def services(self) -> set[str]:
+        """Return the services that have runners."""
+        return {r.entry.runner.service for r in self.runners.values()}
+
+    def end_backoffs(self, service: str, now: float) -> None:
+        """Use a service's runners again that were left alone for a time."""
+        for runner in self.live_runners(service):
+            state = runner.state
+            state.backoff_until = min(state.backoff_until, now)
+
     def live_runners(self, service: str) -> list[FleetRunner]:
         """Return all runners of a service that are not leaving."""
         return [
--- /dev/null
+++ b/libs/ragwort_relay/ragwort_relay/_helpers.py
@@ -0,0 +1,87 @@
+"""Which other host serves a request that this one can't.
+
+Load pattern: some hosts, or most, lose their runners; the others serve the
+callers of all. Helpers that decline are left alone for a while, and the load
+is spread by their capacity and by what was handed to each.
+"""
+
+import collections
+from collections.abc import Sequence
+import math
+import random
+
+import ragwort_model as model
+
+# Time for which a host that declined is not asked again for the service.
+DECLINED_S = 1.0
+# Hosts that are asked for one request, and while it is likely that none can
+# serve it: some have declined, and none has served one for a while.
+MAX_ASKED = 3
+MAX_ASKED_IN_VAIN = 1
+SERVED_S = 5.0
+# Hosts compared to choose the less loaded one.
+CHOICES = 2
+
+
+class Helpers:
+    """The hosts that take requests from this one."""
+
+    def __init__(self) -> None:
+        """Start with no request handed over."""
+        self.declined_until: dict[tuple[str, str], float] = {}
+        self.open_counts: collections.Counter[str] = collections.Counter()
+        self.served_at: dict[str, float] = {}
+
+    def may_ask(self, service: str, asked: int, now: float) -> bool:
+        """Tell whether one more host is asked for a request."""
+        if asked < MAX_ASKED_IN_VAIN:
+            return True
+        has_served = self.served_at.get(service, -math.inf) > now - SERVED_S
+        has_declined = any(
+            name == service and until > now
+            for (_, name), until in self.declined_until.items()
+        )
+        return asked < MAX_ASKED and (has_served or not has_declined)
+
+    def choose(
+        self,
+        service: str,
+        hosts: Sequence[model.MemberUpdate],
+        rng: random.Random,
+        now: float,
+    ) -> model.MemberUpdate | None:
+        """Return a host to ask, None if all have declined lately."""
+        found = [
+            host
+            for host in hosts
+            if self.declined_until.get((host.name, service), 0.0) <= now
+        ]
+        if not found:
+            return None
+        weights = [host.capacity for host in found]
+        drawn = rng.choices(found, weights, k=CHOICES)
+        return min(drawn, key=self._load)
+
+    def _load(self, host: model.MemberUpdate) -> float:
+        return (self.open_counts[host.name] + 1) / host.capacity
+
+    def on_open(self, host: str) -> None:
+        """Count a request that is handed to a host."""
+        self.open_counts[host] += 1
+
+    def on_end(self, host: str) -> None:
+        """Count the end of a request that was handed to a host."""
+        self.open_counts[host] -= 1
+        if self.open_counts[host] <= 0:
+            del self.open_counts[host]
+
+    def on_served(self, service: str, now: float) -> None:
+        """Record that a host has served a request of a service."""
+        self.served_at[service] = now
+
+    def on_declined(self, host: str, service: str, now: float) -> None:
+        """Leave a host alone that serves the service no better."""
+        for key, until in list(self.declined_until.items()):
+            if until <= now:
+                del self.declined_until[key]
+        self.declined_until[host, service] = now + DECLINED_S
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -11,6 +11,7 @@
   7: string region
   8: bool accepting
   9: double capacity = 1.0
+  10: string hand_over_address = ""
 }
 
 struct Ping {
