Give stage work back to other hosts when its owner reaches no runner

Cause: an owner was left only if it did not acknowledge; one that acknowledges and then fails each call kept the work of all hosts.

An owner whose service is out of reach declines groups at once and gives back those that it has queued; the asking host takes the next one. Its own groups go to the next owner, too, and it counts as no owner of its own requests.

--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -29,6 +29,7 @@
 # Interval of dispatches while pieces stay queued.
 DISPATCH_INTERVAL_S = 0.05
 
+OnGivenBack = Callable[[str], bool]
 OnOutcomes = Callable[[str, list[model.PieceOutcome]], None]
 
 
@@ -59,8 +60,12 @@
         waits: relay.QueueWaits,
         send_peer: Callable[[model.SendPeerMessage], None],
         on_outcomes: OnOutcomes,
+        on_given_back: OnGivenBack,
     ) -> None:
-        """Pass the outcomes of this host's own groups to on_outcomes."""
+        """Pass the outcomes of this host's own groups to on_outcomes.
+
+        on_given_back finds another owner for such a group, if there is one.
+        """
         self.reactor = reactor
         self.client = client
         self.dialect = dialect
@@ -72,6 +77,7 @@
         self.choose_timely: relay.ChooseTimely = relay.timely_groups
         self.send_peer = send_peer
         self.on_outcomes = on_outcomes
+        self.on_given_back = on_given_back
         self.owned: dict[str, _OwnedGroup] = {}
         self.finished: collections.OrderedDict[str, _OwnedGroup] = (
             collections.OrderedDict()
@@ -116,6 +122,11 @@
     def on_ask(self, sender: str, message: model.StageAsk) -> None:
         """Acknowledge another host's group; queue it if it is new."""
         now = self.reactor.seconds()
+        if message.group not in self.owned and (
+            self.catalog.is_lost(message.service_name)
+        ):
+            self._decline(sender, message.group, message.service_name)
+            return
         waits = self._known_waits(message.service_name)
         taken = model.StageTaken(message.group, waits)
         self.send_peer(model.SendPeerMessage(sender, taken))
@@ -143,6 +154,24 @@
         )
         self.enqueue(message.service_name, group, sender)
 
+    def _decline(self, sender: str, group: str, service: str) -> None:
+        declined = model.StageDeclined(group, service)
+        self.send_peer(model.SendPeerMessage(sender, declined))
+
+    def _give_back(self, service: str) -> None:
+        """Let other hosts own the groups of a service out of reach."""
+        batcher = self._batcher(service)
+        for group_id, owned in list(self.owned.items()):
+            if owned.service != service:
+                continue
+            if owned.origin is not None:
+                self._decline(owned.origin, group_id, service)
+            elif not self.on_given_back(group_id):
+                continue
+            del self.owned[group_id]
+            if batcher is not None:
+                batcher.drop(group_id)
+
     def on_drop(self, message: model.StageDrop) -> None:
         """Drop a cancelled group."""
         self.owned.pop(message.group, None)
@@ -444,6 +473,7 @@
         error_kind = failure.value.kind
         if error_kind == _client.CallErrorKind.NOT_CONNECTED:
             kind = model.CallFailure.UNREACHABLE
+            self.catalog.reach.on_unreachable(call.runner)
         elif error_kind == _client.CallErrorKind.CANCELLED:
             kind = model.CallFailure.SILENT
             call.runner.slowness = min(call.runner.slowness * 2, 16.0)
@@ -469,6 +499,8 @@
             pieces=len(call.pieces),
             reason=reason,
         )
+        if self.catalog.is_lost(service):
+            self._give_back(service)
         wanted = [p for p in call.pieces if p.group.group_id in self.owned]
         self._requeue(service, batcher, wanted, reason)
         self.schedule_dispatch(service, 0.0)
@@ -561,13 +593,12 @@
                 _body.MAX_REPORT_BYTES,
             )
             # A result that is not freed expires after a few seconds.
-            done.addErrback(
-                lambda failure: self.logger.info(
-                    'release-failed', detail=failure.getErrorMessage()
-                )
-            )
+            done.addErrback(self._on_release_error)
             done.addCallback(self._on_released, handles, runner, now)
 
+    def _on_release_error(self, failure: Any) -> None:
+        self.logger.info('release-failed', detail=failure.getErrorMessage())
+
     def _on_released(
         self,
         response: _messages.HttpResponse | None,
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -87,6 +87,7 @@
             self.waits,
             send_peer,
             self._on_outcomes,
+            self._on_given_back,
         )
         self.group_numbers = itertools.count(1)
         # Wall time, as the steady clock may repeat values after a restart.
@@ -112,9 +113,12 @@
                 self.local_owner.update_wait(service)
 
     def _choose_owner(self, service: str) -> str | None:
-        """Return the first candidate not avoided, None for this host."""
+        """Return the first candidate that may serve, None for this host."""
+        is_lost = self.catalog.is_lost(service)
         for owner in self.owner_candidates(service):
-            if owner is None or not self._is_avoided(owner):
+            if owner is None and not is_lost:
+                return None
+            if owner is not None and not self._is_avoided(owner):
                 return owner
         return None
 
@@ -209,21 +213,52 @@
             return
         owner = pending.owner
         pending.timer = None
-        self.avoided_owners[owner] = self.reactor.seconds() + AVOID_OWNER_S
+        self._log_owner('stage-owner-timeout', pending)
+        drop = model.StageDrop(group_id, pending.service)
+        self.send_peer(model.SendPeerMessage(owner, drop, True))
+        self._avoid_owner(pending, owner)
+
+    def _log_owner(self, event: str, pending: _PendingGroup) -> None:
         self.logger.warning(
-            'stage-owner-timeout',
+            event,
             service=pending.service,
-            owner=owner,
+            owner=pending.owner or self.name,
             request=pending.group.work[0].request_id,
         )
-        drop = model.StageDrop(group_id, pending.service)
-        self.send_peer(model.SendPeerMessage(owner, drop, True))
+
+    def _avoid_owner(self, pending: _PendingGroup, owner: str) -> None:
+        """Leave an owner alone for a while and ask the next one."""
+        self.avoided_owners[owner] = self.reactor.seconds() + AVOID_OWNER_S
         next_owner = self._choose_owner(pending.service)
         if next_owner is None:
             self._enqueue_here(pending)
         else:
             self._send_to_owner(pending, next_owner)
 
+    def on_declined(self, sender: str, message: model.StageDeclined) -> None:
+        """Ask another owner for a group that its owner gives back."""
+        pending = self.pending.get(message.group)
+        if pending is None or pending.owner != sender:
+            return
+        self._stop_timer(pending)
+        self._log_owner('stage-owner-declined', pending)
+        self._avoid_owner(pending, sender)
+
+    def _on_given_back(self, group_id: str) -> bool:
+        """Find another owner for a group of this host's own requests.
+
+        Return whether there is one.
+        """
+        pending = self.pending.get(group_id)
+        if pending is None:
+            return True
+        next_owner = self._choose_owner(pending.service)
+        if next_owner is None:
+            return False
+        self._log_owner('stage-owner-declined', pending)
+        self._send_to_owner(pending, next_owner)
+        return True
+
     def _enqueue_here(self, pending: _PendingGroup) -> None:
         pending.owner = None
         group = pending.group
@@ -239,6 +274,8 @@
                 self.on_taken(message)
             case model.StageReply():
                 self.on_reply(message)
+            case model.StageDeclined():
+                self.on_declined(sender, message)
             case model.StageDrop():
                 self.local_owner.on_drop(message)
             case model.StageRelease():
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -73,6 +73,7 @@
 from ragwort_model._peer import SendPeerMessage
 from ragwort_model._peer import ServiceWait
 from ragwort_model._peer import StageAsk
+from ragwort_model._peer import StageDeclined
 from ragwort_model._peer import StageDrop
 from ragwort_model._peer import StageRelease
 from ragwort_model._peer import StageReply
@@ -226,6 +227,7 @@
     'StageAsk',
     'StageCall',
     'StageChunk',
+    'StageDeclined',
     'StageDrop',
     'StageEnd',
     'StageFailed',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -259,6 +259,14 @@
     service_name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageDeclined:
+    """A group that its owner gives back, as it reaches no runner."""
+
+    group: str
+    service_name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageRelease:
     """Free results that were read."""
@@ -409,6 +417,7 @@
     | StageReply
     | StageDrop
     | StageRelease
+    | StageDeclined
     | RunnerLimits
     | StreamsBegan
     | StreamQuestion
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -150,6 +150,11 @@
   2: string service_name
 }
 
+struct StageDeclined {
+  1: string group
+  2: string service_name
+}
+
 struct StageRelease {
   1: string service_name
   2: list<string> handles
@@ -256,4 +261,5 @@
   30: optional StreamAnswer stream_answer
   31: optional RunnersLeaving runners_leaving
   32: optional CrashNews crash_news
+  33: optional StageDeclined stage_declined
 }
