Take refused connections for a runner's end only beside other answers

Cause: one refused connection after a broken call was proof of a runner's end, though a host without runners is refused by all of them.

The proof now needs an answer of another runner to this host after the break, and a second refusal after that; until then the call is only not repeated.

--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -1,6 +1,7 @@
 """Evidence of what crashes runners, from calls and peers."""
 
 from collections.abc import Iterable
+import dataclasses
 import random
 from typing import Any
 
@@ -14,6 +15,14 @@
 SUSPECT_WRITER_ROLE = 'suspect-writer'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Refusal:
+    """A runner that broke a call and then refused connections."""
+
+    runner: relay.FleetRunner
+    at: float
+
+
 class CrashWatch:
     """Learns from broken calls and from other hosts, and tells them."""
 
@@ -33,6 +42,7 @@
         self.client = client
         self.evidence = evidence
         self.reach = reach
+        self.unproved: dict[tuple[str, int], _Refusal] = {}
         self.register = register
         self.rng = rng
         self.metrics = metrics
@@ -66,9 +76,9 @@
         sent_at: float,
         request_id: str,
     ) -> bool:
-        """Tell whether a call broke because its runner has ended.
+        """Tell whether a call broke as its runner refuses connections.
 
-        A runner that refuses connections has ended.
+        Such a runner has ended, unless this host has lost all of them.
         """
         incarnation = (runner.name, runner.entry.started_ms)
         address = runner.address
@@ -80,10 +90,26 @@
         state = await self.client.check(address)
         if state != _client.AddressState.REFUSED:
             return False
-        now = self.reactor.seconds()
-        self._log(self.evidence.on_ended(incarnation, now), request_id)
+        self.unproved.setdefault(incarnation, _Refusal(runner, now))
         return True
 
+    def tick(self, now: float) -> None:
+        """Look again at runners that refused, once another one answers."""
+        for incarnation, refusal in list(self.unproved.items()):
+            if now >= refusal.at + relay.BREAK_TTL_S:
+                del self.unproved[incarnation]
+            elif self.reach.answered_at > refusal.at:
+                del self.unproved[incarnation]
+                checked = self.client.check(refusal.runner.address)
+                checked.addCallback(self._on_checked, incarnation)
+
+    def _on_checked(
+        self, state: _client.AddressState, incarnation: tuple[str, int]
+    ) -> None:
+        if state == _client.AddressState.REFUSED:
+            now = self.reactor.seconds()
+            self._log(self.evidence.on_ended(incarnation, now), None)
+
     def _log(
         self, crashes: Iterable[model.SuspectCrash], request_id: str | None
     ) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -352,6 +352,7 @@
         for message in messages:
             self._send_peer(message)
         self.reach_probe.tick(now)
+        self.crashes.tick(now)
         self._watch(now)
         self._register(now)
         for call in self.crashes.store_calls(self.members, now):
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -303,15 +303,15 @@
     def is_doubtful(self, service: str, suspects: _suspects.Suspects) -> bool:
         """Tell whether a request should not be repeated after a crash.
 
-        That is so if a suspect has crashed two runners, or one and never led
-        to an answer.
+        That is so if a suspect has crashed another runner before, or never
+        led to an answer.
         """
         for name in suspects.names():
             key = (service, name)
             record = self.records.get(key)
-            if record is None:
-                continue
-            if record.in_turn() > 1 or self.answered_at(key) == -math.inf:
+            if self.answered_at(key) == -math.inf:
+                return True
+            if record is not None and record.in_turn() > 1:
                 return True
         return False
 
