Teach the soak hosts that lose their runners, and a deadly request

The soak's hosts can now be cut off from all runners in three manners (the module inside a host connects to a dead end, refuses, or breaks what it receives), and its runners crash on a request that comes again and again. Two promises check what callers and runners saw, each shown to fail.

--- a/features/hosts_without_runners.feature
+++ b/features/hosts_without_runners.feature
@@ -75,4 +75,5 @@
       | no name of a host             |
       | the name of a stranger        |
       | no time left                  |
+      | a key that was taken since    |
       | a time that can't be read     |
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -24,6 +24,14 @@
     When the soak plays seed 4 with 4 hosts, a deadly part and 12 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes with a request that crashes runners
+    When the soak plays seed 6 with 4 hosts, a deadly request and 12 s of faults
+    Then it ends well and says that all promises were kept
+
+  Scenario: a short run of real processes of which some lose all runners
+    When the soak plays seed 8 with 4 hosts, lost runners and 12 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -53,6 +61,8 @@
       | drain        | a leaving runner that gets more         |
       | pause        | a paused runner that gets three requests |
       | deadly       | a part that goes on crashing runners    |
+      | same-request | a request that goes on crashing runners |
+      | stranded     | a host without runners that serves nobody |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -16,6 +16,8 @@
     severed: bool = False,
     notices: bool = False,
     deadly: bool = False,
+    same: bool = False,
+    stranded: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -29,6 +31,8 @@
         severed,
         notices,
         deadly,
+        same,
+        stranded,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -92,12 +92,14 @@
         keeps_connections: bool,
         takes_up: bool = False,
         has_deadly: bool = False,
+        has_same: bool = False,
     ) -> None:
         """Bind to what chooses hosts and keys.
 
         A caller that keeps its connections closes none by itself; one that
         takes up goes on with a stream that broke. With has_deadly some streams
-        have a part in their prompts that crashes runners.
+        have a part in their prompts that crashes runners, with has_same some
+        requests are the same one, which crashes them.
         """
         self.reactor = reactor
         self.rng = rng
@@ -107,6 +109,7 @@
         self.keeps_connections = keeps_connections
         self.takes_up = takes_up
         self.has_deadly = has_deadly
+        self.has_same = has_same
         self.broken: ledger.Outcome | None = None
         self.connection: _Connection | None = None
         self.host: hosts.HostProcess | None = None
@@ -201,9 +204,14 @@
                 ('resumes', broken.first_attempt),
                 ('last-event-id', str(self.outcome.last_event)),
             ]
-        request = h11.Request(
-            method=method, target=prefix + request_id, headers=headers
-        )
+        target = prefix + request_id
+        if (
+            kind == 'safe'
+            and self.has_same
+            and (self.rng.random() < DEADLY_SHARE)
+        ):
+            target = runners.DEADLY_PATH
+        request = h11.Request(method=method, target=target, headers=headers)
         connection.send(request, body)
         self.timer = self.reactor.callLater(
             DEADLINE_S, self._on_deadline, self.outcome
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -33,6 +33,9 @@
 SILENT_PEERS = 'silent-peers'
 QUIET_LEAVE = 'runner-leaves-quietly'
 PAUSE = 'runner-pause'
+STRANDED = 'hosts-without-runners'
+STRANDED_S = (6.0, 9.0)
+STRANDING_MANNERS = ('hang', 'reset', 'refuse')
 CUT_PEERS = 'cut-peers'
 # Shares of the hosts, and of their connections to others, that fall silent.
 SILENT_HOSTS = (0.4, 1.0)
@@ -435,6 +438,28 @@
     return Begun('none', heal)
 
 
+def _strand_hosts(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Let some hosts, but not all, lose all runners for a while."""
+    count = rng.randint(1, max(len(whole.hosts) - 1, 1))
+    chosen = rng.sample(whole.hosts, count)
+    manner = rng.choice(STRANDING_MANNERS)
+    now = whole.reactor.seconds()
+    found = [
+        ledger.Disturbance(STRANDED, host.name, now, math.inf)
+        for host in chosen
+    ]
+    whole.records.strandings += found
+    for host in chosen:
+        host.cut_off(manner, whole.dead_end.address)
+
+    def heal() -> None:
+        for host, stranding in zip(chosen, found, strict=True):
+            host.cut_off('', '')
+            stranding.until = whole.reactor.seconds()
+
+    return Begun('none', heal)
+
+
 def _leave_quietly(whole: system.SoakSystem, rng: random.Random) -> Begun:
     """Have a runner say in its answers alone that it leaves."""
     runner = rng.choice([r for r in whole.runners if r.is_up] or whole.runners)
@@ -459,6 +484,7 @@
 EXTRA_FAULTS[PAUSE] = _pause_runners
 EXTRA_FAULTS[SILENT_PEERS] = _silence_peers
 EXTRA_FAULTS[CUT_PEERS] = _cut_peers
+EXTRA_FAULTS[STRANDED] = _strand_hosts
 EXTRA_FAULTS[RESTORE] = _restore_store
 EXTRA_FAULTS[LIMIT] = _limit_runners
 
@@ -499,6 +525,12 @@
     return [*silences, Planned(CUT_PEERS, cut_at, rng.uniform(*CUT_S))]
 
 
+def draw_strandings(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return a moment at which hosts lose all runners."""
+    at = rng.uniform(0.0, max(length_s - max(STRANDED_S), 0.0))
+    return [Planned(STRANDED, at, rng.uniform(*STRANDED_S))]
+
+
 def draw_notices(rng: random.Random, length_s: float) -> list[Planned]:
     """Return runners that leave quietly and such that ask for pauses."""
     leaves = [
--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -44,6 +44,7 @@
         self.folder = folder
         self.clock_file = folder / f'{self.name}.clock'
         self.silence_file = folder / f'{self.name}.silence'
+        self.cut_file = folder / f'{self.name}.cut'
         self.silence_orders = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.reactor = reactor
@@ -94,6 +95,8 @@
             'SOAK_CLOCK_FILE': str(self.clock_file),
             'SOAK_SILENCE_FILE': str(self.silence_file),
             'SOAK_PEER_PORT': str(PORTS['control']),
+            'SOAK_CUT_FILE': str(self.cut_file),
+            'SOAK_STORE': self.store.address,
             'PYTHONPATH': f'{ROOT / "platform"}:{INSIDE_FOLDER}',
         }
         self.is_paused = self.is_leaving = False
@@ -143,6 +146,13 @@
         temporary.write_text(text)
         temporary.replace(self.silence_file)
 
+    def cut_off(self, manner: str, dead_end: str) -> None:
+        """Cut the host off from all runners; an empty manner heals that."""
+        text = f'{manner} {dead_end}' if manner else ''
+        temporary = self.cut_file.with_suffix('.new')
+        temporary.write_text(text)
+        temporary.replace(self.cut_file)
+
     def end(self) -> None:
         """End the process for good and reap it."""
         if self.process is not None:
--- a/features/soak/inside/sitecustomize.py
+++ b/features/soak/inside/sitecustomize.py
@@ -5,6 +5,7 @@
 listens on the address that its peers know, so that no proxy fits in between.
 """
 
+import errno
 import os
 import pathlib
 import random
@@ -16,12 +17,17 @@
 _clock_file = pathlib.Path(os.environ['SOAK_CLOCK_FILE'])
 _silence_file = pathlib.Path(os.environ['SOAK_SILENCE_FILE'])
 _peer_port = int(os.environ['SOAK_PEER_PORT'])
+_cut_file = pathlib.Path(os.environ['SOAK_CUT_FILE'])
+_store_end = os.environ['SOAK_STORE']
 # Interval at which the file about silence is read.
 _LOOK_S = 0.05
 
 _real_time = time.time
 _real_send = socket.socket.send
 _real_recv = socket.socket.recv
+_real_connect = socket.socket.connect_ex
+# Runners listen on this number, as does the store.
+_RUNNERS_IP = '127.0.0.1'
 
 
 def _stepped_time() -> float:
@@ -89,6 +95,71 @@
 _silence = _Silence()
 
 
+class _Cut:
+    """What becomes of connections to runners, as a file says.
+
+    The file holds the manner and an address that answers nothing, or nothing
+    while the runners are in reach.
+    """
+
+    def __init__(self) -> None:
+        self.manner = ''
+        self.dead_end = ''
+        self.read_at = 0.0
+        # Connections to runners, and whether the cut has ended each.
+        self.runners: weakref.WeakKeyDictionary[Any, bool] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def _read(self) -> None:
+        now = time.monotonic()
+        if now < self.read_at + _LOOK_S:
+            return
+        self.read_at = now
+        try:
+            text = _cut_file.read_text()
+        except OSError:
+            text = ''
+        self.manner, _, self.dead_end = text.partition(' ')
+
+    def connect(self, connection: socket.socket, address: Any) -> int:
+        """Connect to a runner, or not."""
+        self._read()
+        if self.manner in ('reset', 'refuse'):
+            return errno.ECONNREFUSED
+        if self.manner == 'hang':
+            name, _, port = self.dead_end.partition(':')
+            return _real_connect(connection, (name, int(port)))
+        self.runners[connection] = False
+        return _real_connect(connection, address)
+
+    def check(self, connection: socket.socket) -> None:
+        """Raise what a receiver meets on a connection that is cut."""
+        if connection not in self.runners:
+            return
+        self._read()
+        if self.manner in ('reset', 'hang'):
+            self.runners[connection] = True
+        if not self.runners[connection]:
+            return
+        if self.manner == 'hang':
+            raise BlockingIOError
+        raise ConnectionResetError(errno.ECONNRESET, 'cut off')
+
+
+_cut = _Cut()
+
+
+def _connect(self: socket.socket, address: Any) -> int:
+    """Open a connection; the way to runners may be cut."""
+    is_runner = address[0] == _RUNNERS_IP and (
+        f'{address[0]}:{address[1]}' != _store_end
+    )
+    if is_runner:
+        return _cut.connect(self, address)
+    return _real_connect(self, address)
+
+
 def _send(self: socket.socket, data: Any, *flags: int) -> int:
     """Send bytes, or lose them."""
     if _silence.covers(self):
@@ -99,6 +170,7 @@
 def _recv(self: socket.socket, size: int, *flags: int) -> bytes:
     """Receive bytes, or lose them; an end is always noticed."""
     data = _real_recv(self, size, *flags)
+    _cut.check(self)
     if data and _silence.covers(self):
         raise BlockingIOError
     return data
@@ -108,3 +180,4 @@
 patched: Any = socket.socket
 patched.send = _send
 patched.recv = _recv
+patched.connect_ex = _connect
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -100,8 +100,10 @@
     prompt and got requests with it;
     starts are the times at which each host was started; handles are the
     results that lie at runners now; cuts are the times at which a host was
-    cut off from all others; unserved are the hosts and kinds that were not
-    served since, at the end.
+    cut off from all others, strandings those at which it lost all runners;
+    same_crashes and same_arrivals are the times at which one request
+    crashed runners and reached them; unserved are the hosts and kinds that were
+    not served since, at the end.
     """
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
@@ -112,6 +114,9 @@
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     cuts: list[Disturbance] = dataclasses.field(default_factory=list)
+    strandings: list[Disturbance] = dataclasses.field(default_factory=list)
+    same_crashes: list[float] = dataclasses.field(default_factory=list)
+    same_arrivals: list[float] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
     deadly_crashes: list[float] = dataclasses.field(default_factory=list)
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -26,6 +26,14 @@
 COUNTED_CRASHES = 5
 DEADLY_BOUND_S = 4.0
 MOST_DEADLY = 3
+# The same of a request that crashes runners.
+COUNTED_SAME_CRASHES = 3
+SAME_BOUND_S = 3.0
+# Time after a host lost its runners from which on it serves its callers, and
+# what may fail there: so many, and one in so many of all.
+STRANDED_BOUND_S = 3.0
+MOST_STRANDED = 10
+MOST_STRANDED_SHARE = 50
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
 # Streams of two software versions that may be, in a whole run.
@@ -299,6 +307,54 @@
         yield f'{len(late)} more requests after {COUNTED_CRASHES} crashes'
 
 
+@promise('same-request')
+def same_request(records: ledger.Ledger) -> Iterator[str]:
+    """A request that has crashed three runners is kept from them."""
+    crashes = records.same_crashes
+    if len(crashes) < COUNTED_SAME_CRASHES:
+        return
+    late_at = crashes[COUNTED_SAME_CRASHES - 1] + SAME_BOUND_S + SLACK_S
+    late = [at for at in records.same_arrivals if at > late_at]
+    if len(late) > MOST_DEADLY:
+        yield f'{len(late)} more after {COUNTED_SAME_CRASHES} crashes'
+
+
+@promise('stranded')
+def stranded(records: ledger.Ledger) -> Iterator[str]:
+    """A host without runners serves its callers nearly as often."""
+    for found in records.strandings:
+        span = (found.at + STRANDED_BOUND_S + SLACK_S, found.until)
+        asked = [
+            one
+            for one in records.outcomes
+            if span[0] <= one.asked_at < span[1]
+            and not _is_disturbed(records, one)
+        ]
+        at_cut = [one for one in asked if _is_stranded(records, one)]
+        others = [one for one in asked if not _is_stranded(records, one)]
+        failed = sum(not _is_served(one) for one in at_cut)
+        if failed <= MOST_STRANDED + len(asked) / MOST_STRANDED_SHARE:
+            continue
+        if _served_share(at_cut) < 2 / 3 * _served_share(others):
+            yield f'{failed} of {len(at_cut)} failed at hosts without runners'
+            return
+
+
+def _is_stranded(records: ledger.Ledger, one: ledger.Outcome) -> bool:
+    return any(
+        found.target == one.host and found.at <= one.asked_at < found.until
+        for found in records.strandings
+    )
+
+
+def _is_served(one: ledger.Outcome) -> bool:
+    return one.status == 200 and one.problem is None
+
+
+def _served_share(found: list[ledger.Outcome]) -> float:
+    return sum(_is_served(one) for one in found) / max(len(found), 1)
+
+
 @promise('leaving')
 def leaving(records: ledger.Ledger) -> Iterator[str]:
     """A host that is told to leave ends what it took in, in time."""
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -1,11 +1,15 @@
 """A loopback proxy that misbehaves on demand."""
 
 import enum
+import socket
 from typing import Any
 
 from twisted.internet import error
 from twisted.internet import protocol
 
+# Connections that fill a queue without room, and some to be sure.
+QUEUED = 4
+
 
 class ProxyMode(enum.StrEnum):
     """What a proxy does with connections and their bytes."""
@@ -154,3 +158,28 @@
         for data in incoming.early:
             self.proxy.carry(data, self, False)
         incoming.early.clear()
+
+
+class DeadEnd:
+    """An address at which connections hang: its queue is always full."""
+
+    def __init__(self) -> None:
+        """Listen, fill the queue and accept nothing."""
+        self.listener = socket.socket()
+        self.listener.bind(('127.0.0.1', 0))
+        self.listener.listen(0)
+        self.waiting = [socket.socket() for _ in range(QUEUED)]
+        for waiting in self.waiting:
+            waiting.setblocking(False)
+            waiting.connect_ex(self.listener.getsockname())
+
+    @property
+    def address(self) -> str:
+        """Return the address."""
+        name, port = self.listener.getsockname()
+        return f'{name}:{port}'
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for waiting in (*self.waiting, self.listener):
+            waiting.close()
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -35,7 +35,8 @@
     versions stream, and callers take broken streams up. has_severed lets
     connections between hosts fall silent. With has_notices runners leave
     or ask for pauses in their answers alone. With has_deadly a part of a
-    prompt crashes runners.
+    prompt crashes runners, with has_same a request that comes again and again
+    does. With has_stranded hosts lose all runners for a while.
     """
 
     seed: int
@@ -48,6 +49,8 @@
     has_severed: bool = False
     has_notices: bool = False
     has_deadly: bool = False
+    has_same: bool = False
+    has_stranded: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +99,7 @@
             options.callers,
             options.has_versions,
             options.has_deadly,
+            options.has_same,
         )
         self.plan = faults.draw_plan(self.rng, options.faults_s)
         if options.has_restores:
@@ -108,6 +112,10 @@
             self.plan += faults.draw_notices(self.extra_rng, options.faults_s)
         if options.has_severed:
             self.plan += faults.draw_severed(self.extra_rng, options.faults_s)
+        if options.has_stranded:
+            self.plan += faults.draw_strandings(
+                self.extra_rng, options.faults_s
+            )
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -37,6 +37,8 @@
 # A part of a prompt that crashes each runner, for so long.
 DEADLY_PART = 'dead'
 DEADLY_DOWN_S = 2.5
+# A request that crashes each runner, with the same body each time.
+DEADLY_PATH = '/safe/same-again'
 SEAL = (b'response-seal', b'soak')
 NOT_RUN = (b'not-executed', b'1')
 
@@ -160,11 +162,11 @@
             LAPSE_S, self.store.remove, KIND, self.identifier
         )
 
-    def _die_of_prompt(self) -> None:
-        """Crash under a prompt and come back later."""
+    def _die(self, arrivals: list[float], crashes: list[float]) -> None:
+        """Crash under a request and come back later."""
         now = self.reactor.seconds()
-        self.records.deadly_arrivals.append(now)
-        self.records.deadly_crashes.append(now)
+        arrivals.append(now)
+        crashes.append(now)
         self.crash()
         self.reactor.callLater(DEADLY_DOWN_S, self._start_if_down)
 
@@ -311,6 +313,9 @@
         if is_full or missing:
             self._reply(exchange, 503 if is_full else 409, (NOT_RUN,))
             return
+        if exchange.request.path == DEADLY_PATH:
+            self._die(self.records.same_arrivals, self.records.same_crashes)
+            return
         self.running += 1
         if exchange.request.path.startswith('/stream/'):
             self._begin_stream(exchange)
@@ -356,7 +361,8 @@
         exchange.start(200, headers)
         prompt = (request.header(b'prompt-prefix') or b'').decode()
         if f'{DEADLY_PART}:' in prompt:
-            self._die_of_prompt()
+            records = self.records
+            self._die(records.deadly_arrivals, records.deadly_crashes)
             return
         self._next_event(exchange, request_id, last + 1, self.born)
 
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -13,7 +13,16 @@
 
 KEPT_FILE = pathlib.Path(__file__).with_name('kept_seeds.yaml')
 # What a seed may have beside its usual faults.
-EXTRAS = ('restores', 'limits', 'versions', 'severed', 'notices', 'deadly')
+EXTRAS = (
+    'restores',
+    'limits',
+    'versions',
+    'severed',
+    'notices',
+    'deadly',
+    'same',
+    'stranded',
+)
 RUN_TIMEOUT_S = 180.0
 
 
@@ -58,12 +67,23 @@
     severed: bool = typer.Option(False, help='Silence between hosts.'),
     notices: bool = typer.Option(False, help='Runners that leave or pause.'),
     deadly: bool = typer.Option(False, help='A part that crashes runners.'),
+    same: bool = typer.Option(False, help='A request that crashes runners.'),
+    stranded: bool = typer.Option(False, help='Hosts lose all runners.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
     wanted = zip(
         EXTRAS,
-        (restores, limits, versions, severed, notices, deadly),
+        (
+            restores,
+            limits,
+            versions,
+            severed,
+            notices,
+            deadly,
+            same,
+            stranded,
+        ),
         strict=True,
     )
     extras = [extra for extra, is_wanted in wanted if is_wanted]
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -11,6 +11,7 @@
 from features.soak import clients
 from features.soak import hosts
 from features.soak import ledger
+from features.soak import proxy
 from features.soak import runners
 from features.soak import store
 import ragwort_edge as edge
@@ -74,6 +75,7 @@
         caller_count: int,
         has_versions: bool = False,
         has_deadly: bool = False,
+        has_same: bool = False,
     ) -> None:
         """Create all parts; base is the start of the hosts' IP numbers.
 
@@ -83,6 +85,7 @@
         self.reactor = reactor
         self.rng = rng
         self.records = ledger.Ledger()
+        self.dead_end = proxy.DeadEnd()
         self.store = store.StoreStandIn(reactor)
         self.version = 0
         self.configuration: dict[str, Any] = {}
@@ -134,6 +137,7 @@
                 index % 2 == 0,
                 has_versions,
                 has_deadly,
+                has_same,
             )
             for index in range(caller_count)
         ]
@@ -290,3 +294,4 @@
             if runner.port is not None:
                 runner.port.stopListening()
         self.store.port.stopListening()
+        self.dead_end.close()
--- a/features/steps/hosts_without_runners_steps.py
+++ b/features/steps/hosts_without_runners_steps.py
@@ -218,6 +218,7 @@
         'no name of a host': {'host': ''},
         'the name of a stranger': {'host': 'stranger'},
         'no time left': {'left-ms': '0'},
+        'a key that was taken since': {'key': 'taken'},
         'a time that can\'t be read': {'left-ms': 'soon'},
     }[what]
     context.hop = context.crash.world.hand(3, changed)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -66,6 +66,24 @@
     run_soak(context, seed, count, faults_s, '--deadly')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, a deadly request '
+    'and {faults_s:d} s of faults'
+)
+def play_same(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with a request that crashes runners."""
+    run_soak(context, seed, count, faults_s, '--same')
+
+
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, lost runners '
+    'and {faults_s:d} s of faults'
+)
+def play_stranded(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with hosts that lose all runners."""
+    run_soak(context, seed, count, faults_s, '--stranded')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -326,6 +344,32 @@
     records.deadly_crashes, records.deadly_arrivals = times, times
 
 
+@defect('a request that goes on crashing runners')
+def crash_on_request(records: ledger.Ledger) -> None:
+    """Crash a runner each second for fifteen seconds."""
+    times = [10.0 + second for second in range(15)]
+    records.same_crashes, records.same_arrivals = times, times
+
+
+@defect('a host without runners that serves nobody')
+def strand(records: ledger.Ledger) -> None:
+    """Let one host refuse all callers, and another serve its own."""
+    records.strandings.append(
+        ledger.Disturbance('cut', 'host-0', 100.0, 112.0)
+    )
+    for number in range(60):
+        name = f'host-{number % 2}'
+        outcome = ledger.Outcome(
+            f'cut-{number}', 'safe', name, 'k', 105.0 + number / 10
+        )
+        outcome.ended_at = outcome.asked_at + 0.01
+        outcome.status = 503
+        if number % 2:
+            outcome.status = 200
+            outcome.body = clients.expected_body(outcome)
+        records.outcomes.append(outcome)
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -451,11 +451,12 @@
     def hand(self, index: int, changed: dict[str, str]) -> Any:
         """Hand a request to a host as another one does; return the hop."""
         hop = {'host': 'host-0', 'left-ms': '2000', 'version': '1'} | changed
+        key = hop.pop('key', 'k1')
         headers = tuple(
             (f'ragwort-{name}'.encode(), value.encode())
             for name, value in hop.items()
         )
-        facts = json.dumps({'request_id': 'h1', 'access_key': 'k1'})
+        facts = json.dumps({'request_id': 'h1', 'access_key': key})
         request = edge.HttpRequest(
             b'GET',
             b'/safe/handed',
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -603,8 +603,7 @@
         else:
             reason = self._reason_to_decline(hop)
         if reason is not None:
-            self.logger.info('hop-declined', reason=reason)
-            exchange.respond(_hand_over.decline(reason))
+            self._decline(exchange, reason)
             return
         self._serve(exchange, hop)
 
@@ -643,15 +642,17 @@
         name = host.rpartition(':')[0] if ':' in host else host
         route = configuration.find_route(name, request.path)
         if route is None:
-            self._reject(exchange, HTTP_NOT_FOUND, 'no such route', metadata)
+            self._deny(
+                exchange, HTTP_NOT_FOUND, 'no such route', metadata, hop
+            )
             return
         workspace = None
         if configuration.workspaces and not route.is_public:
             key = metadata.access_key or ''
             workspace = configuration.workspaces_by_key.get(key)
             if workspace is None:
-                self._reject(
-                    exchange, HTTP_UNAUTHORIZED, 'unknown key', metadata
+                self._deny(
+                    exchange, HTTP_UNAUTHORIZED, 'unknown key', metadata, hop
                 )
                 return
         handler = _request_handler.RequestHandler(
@@ -667,6 +668,27 @@
         self.open_requests.add(handler)
         handler.start()
 
+    def _deny(
+        self,
+        exchange: _server.Exchange,
+        status: int,
+        reason: str,
+        metadata: _dialect.RequestMetadata,
+        hop: _hand_over.Hop | None,
+    ) -> None:
+        """Deny a request, or decline one that another host has admitted.
+
+        What it asks for was there when it came, and has been taken since.
+        """
+        if hop is None:
+            self._reject(exchange, status, reason, metadata)
+        else:
+            self._decline(exchange, reason)
+
+    def _decline(self, exchange: _server.Exchange, reason: str) -> None:
+        self.logger.info('hop-declined', reason=reason)
+        exchange.respond(_hand_over.decline(reason))
+
     def _reject(
         self,
         exchange: _server.Exchange,
