Show brittle runners that fall over as hosts offer them too much

Whole hosts on a virtual clock (6 hosts, 4 runners of 8 places, 0.2 s of work): the runners say that they fall over if they turn away more than 3 requests a second, and take fewer at a time 3 s later.

--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -101,9 +101,9 @@
     starts are the times at which each host was started; handles are the
     results that lie at runners now; cuts are the times at which a host was
     cut off from all others, strandings those at which it lost all runners;
-    same_crashes and same_arrivals are the times at which one request
-    crashed runners and reached them; unserved are the hosts and kinds that were
-    not served since, at the end.
+    same_crashes and same_arrivals are the times at which one request crashed
+    runners and reached them; unserved are the hosts and kinds that were not
+    served since, at the end.
     """
 
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/features/steps/brittle_runner_steps.py
@@ -0,0 +1,60 @@
+"""Steps of runners that fall over when they turn many requests away."""
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+
+# Time from the first answer that tells of it until runners let fewer wait.
+NOTICE_S = 3.0
+LAST_S = 6.0
+
+
+@given(
+    'each runner takes {room:d} requests at a time and works {work_s:g} s on'
+    ' each'
+)
+def set_room(context: Any, room: int, work_s: float) -> None:
+    """Bound what runners take."""
+    context.work_s = work_s
+    for runner in context.crash.world.runners:
+        runner.room, runner.work_s = room, work_s
+
+
+@when(
+    'runners are brittle, turn away {most:d} a second, and take {room:d} at a'
+    ' time {seconds:d} s later, for {for_s:d} s'
+)
+def make_brittle(
+    context: Any, most: int, room: int, seconds: int, for_s: int
+) -> None:
+    """Let runners say that they are brittle, then take fewer requests."""
+    runners = context.crash.world.runners
+    for runner in runners:
+        runner.brittle_per_s = most
+    context.requests.run(seconds, context.per_s, 0.0)
+    for runner in runners:
+        runner.room = room
+    context.room = room * len(runners)
+    context.brittle_from = context.crash.clock.seconds()
+    context.requests.run(for_s - seconds, context.per_s, 0.0)
+    context.brittle_until = context.crash.clock.seconds()
+    context.crash.world.run(LAST_S)
+
+
+@then('runners fall over at most {most:d} times')
+def check_falls(context: Any, most: int) -> None:
+    """Count the falls of all runners."""
+    falls = [at for r in context.crash.world.runners for at in r.falls]
+    assert len(falls) <= most, len(falls)
+
+
+@then('sound requests are served two thirds as often as there is room')
+def check_served(context: Any) -> None:
+    """Compare with what the runners could have worked on."""
+    share = context.requests.share_served(
+        context.brittle_from, context.brittle_until
+    )
+    possible = min(context.room / context.work_s / context.per_s, 1.0)
+    assert share >= possible * 2 / 3, (share, possible)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -193,6 +193,9 @@
         self.leaving_target: bytes | None = None
         # Time for which a host that is turned away is to send nothing.
         self.pause_s: float | None = None
+        # Requests that it turns away in a second without falling over.
+        self.brittle_per_s: float | None = None
+        self.turned_away_at: list[float] = []
         # When the first answer told of leaving, and the pauses asked for.
         self.left_at: float | None = None
         self.pauses: list[tuple[float, float]] = []
@@ -200,6 +203,8 @@
     def notices(self, target: bytes = b'') -> edge.Headers:
         """Return the headers that tell of a limit and of leaving."""
         found: edge.Headers = ()
+        if self.brittle_per_s is not None:
+            found += ((b'brittle', str(self.brittle_per_s).encode()),)
         if self.limit_per_s is not None:
             found += ((b'limit', str(self.limit_per_s).encode()),)
         if self.is_leaving and self.leaving_target in (None, target):
@@ -216,6 +221,15 @@
             self.pauses.append((now, now + self.pause_s))
             headers += ((b'pause', str(self.pause_s).encode()),)
         open_call.respond(HTTP_FULL, headers)
+        now = self.clock.seconds()
+        recent = [at for at in self.turned_away_at if at > now - 1.0]
+        self.turned_away_at = [*recent, now]
+        most = self.brittle_per_s
+        if most is not None and len(self.turned_away_at) > most:
+            self.clock.callLater(ONE_WAY_S, self.fall)
+
+    def fall(self) -> None:
+        """End, as too many requests were turned away."""
 
     def serve(self, request: edge.HttpRequest, open_call: 'LabCall') -> None:
         """Take a request that has arrived."""
@@ -393,6 +407,9 @@
         # begins its answer.
         self.deadly_parts: frozenset[str] = frozenset()
         self.deadly_targets: frozenset[bytes] = frozenset()
+        # Requests that it takes at a time, None for any number.
+        self.room: int | None = None
+        self.falls: list[float] = []
         # A silent crash resets no connection.
         self.crashes_silently = False
         self.on_crash: Callable[[], None] = lambda: None
@@ -416,11 +433,20 @@
 
         open_call.on_close = close
         self.calls = [call for call in self.calls if not call.is_over]
+        if self.room is not None and len(self.calls) >= self.room:
+            arrival.ran = False
+            self.turn_away(open_call)
+            return
         self.calls.append(open_call)
         self.clock.callLater(
             self.work_s, self._answer, step, arrival, open_call
         )
 
+    def fall(self) -> None:
+        """Crash and note when."""
+        self.falls.append(self.clock.seconds())
+        self.crash()
+
     def crash(self) -> None:
         """Answer no open call any more; reset the connections."""
         for call in self.calls:
