Refuse at once where each live runner of a service is out of reach

Cause: a host found out that it reaches no runner of the main service only after the stages, and owners that all decline left stage work queued at home.

Once no live runner of a service is left untried, the host refuses or declines before the stages, and stage work that no owner takes fails at once. The probe tries the runners that have not failed yet first, and goes on to note those that fail once the service is lost.

--- a/libs/ragwort_edge/ragwort_edge/_reach_probe.py
+++ b/libs/ragwort_edge/ragwort_edge/_reach_probe.py
@@ -53,7 +53,9 @@
         live = self.catalog.fleet.live_runners(service)
         if not live:
             return
-        runner = self.rng.choice(live)
+        reach = self.catalog.reach
+        untried = [runner for runner in live if not reach.has_failed(runner)]
+        runner = self.rng.choice(untried or live)
         checked = self.client.check(runner.address)
         checked.addCallback(self._on_checked, runner)
 
@@ -63,8 +65,7 @@
         reach = self.catalog.reach
         service = runner.entry.runner.service
         if state != _client.AddressState.OPEN:
-            if service not in self.lost:
-                reach.on_unreachable(runner)
+            reach.on_unreachable(runner)
             return
         reach.on_connected(service)
         if service in self.lost:
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -226,6 +226,8 @@
             self.context.hand_over.on_asked(self.hop.host, self.service)
         if await self._is_served_elsewhere():
             return
+        if self.context.catalog.is_unreachable(self.service):
+            raise self.context.refusal('no runner in reach')
         if self._is_take_up:
             await self._find_origin()
         service = self.service
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -262,6 +262,16 @@
     def _enqueue_here(self, pending: _PendingGroup) -> None:
         pending.owner = None
         group = pending.group
+        if self.catalog.is_unreachable(pending.service):
+            failed = [
+                model.PieceOutcome(work.piece, None, 'no runner in reach')
+                for work in group.work
+            ]
+            # The caller has yet to wait for the outcome.
+            self.reactor.callLater(
+                0.0, self._on_outcomes, group.group_id, failed
+            )
+            return
         group.work = [w for w in group.work if w.piece not in pending.outcomes]
         self.local_owner.enqueue(pending.service, group, None)
 
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -141,6 +141,11 @@
         """
         return self.reach.is_lost(service, self.fleet.live_runners(service))
 
+    def is_unreachable(self, service: str) -> bool:
+        """Tell whether a service is lost and each live runner was tried."""
+        live = self.fleet.live_runners(service)
+        return bool(live) and all(self.reach.has_failed(r) for r in live)
+
     def limited_count(self, now: float) -> int:
         """Return how many runners name a limit."""
         found = [self.fleet.runners.get(n) for n in self.rate_limits.limits]
