Hand over only requests that have not run

Its route allows two runs.

A request that may have run is no longer handed over, nor handed to another host after a hop that broke without an answer: its caller gets 502 and knows what it may repeat.

--- a/features/hosts_without_runners.feature
+++ b/features/hosts_without_runners.feature
@@ -57,6 +57,16 @@
     And a caller of a cut host leaves after its first event
     Then its runner hears of it within 0.1 s
 
+  Scenario Outline: a <route> request that may have run here is not run again by another host
+    Given 6 relay hosts and 3 runners of "<route>" requests, luck 19
+    When a runner answers a request for another, and its host then reaches none
+    Then the request has run at most 2 times
+
+    Examples:
+      | route  |
+      | safe   |
+      | stream |
+
   Scenario: requests that other hosts hand over go no further
     Given 6 relay hosts and 4 runners of "safe" requests, luck 17
     When callers send 24 requests a second for 6 s
--- a/features/steps/hosts_without_runners_steps.py
+++ b/features/steps/hosts_without_runners_steps.py
@@ -204,6 +204,32 @@
     assert arrival.closed_at - context.left_at <= seconds, arrival.closed_at
 
 
+@when('a runner answers a request for another, and its host then reaches none')
+def lose_after_run(context: Any) -> None:
+    """Let all runners answer for other requests, and cut the host off."""
+    world = context.crash.world
+    for runner in world.runners:
+        runner.script = ['foreign'] * 9
+    asked = context.requests.send('once-here', 0)
+    context.asked = request_id_of(asked.exchanges[0])
+    world.run(0.02)
+    world.ways[0].cut_off(lab.CutManner.REFUSE)
+    world.run(LAST_S)
+
+
+@then('the request has run at most {most:d} times')
+def check_runs(context: Any, most: int) -> None:
+    """Count the runs under the caller's first id."""
+    runs = [
+        arrival.at
+        for runner in context.crash.world.runners
+        for arrival in runner.arrivals
+        if arrival.ran and arrival.told['id'] == context.asked
+    ]
+    assert runs
+    assert len(runs) <= most, runs
+
+
 @when('a host is handed a request by another')
 def hand_over(context: Any) -> None:
     """Hand a sound request to a host that has no runner either."""
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -308,10 +308,11 @@
 
     @property
     def _may_be_handed_over(self) -> bool:
-        """Tell whether another host may serve this request from its start."""
-        if self.hop is not None or self.exchange.is_started:
-            return False
-        return self.route.may_repeat or not self.attempts.ran
+        """Tell whether another host may serve this request from its start.
+
+        It must not have run here: the other host uses all of its attempts.
+        """
+        return self.hop is None and not self.attempts.ran
 
     async def _is_served_elsewhere(self) -> bool:
         """Hand the request over if its service is out of reach here.
@@ -367,23 +368,9 @@
             result=result,
             detail=detail,
         )
-        if result == _hand_over.HopResult.BROKEN:
+        if result in (_hand_over.HopResult.BROKEN, _hand_over.HopResult.LOST):
             self._fail(HTTP_BAD_GATEWAY, detail)
             return True
-        if result == _hand_over.HopResult.LOST:
-            return not self._may_repeat_hop(detail)
-        return False
-
-    def _may_repeat_hop(self, detail: str) -> bool:
-        """Tell whether a request may go on that may have run elsewhere."""
-        lost = relay.SendResult.LOST
-        self.attempts.on_result(lost)
-        now = self.context.reactor.seconds()
-        if self.attempts.may_send_again(lost, self.left_s()) and (
-            self.context.budget.take(self.service, now)
-        ):
-            return True
-        self._fail(HTTP_BAD_GATEWAY, detail)
         return False
 
     # Main call.
