Let few hosts send to a brittle runner, each with care

Cause: rejects were free. Each host resends a request that was turned away at once, and none knows what the others offer.

As many hosts as rejects are allowed send to each brittle runner, each keeps its share of the places, sends one request after the other, and leaves the runner alone for 1.25 s after a reject; the others hand their requests over.

--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -57,7 +57,9 @@
     is how many requests a second the runner takes from all hosts together,
     None if it names no limit. is_leaving tells whether it says that it leaves.
     pause_s is the time for which it wants nothing more from this host, None if
-    it turned nothing away or named no time.
+    it turned nothing away or named no time. rejects_per_s is how many requests
+    it may turn away in a second before it falls over, None if it is not
+    brittle; is_full tells whether it turned this one away for want of room.
     """
 
     is_authentic: bool
@@ -68,6 +70,8 @@
     limit_per_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    rejects_per_s: float | None = None
+    is_full: bool = False
 
 
 class PieceResult(enum.StrEnum):
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -41,6 +41,7 @@
 WATCH_RENEWAL_S = 1.0
 STORE_WATCHER_ROLE = 'store-watcher'
 HOST_CLEANUP_ROLE = 'host-janitor'
+BRITTLE_ROLE = 'brittle-runner'
 # Time after which the entry of a host that is down is deleted.
 HOST_EXPIRY_S = 60.0
 # Delay between join attempts of a host that knows no other: until it joins,
@@ -216,6 +217,7 @@
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
         )
+        self.catalog.brittle.holds = self._holds_brittle
         self.reach_probe = _reach_probe.ReachProbe(
             reactor, self.client, self.catalog, self.rng, logger
         )
@@ -360,6 +362,7 @@
         host_count = len(self.members.live())
         self.budget.on_host_count(host_count, now)
         self.catalog.prompt_sharing.hosts = host_count
+        self.catalog.brittle.host_count = host_count
         self.catalog.departure_news.rumours.host_count = host_count
         self.catalog.crash_evidence.set_host_count(host_count)
         self.peers.close_idle(now)
@@ -507,6 +510,11 @@
         kind = type(effect.message).__name__
         self.metrics.peer_bytes.labels(kind).inc(sent_bytes)
 
+    def _holds_brittle(self, runner: str, count: int) -> bool:
+        """Tell whether this host is one of some that send to a runner."""
+        role = f'{BRITTLE_ROLE}/{runner}'
+        return membership.is_elected(self.members, role, count, None)
+
     def _stage_owner_candidates(self, service: str) -> list[str | None]:
         return membership.owner_addresses(
             self.members,
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from ragwort_edge import _client
 from ragwort_edge import _context
@@ -24,6 +25,10 @@
 # time left, with a minimum.
 SEND_TIMEOUT_SHARE = 0.45
 MIN_SEND_TIMEOUT_S = 0.7
+# Longest wait for a place at a brittle runner, as a share of the target, and
+# the interval of looking for one.
+PLACE_WAIT_SHARE = 0.125
+PLACE_CHECK_S = 0.01
 MAX_LOGGED_PARTS = 8
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
@@ -176,7 +181,7 @@
         if self.attempts.ran:
             self._fail(HTTP_BAD_GATEWAY, reason)
             return
-        if self.hop is not None and self.context.catalog.is_lost(self.service):
+        if self.hop is not None and self._is_out_of_reach:
             self._log('declined', reason=reason)
             self.exchange.respond(_hand_over.decline(reason))
             return
@@ -314,6 +319,15 @@
         """
         return self.hop is None and not self.attempts.ran
 
+    @property
+    def _is_out_of_reach(self) -> bool:
+        """Tell whether this host sends nothing to the service's runners."""
+        catalog = self.context.catalog
+        now = self.context.reactor.seconds()
+        return catalog.is_lost(self.service) or catalog.is_left_to_others(
+            self.service, now
+        )
+
     async def _is_served_elsewhere(self) -> bool:
         """Hand the request over if its service is out of reach here.
 
@@ -323,7 +337,7 @@
         while (
             hand_over is not None
             and self._may_be_handed_over
-            and self.context.catalog.is_lost(self.service)
+            and self._is_out_of_reach
         ):
             helper = hand_over.choose(self.service, self.helpers_asked)
             if helper is None:
@@ -414,6 +428,19 @@
         }
         return runner
 
+    async def _await_place(self, service: str) -> None:
+        """Wait a little while brittle runners have no place for this host."""
+        context = self.context
+        until = self.started_at + PLACE_WAIT_SHARE * self.route.target_s
+        while context.reactor.seconds() < until:
+            now = context.reactor.seconds()
+            wait_s = context.catalog.send_wait_s(service, now, self.origin)
+            if wait_s is None or not 0.0 < wait_s <= relay.PLACE_WAIT_S:
+                return
+            await task.deferLater(
+                context.reactor, min(wait_s, PLACE_CHECK_S), lambda: None
+            )
+
     def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
         """Return a runner and mark it tried; raise RefusedError if none."""
         self._refuse_deadly(service)
@@ -472,6 +499,7 @@
     async def _run_plain(self, service: str) -> None:
         tried: set[str] = set()
         while not await self._is_served_elsewhere():
+            await self._await_place(service)
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
             send = await self._send_plain(service, runner)
@@ -547,7 +575,7 @@
                 max(MIN_SEND_TIMEOUT_S, timeout_s * SEND_TIMEOUT_SHARE),
             )
         runner.state.on_dispatch()
-        context.catalog.rate_limits.on_send(runner, sent_at)
+        context.catalog.on_send(runner, sent_at)
         try:
             response = await _client.fetch(
                 context.client,
@@ -671,6 +699,7 @@
         progress = relay.StreamProgress(self.metadata.last_event)
         tried: set[str] = set()
         while not await self._is_served_elsewhere():
+            await self._await_place(service)
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
             send = await self._send_stream(runner, progress)
@@ -704,7 +733,7 @@
         last_event = progress.last_event_id
         reader = _stream.StreamReader(self, runner, progress)
         runner.state.on_dispatch()
-        context.catalog.rate_limits.on_send(runner, reader.opened_at)
+        context.catalog.on_send(runner, reader.opened_at)
         context.catalog.prompt_cache.record(runner.name, self.metadata.prompt)
         reader.open(self._main_request(runner, last_event))
         try:
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -20,7 +20,7 @@
     sent_at: float,
     now: float,
 ) -> None:
-    """Record what a runner's answer says of its limit, leaving and pause.
+    """Record what a runner's answer says of itself.
 
     Every reader of an answer calls this. An answer that another runner at
     the same address gave says nothing but that runners are in reach.
@@ -41,6 +41,7 @@
             asked_s=reply.pause_s,
             kept_s=round(catalog.pauses.left_s(runner, now), 3),
         )
+    _on_brittleness(catalog, logger, runner, reply, is_whole, now)
     rate_per_s = reply.limit_per_s
     if rate_per_s is None and not (is_whole or reply.is_not_run):
         # An answer that may be damaged ends no limit.
@@ -55,6 +56,25 @@
         )
 
 
+def _on_brittleness(
+    catalog: relay.RelayCatalog,
+    logger: Any,
+    runner: relay.FleetRunner,
+    reply: _dialect.RunnerReply,
+    is_whole: bool,
+    now: float,
+) -> None:
+    """Record whether the runner falls over when it turns much away."""
+    rejects_per_s = reply.rejects_per_s
+    if rejects_per_s is None and not (is_whole or reply.is_not_run):
+        # An answer that may be damaged ends no care.
+        return
+    if catalog.brittle.on_answer(runner, rejects_per_s, reply.is_full, now):
+        logger.info(
+            'runner-brittle', runner=runner.name, rejects_per_s=rejects_per_s
+        )
+
+
 class DepartureSharing:
     """Tells other hosts which runners said that they leave."""
 
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -228,7 +228,9 @@
         now = self.reactor.seconds()
         for runner in runners:
             due = self.storage_check_due.get(runner.name, -math.inf)
-            if not self.catalog.takes_chores(runner, now):
+            if not self.catalog.takes_chores(runner, now) or (
+                self.catalog.brittle.is_brittle(runner)
+            ):
                 # The requests that it takes are kept for work.
                 continue
             if now < due or not batcher.storage.may_hold_foreign(
@@ -331,7 +333,7 @@
         now = self.reactor.seconds()
         request = self.dialect.stage_request(call, now)
         call.runner.state.on_dispatch()
-        self.catalog.rate_limits.on_send(call.runner, now)
+        self.catalog.on_send(call.runner, now)
         for piece in call.pieces:
             piece.group.sends += 1
         self._log_call(service, batcher, call)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -93,6 +93,7 @@
         not_run = response.header(b'not-run') is not None
         limit = response.header(b'limit')
         pause = response.header(b'pause')
+        brittle = response.header(b'brittle')
         return edge.RunnerReply(
             echoed == request_id,
             not_run,
@@ -102,6 +103,8 @@
             float(limit) if limit else None,
             response.header(b'leaving') is not None,
             float(pause) if pause else None,
+            float(brittle) if brittle else None,
+            not_run and response.status == HTTP_FULL,
         )
 
     def stage_request(
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -14,6 +14,7 @@
 from ragwort_relay._attempts import NextStep
 from ragwort_relay._attempts import SendResult
 from ragwort_relay._batcher import Batcher
+from ragwort_relay._brittle import PLACE_WAIT_S
 from ragwort_relay._budget import RetryBudget
 from ragwort_relay._budget import WindowCounter
 from ragwort_relay._catalog import ObjectDecoder
@@ -70,9 +71,9 @@
     'admit',
     'Attempts',
     'BatchCall',
-    'BREAK_TTL_S',
     'Batcher',
     'BatchLimits',
+    'BREAK_TTL_S',
     'CallerLimits',
     'CallKind',
     'choose_by_load',
@@ -95,6 +96,7 @@
     'Pauses',
     'PieceGroup',
     'PieceWork',
+    'PLACE_WAIT_S',
     'PromptCacheIndex',
     'PromptPart',
     'PromptSharing',
--- a/libs/ragwort_relay/ragwort_relay/_brittle.py
+++ b/libs/ragwort_relay/ragwort_relay/_brittle.py
@@ -2,20 +2,23 @@
 
 Load pattern: a runner in trouble takes fewer requests than usual, and each
 one that it turns away brings it nearer to its end. All hosts send to it, and
-none knows what the others do. Each host therefore keeps few requests there at
-a time, its share of the runner's places at most, and after one that was turned
-away it leaves the runner alone for so long that all hosts together stay below
-what the runner can turn away.
+none knows what the others do. So only as many hosts send to a brittle runner
+as it can turn requests away in a second. Each of them keeps few requests there
+at a time, its share of the runner's places at most, sends one after the other,
+and leaves the runner alone for over a second after one that was turned away.
 """
 
+from collections.abc import Callable
 import dataclasses
+import math
 
 from ragwort_relay import _fleet
 
-# Share of what a runner can turn away that all hosts together use.
-REJECT_SHARE = 0.5
-MIN_PAUSE_S = 0.2
-MAX_PAUSE_S = 10.0
+# Time without requests after one that was turned away: a runner counts them
+# for a second.
+PAUSE_S = 1.25
+# Time between requests of a host, in which it hears that one is turned away.
+GAP_S = 0.01
 # Time until a host looks again for a place at a runner.
 PLACE_WAIT_S = 0.1
 # Answers in a row after which a host keeps one more request at a runner.
@@ -35,15 +38,20 @@
     rejects_per_s: float
     most: int
     answers: int = 0
-    paused_until: float = 0.0
+    paused_until: float = -math.inf
 
 
 class BrittleRunners:
     """The runners that said that they are brittle, as one host knows them."""
 
     def __init__(self) -> None:
-        """Start with none; host_count is how many hosts send to runners."""
+        """Start with none.
+
+        holds tells whether this host is one of so many that send to a runner,
+        host_count is how many hosts there are.
+        """
         self.host_count = 1
+        self.holds: Callable[[str, int], bool] = lambda runner, count: True
         self.cares: dict[Incarnation, _Care] = {}
         # What the last brittle runner of each service said. One that starts
         # is taken for brittle as well until it answers.
@@ -82,13 +90,18 @@
         self, runner: _fleet.FleetRunner, rejects_per_s: float
     ) -> _Care:
         key = _key(runner)
-        care = _Care(rejects_per_s, self._share(runner))
+        care = _Care(rejects_per_s, self._share(runner, rejects_per_s))
         self.cares[key] = care
         self._forget_earlier_starts(key)
         return care
 
-    def _share(self, runner: _fleet.FleetRunner) -> int:
-        return max(runner.entry.slots // max(self.host_count, 1), 1)
+    def _holder_count(self, rejects_per_s: float) -> int:
+        """Return how many hosts send to a runner."""
+        return max(min(math.floor(rejects_per_s), self.host_count), 1)
+
+    def _share(self, runner: _fleet.FleetRunner, rejects_per_s: float) -> int:
+        holders = self._holder_count(rejects_per_s)
+        return max(runner.entry.slots // holders, 1)
 
     def _forget_earlier_starts(self, key: Incarnation) -> None:
         name, started_ms = key
@@ -99,28 +112,45 @@
     def _on_reject(self, care: _Care, now: float) -> None:
         care.most = max(care.most // 2, 1)
         care.answers = 0
-        rate_per_s = REJECT_SHARE * max(care.rejects_per_s, 0.1)
-        pause_s = self.host_count / rate_per_s
-        care.paused_until = now + min(max(pause_s, MIN_PAUSE_S), MAX_PAUSE_S)
+        care.paused_until = now + PAUSE_S
 
     def _on_taken(self, care: _Care, runner: _fleet.FleetRunner) -> None:
         care.answers += 1
         if care.answers >= ANSWERS_TO_GROW:
             care.answers = 0
-            care.most = min(care.most + 1, self._share(runner))
+            most = self._share(runner, care.rejects_per_s)
+            care.most = min(care.most + 1, most)
 
     def is_brittle(self, runner: _fleet.FleetRunner) -> bool:
         """Tell whether a runner said so in its last answer."""
         return _key(runner) in self.cares
 
+    def _care_for(self, runner: _fleet.FleetRunner) -> _Care | None:
+        care = self.cares.get(_key(runner))
+        rejects_per_s = self.services.get(runner.entry.runner.service)
+        if care is None and rejects_per_s is not None:
+            care = self._take_care(runner, rejects_per_s)
+        return care
+
+    def on_send(self, runner: _fleet.FleetRunner, now: float) -> None:
+        """Record that this host sends a request to a runner."""
+        care = self.cares.get(_key(runner))
+        if care is not None:
+            care.paused_until = max(care.paused_until, now + GAP_S)
+
+    def is_held_elsewhere(self, runner: _fleet.FleetRunner) -> bool:
+        """Tell whether only other hosts send to a runner."""
+        care = self._care_for(runner)
+        if care is None:
+            return False
+        count = self._holder_count(care.rejects_per_s)
+        return not self.holds(runner.name, count)
+
     def wait_s(self, runner: _fleet.FleetRunner, now: float) -> float:
         """Return the time until this host may send to a runner."""
-        care = self.cares.get(_key(runner))
+        care = self._care_for(runner)
         if care is None:
-            rejects_per_s = self.services.get(runner.entry.runner.service)
-            if rejects_per_s is None:
-                return 0.0
-            care = self._take_care(runner, rejects_per_s)
+            return 0.0
         if now < care.paused_until:
             return care.paused_until - now
         return PLACE_WAIT_S if runner.state.inflight >= care.most else 0.0
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import ragwort_model as model
+from ragwort_relay import _brittle
 from ragwort_relay import _crash_evidence
 from ragwort_relay import _departures
 from ragwort_relay import _fleet
@@ -52,6 +53,7 @@
         self.rate_limits = _limits.RateLimits()
         self.pauses = _pauses.Pauses()
         self.reach = _reach.Reach()
+        self.brittle = _brittle.BrittleRunners()
         self.crash_evidence = _crash_evidence.CrashEvidence()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
@@ -88,12 +90,41 @@
     def _wait_s(self, runner: _fleet.FleetRunner, now: float) -> float | None:
         """Return the time until this host may send to a runner.
 
-        None means that other hosts hold its limit.
+        None means that other hosts hold its limit, or send to it alone while
+        it is brittle.
         """
         limit_s = self.rate_limits.wait_s(runner, now)
-        if limit_s is None:
+        if limit_s is None or self._is_held_elsewhere(runner):
             return None
-        return max(limit_s, self.pauses.left_s(runner, now))
+        return max(
+            limit_s,
+            self.pauses.left_s(runner, now),
+            self.brittle.wait_s(runner, now),
+        )
+
+    def _is_held_elsewhere(self, runner: _fleet.FleetRunner) -> bool:
+        """Tell whether other hosts alone send to a brittle runner.
+
+        One host alone gives work to the runners of a stage service.
+        """
+        configuration = self.configuration
+        service = runner.entry.runner.service
+        spec = configuration.services.get(service) if configuration else None
+        if spec is not None and spec.batch_limits is not None:
+            return False
+        return self.brittle.is_held_elsewhere(runner)
+
+    def is_left_to_others(self, service: str, now: float) -> bool:
+        """Tell whether only other hosts send to a service's runners."""
+        usable = self.usable(service, now)
+        return bool(usable) and all(
+            self._is_held_elsewhere(runner) for runner in usable
+        )
+
+    def on_send(self, runner: _fleet.FleetRunner, now: float) -> None:
+        """Record that this host sends a request to a runner."""
+        self.rate_limits.on_send(runner, now)
+        self.brittle.on_send(runner, now)
 
     def pause_s(self, service: str, now: float) -> float:
         """Return the time until the first usable runner's pause is over."""
