Teach the soak brittle runners

A service's runners name 2, 3 or 5 rejects a second, take one or two requests at a time 3 s later, and fall over.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,10 @@
     When the soak plays seed 8 with 4 hosts, lost runners and 12 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes with brittle runners
+    When the soak plays seed 10 with 4 hosts, brittle runners and 12 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -62,6 +66,7 @@
       | pause        | a paused runner that gets three requests |
       | deadly       | a part that goes on crashing runners    |
       | same-request | a request that goes on crashing runners |
+      | brittle      | brittle runners that fall over again and again |
       | stranded     | a host without runners that serves nobody |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -18,6 +18,7 @@
     deadly: bool = False,
     same: bool = False,
     stranded: bool = False,
+    brittle: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -33,6 +34,7 @@
         deadly,
         same,
         stranded,
+        brittle,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -33,6 +33,9 @@
 SILENT_PEERS = 'silent-peers'
 QUIET_LEAVE = 'runner-leaves-quietly'
 PAUSE = 'runner-pause'
+BRITTLE = 'brittle-runners'
+BRITTLE_S = (7.0, 10.0)
+BRITTLE_SERVICES = ('plain', 'engine')
 STRANDED = 'hosts-without-runners'
 STRANDED_S = (6.0, 9.0)
 STRANDING_MANNERS = ('hang', 'reset', 'refuse')
@@ -438,6 +441,28 @@
     return Begun('none', heal)
 
 
+def _make_brittle(whole: system.SoakSystem, rng: random.Random) -> Begun:
+    """Let a service's runners be brittle, and take few requests later."""
+    service = rng.choice(BRITTLE_SERVICES)
+    chosen = [r for r in whole.runners if r.service == service]
+    rejects_per_s = rng.choice((2, 3, 5))
+    for runner in chosen:
+        runner.set_brittle(rejects_per_s, runners.SLOTS)
+
+    def shrink() -> None:
+        for runner in chosen:
+            if runner.brittle_per_s is not None:
+                runner.set_brittle(rejects_per_s, rng.choice((1, 2)))
+
+    whole.reactor.callLater(runners.LIMIT_NOTICE_S, shrink)
+
+    def end() -> None:
+        for runner in chosen:
+            runner.set_brittle(None, runners.SLOTS)
+
+    return Begun('none', end)
+
+
 def _strand_hosts(whole: system.SoakSystem, rng: random.Random) -> Begun:
     """Let some hosts, but not all, lose all runners for a while."""
     count = rng.randint(1, max(len(whole.hosts) - 1, 1))
@@ -485,6 +510,7 @@
 EXTRA_FAULTS[SILENT_PEERS] = _silence_peers
 EXTRA_FAULTS[CUT_PEERS] = _cut_peers
 EXTRA_FAULTS[STRANDED] = _strand_hosts
+EXTRA_FAULTS[BRITTLE] = _make_brittle
 EXTRA_FAULTS[RESTORE] = _restore_store
 EXTRA_FAULTS[LIMIT] = _limit_runners
 
@@ -525,6 +551,12 @@
     return [*silences, Planned(CUT_PEERS, cut_at, rng.uniform(*CUT_S))]
 
 
+def draw_brittle(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return a time in which a service's runners are brittle."""
+    at = rng.uniform(0.0, max(length_s - max(BRITTLE_S), 0.0))
+    return [Planned(BRITTLE, at, rng.uniform(*BRITTLE_S))]
+
+
 def draw_strandings(rng: random.Random, length_s: float) -> list[Planned]:
     """Return a moment at which hosts lose all runners."""
     at = rng.uniform(0.0, max(length_s - max(STRANDED_S), 0.0))
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -117,6 +117,8 @@
     strandings: list[Disturbance] = dataclasses.field(default_factory=list)
     same_crashes: list[float] = dataclasses.field(default_factory=list)
     same_arrivals: list[float] = dataclasses.field(default_factory=list)
+    # Times at which brittle runners fell over.
+    falls: list[float] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
     deadly_crashes: list[float] = dataclasses.field(default_factory=list)
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -29,6 +29,8 @@
 # The same of a request that crashes runners.
 COUNTED_SAME_CRASHES = 3
 SAME_BOUND_S = 3.0
+# Falls of brittle runners in a run, of which each has one brittle time.
+MOST_FALLS = 2
 # Time after a host lost its runners from which on it serves its callers, and
 # what may fail there: so many, and one in so many of all.
 STRANDED_BOUND_S = 3.0
@@ -319,6 +321,13 @@
         yield f'{len(late)} more after {COUNTED_SAME_CRASHES} crashes'
 
 
+@promise('brittle')
+def brittle(records: ledger.Ledger) -> Iterator[str]:
+    """Brittle runners hardly ever have to turn too much away."""
+    if len(records.falls) > MOST_FALLS:
+        yield f'{len(records.falls)} falls of brittle runners'
+
+
 @promise('stranded')
 def stranded(records: ledger.Ledger) -> Iterator[str]:
     """A host without runners serves its callers nearly as often."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -36,7 +36,8 @@
     connections between hosts fall silent. With has_notices runners leave
     or ask for pauses in their answers alone. With has_deadly a part of a
     prompt crashes runners, with has_same a request that comes again and again
-    does. With has_stranded hosts lose all runners for a while.
+    does. With has_stranded hosts lose all runners for a while, with
+    has_brittle runners fall over when they turn many requests away.
     """
 
     seed: int
@@ -51,6 +52,7 @@
     has_deadly: bool = False
     has_same: bool = False
     has_stranded: bool = False
+    has_brittle: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,6 +114,8 @@
             self.plan += faults.draw_notices(self.extra_rng, options.faults_s)
         if options.has_severed:
             self.plan += faults.draw_severed(self.extra_rng, options.faults_s)
+        if options.has_brittle:
+            self.plan += faults.draw_brittle(self.extra_rng, options.faults_s)
         if options.has_stranded:
             self.plan += faults.draw_strandings(
                 self.extra_rng, options.faults_s
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -94,6 +94,10 @@
         self.mode = RunnerMode.OK
         self.limit_per_s: float | None = None
         self.limited_at = 0.0
+        # Requests that it turns away in a second without falling over.
+        self.brittle_per_s: int | None = None
+        self.turned_away_at: list[float] = []
+        self.places = SLOTS
         # Each start takes the next one.
         self.versions = itertools.cycle(versions)
         self.version = ''
@@ -132,6 +136,7 @@
         self.is_draining = False
         self.is_up = True
         self.limit_per_s = None
+        self.turned_away_at.clear()
         self.notices = notices.Notices(self.records)
         self.register()
 
@@ -153,6 +158,23 @@
         self.limit_per_s = rate_per_s
         self.limited_at = self.reactor.seconds()
 
+    def set_brittle(self, rejects_per_s: int | None, places: int) -> None:
+        """Say in all answers that it is brittle, and take so many calls."""
+        self.brittle_per_s = rejects_per_s
+        self.places = places
+
+    def _note_rejected(self) -> None:
+        """Fall over if too many were turned away within a second."""
+        if self.brittle_per_s is None:
+            return
+        now = self.reactor.seconds()
+        recent = [at for at in self.turned_away_at if at > now - 1.0]
+        self.turned_away_at = [*recent, now]
+        if len(self.turned_away_at) > self.brittle_per_s:
+            self.records.falls.append(now)
+            self.crash()
+            self.reactor.callLater(DEADLY_DOWN_S, self._start_if_down)
+
     def crash(self) -> None:
         """End without a word; the entry lapses later."""
         if not self.is_up:
@@ -275,6 +297,7 @@
             SEAL,
             self._load(),
             *self._limit(),
+            *self._brittleness(),
             *self.notices.headers(self.reactor.seconds()),
             *extra,
         )
@@ -288,6 +311,11 @@
             return ()
         return ((b'server-limit', str(self.limit_per_s).encode()),)
 
+    def _brittleness(self) -> edge.Headers:
+        if self.brittle_per_s is None:
+            return ()
+        return ((b'server-brittle', str(self.brittle_per_s).encode()),)
+
     def _note_main(self, exchange: edge.Exchange, ran: bool) -> None:
         request = exchange.request
         if request.path not in self._handlers():
@@ -306,12 +334,14 @@
         return usual_s * (SLOWNESS if self.mode == RunnerMode.SLOW else 1.0)
 
     def _main(self, exchange: edge.Exchange) -> None:
-        is_full = self.running >= SLOTS or self.mode == RunnerMode.SHED
+        is_full = self.running >= self.places or self.mode == RunnerMode.SHED
         inputs = (exchange.request.header(b'inputs') or b'').decode()
         missing = {i for i in inputs.split(',') if i} - self.records.handles
         self._note_main(exchange, not (is_full or missing))
         if is_full or missing:
             self._reply(exchange, 503 if is_full else 409, (NOT_RUN,))
+            if is_full and self.mode != RunnerMode.SHED:
+                self._note_rejected()
             return
         if exchange.request.path == DEADLY_PATH:
             self._die(self.records.same_arrivals, self.records.same_crashes)
@@ -356,6 +386,7 @@
             (b'transfer-encoding', b'chunked'),
             SEAL,
             *self._limit(),
+            *self._brittleness(),
             *self.notices.headers(self.reactor.seconds()),
         )
         exchange.start(200, headers)
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -22,6 +22,7 @@
     'deadly',
     'same',
     'stranded',
+    'brittle',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -69,6 +70,7 @@
     deadly: bool = typer.Option(False, help='A part that crashes runners.'),
     same: bool = typer.Option(False, help='A request that crashes runners.'),
     stranded: bool = typer.Option(False, help='Hosts lose all runners.'),
+    brittle: bool = typer.Option(False, help='Runners that fall over.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -83,6 +85,7 @@
             deadly,
             same,
             stranded,
+            brittle,
         ),
         strict=True,
     )
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -75,6 +75,15 @@
     run_soak(context, seed, count, faults_s, '--same')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, brittle runners '
+    'and {faults_s:d} s of faults'
+)
+def play_brittle(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with runners that fall over."""
+    run_soak(context, seed, count, faults_s, '--brittle')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, lost runners '
     'and {faults_s:d} s of faults'
@@ -351,6 +360,12 @@
     records.same_crashes, records.same_arrivals = times, times
 
 
+@defect('brittle runners that fall over again and again')
+def fall_over(records: ledger.Ledger) -> None:
+    """Let runners fall over three times."""
+    records.falls = [10.0, 14.0, 18.0]
+
+
 @defect('a host without runners that serves nobody')
 def strand(records: ledger.Ledger) -> None:
     """Let one host refuse all callers, and another serve its own."""
