--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -300,25 +300,29 @@
 @promise('deadly')
 def deadly(records: ledger.Ledger) -> Iterator[str]:
     """A part that has crashed enough runners is kept from them."""
-    crashes = records.deadly_crashes
-    if len(crashes) < COUNTED_CRASHES:
-        return
-    late_at = crashes[COUNTED_CRASHES - 1] + DEADLY_BOUND_S + SLACK_S
-    late = [at for at in records.deadly_arrivals if at > late_at]
-    if len(late) > MOST_DEADLY:
-        yield f'{len(late)} more requests after {COUNTED_CRASHES} crashes'
+    crashes, arrivals = records.deadly_crashes, records.deadly_arrivals
+    return _late_arrivals(crashes, arrivals, COUNTED_CRASHES, DEADLY_BOUND_S)
 
 
 @promise('same-request')
 def same_request(records: ledger.Ledger) -> Iterator[str]:
     """A request that has crashed three runners is kept from them."""
-    crashes = records.same_crashes
-    if len(crashes) < COUNTED_SAME_CRASHES:
+    crashes, arrivals = records.same_crashes, records.same_arrivals
+    return _late_arrivals(
+        crashes, arrivals, COUNTED_SAME_CRASHES, SAME_BOUND_S
+    )
+
+
+def _late_arrivals(
+    crashes: list[float], arrivals: list[float], counted: int, bound_s: float
+) -> Iterator[str]:
+    """Yield how many arrivals came too late after so many crashes."""
+    if len(crashes) < counted:
         return
-    late_at = crashes[COUNTED_SAME_CRASHES - 1] + SAME_BOUND_S + SLACK_S
-    late = [at for at in records.same_arrivals if at > late_at]
+    late_at = crashes[counted - 1] + bound_s + SLACK_S
+    late = [at for at in arrivals if at > late_at]
     if len(late) > MOST_DEADLY:
-        yield f'{len(late)} more after {COUNTED_SAME_CRASHES} crashes'
+        yield f'{len(late)} more requests after {counted} crashes'
 
 
 @promise('brittle')
