Move the hops of a request out of its handler

No behaviour changes: 350 scenarios of relay, hops, deadly requests, brittle runners and the platform pass as before.

--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -12,6 +12,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _hand_over
 from ragwort_edge import _messages
+from ragwort_edge import _request_hops
 from ragwort_edge import _request_stages
 from ragwort_edge import _runner_replies
 from ragwort_edge import _server
@@ -78,7 +79,6 @@
         self.configuration = configuration
         self.on_end = on_end
         self.hop = hop
-        self.helpers_asked = 0
         self.started_at = context.reactor.seconds()
         limit_s = route.timeout_s
         if metadata.deadline_s is not None:
@@ -116,6 +116,7 @@
             ),
             self._likely_domain,
         )
+        self.hops = _request_hops.RequestHops(self)
 
     @property
     def rank(self) -> int:
@@ -128,6 +129,10 @@
         """Return the time until the response is due, in seconds."""
         return float(self.deadline_at - self.context.reactor.seconds())
 
+    def send_timeout_s(self) -> float:
+        """Return how long to wait for an answer if others may be asked."""
+        return max(MIN_SEND_TIMEOUT_S, self.left_s() * SEND_TIMEOUT_SHARE)
+
     def start(self) -> None:
         """Start handling the request."""
         reactor = self.context.reactor
@@ -162,34 +167,35 @@
         elif failure.check(defer.CancelledError, _client.CallError):
             self._on_cancelled()
         elif failure.check(model.InvalidInputError):
-            self._fail(HTTP_BAD_REQUEST, str(failure.value))
+            self.fail(HTTP_BAD_REQUEST, str(failure.value))
         else:
             detail = failure.getTraceback()[-1500:]
             self.context.logger.error('unhandled-error', detail=detail)
-            self._fail(HTTP_BAD_GATEWAY, 'internal error')
+            self.fail(HTTP_BAD_GATEWAY, 'internal error')
 
     def _on_cancelled(self) -> None:
         if self.log_fields.get('gone'):
-            self._log('caller-gone')
+            self.log_end('caller-gone')
         elif self.attempts.ran:
-            self._fail(HTTP_GATEWAY_TIMEOUT, 'no answer in time')
+            self.fail(HTTP_GATEWAY_TIMEOUT, 'no answer in time')
         else:
             refusal = self.context.refusal('no runner in time')
             self._refuse(str(refusal), refusal.retry_after_s)
 
     def _refuse(self, reason: str, retry_after_s: float) -> None:
         if self.attempts.ran:
-            self._fail(HTTP_BAD_GATEWAY, reason)
+            self.fail(HTTP_BAD_GATEWAY, reason)
             return
-        if self.hop is not None and self._is_out_of_reach:
-            self._log('declined', reason=reason)
+        if self.hop is not None and self.hops.is_out_of_reach:
+            self.log_end('declined', reason=reason)
             self.exchange.respond(_hand_over.decline(reason))
             return
-        self._log('refused', reason=reason, retry_after_s=retry_after_s)
+        self.log_end('refused', reason=reason, retry_after_s=retry_after_s)
         self._respond_error(HTTP_UNAVAILABLE, retry_after_s, reason)
 
-    def _fail(self, status: int, reason: str) -> None:
-        self._log('failed', status=status, reason=reason)
+    def fail(self, status: int, reason: str) -> None:
+        """Answer with an error, or break an answer that has begun."""
+        self.log_end('failed', status=status, reason=reason)
         self._respond_error(status, None, reason)
 
     def _respond_error(
@@ -203,7 +209,8 @@
             dialect.error_response(status, retry_after_s, reason)
         )
 
-    def _log(self, outcome: str, **fields: Any) -> None:
+    def log_end(self, outcome: str, **fields: Any) -> None:
+        """Log how the request ended."""
         context = self.context
         context.metrics.answers.labels(self.route.name, outcome).inc()
         context.logger.info(
@@ -229,7 +236,7 @@
         self._refuse_deadly(self.service)
         if self.hop is not None and self.context.hand_over is not None:
             self.context.hand_over.on_asked(self.hop.host, self.service)
-        if await self._is_served_elsewhere():
+        if await self.hops.is_served_elsewhere():
             return
         if self.context.catalog.is_unreachable(self.service):
             raise self.context.refusal('no runner in reach')
@@ -309,84 +316,6 @@
             return self.context.failure_domain
         return runner.entry.runner.failure_domain
 
-    # Another host.
-
-    @property
-    def _may_be_handed_over(self) -> bool:
-        """Tell whether another host may serve this request from its start.
-
-        It must not have run here: the other host uses all of its attempts.
-        """
-        return self.hop is None and not self.attempts.ran
-
-    @property
-    def _is_out_of_reach(self) -> bool:
-        """Tell whether this host sends nothing to the service's runners."""
-        catalog = self.context.catalog
-        now = self.context.reactor.seconds()
-        return catalog.is_lost(self.service) or catalog.is_left_to_others(
-            self.service, now
-        )
-
-    async def _is_served_elsewhere(self) -> bool:
-        """Hand the request over if its service is out of reach here.
-
-        Return whether that ended it.
-        """
-        hand_over = self.context.hand_over
-        while (
-            hand_over is not None
-            and self._may_be_handed_over
-            and self._is_out_of_reach
-        ):
-            helper = hand_over.choose(self.service, self.helpers_asked)
-            if helper is None:
-                return False
-            self.helpers_asked += 1
-            self.stages.release_all()
-            if await self._hand_to(hand_over, helper):
-                return True
-        return False
-
-    async def _hand_to(
-        self, hand_over: _hand_over.HandOver, helper: model.MemberUpdate
-    ) -> bool:
-        """Hand the request to one host; return whether that ended it."""
-        left_s = self.left_s()
-        hop = _hand_over.Hop(
-            hand_over.members.self_name, left_s, self.configuration.version
-        )
-        head_timeout_s = None
-        if self.route.may_repeat:
-            head_timeout_s = max(
-                MIN_SEND_TIMEOUT_S, left_s * SEND_TIMEOUT_SHARE
-            )
-        call = hand_over.open(
-            helper, self.service, self.exchange, hop, head_timeout_s
-        )
-        try:
-            result, detail = await call.done
-        except defer.CancelledError:
-            call.cancel()
-            self.attempts.ran += call.was_sent
-            raise
-        self.log_fields['helper'] = helper.name
-        if result == _hand_over.HopResult.ANSWERED:
-            self._log('handed-over')
-            return True
-        self.context.logger.info(
-            'hop-failed',
-            request=self.metadata.request_id,
-            service=self.service,
-            helper=helper.name,
-            result=result,
-            detail=detail,
-        )
-        if result in (_hand_over.HopResult.BROKEN, _hand_over.HopResult.LOST):
-            self._fail(HTTP_BAD_GATEWAY, detail)
-            return True
-        return False
-
     # Main call.
 
     def _choose_runner(
@@ -498,7 +427,7 @@
 
     async def _run_plain(self, service: str) -> None:
         tried: set[str] = set()
-        while not await self._is_served_elsewhere():
+        while not await self.hops.is_served_elsewhere():
             await self._await_place(service)
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
@@ -512,7 +441,7 @@
             elif step == relay.NextStep.REFUSE:
                 raise self._refusal(send.detail)
             else:
-                self._fail(HTTP_BAD_GATEWAY, send.detail)
+                self.fail(HTTP_BAD_GATEWAY, send.detail)
             return
 
     def _refusal(self, reason: str) -> _context.RefusedError:
@@ -570,10 +499,7 @@
         if self.route.may_repeat and (
             self.attempts.ran + 1 < self.route.attempts
         ):
-            timeout_s = min(
-                timeout_s,
-                max(MIN_SEND_TIMEOUT_S, timeout_s * SEND_TIMEOUT_SHARE),
-            )
+            timeout_s = min(timeout_s, self.send_timeout_s())
         runner.state.on_dispatch()
         context.catalog.on_send(runner, sent_at)
         try:
@@ -648,7 +574,7 @@
 
     def _deliver(self, response: _messages.HttpResponse) -> None:
         self._observe_latency()
-        self._log('answered', status=response.status)
+        self.log_end('answered', status=response.status)
         self.exchange.respond(
             _messages.HttpResponse(
                 response.status,
@@ -698,7 +624,7 @@
     async def _run_stream(self, service: str) -> None:
         progress = relay.StreamProgress(self.metadata.last_event)
         tried: set[str] = set()
-        while not await self._is_served_elsewhere():
+        while not await self.hops.is_served_elsewhere():
             await self._await_place(service)
             runner = self._take_runner(service, tried)
             sent_at = self.context.reactor.seconds()
@@ -712,18 +638,18 @@
                 continue
             if step == relay.NextStep.DELIVER:
                 if send.result == relay.SendResult.DONE:
-                    self._log('answered', events=progress.forwarded)
+                    self.log_end('answered', events=progress.forwarded)
                     self.exchange.finish()
                 elif send.response is not None and (
                     not self.exchange.is_started
                 ):
                     self._deliver(send.response)
                 else:
-                    self._fail(HTTP_BAD_GATEWAY, send.detail)
+                    self.fail(HTTP_BAD_GATEWAY, send.detail)
             elif step == relay.NextStep.REFUSE:
                 raise self._refusal(send.detail)
             else:
-                self._fail(HTTP_BAD_GATEWAY, send.detail)
+                self.fail(HTTP_BAD_GATEWAY, send.detail)
             return
 
     async def _send_stream(
