Teach the relay's fault matrix brittle runners and a silent second

Two more faults meet each kind of request, on the first and on every runner, alone and mixed: a runner that turns requests away and falls over if it does so more than three times a second, and one that answers after a second of silence.

--- a/features/relay_faults.feature
+++ b/features/relay_faults.feature
@@ -27,6 +27,7 @@
       | calls that go on without their caller |
       | requests to runners that leave       |
       | requests to runners in a pause       |
+      | requests to brittle runners without room |
 
   Scenario Outline: any <input> is read or refused with a typed error
     Then any <input> is read or refused with a typed error
--- a/features/steps/relay_fault_steps.py
+++ b/features/steps/relay_fault_steps.py
@@ -20,6 +20,7 @@
 import ragwort_platform as platform
 from ragwort_platform import _store
 import ragwort_relay as relay
+from ragwort_relay import _brittle
 
 EXAMPLES = 300
 
@@ -55,6 +56,9 @@
     'requests to runners in a pause': lambda: mock.patch.object(
         relay.Pauses, 'left_s', lambda *_: 0.0
     ),
+    'requests to brittle runners without room': lambda: mock.patch.object(
+        _brittle.BrittleRunners, 'wait_s', lambda *_: 0.0
+    ),
     'calls that go on without their caller': lambda: mock.patch.object(
         _request_handler.RequestHandler, '_on_disconnect', lambda *_: None
     ),
--- a/features/support/relay_promises.py
+++ b/features/support/relay_promises.py
@@ -31,8 +31,10 @@
     'cut:3',
     'leave',
     'pause:2',
+    'brittle:3',
+    'late:1',
 )
-NOTICES = ('leave', 'pause:2')
+NOTICES = ('leave', 'pause:2', 'brittle:3')
 RUNNERS = 3
 EVENTS = 5
 ROUTE_S = 3.0
@@ -73,7 +75,8 @@
     """Return what is broken by requests after what runners said."""
     world, runners = _world(3)
     for runner in runners:
-        runner.script = [step]
+        # A runner goes on being brittle; the other notices are given once.
+        runner.script = [step] * (20 if step.startswith('brittle') else 1)
     played = []
     for number in range(20):
         played.append(_submit(world, f'r{number}', kind))
@@ -174,6 +177,8 @@
         late = [t for t in times if left_at and t > left_at + NOTICE_S]
         if late:
             found.append(f'{runner.name} leaves and got {len(late)} requests')
+        if runner.falls:
+            found.append(f'{runner.name} fell over {len(runner.falls)} times')
         for told_at, until in runner.pauses:
             early = [t for t in times if told_at + PAUSE_NOTICE_S < t < until]
             if len(early) > MOST_IN_PAUSE:
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -390,7 +390,9 @@
     Steps: ok, error (its own failure), full (not run), reset (ran, answer
     lost), refused (not run, 421), silent, foreign (another's answer),
     gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
-    (not run, and nothing is wanted for S seconds), events:N (a stream of N
+    (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
+    falls over if it turns away more than N a second), late:S (ok, after S
+    seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N). Events show the software
     version, which runners don't check.
     """
@@ -422,13 +424,13 @@
         told = json.loads(request.header(b'call') or b'{}')
         arrival = Arrival(self.clock.seconds(), self.name, request, told)
         self.arrivals.append(arrival)
-        default = f'events:{self.events}' if self.events else 'ok'
-        step = self.script.pop(0) if self.script else default
+        step = self.script.pop(0) if self.script else self._sound_step()
         arrival.ran = step.partition(':')[0] not in (
             'full',
             'refused',
             'gone',
             'pause',
+            'brittle',
         )
 
         def close() -> None:
@@ -445,6 +447,9 @@
             self.work_s, self._answer, step, arrival, open_call
         )
 
+    def _sound_step(self) -> str:
+        return f'events:{self.events}' if self.events else 'ok'
+
     def fall(self) -> None:
         """Crash and note when."""
         self.falls.append(self.clock.seconds())
@@ -477,6 +482,13 @@
         elif kind == 'pause':
             self.pause_s = float(count)
             self.turn_away(call)
+        elif kind == 'brittle':
+            self.brittle_per_s = float(count)
+            self.turn_away(call)
+        elif kind == 'late':
+            self.clock.callLater(
+                float(count), self._answer, self._sound_step(), arrival, call
+            )
         elif kind == 'ok':
             call.respond(HTTP_OK, echo, b'whole')
         elif kind == 'error':
