--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -63,7 +63,7 @@
         )
         self.refused_suspects = prometheus.Gauge(
             'ragwort_refused_suspects',
-            'Parts of prompts that are kept from runners, which they crash',
+            'Requests and parts of prompts that are kept from runners',
             registry=self.registry,
         )
         self.hops = prometheus.Counter(
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -256,8 +256,8 @@
     ) -> bool:
         """Tell whether a refused request was in all crashes of a suspect.
 
-        Another request must have been in more of them: what crashes runners
-        and a request that shared them are else not to be told apart.
+        If the suspect is a request as well, the refused one must have been in
+        more crashes: two requests that shared all can't be told apart.
         """
         is_request = _suspects.is_request(key[1])
         return any(
