Ask hosts without runners only for what hosts in reach can give

No host could have helped. The check now leaves out a time in which each host with runners is cut off from the others; that it still fails otherwise is a scenario.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -73,6 +73,13 @@
       | leaving      | a request that a leaving host cut       |
       | recovery     | a host that serves nobody any more      |
 
+  Scenario: hosts without runners need help only from hosts that they reach
+    Given the records of a sound run
+    When a host without runners that serves nobody is in the records
+    Then only the promise "stranded" is broken
+    When the host that reaches runners was cut off from the others
+    Then no promise is broken
+
   Scenario: a host that starts may answer a key that was taken with 503
     Given the records of a sound run
     When a refusal of a key that was taken is in the records
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -345,6 +345,14 @@
         ]
         at_cut = [one for one in asked if _is_stranded(records, one)]
         others = [one for one in asked if not _is_stranded(records, one)]
+        apart = {
+            cut.target
+            for cut in records.cuts
+            if cut.at < span[1] and cut.until > span[0]
+        }
+        if {one.host for one in others} <= apart:
+            # No host that reaches runners is reached by another one.
+            continue
         failed = sum(not _is_served(one) for one in at_cut)
         if failed <= MOST_STRANDED + len(asked) / MOST_STRANDED_SHARE:
             continue
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -385,6 +385,14 @@
         records.outcomes.append(outcome)
 
 
+@when('the host that reaches runners was cut off from the others')
+def cut_helper(context: Any) -> None:
+    """Cut it off for as long as the other one has no runners."""
+    [stranding] = context.records.strandings
+    cut = ledger.Disturbance('cut', 'host-1', stranding.at, stranding.until)
+    context.records.cuts.append(cut)
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
