Compare hosts without runners by the kinds that others serve

The kept logs show: all three runners of the plain service drained at the same moment (42.80 to 44.80), and no host had one until 50.61. In the time that counts the host without runners failed 26 requests, 24 of them of the two kinds of that service, of which the others served 0 of 60; of the other kinds it served 17 of 19, the others 32 of 45. The check compared all kinds together, and each host's callers ask a mix of their own. It now compares the kinds that the others served at all, as strictly as before; that it fails for a host that serves nobody is shown as before.

--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -353,6 +353,10 @@
         if {one.host for one in others} <= apart:
             # No host that reaches runners is reached by another one.
             continue
+        # A service may have no runner at all at that time.
+        kinds = {one.kind for one in others if _is_served(one)}
+        at_cut = [one for one in at_cut if one.kind in kinds]
+        others = [one for one in others if one.kind in kinds]
         failed = sum(not _is_served(one) for one in at_cut)
         if failed <= MOST_STRANDED + len(asked) / MOST_STRANDED_SHARE:
             continue
