--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -6,6 +6,7 @@
 and which configuration judged the request.
 """
 
+from collections.abc import Collection
 import dataclasses
 import enum
 import math
@@ -26,6 +27,7 @@
 LEFT_HEADER = HOP_PREFIX + b'left-ms'
 VERSION_HEADER = HOP_PREFIX + b'version'
 DECLINED_HEADER = HOP_PREFIX + b'declined'
+CUT_OFF_HEADER = HOP_PREFIX + b'cut-off'
 # Bytes of the hop's headers, beyond what a caller may send.
 MAX_HOP_HEADER_BYTES = 1024
 HTTP_UNAVAILABLE = 503
@@ -47,11 +49,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hop:
-    """What the host that hands a request over says of it."""
+    """What the host that hands a request over says of it.
+
+    is_cut_off tells whether that host reaches no runner of the service.
+    """
 
     host: str
     left_s: float
     version: int
+    is_cut_off: bool = False
 
 
 def read_hop(
@@ -66,7 +72,8 @@
         raise model.InvalidInputError(f'damaged hop: {error}') from None
     if not host or left_s <= 0:
         raise model.InvalidInputError('hop without a host or without time')
-    return Hop(host, left_s, version), _without_hop(request)
+    is_cut_off = request.header(CUT_OFF_HEADER) is not None
+    return Hop(host, left_s, version, is_cut_off), _without_hop(request)
 
 
 def _without_hop(request: _messages.HttpRequest) -> _messages.HttpRequest:
@@ -78,9 +85,16 @@
     return dataclasses.replace(request, headers=headers)
 
 
-def decline(reason: str) -> _messages.HttpResponse:
-    """Return the answer to a request that another host should serve."""
-    headers = ((DECLINED_HEADER, reason.encode()),)
+def decline(reason: str, is_cut_off: bool = False) -> _messages.HttpResponse:
+    """Return the answer to a request that another host should serve.
+
+    is_cut_off tells that this host reaches no runner of the service.
+    """
+    headers: tuple[tuple[bytes, bytes], ...] = (
+        (DECLINED_HEADER, reason.encode()),
+    )
+    if is_cut_off:
+        headers += ((CUT_OFF_HEADER, b'1'),)
     return _messages.HttpResponse(HTTP_UNAVAILABLE, headers)
 
 
@@ -98,6 +112,7 @@
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
         self.declined: str | None = None
+        self.is_helper_cut_off = False
         self.has_head = False
 
     def open(
@@ -142,6 +157,9 @@
         declined = response.header(DECLINED_HEADER)
         if declined is not None:
             self.declined = declined.decode('latin-1')
+            self.is_helper_cut_off = (
+                response.header(CUT_OFF_HEADER) is not None
+            )
             return
         headers = _messages.end_to_end(response.headers)
         length = response.header(b'content-length')
@@ -197,8 +215,13 @@
         self.metrics = metrics
         self.helpers = relay.Helpers()
 
-    def choose(self, service: str, asked: int) -> model.MemberUpdate | None:
-        """Return the next host to ask for a request, None if there is none."""
+    def choose(
+        self, service: str, asked: int, preferred: Collection[str] = ()
+    ) -> model.MemberUpdate | None:
+        """Return the next host to ask for a request, None if there is none.
+
+        The preferred hosts go before all others.
+        """
         now = self.reactor.seconds()
         if not self.helpers.may_ask(service, asked, now):
             return None
@@ -209,7 +232,10 @@
             and update.hand_over_address
             and update.name != self.members.self_name
         ]
-        return self.helpers.choose(service, hosts, self.rng, now)
+        likely = [update for update in hosts if update.name in preferred]
+        return self.helpers.choose(
+            service, likely, self.rng, now
+        ) or self.helpers.choose(service, hosts, self.rng, now)
 
     def open(
         self,
@@ -228,6 +254,9 @@
             self.helpers.on_end(helper.name)
             if isinstance(outcome, tuple):
                 self._on_result(helper.name, service, outcome[0])
+            if call.is_helper_cut_off:
+                now = self.reactor.seconds()
+                self.helpers.on_cut_off(helper.name, service, now)
             return outcome
 
         call.done.addBoth(on_done)
@@ -235,9 +264,12 @@
         call.open(self.client, address, request, head_timeout_s)
         return call
 
-    def on_asked(self, host: str, service: str) -> None:
+    def on_asked(self, hop: Hop, service: str) -> None:
         """Note that a host which hands requests over is itself no helper."""
-        self.helpers.on_declined(host, service, self.reactor.seconds())
+        now = self.reactor.seconds()
+        self.helpers.on_declined(hop.host, service, now)
+        if hop.is_cut_off:
+            self.helpers.on_cut_off(hop.host, service, now)
 
     def _on_result(self, helper: str, service: str, result: HopResult) -> None:
         self.metrics.hops.labels(service, result).inc()
@@ -257,4 +289,6 @@
         (LEFT_HEADER, b'%d' % max(math.floor(hop.left_s * 1000), 1)),
         (VERSION_HEADER, b'%d' % hop.version),
     )
+    if hop.is_cut_off:
+        headers += ((CUT_OFF_HEADER, b'1'),)
     return dataclasses.replace(request, headers=headers)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -217,7 +217,8 @@
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
         )
-        self.catalog.brittle.holds = self._holds_brittle
+        self.catalog.brittle.self_name = options.host.name
+        self.catalog.brittle.holders = self._brittle_holders
         self.reach_probe = _reach_probe.ReachProbe(
             reactor, self.client, self.catalog, self.rng, logger
         )
@@ -510,10 +511,24 @@
         kind = type(effect.message).__name__
         self.metrics.peer_bytes.labels(kind).inc(sent_bytes)
 
-    def _holds_brittle(self, runner: str, count: int) -> bool:
-        """Tell whether this host is one of some that send to a runner."""
-        role = f'{BRITTLE_ROLE}/{runner}'
-        return membership.is_elected(self.members, role, count, None)
+    def _brittle_holders(
+        self, runner: relay.FleetRunner, count: int
+    ) -> list[str]:
+        """Return the hosts that send to a runner, as far as in reach.
+
+        The next ones in order stand in for those that are cut off, so that
+        each host which sends is among the first that reach the runner.
+        """
+        assert self.context.hand_over is not None
+        service = runner.entry.runner.service
+        cut_off = self.context.hand_over.helpers.cut_off(
+            service, self.reactor.seconds()
+        )
+        role = f'{BRITTLE_ROLE}/{runner.name}'
+        holders = membership.role_holders(
+            self.members, role, count + len(cut_off), None
+        )
+        return [name for name in holders if name not in cut_off][:count]
 
     def _stage_owner_candidates(self, service: str) -> list[str | None]:
         return membership.owner_addresses(
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -188,7 +188,8 @@
             return
         if self.hop is not None and self.hops.is_out_of_reach:
             self.log_end('declined', reason=reason)
-            self.exchange.respond(_hand_over.decline(reason))
+            is_cut_off = self.context.catalog.is_lost(self.service)
+            self.exchange.respond(_hand_over.decline(reason, is_cut_off))
             return
         self.log_end('refused', reason=reason, retry_after_s=retry_after_s)
         self._respond_error(HTTP_UNAVAILABLE, retry_after_s, reason)
@@ -235,7 +236,7 @@
     async def _run(self) -> None:
         self._refuse_deadly(self.service)
         if self.hop is not None and self.context.hand_over is not None:
-            self.context.hand_over.on_asked(self.hop.host, self.service)
+            self.context.hand_over.on_asked(self.hop, self.service)
         if await self.hops.is_served_elsewhere():
             return
         if self.context.catalog.is_unreachable(self.service):
--- a/libs/ragwort_edge/ragwort_edge/_request_hops.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_hops.py
@@ -51,7 +51,13 @@
             and self._may_hand_over
             and self.is_out_of_reach
         ):
-            helper = hand_over.choose(self.handler.service, self.asked)
+            helper = hand_over.choose(
+                self.handler.service,
+                self.asked,
+                self.context.catalog.senders(
+                    self.handler.service, self.context.reactor.seconds()
+                ),
+            )
             if helper is None:
                 return False
             self.asked += 1
@@ -69,6 +75,7 @@
             hand_over.members.self_name,
             handler.left_s(),
             handler.configuration.version,
+            self.context.catalog.is_lost(handler.service),
         )
         may_ask_again = handler.route.may_repeat
         call = hand_over.open(
--- a/libs/ragwort_relay/ragwort_relay/_brittle.py
+++ b/libs/ragwort_relay/ragwort_relay/_brittle.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import math
 
@@ -47,11 +48,14 @@
     def __init__(self) -> None:
         """Start with none.
 
-        holds tells whether this host is one of so many that send to a runner,
+        holders returns the hosts, so many at most, that send to a runner;
         host_count is how many hosts there are.
         """
         self.host_count = 1
-        self.holds: Callable[[str, int], bool] = lambda runner, count: True
+        self.self_name = ''
+        self.holders: Callable[[_fleet.FleetRunner, int], Collection[str]] = (
+            lambda runner, count: [self.self_name]
+        )
         self.cares: dict[Incarnation, _Care] = {}
         # What the last brittle runner of each service said. One that starts
         # is taken for brittle as well until it answers.
@@ -100,8 +104,8 @@
         return max(min(math.floor(rejects_per_s), self.host_count), 1)
 
     def _share(self, runner: _fleet.FleetRunner, rejects_per_s: float) -> int:
-        holders = self._holder_count(rejects_per_s)
-        return max(runner.entry.slots // holders, 1)
+        holders = self.holders(runner, self._holder_count(rejects_per_s))
+        return max(runner.entry.slots // max(len(holders), 1), 1)
 
     def _forget_earlier_starts(self, key: Incarnation) -> None:
         name, started_ms = key
@@ -140,11 +144,15 @@
 
     def is_held_elsewhere(self, runner: _fleet.FleetRunner) -> bool:
         """Tell whether only other hosts send to a runner."""
+        senders = self.senders(runner)
+        return senders is not None and self.self_name not in senders
+
+    def senders(self, runner: _fleet.FleetRunner) -> Collection[str] | None:
+        """Return the hosts that send to a runner, None for all of them."""
         care = self._care_for(runner)
         if care is None:
-            return False
-        count = self._holder_count(care.rejects_per_s)
-        return not self.holds(runner.name, count)
+            return None
+        return self.holders(runner, self._holder_count(care.rejects_per_s))
 
     def wait_s(self, runner: _fleet.FleetRunner, now: float) -> float:
         """Return the time until this host may send to a runner."""
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -121,6 +121,14 @@
             self._is_held_elsewhere(runner) for runner in usable
         )
 
+    def senders(self, service: str, now: float) -> set[str]:
+        """Return the hosts that alone send to a service's brittle runners."""
+        return {
+            host
+            for runner in self.usable(service, now)
+            for host in self.brittle.senders(runner) or ()
+        }
+
     def on_send(self, runner: _fleet.FleetRunner, now: float) -> None:
         """Record that this host sends a request to a runner."""
         self.rate_limits.on_send(runner, now)
--- a/libs/ragwort_relay/ragwort_relay/_helpers.py
+++ b/libs/ragwort_relay/ragwort_relay/_helpers.py
@@ -17,6 +17,8 @@
 # for which it is asked only if no other host is left.
 DECLINED_S = 1.0
 DOUBTED_S = 10.0
+# Time for which a host counts as cut off from a service after it said so.
+CUT_OFF_S = 2.0
 # Hosts that are asked for one request, and while it is likely that none can
 # serve it: some have declined, and none has served one for a while.
 MAX_ASKED = 3
@@ -32,6 +34,8 @@
     def __init__(self) -> None:
         """Start with no request handed over."""
         self.declined_at: dict[tuple[str, str], float] = {}
+        # When a host last said that it reaches no runner of a service.
+        self.cut_off_at: dict[tuple[str, str], float] = {}
         self.open_counts: collections.Counter[str] = collections.Counter()
         self.served_at: dict[str, float] = {}
 
@@ -85,6 +89,21 @@
         self.served_at[service] = now
         self.declined_at.pop((host, service), None)
 
+    def on_cut_off(self, host: str, service: str, now: float) -> None:
+        """Record that a host reaches no runner of a service."""
+        for key, at in list(self.cut_off_at.items()):
+            if now >= at + CUT_OFF_S:
+                del self.cut_off_at[key]
+        self.cut_off_at[host, service] = now
+
+    def cut_off(self, service: str, now: float) -> set[str]:
+        """Return the hosts that reach no runner of a service."""
+        return {
+            host
+            for (host, lost), at in self.cut_off_at.items()
+            if lost == service and now < at + CUT_OFF_S
+        }
+
     def on_declined(self, host: str, service: str, now: float) -> None:
         """Leave a host alone that serves the service no better."""
         for key, at in list(self.declined_at.items()):
