--- a/features/hosts_without_runners.feature
+++ b/features/hosts_without_runners.feature
@@ -52,6 +52,16 @@
       | stream | is killed         |
       | safe   | loses its runners |
       | safe   | leaves            |
+      | safe   | freezes           |
+      | stream | freezes           |
+
+  Scenario: the only host that reaches runners serves slowly
+    Given 4 relay hosts and 4 runners of "staged" requests, luck 22
+    When callers send 8 requests a second for 6 s
+    And stages take 1 s and runners begin their answers after 1 s
+    And 3 hosts lose all runners for 12 s and connections hang
+    Then from 3 s on, first tries at all hosts are served at least 9 in 10 times
+    And from 3 s on, first tries at the cut hosts are served two thirds as often as at the others
 
   Scenario: no host has a runner
     Given 6 relay hosts and 4 runners of "safe" requests, luck 15
--- a/features/steps/hosts_without_runners_steps.py
+++ b/features/steps/hosts_without_runners_steps.py
@@ -1,12 +1,15 @@
 """Steps of hosts that lost all runners."""
 
+import dataclasses
 import json
 from typing import Any
 
 from behave import then
 from behave import when
 
+from features.support import relay_hosts
 import ragwort_lab as lab
+import ragwort_relay as relay
 
 # The users' bound of what a cut host serves, as a share of the others.
 MIN_SHARE_OF_OTHERS = 2 / 3
@@ -52,6 +55,8 @@
     world = context.crash.world
     if what == 'is killed':
         world.kill(4)
+    elif what == 'freezes':
+        world.freeze(4)
     elif what == 'leaves':
         world.hosts[4].leave()
     else:
@@ -62,6 +67,26 @@
     heal(context)
 
 
+@when(
+    'stages take {stage_s:g} s and runners begin their answers after'
+    ' {seconds:g} s'
+)
+def slow_down(context: Any, stage_s: float, seconds: float) -> None:
+    """Let runners work for long on each request, as the hosts know."""
+    world = context.crash.world
+    limits = dataclasses.replace(
+        relay_hosts.PREP_LIMITS, call_overhead_s=stage_s
+    )
+    for runner in world.network.runners.values():
+        if isinstance(runner, lab.LabStageRunner):
+            runner.limits = limits
+    for runner in world.runners:
+        runner.work_s = seconds
+    for host in world.hosts:
+        services = host.catalog.configuration.services
+        services['prep'] = relay.ServiceSpec('prep', limits)
+
+
 @when('{count:d} hosts lose all runners and connections {manner}')
 def cut_for_good(context: Any, count: int, manner: str) -> None:
     """Cut hosts off and send requests for long enough to notice."""
--- a/features/support/host_hops.py
+++ b/features/support/host_hops.py
@@ -80,6 +80,12 @@
         self.exchanges.append(exchange)
         self.serve_exchange(exchange)
 
+    def freeze(self) -> None:
+        """Take requests and answer none, also of those under way."""
+        self.serve_exchange = lambda exchange: None
+        for exchange in self.exchanges:
+            exchange.call.is_muted = True
+
     def stop(self) -> None:
         """Break all open calls, as a process does that is killed."""
         for exchange in self.exchanges:
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -448,6 +448,14 @@
         assert isinstance(port, host_hops.HopPort)
         port.stop()
 
+    def freeze(self, index: int) -> None:
+        """Let a host's process answer nothing; its connections stay."""
+        self.stop_for_good(index)
+        address = self.hosts[index].options.host.hand_over_address
+        port = self.network.hosts[address]
+        assert isinstance(port, host_hops.HopPort)
+        port.freeze()
+
     def hand(self, index: int, changed: dict[str, str]) -> Any:
         """Hand a request to a host as another one does; return the hop."""
         hop = {'host': 'host-0', 'left-ms': '2000', 'version': '1'} | changed
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -6,6 +6,7 @@
 and which configuration judged the request.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 import enum
@@ -30,6 +31,8 @@
 CUT_OFF_HEADER = HOP_PREFIX + b'cut-off'
 # Bytes of the hop's headers, beyond what a caller may send.
 MAX_HOP_HEADER_BYTES = 1024
+# Interval of looking whether a silent helper is alive, once its answer is due.
+LIFE_CHECK_S = 0.1
 HTTP_UNAVAILABLE = 503
 
 
@@ -111,6 +114,7 @@
         self.done: defer.Deferred[tuple[HopResult, str]] = defer.Deferred()
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
+        self.is_alive: Callable[[], bool] = lambda: False
         self.declined: str | None = None
         self.is_helper_cut_off = False
         self.has_head = False
@@ -121,9 +125,14 @@
         address: str,
         request: _messages.HttpRequest,
         head_timeout_s: float | None,
+        is_alive: Callable[[], bool],
     ) -> None:
-        """Send the request; wait so long for a head, None for any time."""
+        """Send the request; wait so long for a head, None for any time.
+
+        A host that is alive is waited for longer: it may serve slowly.
+        """
         self.open_call = client.open(address, request, self)
+        self.is_alive = is_alive
         if head_timeout_s is not None:
             self.timer = self.reactor.callLater(
                 head_timeout_s, self._on_head_timeout
@@ -145,6 +154,11 @@
             self.timer.cancel()
 
     def _on_head_timeout(self) -> None:
+        if self.is_alive():
+            self.timer = self.reactor.callLater(
+                LIFE_CHECK_S, self._on_head_timeout
+            )
+            return
         was_sent = self.was_sent
         self.cancel()
         result = HopResult.LOST if was_sent else HopResult.NOT_SENT
@@ -261,7 +275,13 @@
 
         call.done.addBoth(on_done)
         address = helper.hand_over_address
-        call.open(self.client, address, request, head_timeout_s)
+        call.open(
+            self.client,
+            address,
+            request,
+            head_timeout_s,
+            lambda: self.members.is_alive(helper.name),
+        )
         return call
 
     def on_asked(self, hop: Hop, service: str) -> None:
