--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -1,12 +1,12 @@
 """Steps of the adapter's client of the platform's store."""
 
-import dataclasses
 import json
 import random
 from typing import Any
 
 from behave import then
 from behave import when
+import msgspec
 from twisted.internet import task
 
 from features.steps import platform_steps
@@ -105,7 +105,7 @@
     )
     (listing,) = watcher.tick(0.0, state.WatchTurn())
     list_pages(context)
-    result = dataclasses.replace(context.result, op=listing.op)
+    result = msgspec.structs.replace(context.result, op=listing.op)
     watcher.on_store_result(result, 0.1)
     (context.watch,) = watcher.tick(0.2, state.WatchTurn())
 
--- a/features/steps/unequal_host_steps.py
+++ b/features/steps/unequal_host_steps.py
@@ -1,13 +1,13 @@
 """Steps of fleets whose hosts differ in processor and link."""
 
 import collections
-import dataclasses
 import random
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 import ragwort_membership as membership
 import ragwort_model as model
@@ -135,7 +135,7 @@
     """Mark the strong hosts dead, but for this one."""
     for index in range(1, len(context.strong)):
         update = host_update(index, context.capacities[index])
-        dead = dataclasses.replace(update, status=model.MemberStatus.DEAD)
+        dead = msgspec.structs.replace(update, status=model.MemberStatus.DEAD)
         context.members.merge([dead], 1.0)
 
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -6,6 +6,8 @@
 import time
 from typing import Any
 
+import msgspec
+
 from ragwort_edge import _client
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
@@ -411,7 +413,9 @@
         for prefix, watcher in self.watchers.items():
             overdue_count = watcher.overdue_count
             for call in watcher.tick(now, turn):
-                prefixed = dataclasses.replace(call, op=f'{prefix}{call.op}')
+                prefixed = msgspec.structs.replace(
+                    call, op=f'{prefix}{call.op}'
+                )
                 self.store.call(prefixed)
             if watcher.overdue_count != overdue_count:
                 self.metrics.overdue_watches.inc()
@@ -462,7 +466,7 @@
             if not result.op.startswith(prefix):
                 continue
             was_unreachable = watcher.is_store_unavailable
-            unprefixed = dataclasses.replace(
+            unprefixed = msgspec.structs.replace(
                 result, op=result.op.removeprefix(prefix)
             )
             if was_unreachable and result.status == model.StoreStatus.OK:
--- a/libs/ragwort_fakes/ragwort_fakes/_platform.py
+++ b/libs/ragwort_fakes/ragwort_fakes/_platform.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import msgspec
+
 import ragwort_model as model
 
 HISTORY_LIMIT = 10_000
@@ -116,7 +118,7 @@
     def _in_era(self, item: model.StoredObject) -> model.StoredObject:
         revision = model.revision_of(item.version)
         version = model.make_version(self.era, revision)
-        return dataclasses.replace(item, version=version)
+        return msgspec.structs.replace(item, version=version)
 
     def put(self, name: str, value: str | None) -> int:
         """Set an object from outside the API and return its version."""
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -11,6 +11,8 @@
 import random
 import statistics
 
+import msgspec
+
 import ragwort_model as model
 
 PROBE_INTERVAL_S = 1.0
@@ -215,7 +217,7 @@
         status: model.MemberStatus | None = None,
     ) -> None:
         own = self.own
-        update = dataclasses.replace(
+        update = msgspec.structs.replace(
             own,
             incarnation=incarnation,
             accepting=own.accepting if accepting is None else accepting,
@@ -386,7 +388,7 @@
         if member is None or not member.is_alive:
             return
         self._set_record(
-            dataclasses.replace(
+            msgspec.structs.replace(
                 member.update, status=model.MemberStatus.SUSPECT
             ),
             now,
@@ -402,7 +404,7 @@
             status = member.update.status
             if status == model.MemberStatus.SUSPECT:
                 if age >= self._suspicion_timeout_s():
-                    dead = dataclasses.replace(
+                    dead = msgspec.structs.replace(
                         member.update, status=model.MemberStatus.DEAD
                     )
                     self._set_record(dead, now)
--- a/libs/ragwort_model/ragwort_model/_domain.py
+++ b/libs/ragwort_model/ragwort_model/_domain.py
@@ -1,8 +1,9 @@
 """Domain data classes: services, pipelines, classes of work, requests."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class ServiceKind(enum.StrEnum):
     """Role of a service in a pipeline."""
@@ -35,8 +36,7 @@
     LEAVING = 'leaving'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """A service whose runners execute one stage of a pipeline."""
 
     name: str
@@ -45,16 +45,14 @@
     streams: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pipeline:
+class Pipeline(msgspec.Struct, frozen=True):
     """Ordered names of the services that a request passes through."""
 
     name: str
     stages: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """Service-level target of a class of work, as set by operators.
 
     attainment is the share of requests to complete within deadline_s;
@@ -66,8 +64,7 @@
     cost: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClassOfWork:
+class ClassOfWork(msgspec.Struct, frozen=True):
     """A kind of request with one pipeline and one target."""
 
     name: str
@@ -75,8 +72,7 @@
     target: Target
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Runner:
+class Runner(msgspec.Struct, frozen=True):
     """A model engine or plain service that executes stage calls.
 
     cost_rate is in cost units per busy second. software_version tells what
@@ -94,8 +90,7 @@
     software_version: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EntryHost:
+class EntryHost(msgspec.Struct, frozen=True):
     """An entry host and the addresses that it listens on.
 
     capacity is relative to a host with one core and a link of matching
@@ -112,8 +107,7 @@
     hand_over_address: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
+class Request(msgspec.Struct, frozen=True):
     """A caller's request after validation."""
 
     key: str
--- a/libs/ragwort_model/ragwort_model/_ids.py
+++ b/libs/ragwort_model/ragwort_model/_ids.py
@@ -1,9 +1,9 @@
 """Identifiers of requests and attempts."""
 
-import dataclasses
 import random
 import uuid
 
+import msgspec
 import uuid6
 
 from ragwort_model import _errors
@@ -11,8 +11,7 @@
 MS_PER_S = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AttemptId:
+class AttemptId(msgspec.Struct, frozen=True):
     """Identifier of one attempt at one stage of a request.
 
     The nonce distinguishes attempts of a restarted node from earlier ones.
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -1,8 +1,9 @@
 """Messages between nodes."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from ragwort_model import _store
 
 
@@ -30,8 +31,7 @@
     LOST = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberUpdate:
+class MemberUpdate(msgspec.Struct, frozen=True):
     """State of a node as seen by the sender.
 
     capacity and hand_over_address are as in EntryHost.
@@ -49,8 +49,7 @@
     hand_over_address: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(msgspec.Struct, frozen=True):
     """Probe; wall is the sender's wall clock in seconds, to detect skew.
 
     view is a hash of the sender's member list.
@@ -62,8 +61,7 @@
     updates: list[MemberUpdate]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True):
     """Answer to a probe."""
 
     sequence: int
@@ -71,8 +69,7 @@
     updates: list[MemberUpdate]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class IndirectPing:
+class IndirectPing(msgspec.Struct, frozen=True):
     """Ask the receiver to probe target for the sender."""
 
     sequence: int
@@ -80,32 +77,28 @@
     updates: list[MemberUpdate]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberSync:
+class MemberSync(msgspec.Struct, frozen=True):
     """Full member list, exchanged at start and after a partition heals."""
 
     members: list[MemberUpdate]
     reply: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ObjectVersion:
+class ObjectVersion(msgspec.Struct, frozen=True):
     """Name and version of one replicated object."""
 
     name: str
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StateDigest:
+class StateDigest(msgspec.Struct, frozen=True):
     """Hash of the replica, and of its buckets once the roots differ."""
 
     root: int
     buckets: list[int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StateVersions:
+class StateVersions(msgspec.Struct, frozen=True):
     """Versions of the sender's objects.
 
     They are all that the sender has in the given buckets; without buckets
@@ -116,24 +109,21 @@
     versions: list[ObjectVersion]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StateWant:
+class StateWant(msgspec.Struct, frozen=True):
     """Ask for objects by name; the answer may be compressed if they say so."""
 
     names: list[str]
     reads_compressed: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StatePush:
+class StatePush(msgspec.Struct, frozen=True):
     """Objects to merge; synced marks the end of a full exchange."""
 
     objects: list[_store.StoredObject]
     synced: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """The right of one node to dispatch one non-idempotent request."""
 
     key: str
@@ -143,15 +133,13 @@
     nonce: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimForward:
+class ClaimForward(msgspec.Struct, frozen=True):
     """Ask the shard's owner to commit a claim."""
 
     claim: Claim
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimReply:
+class ClaimReply(msgspec.Struct, frozen=True):
     """Result of a forwarded claim; standing is the claim in the store."""
 
     key: str
@@ -160,8 +148,7 @@
     standing: Claim | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Follow:
+class Follow(msgspec.Struct, frozen=True):
     """Ask for the answer stream of a request from chunk from_seq on."""
 
     key: str
@@ -170,16 +157,14 @@
     body_digest: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FollowEvent:
+class FollowEvent(msgspec.Struct, frozen=True):
     """One event of a followed stream, encoded as for callers."""
 
     token: str
     event: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageWork:
+class StageWork(msgspec.Struct, frozen=True):
     """One piece of a stage that a host needs computed."""
 
     request_id: str
@@ -189,8 +174,7 @@
     inputs: list[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageAsk:
+class StageAsk(msgspec.Struct, frozen=True):
     """Ask the owner of a stage service to compute the pieces of one stage.
 
     target_s and deadline_s are the seconds from receipt until the pieces
@@ -209,8 +193,7 @@
     next_services: list[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceWait:
+class ServiceWait(msgspec.Struct, frozen=True):
     """Queueing times of a stage service, as measured age_s ago.
 
     waits_s holds the wait of work that can be timely for each of several
@@ -224,16 +207,14 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageTaken:
+class StageTaken(msgspec.Struct, frozen=True):
     """Acknowledge StageAsk; waits are the queueing times the owner knows."""
 
     group: str
     waits: list[ServiceWait]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PieceOutcome:
+class PieceOutcome(msgspec.Struct, frozen=True):
     """How one piece ended: the handle of its result, or why there is none."""
 
     piece: int
@@ -241,8 +222,7 @@
     reason: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageReply:
+class StageReply(msgspec.Struct, frozen=True):
     """Outcomes of some pieces, and the queueing times the owner knows."""
 
     group: str
@@ -251,32 +231,28 @@
     waits: list[ServiceWait]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageDrop:
+class StageDrop(msgspec.Struct, frozen=True):
     """Cancel the pieces of a group that no request needs any more."""
 
     group: str
     service_name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageDeclined:
+class StageDeclined(msgspec.Struct, frozen=True):
     """A group that its owner gives back, as it reaches no runner."""
 
     group: str
     service_name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageRelease:
+class StageRelease(msgspec.Struct, frozen=True):
     """Free results that were read."""
 
     service_name: str
     handles: list[str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerLimit:
+class RunnerLimit(msgspec.Struct, frozen=True):
     """Requests a second that a runner takes from all hosts together.
 
     rate_per_s is None if the runner names no limit any more; age_s is the
@@ -289,15 +265,13 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerLimits:
+class RunnerLimits(msgspec.Struct, frozen=True):
     """Limits of runners that the sender knows."""
 
     limits: list[RunnerLimit]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamBegan:
+class StreamBegan(msgspec.Struct, frozen=True):
     """The software version of a service that began a stream.
 
     first_attempt is the id of the request that brought the first event;
@@ -311,8 +285,7 @@
     ttl_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LeavingRunner:
+class LeavingRunner(msgspec.Struct, frozen=True):
     """A runner's incarnation that said age_s seconds ago that it leaves."""
 
     runner: str
@@ -320,15 +293,13 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnersLeaving:
+class RunnersLeaving(msgspec.Struct, frozen=True):
     """Runners whose answers said that they leave."""
 
     runners: list[LeavingRunner]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectCrash:
+class SuspectCrash(msgspec.Struct, frozen=True):
     """A runner's incarnation that ended before it answered a suspect.
 
     A suspect is a part of a prompt, or a whole request. The call broke age_s
@@ -345,8 +316,7 @@
     ran_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClearedSuspect:
+class ClearedSuspect(msgspec.Struct, frozen=True):
     """A suspect whose answer began age_s seconds ago."""
 
     service_name: str
@@ -354,23 +324,20 @@
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashNews:
+class CrashNews(msgspec.Struct, frozen=True):
     """Crashes under suspects, and suspects that are not to blame."""
 
     crashes: list[SuspectCrash]
     cleared: list[ClearedSuspect]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamsBegan:
+class StreamsBegan(msgspec.Struct, frozen=True):
     """Origins of streams, for the hosts that are asked for them."""
 
     streams: list[StreamBegan]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamQuestion:
+class StreamQuestion(msgspec.Struct, frozen=True):
     """Ask which software version of a service began a stream."""
 
     question: str
@@ -379,16 +346,14 @@
     service_name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SeenVersion:
+class SeenVersion(msgspec.Struct, frozen=True):
     """A software version that a service had age_s seconds ago."""
 
     software_version: str
     age_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamAnswer:
+class StreamAnswer(msgspec.Struct, frozen=True):
     """Answer to a StreamQuestion; origin is None if it is not known.
 
     versions are those that the sender knows the service to have had lately.
@@ -427,8 +392,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendPeerMessage:
+class SendPeerMessage(msgspec.Struct, frozen=True):
     """Effect: send a message to the node at address.
 
     fresh requests a new connection because the current one may have
--- a/libs/ragwort_model/ragwort_model/_stage.py
+++ b/libs/ragwort_model/ragwort_model/_stage.py
@@ -1,8 +1,9 @@
 """Stage calls to runners and events of the answer stream to callers."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from ragwort_model import _domain
 from ragwort_model import _ids
 
@@ -27,8 +28,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """Load as a runner reports it.
 
     age_s is the age of the figures when sent; state_version orders the
@@ -44,8 +44,7 @@
     loaded: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageCall:
+class StageCall(msgspec.Struct, frozen=True):
     """A stage call as sent to a runner.
 
     resume_from is the first chunk to send; prior is the text before it.
@@ -60,8 +59,7 @@
     prior: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallRunner:
+class CallRunner(msgspec.Struct, frozen=True):
     """Effect: send a stage call; fresh requires a new connection."""
 
     runner: _domain.Runner
@@ -69,8 +67,7 @@
     fresh: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CancelCall:
+class CancelCall(msgspec.Struct, frozen=True):
     """Effect: stop waiting for a stage call and notify its runner."""
 
     attempt: _ids.AttemptId
@@ -83,8 +80,7 @@
     UNLOADED = 'unloaded'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerOrder:
+class RunnerOrder(msgspec.Struct, frozen=True):
     """A desired state, sent repeatedly until a load report confirms it.
 
     fencing is the fencing token of the lease; expires_wall is the
@@ -96,31 +92,27 @@
     expires_wall: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendOrder:
+class SendOrder(msgspec.Struct, frozen=True):
     """Effect: send an order to a runner; a load report confirms it."""
 
     runner: _domain.Runner
     order: RunnerOrder
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReadLoad:
+class ReadLoad(msgspec.Struct, frozen=True):
     """Effect: ask a runner for its load report."""
 
     runner: _domain.Runner
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadResult:
+class LoadResult(msgspec.Struct, frozen=True):
     """Event: the answer to ReadLoad, None if there was none."""
 
     runner: str
     report: LoadReport | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageChunk:
+class StageChunk(msgspec.Struct, frozen=True):
     """Event: one chunk from a runner, echoed attempt not yet checked."""
 
     attempt: _ids.AttemptId
@@ -129,8 +121,7 @@
     data: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageEnd:
+class StageEnd(msgspec.Struct, frozen=True):
     """Event: end of a stage result, echoed attempt not yet checked."""
 
     attempt: _ids.AttemptId
@@ -141,15 +132,13 @@
     report: LoadReport
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageHeartbeat:
+class StageHeartbeat(msgspec.Struct, frozen=True):
     """Event: a heartbeat for a call that has not ended yet."""
 
     attempt: _ids.AttemptId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageFailed:
+class StageFailed(msgspec.Struct, frozen=True):
     """Event: a stage call ended without a complete result."""
 
     attempt: _ids.AttemptId
@@ -158,29 +147,25 @@
     report: LoadReport | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(msgspec.Struct, frozen=True):
     """First event of an answer stream; host runs the request."""
 
     key: str
     host: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chunk:
+class Chunk(msgspec.Struct, frozen=True):
     """Part of an answer; seq counts from 0 without gaps."""
 
     seq: int
     data: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(msgspec.Struct, frozen=True):
     """Keep-alive event while no chunk is due."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class End:
+class End(msgspec.Struct, frozen=True):
     """Last event of an answer stream.
 
     count and digest cover all chunks from seq 0. retry_after_s is set
@@ -198,8 +183,7 @@
 CallerEvent = Accepted | Chunk | Heartbeat | End
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerCaller:
+class AnswerCaller(msgspec.Struct, frozen=True):
     """Effect: send an event to the caller registered as subscriber."""
 
     subscriber: str
--- a/libs/ragwort_model/ragwort_model/_store.py
+++ b/libs/ragwort_model/ragwort_model/_store.py
@@ -1,8 +1,9 @@
 """Calls to the platform's object API and their results."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 
 class StoreVerb(enum.StrEnum):
     """Operations of the object API."""
@@ -58,8 +59,7 @@
     return f'{era}.{revision_of(version)}' if era else str(version)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """An object with its version; value is None after deletion."""
 
     name: str
@@ -67,8 +67,7 @@
     value: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreCall:
+class StoreCall(msgspec.Struct, frozen=True):
     """Effect: call the object API; op identifies the call in its result.
 
     expected_version 0 means that the object must not exist. since is the
@@ -85,8 +84,7 @@
     wait_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreResult:
+class StoreResult(msgspec.Struct, frozen=True):
     """Event: the result of the store call that op identifies.
 
     revision is a version as of make_version. An answer without a revision
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 import ragwort_model as model
 import ragwort_policy as policy
 
@@ -253,7 +255,7 @@
 
 
 def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
-    runner = dataclasses.replace(entry.runner, state=state)
+    runner = msgspec.structs.replace(entry.runner, state=state)
     return dataclasses.replace(entry, runner=runner)
 
 
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -12,6 +12,7 @@
 from typing import Any
 import zlib
 
+import msgspec
 import thriftpy2
 from thriftpy2 import protocol
 from thriftpy2.transport.memory import cymemory
@@ -155,7 +156,7 @@
         if convert_inner is _identity:
             return _identity
         return lambda value: [convert_inner(item) for item in value]
-    if dataclasses.is_dataclass(value_type):
+    if isinstance(value_type, msgspec.StructMeta):
         return _struct_writer(typing.cast(type, value_type))
     if issubclass(value_type, enum.IntEnum):
         return int
@@ -191,7 +192,7 @@
     if origin is list:
         convert_inner = _from_thrift(typing.get_args(value_type)[0])
         return lambda value: [convert_inner(item) for item in _require(value)]
-    if dataclasses.is_dataclass(value_type):
+    if isinstance(value_type, msgspec.StructMeta):
         return _struct_reader(typing.cast(type, value_type))
     if issubclass(value_type, enum.IntEnum):
         return lambda value: value_type(_require(value))
