--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -4,7 +4,6 @@
 import dataclasses
 import enum
 import functools
-import pathlib
 import re
 import struct
 import types
@@ -13,12 +12,12 @@
 import zlib
 
 import msgspec
-import thriftpy2
 from thriftpy2 import protocol
 from thriftpy2.transport.memory import cymemory
 
 import ragwort_model as model
 from ragwort_wire import _frame_check
+from ragwort_wire import _peer_structs
 
 WIRE_VERSION = 1
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -31,10 +30,6 @@
 RECEIPT_BYTES = _RECEIPT.size
 
 _new_protocol: Any = protocol.TCyBinaryProtocol
-_IDL: Any = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name('peer.thrift')),
-    module_name='ragwort_peer_thrift',
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +67,7 @@
     asks for a receipt.
     """
     value_type = typing.cast(type, type(message))
-    envelope = _IDL.Envelope(
+    envelope = _peer_structs.Envelope(
         version=WIRE_VERSION, sender=sender, number=number
     )
     setattr(envelope, _field_name(value_type), _to_thrift(value_type)(message))
@@ -89,7 +84,7 @@
     if data[:1] == ZLIB_FIRST_BYTE:
         data = _decompress(data)
     _frame_check.check_frame(data)
-    envelope = _IDL.Envelope()
+    envelope = _peer_structs.Envelope()
     try:
         buffer = cymemory.TCyMemoryBuffer(data)
         _new_protocol(buffer).read_struct(envelope)
@@ -168,7 +163,7 @@
 
 
 def _struct_writer(value_type: type) -> Converter:
-    struct_type = getattr(_IDL, value_type.__name__)
+    struct_type = getattr(_peer_structs, value_type.__name__)
     fields = [
         (name, _to_thrift(hint))
         for name, hint in typing.get_type_hints(value_type).items()
