--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -1,22 +1,7 @@
 """Domain types, identifiers, validation schemas and errors."""
 
-from ragwort_model._documents import ClassDocument
-from ragwort_model._documents import describe_problem
-from ragwort_model._documents import Document
-from ragwort_model._documents import is_finite
-from ragwort_model._documents import MAX_DEADLINE_S
-from ragwort_model._documents import MAX_HISTORY
-from ragwort_model._documents import Name
-from ragwort_model._documents import parse_document
-from ragwort_model._documents import PipelineDocument
-from ragwort_model._documents import PlacementDocument
-from ragwort_model._documents import RunnerDocument
-from ragwort_model._documents import ServiceDocument
-from ragwort_model._documents import TargetDocument
-from ragwort_model._documents import to_class_of_work
-from ragwort_model._documents import to_runner
-from ragwort_model._documents import to_service
-from ragwort_model._documents import WorkspaceDocument
+from typing import TYPE_CHECKING
+
 from ragwort_model._domain import ClassOfWork
 from ragwort_model._domain import EntryHost
 from ragwort_model._domain import HostState
@@ -48,6 +33,7 @@
 from ragwort_model._ids import new_request_key
 from ragwort_model._ids import request_key_at
 from ragwort_model._ids import request_key_time
+from ragwort_model._late import late_names
 from ragwort_model._peer import Ack
 from ragwort_model._peer import Claim
 from ragwort_model._peer import ClaimForward
@@ -88,14 +74,6 @@
 from ragwort_model._peer import StreamQuestion
 from ragwort_model._peer import StreamsBegan
 from ragwort_model._peer import SuspectCrash
-from ragwort_model._settings import DaemonSettings
-from ragwort_model._settings import LimitSettings
-from ragwort_model._settings import load_settings
-from ragwort_model._settings import NodeSettings
-from ragwort_model._settings import parse_settings
-from ragwort_model._settings import PlatformSettings
-from ragwort_model._settings import RunnerSettings
-from ragwort_model._settings import select_settings
 from ragwort_model._stage import Accepted
 from ragwort_model._stage import AnswerCaller
 from ragwort_model._stage import CallerEvent
@@ -126,11 +104,38 @@
 from ragwort_model._store import StoreResult
 from ragwort_model._store import StoreStatus
 from ragwort_model._store import StoreVerb
-from ragwort_model._units import Address
 from ragwort_model._units import parse_address
 from ragwort_model._units import parse_duration
 from ragwort_model._units import split_address
 
+if TYPE_CHECKING:
+    from ragwort_model._documents import ClassDocument
+    from ragwort_model._documents import describe_problem
+    from ragwort_model._documents import Document
+    from ragwort_model._documents import is_finite
+    from ragwort_model._documents import MAX_DEADLINE_S
+    from ragwort_model._documents import MAX_HISTORY
+    from ragwort_model._documents import Name
+    from ragwort_model._documents import parse_document
+    from ragwort_model._documents import PipelineDocument
+    from ragwort_model._documents import PlacementDocument
+    from ragwort_model._documents import RunnerDocument
+    from ragwort_model._documents import ServiceDocument
+    from ragwort_model._documents import TargetDocument
+    from ragwort_model._documents import to_class_of_work
+    from ragwort_model._documents import to_runner
+    from ragwort_model._documents import to_service
+    from ragwort_model._documents import WorkspaceDocument
+    from ragwort_model._settings import DaemonSettings
+    from ragwort_model._settings import LimitSettings
+    from ragwort_model._settings import load_settings
+    from ragwort_model._settings import NodeSettings
+    from ragwort_model._settings import parse_settings
+    from ragwort_model._settings import PlatformSettings
+    from ragwort_model._settings import RunnerSettings
+    from ragwort_model._settings import select_settings
+    from ragwort_model._types import Address
+
 __all__ = [
     'Accepted',
     'Ack',
@@ -169,6 +174,7 @@
     'IndirectPing',
     'InvalidInputError',
     'is_finite',
+    'late_names',
     'LeavingRunner',
     'LimitSettings',
     'load_settings',
@@ -263,3 +269,8 @@
     'WireError',
     'WorkspaceDocument',
 ]
+
+if not TYPE_CHECKING:
+    __getattr__ = late_names(
+        __name__, __all__, ('_types', '_documents', '_settings')
+    )
--- a/libs/ragwort_model/ragwort_model/_ids.py
+++ b/libs/ragwort_model/ragwort_model/_ids.py
@@ -4,7 +4,6 @@
 import uuid
 
 import msgspec
-import uuid6
 
 from ragwort_model import _errors
 
@@ -29,6 +28,9 @@
 
 def new_request_key() -> str:
     """Return a new UUIDv7; its time bounds how long a claim is retained."""
+    # Slow to import, and not used by all processes.
+    import uuid6
+
     return str(uuid6.uuid7())
 
 
--- a/libs/ragwort_model/ragwort_model/_settings.py
+++ b/libs/ragwort_model/ragwort_model/_settings.py
@@ -11,7 +11,7 @@
 from ragwort_model import _documents
 from ragwort_model import _domain
 from ragwort_model import _errors
-from ragwort_model import _units
+from ragwort_model import _types
 
 
 class Settings(pydantic.BaseModel):
@@ -25,10 +25,10 @@
 class LimitSettings(Settings):
     """Limits on what one node accepts from callers."""
 
-    max_body: _units.Size = '1MiB'  # type: ignore[assignment]
+    max_body: _types.Size = '1MiB'  # type: ignore[assignment]
     max_open_requests: int = pydantic.Field(default=2000, gt=0)
     max_queued_per_workspace: int = pydantic.Field(default=256, gt=0)
-    idle_connection: _units.Duration = '60s'  # type: ignore[assignment]
+    idle_connection: _types.Duration = '60s'  # type: ignore[assignment]
 
 
 class NodeSettings(Settings):
@@ -38,14 +38,14 @@
     name: _documents.Name
     region: _documents.Name
     failure_domain: _documents.Name
-    callers: _units.Address
-    peers: _units.Address
-    platform: _units.Address
-    seeds: list[_units.Address] = pydantic.Field(default_factory=list)
-    statsd: _units.Address | None = None
-    address_ttl: _units.Duration = '5s'  # type: ignore[assignment]
-    claim_retention: _units.Duration = '10m'  # type: ignore[assignment]
-    clock_skew: _units.Duration = '5s'  # type: ignore[assignment]
+    callers: _types.Address
+    peers: _types.Address
+    platform: _types.Address
+    seeds: list[_types.Address] = pydantic.Field(default_factory=list)
+    statsd: _types.Address | None = None
+    address_ttl: _types.Duration = '5s'  # type: ignore[assignment]
+    claim_retention: _types.Duration = '10m'  # type: ignore[assignment]
+    clock_skew: _types.Duration = '5s'  # type: ignore[assignment]
     strategy: str = 'ragwort'
     limits: LimitSettings = LimitSettings()
 
@@ -66,10 +66,10 @@
 
     kind: Literal['platform']
     name: _documents.Name
-    listen: _units.Address
+    listen: _types.Address
     reads_per_s: float = pydantic.Field(default=2000, gt=0)
     writes_per_s: float = pydantic.Field(default=300, gt=0)
-    host_list_lag: _units.Duration = '500ms'  # type: ignore[assignment]
+    host_list_lag: _types.Duration = '500ms'  # type: ignore[assignment]
     objects: dict[str, dict[str, Any]] = pydantic.Field(default_factory=dict)
 
 
@@ -80,15 +80,15 @@
     name: _documents.Name
     service: _documents.Name
     service_kind: _domain.ServiceKind
-    listen: _units.Address
+    listen: _types.Address
     failure_domain: _documents.Name
     slots: int = pydantic.Field(default=8, gt=0)
-    service_time: _units.Duration = '20ms'  # type: ignore[assignment]
-    chunk_interval: _units.Duration = '2ms'  # type: ignore[assignment]
+    service_time: _types.Duration = '20ms'  # type: ignore[assignment]
+    chunk_interval: _types.Duration = '2ms'  # type: ignore[assignment]
     chunks: int = pydantic.Field(default=12, gt=0)
     cost_rate: float = pydantic.Field(default=1.0, ge=0)
     checks_fencing: bool = True
-    drain_timeout: _units.Duration = '30s'  # type: ignore[assignment]
+    drain_timeout: _types.Duration = '30s'  # type: ignore[assignment]
 
 
 AnySettings = Annotated[
--- a/libs/ragwort_model/ragwort_model/_units.py
+++ b/libs/ragwort_model/ragwort_model/_units.py
@@ -1,11 +1,8 @@
 """Parsers of durations, sizes and addresses in settings files."""
 
 import re
-from typing import Annotated
 from typing import Any
 
-import pydantic
-
 _DURATION_PATTERN = re.compile(r'^(\d+(?:\.\d+)?)(ms|s|m|h)$')
 _SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
 _SIZE_PATTERN = re.compile(r'^(\d+)(B|KiB|MiB)$')
@@ -52,8 +49,3 @@
     """Return the IPv4 address and the port of an address."""
     host, _, port = address.rpartition(':')
     return host, int(port)
-
-
-Duration = Annotated[float, pydantic.BeforeValidator(parse_duration)]
-Size = Annotated[int, pydantic.BeforeValidator(parse_size)]
-Address = Annotated[str, pydantic.BeforeValidator(parse_address)]
--- a/libs/ragwort_state/ragwort_state/_catalog.py
+++ b/libs/ragwort_state/ragwort_state/_catalog.py
@@ -4,8 +4,8 @@
 import json
 
 import ragwort_model as model
+from ragwort_state import _replica
 
-CONFIG_PREFIX = 'config/'
 DRAIN_STATUS_PREFIX = 'sign/'
 
 
@@ -44,7 +44,7 @@
         if item.name.startswith(DRAIN_STATUS_PREFIX):
             self._apply_drain_status(item)
             return
-        name = item.name.removeprefix(CONFIG_PREFIX)
+        name = item.name.removeprefix(_replica.CONFIG_PREFIX)
         if item.value is None:
             self._remove(name)
         else:
--- a/libs/ragwort_state/ragwort_state/_replica.py
+++ b/libs/ragwort_state/ragwort_state/_replica.py
@@ -6,8 +6,8 @@
 from typing import TypeVar
 
 import ragwort_model as model
-from ragwort_state import _catalog
 
+CONFIG_PREFIX = 'config/'
 BUCKET_COUNT = 64
 TOMBSTONE_RETENTION_S = 24 * 3600.0
 _HASH_MASK = (1 << 63) - 1
@@ -81,7 +81,7 @@
         objects: Iterable[model.StoredObject],
         revision: int,
         now: float,
-        prefix: str = _catalog.CONFIG_PREFIX,
+        prefix: str = CONFIG_PREFIX,
     ) -> list[model.StoredObject]:
         """Adopt the full list of objects below prefix, read at revision.
 
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import ragwort_model as model
-from ragwort_state import _catalog
 from ragwort_state import _era
 from ragwort_state import _replica
 
@@ -65,7 +64,7 @@
         store_era: _era.StoreEra,
         rng: random.Random,
         now: float,
-        prefix: str = _catalog.CONFIG_PREFIX,
+        prefix: str = _replica.CONFIG_PREFIX,
         max_backoff_s: float = MAX_BACKOFF_S,
         renewal_s: float = DEFAULT_RENEWAL_S,
     ) -> None:
--- a/libs/ragwort_wire/ragwort_wire/__init__.py
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -1,16 +1,8 @@
 """Codecs of messages to peers, callers, runners and the platform."""
 
-from ragwort_wire._caller_http import AddressesRecord
-from ragwort_wire._caller_http import AnswerRecord
-from ragwort_wire._caller_http import decode_addresses
-from ragwort_wire._caller_http import encode_json
-from ragwort_wire._caller_http import EntryAddressRecord
-from ragwort_wire._caller_http import parse_request
-from ragwort_wire._caller_http import Problem
-from ragwort_wire._caller_http import PROBLEM_TYPE
-from ragwort_wire._caller_http import RequestBody
-from ragwort_wire._caller_http import RequestRecord
-from ragwort_wire._caller_http import STREAM_TYPE
+from typing import TYPE_CHECKING
+
+import ragwort_model as model
 from ragwort_wire._peer_codec import decode_peer
 from ragwort_wire._peer_codec import decode_receipt
 from ragwort_wire._peer_codec import encode_peer
@@ -19,32 +11,45 @@
 from ragwort_wire._peer_codec import PeerFrame
 from ragwort_wire._peer_codec import RECEIPT_BYTES
 from ragwort_wire._peer_codec import WIRE_VERSION
-from ragwort_wire._platform_http import decode_store_result
-from ragwort_wire._platform_http import decode_write
-from ragwort_wire._platform_http import encode_store_result
-from ragwort_wire._platform_http import encode_write
-from ragwort_wire._platform_http import HTTP_CODE_BY_STATUS
-from ragwort_wire._platform_http import HTTP_SERVICE_UNAVAILABLE
-from ragwort_wire._platform_http import WriteRecord
-from ragwort_wire._runner_http import CallRecord
-from ragwort_wire._runner_http import decode_call
-from ragwort_wire._runner_http import decode_load
-from ragwort_wire._runner_http import decode_order
-from ragwort_wire._runner_http import decode_result
-from ragwort_wire._runner_http import encode_call
-from ragwort_wire._runner_http import encode_order
-from ragwort_wire._runner_http import encode_result
-from ragwort_wire._runner_http import LoadRecord
-from ragwort_wire._runner_http import OrderRecord
-from ragwort_wire._runner_http import ResultChunk
-from ragwort_wire._runner_http import ResultEnd
-from ragwort_wire._runner_http import ResultError
-from ragwort_wire._runner_http import ResultHeartbeat
-from ragwort_wire._runner_http import ResultRecord
-from ragwort_wire._runner_http import ResultRefused
-from ragwort_wire._runner_http import to_stage_event
-from ragwort_wire._stream import decode_event
-from ragwort_wire._stream import encode_event
+
+if TYPE_CHECKING:
+    from ragwort_wire._caller_http import AddressesRecord
+    from ragwort_wire._caller_http import AnswerRecord
+    from ragwort_wire._caller_http import decode_addresses
+    from ragwort_wire._caller_http import encode_json
+    from ragwort_wire._caller_http import EntryAddressRecord
+    from ragwort_wire._caller_http import parse_request
+    from ragwort_wire._caller_http import Problem
+    from ragwort_wire._caller_http import PROBLEM_TYPE
+    from ragwort_wire._caller_http import RequestBody
+    from ragwort_wire._caller_http import RequestRecord
+    from ragwort_wire._caller_http import STREAM_TYPE
+    from ragwort_wire._platform_http import decode_store_result
+    from ragwort_wire._platform_http import decode_write
+    from ragwort_wire._platform_http import encode_store_result
+    from ragwort_wire._platform_http import encode_write
+    from ragwort_wire._platform_http import HTTP_CODE_BY_STATUS
+    from ragwort_wire._platform_http import HTTP_SERVICE_UNAVAILABLE
+    from ragwort_wire._platform_http import WriteRecord
+    from ragwort_wire._runner_http import CallRecord
+    from ragwort_wire._runner_http import decode_call
+    from ragwort_wire._runner_http import decode_load
+    from ragwort_wire._runner_http import decode_order
+    from ragwort_wire._runner_http import decode_result
+    from ragwort_wire._runner_http import encode_call
+    from ragwort_wire._runner_http import encode_order
+    from ragwort_wire._runner_http import encode_result
+    from ragwort_wire._runner_http import LoadRecord
+    from ragwort_wire._runner_http import OrderRecord
+    from ragwort_wire._runner_http import ResultChunk
+    from ragwort_wire._runner_http import ResultEnd
+    from ragwort_wire._runner_http import ResultError
+    from ragwort_wire._runner_http import ResultHeartbeat
+    from ragwort_wire._runner_http import ResultRecord
+    from ragwort_wire._runner_http import ResultRefused
+    from ragwort_wire._runner_http import to_stage_event
+    from ragwort_wire._stream import decode_event
+    from ragwort_wire._stream import encode_event
 
 __all__ = [
     'AddressesRecord',
@@ -93,3 +98,10 @@
     'WIRE_VERSION',
     'WriteRecord',
 ]
+
+if not TYPE_CHECKING:
+    __getattr__ = model.late_names(
+        __name__,
+        __all__,
+        ('_caller_http', '_platform_http', '_runner_http', '_stream'),
+    )
