--- a/features/steps/hosts_without_runners_steps.py
+++ b/features/steps/hosts_without_runners_steps.py
@@ -1,11 +1,11 @@
 """Steps of hosts that lost all runners."""
 
-import dataclasses
 import json
 from typing import Any
 
 from behave import then
 from behave import when
+import msgspec
 
 from features.support import relay_hosts
 import ragwort_lab as lab
@@ -74,7 +74,7 @@
 def slow_down(context: Any, stage_s: float, seconds: float) -> None:
     """Let runners work for long on each request, as the hosts know."""
     world = context.crash.world
-    limits = dataclasses.replace(
+    limits = msgspec.structs.replace(
         relay_hosts.PREP_LIMITS, call_overhead_s=stage_s
     )
     for runner in world.network.runners.values():
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -1,11 +1,11 @@
 """Steps of relayed requests in virtual time."""
 
-import dataclasses
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.steps import relay_decision_steps
 from features.support import limit_windows
@@ -304,7 +304,7 @@
 @given('its callers leave after {seconds:g} s without an event')
 def shorten_patience(context: Any, seconds: float) -> None:
     """Let callers leave well before their deadline."""
-    context.route = dataclasses.replace(context.route, patience_s=seconds)
+    context.route = msgspec.structs.replace(context.route, patience_s=seconds)
 
 
 @then('no piece was made')
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -1,8 +1,9 @@
 """Objects shared by the request handlers of one host."""
 
-import dataclasses
 from typing import Any
 
+import msgspec
+
 from ragwort_edge import _client
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
@@ -28,8 +29,7 @@
         self.retry_after_s = retry_after_s
 
 
-@dataclasses.dataclass(slots=True)
-class RelayContext:
+class RelayContext(msgspec.Struct):
     """The parts of a host that its request handlers use."""
 
     reactor: Any
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -1,10 +1,11 @@
 """Evidence of what crashes runners, from calls and peers."""
 
 from collections.abc import Iterable
-import dataclasses
 import random
 from typing import Any
 
+import msgspec
+
 from ragwort_edge import _client
 from ragwort_edge import _metrics
 import ragwort_membership as membership
@@ -15,8 +16,7 @@
 SUSPECT_WRITER_ROLE = 'suspect-writer'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Refusal:
+class _Refusal(msgspec.Struct, frozen=True):
     """A runner that broke a call and then refused connections."""
 
     runner: relay.FleetRunner
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -5,17 +5,17 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
 import enum
 from typing import Protocol
 
+import msgspec
+
 from ragwort_edge import _messages
 import ragwort_model as model
 import ragwort_relay as relay
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestMetadata:
+class RequestMetadata(msgspec.Struct, frozen=True):
     """Parameters that a caller sends with its request.
 
     deadline_s counts from the arrival; last_event is the number of the last
@@ -34,8 +34,7 @@
     first_attempt: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MainCall:
+class MainCall(msgspec.Struct, frozen=True):
     """The main call of a request, as sent to one runner."""
 
     request: _messages.HttpRequest
@@ -48,8 +47,7 @@
     last_event: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerReply:
+class RunnerReply(msgspec.Struct, frozen=True):
     """What the status and headers of a runner's response say.
 
     is_authentic tells whether the response answers this call and carries a
@@ -84,8 +82,7 @@
     ERROR = 'error'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PieceReply:
+class PieceReply(msgspec.Struct, frozen=True):
     """A runner's reply for one piece."""
 
     result: PieceResult
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -8,12 +8,12 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-import dataclasses
 import enum
 import math
 import random
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 
 from ragwort_edge import _client
@@ -50,8 +50,7 @@
     BROKEN = 'broken'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hop:
+class Hop(msgspec.Struct, frozen=True):
     """What the host that hands a request over says of it.
 
     is_cut_off tells whether that host reaches no runner of the service.
@@ -85,7 +84,7 @@
         for name, value in request.headers
         if not name.startswith(HOP_PREFIX)
     )
-    return dataclasses.replace(request, headers=headers)
+    return msgspec.structs.replace(request, headers=headers)
 
 
 def decline(reason: str, is_cut_off: bool = False) -> _messages.HttpResponse:
@@ -311,4 +310,4 @@
     )
     if hop.is_cut_off:
         headers += ((CUT_OFF_HEADER, b'1'),)
-    return dataclasses.replace(request, headers=headers)
+    return msgspec.structs.replace(request, headers=headers)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -1,7 +1,6 @@
 """An entry host: its sockets, timers and the state shared by hosts."""
 
 from collections.abc import Callable
-import dataclasses
 import random
 import time
 from typing import Any
@@ -73,8 +72,7 @@
         raise NotImplementedError
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HostOptions:
+class HostOptions(msgspec.Struct, frozen=True):
     """Options of a host, read from its settings.
 
     Addresses are IP numbers with ports. grace_s is the time limit for
@@ -619,7 +617,7 @@
     def _hop_limits(self) -> relay.CallerLimits:
         limits = self._limits()
         size = limits.header_bytes + _hand_over.MAX_HOP_HEADER_BYTES
-        return dataclasses.replace(limits, header_bytes=size)
+        return msgspec.structs.replace(limits, header_bytes=size)
 
     def _on_handed(self, exchange: _server.Exchange) -> None:
         """Serve a request for another host, or decline it."""
@@ -664,7 +662,7 @@
             return
         if hop is not None:
             left_s = min(hop.left_s, metadata.deadline_s or hop.left_s)
-            metadata = dataclasses.replace(metadata, deadline_s=left_s)
+            metadata = msgspec.structs.replace(metadata, deadline_s=left_s)
         host = (request.header(b'host') or b'').decode('latin-1').lower()
         name = host.rpartition(':')[0] if ':' in host else host
         route = configuration.find_route(name, request.path)
--- a/libs/ragwort_edge/ragwort_edge/_messages.py
+++ b/libs/ragwort_edge/ragwort_edge/_messages.py
@@ -1,6 +1,6 @@
 """HTTP requests and responses, and the headers to forward."""
 
-import dataclasses
+import msgspec
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -22,8 +22,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True):
     """A complete request; header names are in lower case."""
 
     method: bytes
@@ -41,8 +40,7 @@
         return self.target.split(b'?', 1)[0].decode('ascii', 'replace')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpResponse:
+class HttpResponse(msgspec.Struct, frozen=True):
     """A complete response."""
 
     status: int
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -1,9 +1,9 @@
 """Handling of one request: stages, sends to runners and the response."""
 
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -37,8 +37,7 @@
 HTTP_GATEWAY_TIMEOUT = 504
 
 
-@dataclasses.dataclass(slots=True)
-class _SendOutcome:
+class _SendOutcome(msgspec.Struct):
     """Outcome of one send to a runner.
 
     is_closed_early tells that the connection closed before any of the answer
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -2,9 +2,9 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 
 from ragwort_edge import _context
@@ -29,8 +29,7 @@
     """Raise when results were lost before the next stage read them."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RequestTimes:
+class RequestTimes(msgspec.Struct, frozen=True):
     """Arrival, target, deadline and rank of a request.
 
     Times are in seconds of the host's clock; rank 0 goes first. A caller
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -2,10 +2,11 @@
 
 import collections
 from collections.abc import Callable
-import dataclasses
 import math
 from typing import Any
 
+import msgspec
+
 from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _dialect
@@ -33,16 +34,13 @@
 OnOutcomes = Callable[[str, list[model.PieceOutcome]], None]
 
 
-@dataclasses.dataclass(slots=True)
-class _OwnedGroup:
+class _OwnedGroup(msgspec.Struct):
     """A group queued here, its origin and its outcomes so far."""
 
     service: str
     origin: str | None
     pieces_left: int
-    outcomes: list[model.PieceOutcome] = dataclasses.field(
-        default_factory=list
-    )
+    outcomes: list[model.PieceOutcome] = msgspec.field(default_factory=list)
 
 
 class StageOwner:
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 import itertools
 import time
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 
 from ragwort_edge import _client
@@ -35,15 +35,14 @@
 Outcomes = dict[int, model.PieceOutcome]
 
 
-@dataclasses.dataclass(slots=True)
-class _PendingGroup:
+class _PendingGroup(msgspec.Struct):
     """A group that one of this host's requests waits for."""
 
     group: relay.PieceGroup
     service: str
     done: 'defer.Deferred[Outcomes]'
     submitted_at: float
-    outcomes: Outcomes = dataclasses.field(default_factory=dict)
+    outcomes: Outcomes = msgspec.field(default_factory=dict)
     owner: str | None = None
     timer: Any = None
 
--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -7,11 +7,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import math
 import random
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 
 from ragwort_edge import _metrics
@@ -48,8 +48,7 @@
     ]
 
 
-@dataclasses.dataclass(slots=True)
-class _Question:
+class _Question(msgspec.Struct):
     """An open question to other hosts and how many have yet to answer."""
 
     done: 'defer.Deferred[relay.StreamOrigin | None]'
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -13,6 +13,7 @@
 import json
 from typing import Any
 
+import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -112,7 +113,8 @@
     ) -> edge.HttpRequest:
         """Return the call that makes pieces."""
         items = [
-            dataclasses.asdict(piece.work) | {'size': piece.group.result_bytes}
+            msgspec.structs.asdict(piece.work)
+            | {'size': piece.group.result_bytes}
             for piece in batch.pieces
         ]
         body = json.dumps(items).encode()
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import math
 import random
 import statistics
@@ -34,8 +33,7 @@
 MAX_CLOCK_SAMPLES = 16
 
 
-@dataclasses.dataclass(slots=True)
-class Member:
+class Member(msgspec.Struct):
     """Latest record of a node; updated_at is when this node adopted it."""
 
     update: model.MemberUpdate
@@ -47,8 +45,7 @@
         return self.update.status == model.MemberStatus.ALIVE
 
 
-@dataclasses.dataclass(slots=True)
-class _Probe:
+class _Probe(msgspec.Struct):
     sequence: int
     target: str
     started_at: float
@@ -56,8 +53,7 @@
     indirect_sent: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class _IndirectProbe:
+class _IndirectProbe(msgspec.Struct):
     """A probe made for another node, whose address is requester."""
 
     requester: str
@@ -65,8 +61,7 @@
     expires_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberChanged:
+class MemberChanged(msgspec.Struct, frozen=True):
     """Event: the status or record of a member changed."""
 
     update: model.MemberUpdate
--- a/libs/ragwort_peers/ragwort_peers/_unconfirmed_frames.py
+++ b/libs/ragwort_peers/ragwort_peers/_unconfirmed_frames.py
@@ -1,7 +1,8 @@
 """Frames sent to a peer whose receipt has not come back yet."""
 
 import collections
-import dataclasses
+
+import msgspec
 
 # Time for a receipt: some round trips between regions and a busy event loop.
 RECEIPT_TIMEOUT_S = 0.3
@@ -15,8 +16,7 @@
 MAX_BYTES = 4 * 1024 * 1024
 
 
-@dataclasses.dataclass(slots=True)
-class _Frame:
+class _Frame(msgspec.Struct):
     number: int
     data: bytes
     queued_at: float
--- a/libs/ragwort_policy/ragwort_policy/_runners.py
+++ b/libs/ragwort_policy/ragwort_policy/_runners.py
@@ -1,8 +1,9 @@
 """State that a node keeps of each runner it may call."""
 
-import dataclasses
 import math
 
+import msgspec
+
 import ragwort_model as model
 
 REPORT_DECAY_S = 1.0
@@ -20,8 +21,7 @@
 MAX_BACKOFF_S = 4.0
 
 
-@dataclasses.dataclass(slots=True)
-class RunnerState:
+class RunnerState(msgspec.Struct):
     """Calls of this node to one runner, its last report and its statistics.
 
     busy_s is the decayed mean time that the runner works on a call;
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -6,10 +6,11 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import enum
 import random
 
+import msgspec
+
 from ragwort_relay import _routes
 from ragwort_relay import _sharing
 from ragwort_relay import _stages
@@ -33,16 +34,14 @@
     TOO_LATE = 'too_late'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forecast:
+class Forecast(msgspec.Struct, frozen=True):
     """Expected time of a request and the part of it spent queueing."""
 
     total_s: float
     queue_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admission:
+class Admission(msgspec.Struct, frozen=True):
     """Decision on one request; retry_after_s is set for refusals."""
 
     verdict: Verdict
--- a/libs/ragwort_relay/ragwort_relay/_attempts.py
+++ b/libs/ragwort_relay/ragwort_relay/_attempts.py
@@ -1,8 +1,9 @@
 """Decisions on sending a call again after it failed."""
 
-import dataclasses
 import enum
 
+import msgspec
+
 from ragwort_relay import _routes
 
 # Another send needs at least this much time.
@@ -40,8 +41,7 @@
     FAIL = 'fail'
 
 
-@dataclasses.dataclass(slots=True)
-class Attempts:
+class Attempts(msgspec.Struct):
     """The sends of one call so far.
 
     ran counts the sends that may have run, not_run those that did not.
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -9,12 +9,13 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-import dataclasses
 import enum
 import itertools
 import math
 import types
 
+import msgspec
+
 from ragwort_relay import _fleet
 from ragwort_relay import _order
 from ragwort_relay import _pieces
@@ -36,13 +37,12 @@
 REPLY_DELAY_S = 0.03
 
 
-@dataclasses.dataclass(slots=True)
-class _DraftCall:
+class _DraftCall(msgspec.Struct):
     """A call to an idle runner whose pieces are still being chosen."""
 
     runner: _fleet.FleetRunner
     free_bytes: float
-    pieces: list[_pieces.QueuedPiece] = dataclasses.field(default_factory=list)
+    pieces: list[_pieces.QueuedPiece] = msgspec.field(default_factory=list)
 
     @property
     def failure_domain(self) -> str:
--- a/libs/ragwort_relay/ragwort_relay/_brittle.py
+++ b/libs/ragwort_relay/ragwort_relay/_brittle.py
@@ -10,9 +10,10 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-import dataclasses
 import math
 
+import msgspec
+
 from ragwort_relay import _fleet
 
 # Time without requests after one that was turned away: a runner counts them
@@ -28,8 +29,7 @@
 Incarnation = tuple[str, int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Care:
+class _Care(msgspec.Struct):
     """How a host treats one brittle runner.
 
     most is how many requests it keeps there at a time; answers counts those
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -14,10 +14,11 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import math
 from typing import Any
 
+import msgspec
+
 import ragwort_model as model
 from ragwort_relay import _crash_records
 from ragwort_relay import _fleet
@@ -46,8 +47,7 @@
 Incarnation = _crash_records.Incarnation
 
 
-@dataclasses.dataclass(slots=True)
-class _Break:
+class _Break(msgspec.Struct):
     """A call that broke before its answer began."""
 
     service: str
--- a/libs/ragwort_relay/ragwort_relay/_crash_records.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_records.py
@@ -1,9 +1,10 @@
 """What is recorded of one suspect: its answers and the crashes under it."""
 
 import collections
-import dataclasses
 import math
 
+import msgspec
+
 SuspectKey = tuple[str, str]
 Incarnation = tuple[str, int]
 
@@ -30,22 +31,20 @@
         return self.times.get(key, -math.inf)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
+class Crash(msgspec.Struct, frozen=True):
     """When the call was sent under which a runner ended, and broke."""
 
     sent_at: float
     at: float
 
 
-@dataclasses.dataclass(slots=True)
-class CrashRecord:
+class CrashRecord(msgspec.Struct):
     """The crashes under a suspect since an answer began, and its last use."""
 
     used_at: float
     is_first: bool = False
     is_refused: bool = False
-    crashes: dict[Incarnation, Crash] = dataclasses.field(default_factory=dict)
+    crashes: dict[Incarnation, Crash] = msgspec.field(default_factory=dict)
 
     def in_turn(self, gap_s: float = 0.0) -> int:
         """Return how many crashes came one after the other.
--- a/libs/ragwort_relay/ragwort_relay/_events.py
+++ b/libs/ragwort_relay/ragwort_relay/_events.py
@@ -1,15 +1,15 @@
 """Splitting a stream of server-sent events into complete events."""
 
-import dataclasses
 import re
 
+import msgspec
+
 MAX_EVENT_BYTES = 1024 * 1024
 _LONGEST_TERMINATOR = b'\r\n\r\n'
 _TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamEvent:
+class StreamEvent(msgspec.Struct, frozen=True):
     """The bytes of one complete event; event_id is None if it has no id."""
 
     data: bytes
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -1,7 +1,5 @@
 """Runners listed in the store, with this host's statistics of them."""
 
-import dataclasses
-
 import msgspec
 
 import ragwort_model as model
@@ -18,8 +16,7 @@
 RESTORED_ENTRY_DOUBT_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunnerEntry:
+class RunnerEntry(msgspec.Struct, frozen=True):
     """A runner's entry in the store.
 
     started_ms is the wall-clock start of this incarnation in milliseconds;
@@ -31,8 +28,7 @@
     slots: int
 
 
-@dataclasses.dataclass(slots=True)
-class FleetRunner:
+class FleetRunner(msgspec.Struct):
     """A runner's entry and what this host learned of the runner.
 
     era is that of the store which told the entry; unconfirmed_until is set
@@ -64,8 +60,7 @@
         return not self.is_misdirected and now >= self.state.backoff_until
 
 
-@dataclasses.dataclass(slots=True)
-class _Departure:
+class _Departure(msgspec.Struct):
     """A runner's incarnation that leaves or whose entry was removed.
 
     is_leaving tells whether the runner itself said that it leaves, is_final
@@ -256,7 +251,7 @@
 
 def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
     runner = msgspec.structs.replace(entry.runner, state=state)
-    return dataclasses.replace(entry, runner=runner)
+    return msgspec.structs.replace(entry, runner=runner)
 
 
 def _as_leaving(entry: RunnerEntry) -> RunnerEntry:
--- a/libs/ragwort_relay/ragwort_relay/_limits.py
+++ b/libs/ragwort_relay/ragwort_relay/_limits.py
@@ -10,7 +10,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 import ragwort_model as model
 from ragwort_relay import _fleet
@@ -31,8 +32,7 @@
 CountHolders = Callable[[_fleet.FleetRunner, int], int]
 
 
-@dataclasses.dataclass(slots=True)
-class _Limit:
+class _Limit(msgspec.Struct):
     """The limit of one incarnation of a runner; rate_per_s None if it ended.
 
     observed_at is when the runner's answer reached a host. next_send_at is
--- a/libs/ragwort_relay/ragwort_relay/_order.py
+++ b/libs/ragwort_relay/ragwort_relay/_order.py
@@ -8,17 +8,17 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import heapq
 
+import msgspec
+
 from ragwort_relay import _pieces
 
 # Each step of rank defers the due time by this much.
 SLACK_PER_RANK_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Throughput:
+class Throughput(msgspec.Struct, frozen=True):
     """How fast a service takes pieces.
 
     free_pieces can start at once and the others at pieces_per_s; each
@@ -45,8 +45,7 @@
 ]
 
 
-@dataclasses.dataclass(slots=True)
-class _WaitingGroup:
+class _WaitingGroup(msgspec.Struct):
     group: _pieces.PieceGroup
     piece_count: int
 
--- a/libs/ragwort_relay/ragwort_relay/_origins.py
+++ b/libs/ragwort_relay/ragwort_relay/_origins.py
@@ -7,7 +7,8 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 import ragwort_model as model
 from ragwort_relay import _fleet
@@ -23,8 +24,7 @@
 MAX_ID_CHARACTERS = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamOrigin:
+class StreamOrigin(msgspec.Struct, frozen=True):
     """The service and software version that began a stream."""
 
     service: str
@@ -39,16 +39,14 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StreamKey:
+class StreamKey(msgspec.Struct, frozen=True):
     """Name of a stream: the attempt that began it, within its workspace."""
 
     workspace: str
     first_attempt: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Record:
+class _Record(msgspec.Struct, frozen=True):
     origin: StreamOrigin
     expires_at: float
     is_own: bool
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -1,6 +1,6 @@
 """Pieces of stage work queued at an owner, and batched calls of them."""
 
-import dataclasses
+import msgspec
 
 from ragwort_relay import _fleet
 from ragwort_relay import _stages
@@ -10,8 +10,7 @@
 MIN_TIMEOUT_S = 0.6
 
 
-@dataclasses.dataclass(slots=True)
-class PieceGroup:
+class PieceGroup(msgspec.Struct):
     """The pieces of one stage of one request, asked for by one host.
 
     failure_domain is where the inputs are stored or the results will be
@@ -37,16 +36,14 @@
         return self.target_at - now - work_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueuedPiece:
+class QueuedPiece(msgspec.Struct, frozen=True):
     """One piece waiting for a call."""
 
     group: PieceGroup
     work: _stages.PieceWork
 
 
-@dataclasses.dataclass(slots=True)
-class BatchCall:
+class BatchCall(msgspec.Struct):
     """A batch of pieces sent to one runner."""
 
     call_id: int
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -5,6 +5,8 @@
 import functools
 import math
 
+import msgspec
+
 import ragwort_model as model
 
 
@@ -21,8 +23,7 @@
     STREAM = 'stream'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageSpec:
+class StageSpec(msgspec.Struct, frozen=True):
     """A stage of a route: its service and the stages it depends on."""
 
     service: str
@@ -30,16 +31,14 @@
     result_bytes: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceShare:
+class ServiceShare(msgspec.Struct, frozen=True):
     """A service that takes a share of a route's calls."""
 
     service: str
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """A class of work, which callers address by host and path prefix.
 
     Callers of a stream leave if no event comes for patience_s seconds.
@@ -78,8 +77,7 @@
         return self.shares[-1].service
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BatchLimits:
+class BatchLimits(msgspec.Struct, frozen=True):
     """Limits and costs of a stage service's calls, for each runner.
 
     A call takes call_overhead_s plus per_piece_s for each piece. A runner
@@ -97,16 +95,14 @@
         return self.call_overhead_s + pieces * self.per_piece_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True):
     """A service; batch_limits is set if it runs stages."""
 
     name: str
     batch_limits: BatchLimits | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Workspace:
+class Workspace(msgspec.Struct, frozen=True):
     """A workspace and its access keys; its priority overrides a route's."""
 
     name: str
@@ -114,8 +110,7 @@
     priority: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size and timing of callers' requests."""
 
     header_bytes: int = 16 * 1024
--- a/libs/ragwort_relay/ragwort_relay/_rumours.py
+++ b/libs/ragwort_relay/ragwort_relay/_rumours.py
@@ -1,10 +1,11 @@
 """News that each host tells a few others for some rounds."""
 
-import dataclasses
 import math
 from typing import Generic
 from typing import TypeVar
 
+import msgspec
+
 SPREAD_INTERVAL_S = 0.2
 SPREAD_FANOUT = 2
 EXTRA_ROUNDS = 3
@@ -13,8 +14,7 @@
 Key = TypeVar('Key')
 
 
-@dataclasses.dataclass(slots=True)
-class _Rumour:
+class _Rumour(msgspec.Struct):
     observed_at: float
     rounds_left: int
 
--- a/libs/ragwort_relay/ragwort_relay/_sharing.py
+++ b/libs/ragwort_relay/ragwort_relay/_sharing.py
@@ -8,7 +8,8 @@
 
 import collections
 from collections.abc import Sequence
-import dataclasses
+
+import msgspec
 
 # Part ids remembered of each class, the latest first.
 MAX_PARTS = 4096
@@ -27,16 +28,14 @@
 MIN_HOME_SHARE = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt; tokens is its length."""
 
     part_id: str
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Home:
+class Home(msgspec.Struct, frozen=True):
     """Where a prompt belongs, and what is likely kept there.
 
     key is the same on all hosts for prompts that share their parts up to
@@ -48,8 +47,7 @@
     cached_tokens: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Recurrence:
+class _Recurrence(msgspec.Struct):
     """How often a part at one place of the prompt had come before."""
 
     seen: float = 0.0
--- a/libs/ragwort_relay/ragwort_relay/_stages.py
+++ b/libs/ragwort_relay/ragwort_relay/_stages.py
@@ -1,13 +1,13 @@
 """Progress of one request through the stages before its main call."""
 
 from collections.abc import Sequence
-import dataclasses
+
+import msgspec
 
 from ragwort_relay import _routes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PieceWork:
+class PieceWork(msgspec.Struct, frozen=True):
     """One piece of a stage to run.
 
     A piece of a stage without dependencies gets the request's own key, any
--- a/libs/ragwort_relay/ragwort_relay/_storage.py
+++ b/libs/ragwort_relay/ragwort_relay/_storage.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import math
 
+import msgspec
+
 from ragwort_relay import _routes
 
 # Below this size runners report free storage too coarsely to rely on it.
@@ -17,8 +18,7 @@
 UNKNOWN_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _StoredResult:
+class _StoredResult(msgspec.Struct, frozen=True):
     """A result at a runner, and when it expires."""
 
     runner: str
@@ -26,8 +26,7 @@
     expires_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ForeignResults:
+class _ForeignResults(msgspec.Struct, frozen=True):
     """Results at a runner that this host did not order, as of a time."""
 
     size: float
--- a/libs/ragwort_relay/ragwort_relay/_suspects.py
+++ b/libs/ragwort_relay/ragwort_relay/_suspects.py
@@ -1,7 +1,8 @@
 """What a request has in common with others that may crash runners."""
 
 from collections.abc import Sequence
-import dataclasses
+
+import msgspec
 
 import ragwort_model as model
 from ragwort_relay import _sharing
@@ -10,8 +11,7 @@
 _REQUEST_PREFIX = 'request='
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspects:
+class Suspects(msgspec.Struct, frozen=True):
     """The parts of a request's prompt, and the name of the request itself.
 
     The last part of a prompt is the request's own and never a suspect.
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -1,7 +1,8 @@
 """Queueing times of stage services, as last reported to this host."""
 
 import bisect
-import dataclasses
+
+import msgspec
 
 # Times until a group is due for which queueing times are reported, in
 # seconds: groups that are due sooner go first and wait for less of the queue.
@@ -10,8 +11,7 @@
 MAX_AGE_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueWait:
+class QueueWait(msgspec.Struct, frozen=True):
     """Queueing times of a service in seconds, and when they were measured.
 
     waits_s holds the wait of timely work for each of DUE_POINTS_S;
--- a/libs/ragwort_state/ragwort_state/_era.py
+++ b/libs/ragwort_state/ragwort_state/_era.py
@@ -7,13 +7,13 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 import ragwort_model as model
 
 
-@dataclasses.dataclass(slots=True)
-class StoreEra:
+class StoreEra(msgspec.Struct):
     """The latest era of the store, heard of from the store or from a peer.
 
     seen_at is when this host first heard of it, in monotonic seconds; the
--- a/libs/ragwort_state/ragwort_state/_registry.py
+++ b/libs/ragwort_state/ragwort_state/_registry.py
@@ -1,9 +1,10 @@
 """Registry of entry hosts in the store, for hosts without a live seed."""
 
-import dataclasses
 import json
 import random
 
+import msgspec
+
 import ragwort_model as model
 from ragwort_state import _era
 
@@ -20,8 +21,7 @@
 REWRITE_SPREAD_S = 2.0
 
 
-@dataclasses.dataclass(slots=True)
-class HostRegistry:
+class HostRegistry(msgspec.Struct):
     """Register this host once, and list the others while it is isolated.
 
     A store that returns as an older copy may lack the entry, so that the
@@ -36,7 +36,7 @@
     is_pending: bool = False
     has_listed: bool = False
     backoff_s: float = MIN_BACKOFF_S
-    removed: set[str] = dataclasses.field(default_factory=set)
+    removed: set[str] = msgspec.field(default_factory=set)
     era: int = 0
 
     def tick(
--- a/libs/ragwort_state/ragwort_state/_wants.py
+++ b/libs/ragwort_state/ragwort_state/_wants.py
@@ -1,16 +1,16 @@
 """Objects that were requested from peers and have not arrived yet."""
 
 from collections.abc import Callable
-import dataclasses
 import math
 
+import msgspec
+
 # Time for a requested object to arrive before another peer is asked: 600 KB
 # over a link of 10 Mbit/s.
 REQUEST_TIMEOUT_S = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
+class _Request(msgspec.Struct):
     """The highest version offered of an object, and who else has it."""
 
     version: int
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -1,11 +1,12 @@
 """Reads of the store: watches by elected nodes, rare polls by others."""
 
 from collections.abc import Sequence
-import dataclasses
 import math
 import random
 from typing import Any
 
+import msgspec
+
 import ragwort_model as model
 from ragwort_state import _era
 from ragwort_state import _replica
@@ -29,8 +30,7 @@
 RELIST_JITTER_S = 0.3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchTurn:
+class WatchTurn(msgspec.Struct, frozen=True):
     """A watcher's place, counted from 0, among those that watch with it."""
 
     index: int = 0
