--- a/features/host_start.feature
+++ b/features/host_start.feature
@@ -29,3 +29,15 @@
   Scenario: a name that no module has is an error
     When a name that doesn't exist is asked of a library
     Then the error names the library and the name
+
+  Scenario Outline: <count> hosts that start at once agree
+    When <count> hosts start at once
+    Then within 2 s 9 of 10 of them know 9 of 10, are ready and agree on the owner of stage work
+    And within 3 s all know all
+    And fewer than 1 host in 5 has listed the others in the store
+
+    Examples:
+      | count |
+      | 18    |
+      | 60    |
+      | 120   |
--- a/features/steps/host_start_steps.py
+++ b/features/steps/host_start_steps.py
@@ -1,5 +1,6 @@
 """Steps of the start of a host's process."""
 
+import collections
 import importlib
 import json
 import os
@@ -11,6 +12,8 @@
 from behave import then
 from behave import when
 
+from features.support import relay_hosts
+import ragwort_model as model
 from ragwort_wire import _struct_generator
 
 # Modules of each library that only other processes use.
@@ -27,6 +30,8 @@
     'ragwort_policy': ('_fair_queue', '_latency', '_placement', '_routing'),
     'ragwort_platform': ('_deploy_check',),
 }
+# Share of the hosts that have to agree.
+MOST = 0.9
 IMPORT = (
     'import json, ragwort_platform, sys; print(json.dumps([*sys.modules]))'
 )
@@ -83,3 +88,56 @@
     """Look at the text."""
     assert 'ragwort_wire' in context.error, context.error
     assert 'no_such_name' in context.error, context.error
+
+
+@when('{count:d} hosts start at once')
+def start_hosts(context: Any, count: int) -> None:
+    """Start whole hosts on one virtual clock; they run for no time yet."""
+    context.world = relay_hosts.HostWorld(count, run_s=0.0)
+
+
+def count_agreed(world: relay_hosts.HostWorld) -> int:
+    """Return how many hosts are ready, know most others and one owner."""
+    owners = [stage_owner(host) for host in world.hosts]
+    common, _ = collections.Counter(owners).most_common(1)[0]
+    return sum(
+        host.is_ready
+        and len(host.members.live()) >= MOST * len(world.hosts)
+        and owner == common
+        for host, owner in zip(world.hosts, owners, strict=True)
+    )
+
+
+def stage_owner(host: Any) -> str:
+    """Return the address of the host that a host takes for the owner."""
+    [owner, *_] = host._stage_owner_candidates('prep')
+    return owner or host.options.host.peer_address
+
+
+@then(
+    'within {seconds:g} s 9 of 10 of them know 9 of 10, are ready and agree on'
+    ' the owner of stage work'
+)
+def check_agreed(context: Any, seconds: float) -> None:
+    """Let the time pass and count."""
+    world = context.world
+    world.run(seconds)
+    agreed = count_agreed(world)
+    assert agreed >= MOST * len(world.hosts), agreed
+
+
+@then('within {seconds:g} s all know all')
+def check_all_known(context: Any, seconds: float) -> None:
+    """Let the rest of the time pass and count."""
+    world = context.world
+    world.run(seconds - world.clock.seconds())
+    known = [len(host.members.live()) for host in world.hosts]
+    assert min(known) == len(world.hosts), sorted(known)[:5]
+
+
+@then('fewer than 1 host in 5 has listed the others in the store')
+def check_lists(context: Any) -> None:
+    """Count the calls."""
+    calls = context.world.objects.calls_of
+    listed = calls[model.StoreVerb.LIST, 'entry-hosts']
+    assert listed * 5 < len(context.world.hosts), listed
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -1,5 +1,6 @@
 """Whole relay hosts on one virtual clock, with a store under control."""
 
+import collections
 from collections.abc import Callable
 import itertools
 import json
@@ -85,6 +86,8 @@
     def call(self, effect: model.StoreCall) -> None:
         """Answer at once, or when something changes."""
         self.objects.calls += 1
+        kind = effect.name.partition('/')[0]
+        self.objects.calls_of[effect.verb, kind] += 1
         clock = self.objects.clock
         if self.is_silent:
             return
@@ -178,6 +181,10 @@
         self.revision = 0
         self.era = 0
         self.calls = 0
+        # Calls by verb and kind of object.
+        self.calls_of: collections.Counter[tuple[model.StoreVerb, str]] = (
+            collections.Counter()
+        )
         self.items: dict[str, model.StoredObject] = {}
         self.ways: list[FakeStore] = []
 
@@ -289,8 +296,9 @@
         seeds: tuple[str, ...] = ('10.0.0.1:84', '10.0.1.1:84'),
         link_bytes_per_s: float = math.inf,
         has_connections: bool = False,
+        run_s: float = 6.0,
     ) -> None:
-        """Start hosts whose store answers or not.
+        """Start hosts whose store answers or not; run for some time.
 
         With has_connections they reach each other over connections, which
         may go silent; else messages are always delivered.
@@ -316,7 +324,7 @@
         self.hosts = [self._host(index) for index in range(count)]
         for host in self.hosts:
             host.start()
-        self.run(6.0)
+        self.run(run_s)
 
     def _add_runner(self, name: str, address: str) -> None:
         runner = lab.ScriptedRunner(self.clock, name, address, 'north')
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -41,7 +41,7 @@
 # has to be in force.
 WATCH_RENEWAL_S = 1.0
 STORE_WATCHER_ROLE = 'store-watcher'
-HOST_CLEANUP_ROLE = 'host-janitor'
+HOST_REGISTRY_ROLE = 'host-registry'
 BRITTLE_ROLE = 'brittle-runner'
 # Time after which the entry of a host that is down is deleted.
 HOST_EXPIRY_S = 60.0
@@ -423,9 +423,12 @@
         """Maintain this host's entry; read the others' if alone."""
         is_alone = len(self.members.live()) == 1
         expired: list[str] = []
-        if membership.is_elected(self.members, HOST_CLEANUP_ROLE, 1, None):
+        is_elected = membership.is_elected(
+            self.members, HOST_REGISTRY_ROLE, 1, None
+        )
+        if is_elected:
             expired = self.members.departed_for(HOST_EXPIRY_S, now)
-        for call in self.registry.tick(now, is_alone, expired):
+        for call in self.registry.tick(now, is_alone, is_elected, expired):
             self.store.call(call)
 
     def _observe_era(self, era: int, source: str, now: float) -> None:
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -29,6 +29,9 @@
 SYNC_INTERVAL_PER_MEMBER_S = 0.04
 JOIN_INTERVAL_S = 1.0
 REJOIN_INTERVAL_S = 5.0
+# Ages at which a node asks a seed once more for its list: nodes that start
+# together join before the seeds know the rest of them.
+ASK_AGAIN_AGES_S = (0.4, 1.0, 2.0)
 FORGET_AFTER_S = 3600.0
 MAX_CLOCK_SAMPLES = 16
 
@@ -86,6 +89,7 @@
         """
         self.join_interval_s = join_interval_s
         self.rng = rng
+        seeds = list(seeds)
         self.seeds = [s for s in seeds if s != host.peer_address]
         self.self_name = host.name
         own = model.MemberUpdate(
@@ -112,6 +116,10 @@
         self.next_dead_probe_at = now + DEAD_PROBE_INTERVAL_S
         self.next_sync_at = now
         self.next_join_at = now
+        self.ask_again_at = [
+            now + age_s * rng.uniform(0.75, 1.25) for age_s in ASK_AGAIN_AGES_S
+        ]
+        self.is_seed = host.peer_address in seeds
         self.changes: list[MemberChanged] = []
         self.version = 0
         self.cache_version = -1
@@ -273,7 +281,7 @@
 
     def tick(self, now: float, wall: float) -> list[model.SendPeerMessage]:
         """Return the messages due now."""
-        messages = self._join(now)
+        messages = self._join(now) + self._ask_again(now)
         messages += self._advance_probe(now, wall)
         if self.probe is None and now >= self.next_probe_at:
             messages += self._start_probe(now, wall)
@@ -300,6 +308,22 @@
         message = model.MemberSync(self._records(), True)
         return [model.SendPeerMessage(self.rng.choice(missing), message, True)]
 
+    def _ask_again(self, now: float) -> list[model.SendPeerMessage]:
+        """Ask a live seed for its list while the fleet may have just begun.
+
+        Seeds tell each other all they know; other nodes tell themselves.
+        """
+        if not self.ask_again_at or now < self.ask_again_at[0]:
+            return []
+        del self.ask_again_at[0]
+        live = set(self.peer_addresses())
+        asked = [seed for seed in self.seeds if seed in live] or sorted(live)
+        if not asked:
+            return []
+        records = self._records() if self.is_seed else [self.own]
+        message = model.MemberSync(records, True)
+        return [model.SendPeerMessage(self.rng.choice(asked), message)]
+
     def _records(self) -> list[model.MemberUpdate]:
         return [self.members[name].update for name in sorted(self.members)]
 
--- a/libs/ragwort_state/ragwort_state/_registry.py
+++ b/libs/ragwort_state/ragwort_state/_registry.py
@@ -1,6 +1,13 @@
-"""Registry of entry hosts in the store, for hosts without a live seed."""
+"""Registry of entry hosts in the store, for hosts without a live seed.
+
+Load pattern: all hosts of a large fleet start at once. Each registers; if
+each also listed the others, the calls would grow with the square of the
+fleet, as a list comes page by page. A host that has met others hears of the
+rest from them. Only one of those that know each other looks for strangers.
+"""
 
 import json
+import math
 import random
 
 import msgspec
@@ -13,8 +20,10 @@
 REGISTER_OP = HOSTS_OP + 'register'
 LIST_OP = HOSTS_OP + 'list'
 REMOVE_OP = HOSTS_OP + 'remove'
-# Interval between lists while a host knows no other live host.
+# Interval between lists while a host knows no other live host, and between
+# those of the host that looks for strangers.
 ISOLATED_LIST_INTERVAL_S = 3.0
+STRANGER_LIST_INTERVAL_S = 6.0
 MIN_BACKOFF_S = 0.5
 MAX_BACKOFF_S = 5.0
 # Time over which hosts spread their entries after the store was restored.
@@ -22,7 +31,7 @@
 
 
 class HostRegistry(msgspec.Struct):
-    """Register this host once, and list the others while it is isolated.
+    """Register this host once; list the others while it is isolated.
 
     A store that returns as an older copy may lack the entry, so that the
     host registers again in each era.
@@ -34,18 +43,23 @@
     next_call_at: float
     is_registered: bool = False
     is_pending: bool = False
-    has_listed: bool = False
     backoff_s: float = MIN_BACKOFF_S
     removed: set[str] = msgspec.field(default_factory=set)
     era: int = 0
+    next_look_at: float = -math.inf
 
     def tick(
-        self, now: float, is_isolated: bool, departed: list[str]
+        self,
+        now: float,
+        is_isolated: bool,
+        is_elected: bool,
+        departed: list[str],
     ) -> list[model.StoreCall]:
         """Return the store call due now, if any.
 
-        departed names hosts to remove, which have been down for too long
-        to return; only one host at a time passes any.
+        is_elected tells whether this host looks for strangers. departed names
+        hosts to remove, which have been down for too long to return; only one
+        host at a time passes any.
         """
         if self.era < self.store_era.current:
             self._enter_era(now)
@@ -55,8 +69,9 @@
             self.is_pending = True
             value = json.dumps({'peers': self.host.peer_address})
             return [self._call(REGISTER_OP, model.StoreVerb.PUT, value)]
-        if is_isolated or not self.has_listed:
+        if is_isolated or (is_elected and now >= self.next_look_at):
             self.is_pending = True
+            self.next_look_at = now + STRANGER_LIST_INTERVAL_S
             return [
                 model.StoreCall(LIST_OP, model.StoreVerb.LIST, HOSTS_PREFIX)
             ]
@@ -108,7 +123,6 @@
             self.is_registered = result.era == self.store_era.current
         if result.op != LIST_OP:
             return []
-        self.has_listed = True
         self.next_call_at = now + ISOLATED_LIST_INTERVAL_S * self.rng.uniform(
             0.75, 1.25
         )
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -20,6 +20,9 @@
 WATCH_OVERDUE_S = 0.5
 POLL_INTERVAL_S = 60.0
 PEER_GRACE_S = 2.0
+# Time from the start until a node knows the fleet, and with it whether it is
+# among those that watch. Its list holds what changed before.
+FIRST_WATCH_S = 0.5
 FALLBACK_LIST_JITTER_S = 3.0
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 5.0
@@ -115,6 +118,8 @@
             wait_s = 0.0 if is_doubtful else self._wait_s(turn, now)
             if not self._can_watch:
                 return [self._list()]
+            if now < self.started_at + FIRST_WATCH_S:
+                return []
             return [self._watch(wait_s, now)]
         if not self.replica.synced and now >= self.fallback_list_at:
             return [] if self.has_listed else [self._list()]
