--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -301,6 +301,8 @@
                 host.catalog.prompt_sharing.home('class', prompt),
                 host.catalog.prompt_cache,
                 {},
+                prompt[-1].part_id,
+                len(world.hosts),
                 0.0,
             )
             host.catalog.prompt_cache.record(runner.name, prompt)
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -339,11 +339,16 @@
                 ),
                 context.catalog.prompt_cache,
                 self.stages.input_bytes(),
+                self.metadata.request_id,
+                context.catalog.prompt_sharing.hosts,
                 now,
             )
         else:
             runner, estimates = relay.choose_by_load(
-                candidates, context.failure_domain, now
+                candidates,
+                context.failure_domain,
+                self.metadata.request_id,
+                now,
             )
         self.log_fields['runner'] = runner.name
         self.log_fields['software_version'] = (
--- a/libs/ragwort_lab/ragwort_lab/_prompt_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_prompt_bench.py
@@ -210,7 +210,14 @@
             home = _home_by_count(prompt)
         runners = [engine.runner for engine in self.engines.values()]
         chosen, _ = relay.choose_by_prompt_cache(
-            runners, prompt, home, cache, {}, now
+            runners,
+            prompt,
+            home,
+            cache,
+            {},
+            prompt[-1].part_id,
+            len(self.sharing),
+            now,
         )
         cache.record(chosen.name, prompt)
         return self.engines[chosen.name]
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -3,11 +3,15 @@
 A session's calls go to the runner that has its prompt cached, unless that
 runner's load costs more time than the cache saves. This keeps hot sessions
 and long prompts from overloading one runner.
+
+Load pattern: hundreds of hosts that each know little of the runners' load
+choose at the same time, also just after a start or as runners come.
 """
 
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 
 import ragwort_model as model
 from ragwort_relay import _fleet
@@ -21,6 +25,10 @@
 MAX_PARTS = 512
 # Time to fetch a byte of stage results from another failure domain.
 REMOTE_S_PER_BYTE = 2.7e-9
+# Hosts that compare all runners; as many see most of what a runner gets.
+KNOWING_HOSTS = 8
+# Runners compared by a host that knows nothing of what others send.
+MIN_COMPARED = 2
 # Extra time of a call to another failure domain.
 REMOTE_CALL_S = 0.004
 
@@ -66,11 +74,14 @@
     home: _sharing.Home | None,
     prompt_cache: PromptCacheIndex,
     input_bytes: Mapping[str, float],
+    request_id: str,
+    hosts: int,
     now: float,
 ) -> tuple[_fleet.FleetRunner, dict[str, float]]:
     """Return the runner expected to start first, and all estimates.
 
-    input_bytes is the size of the results to fetch, by failure domain.
+    input_bytes is the size of the results to fetch, by failure domain; hosts
+    is how many hosts choose among these runners.
     Rendezvous hashing over the key of the prompt's home gives each session
     a home runner, on which all hosts agree without communication.
     """
@@ -79,16 +90,15 @@
         names = [runner.name for runner in runners]
         home_runner = model.select_by_rendezvous(home.key, names)[0]
     tokens = sum(part.tokens for part in prompt)
+    costs: dict[str, float] = {}
     estimates: dict[str, float] = {}
     for runner in runners:
         uncached: float = prompt_cache.uncached_tokens(runner.name, prompt)
         if home is not None and runner.name == home_runner:
             # Other hosts' calls have likely cached the session there.
             uncached = min(uncached, tokens - home.cached_tokens)
-        running = runner.state.occupancy(now)
-        estimates[runner.name] = (
+        costs[runner.name] = (
             uncached * PREFILL_S_PER_TOKEN
-            + running * LOAD_S_PER_CALL
             + runner.state.failure_share
             + REMOTE_S_PER_BYTE
             * sum(
@@ -97,12 +107,50 @@
                 if domain != runner.entry.runner.failure_domain
             )
         )
-    best = min(runners, key=lambda r: (estimates[r.name], r.name))
-    return best, estimates
+        load_s = runner.state.occupancy(now) * LOAD_S_PER_CALL
+        estimates[runner.name] = costs[runner.name] + load_s
+    compared = _compared(costs, request_id, hosts)
+    best = min(compared, key=lambda name: estimates[name])
+    return {runner.name: runner for runner in runners}[best], estimates
+
+
+def _compared(
+    costs: Mapping[str, float], request_id: str, hosts: int
+) -> list[str]:
+    """Return the runners whose load is compared, other ones each time.
+
+    Many hosts that all take the runner which they last heard to be idle make
+    it the busiest. So each compares the fewer the less it can know: some of
+    the cheapest ones, by what they would cost without load, and some of all.
+    """
+    order = model.select_by_rendezvous(request_id, costs, len(costs))
+    count = max(MIN_COMPARED, math.ceil(len(order) * KNOWING_HOSTS / hosts))
+    limit = min(costs.values()) + LOAD_S_PER_CALL
+    cheapest = [name for name in order if costs[name] <= limit]
+    return cheapest[:count] + order[:count]
+
+
+def _least(
+    runners: Sequence[_fleet.FleetRunner],
+    estimates: Mapping[str, float],
+    request_id: str,
+) -> _fleet.FleetRunner:
+    """Return the runner with the least estimate, another for each request.
+
+    Hosts that know as little as each other would all take the same one of
+    several that seem equal.
+    """
+    least = min(estimates.values())
+    equal = {r.name: r for r in runners if estimates[r.name] == least}
+    [name] = model.select_by_rendezvous(request_id, equal)
+    return equal[name]
 
 
 def choose_by_load(
-    runners: Sequence[_fleet.FleetRunner], failure_domain: str, now: float
+    runners: Sequence[_fleet.FleetRunner],
+    failure_domain: str,
+    request_id: str,
+    now: float,
 ) -> tuple[_fleet.FleetRunner, dict[str, float]]:
     """Return the runner with the least expected time, and all estimates."""
     estimates: dict[str, float] = {}
@@ -116,5 +164,4 @@
             + state.failure_share * busy_s
             + REMOTE_CALL_S * is_remote
         )
-    best = min(runners, key=lambda r: (estimates[r.name], r.name))
-    return best, estimates
+    return _least(runners, estimates, request_id), estimates
