--- a/libs/ragwort_node/ragwort_node/_caller_http.py
+++ b/libs/ragwort_node/ragwort_node/_caller_http.py
@@ -1,8 +1,6 @@
 """HTTP interface for callers and operators."""
 
-import dataclasses
 import itertools
-import json
 from typing import Any
 from typing import Protocol
 
@@ -351,7 +349,7 @@
         """Return the status of the node."""
         status = self.service.core.status(self.service.now())
         request.setHeader(b'content-type', b'application/json')
-        return json.dumps(dataclasses.asdict(status)).encode()
+        return msgspec.json.encode(status)
 
 
 class NotFoundResource(_NodeResource):
