--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -29,6 +29,8 @@
 KNOWING_HOSTS = 8
 # Runners compared by a host that knows nothing of what others send.
 MIN_COMPARED = 2
+# Parts of a prompt from which on the last but one may be its session's.
+MIN_SESSION_PARTS = 3
 # Extra time of a call to another failure domain.
 REMOTE_CALL_S = 0.004
 
@@ -109,9 +111,13 @@
         )
         load_s = runner.state.occupancy(now) * LOAD_S_PER_CALL
         estimates[runner.name] = costs[runner.name] + load_s
-    compared = _compared(costs, request_id, hosts)
-    best = min(compared, key=lambda name: estimates[name])
-    return {runner.name: runner for runner in runners}[best], estimates
+    compared_names = set(_compared(costs, request_id, hosts))
+    compared = [r for r in runners if r.name in compared_names]
+    tie_key = request_id
+    if len(prompt) >= MIN_SESSION_PARTS:
+        # Equal runners still get the whole of a session each.
+        tie_key = prompt[-2].part_id
+    return _least(compared, estimates, tie_key), estimates
 
 
 def _compared(
@@ -133,16 +139,16 @@
 def _least(
     runners: Sequence[_fleet.FleetRunner],
     estimates: Mapping[str, float],
-    request_id: str,
+    tie_key: str,
 ) -> _fleet.FleetRunner:
-    """Return the runner with the least estimate, another for each request.
+    """Return the runner with the least estimate, for each key another one.
 
     Hosts that know as little as each other would all take the same one of
     several that seem equal.
     """
-    least = min(estimates.values())
+    least = min(estimates[runner.name] for runner in runners)
     equal = {r.name: r for r in runners if estimates[r.name] == least}
-    [name] = model.select_by_rendezvous(request_id, equal)
+    [name] = model.select_by_rendezvous(tie_key, equal)
     return equal[name]
 
 
