--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -1,6 +1,7 @@
 """An entry host: its sockets, timers and the state shared by hosts."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 from typing import Any
@@ -11,6 +12,7 @@
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
+from ragwort_edge import _guard
 from ragwort_edge import _hand_over
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
@@ -151,6 +153,7 @@
         self.peers.on_silent = self._on_silent_peer
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
+        self.guard = _guard.Guard(reactor, self.metrics, logger)
         self.client = _client.HttpClient(reactor)
         self.budget = relay.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_s
@@ -305,7 +308,8 @@
         self.origins.hand_over(now)
 
     def _continue_leaving(self, now: float) -> None:
-        assert self.leaving_at is not None
+        if self.leaving_at is None:
+            return
         age_s = now - self.leaving_at
         if age_s < LEAVE_ACCEPT_S:
             return
@@ -345,29 +349,48 @@
     def _tick(self) -> None:
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
-        self.catalog.fleet.remove_expired(now)
-        self.origins.tick(now)
-        messages = self.members.tick(now, wall)
-        messages += self.gossip.tick(now, self.members.peer_addresses())
-        messages += self.limit_sharing.messages(now)
-        messages += self.departure_sharing.messages(now)
-        messages += self.crashes.messages(self.members, now)
-        for message in messages:
-            self._send_peer(message)
-        self.reach_probe.tick(now)
-        self.crashes.tick(now)
-        self._watch(now)
-        self._register(now)
+        parts: dict[str, Callable[[], object]] = {
+            'fleet': lambda: self.catalog.fleet.remove_expired(now),
+            'stream-origins': lambda: self.origins.tick(now),
+            'members': lambda: self._send_all(self.members.tick(now, wall)),
+            'gossip': self._send_gossip,
+            'limits': lambda: self._send_all(self.limit_sharing.messages(now)),
+            'departures': lambda: self._send_all(
+                self.departure_sharing.messages(now)
+            ),
+            'crash-news': lambda: self._send_all(
+                self.crashes.messages(self.members, now)
+            ),
+            'reach': lambda: self.reach_probe.tick(now),
+            'crashes': lambda: self.crashes.tick(now),
+            'watch': lambda: self._watch(now),
+            'registry': lambda: self._register(now),
+            'suspects': lambda: self._store_suspects(now),
+            'host-count': lambda: self._share_host_count(now),
+            'peers': lambda: self.peers.close_idle(now),
+            'readiness': lambda: self._update_readiness(now),
+            'changes': self._log_member_changes,
+            'leaving': lambda: self._continue_leaving(now),
+        }
+        for name, part in parts.items():
+            self.guard.run(name, part)
+        if not self.is_stopped:
+            self.reactor.callLater(TICK_S, self._tick)
+
+    def _store_suspects(self, now: float) -> None:
         for call in self.crashes.store_calls(self.members, now):
             self.store.call(call)
+
+    def _share_host_count(self, now: float) -> None:
+        """Tell all who divide something among the hosts how many there are."""
         host_count = len(self.members.live())
         self.budget.on_host_count(host_count, now)
         self.catalog.prompt_sharing.hosts = host_count
         self.catalog.brittle.host_count = host_count
         self.catalog.departure_news.rumours.host_count = host_count
         self.catalog.crash_evidence.set_host_count(host_count)
-        self.peers.close_idle(now)
-        self._update_readiness(now)
+
+    def _log_member_changes(self) -> None:
         for change in self.members.take_changes():
             update = change.update
             self.logger.info(
@@ -376,11 +399,6 @@
                 status=update.status.name,
                 accepting=update.accepting,
             )
-        if self.leaving_at is not None:
-            self._continue_leaving(now)
-        if self.is_stopped:
-            return
-        self.reactor.callLater(TICK_S, self._tick)
 
     def _update_readiness(self, now: float) -> None:
         if self.is_ready == self.was_ready:
@@ -454,6 +472,9 @@
         self.members.seeds += [a for a in found if a not in known]
 
     def _on_store(self, result: model.StoreResult) -> None:
+        self.guard.run('store', lambda: self._on_store_result(result))
+
+    def _on_store_result(self, result: model.StoreResult) -> None:
         now = self.reactor.seconds()
         self.catalog.now = now
         self._observe_era(result.era, 'store', now)
@@ -508,7 +529,10 @@
 
     def _send_gossip(self) -> None:
         now = self.reactor.seconds()
-        for message in self.gossip.tick(now, self.members.peer_addresses()):
+        self._send_all(self.gossip.tick(now, self.members.peer_addresses()))
+
+    def _send_all(self, messages: Iterable[model.SendPeerMessage]) -> None:
+        for message in messages:
             self._send_peer(message)
 
     def _send_peer(self, effect: model.SendPeerMessage) -> None:
@@ -560,8 +584,13 @@
     def _on_frame(self, frame: Any) -> None:
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
-        for effect in self._on_message(frame.sender, frame.message, now, wall):
-            self._send_peer(effect)
+        sender, message = frame.sender, frame.message
+        self.guard.run(
+            type(message).__name__,
+            lambda: self._send_all(
+                self._on_message(sender, message, now, wall)
+            ),
+        )
 
     def _on_message(
         self, sender: str, message: model.PeerMessage, now: float, wall: float
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -82,6 +82,12 @@
             'Watches of the store given up without an answer',
             registry=self.registry,
         )
+        self.unexpected_errors = prometheus.Counter(
+            'ragwort_unexpected_errors',
+            'Errors of parts of the host, which the others outlive',
+            ['part'],
+            registry=self.registry,
+        )
         self.store_era = prometheus.Gauge(
             'ragwort_store_era',
             "Latest era of the store, which rises when it loses writes",
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -216,8 +216,11 @@
         """Apply a newer version of a stored object."""
         try:
             self._apply(item)
-        except model.ConfigurationError as error:
-            self.problems[item.name] = str(error)
+        # A decoder that fails on one object must not hide those after it.
+        except Exception as error:
+            is_expected = isinstance(error, model.ConfigurationError)
+            problem = str(error) if is_expected else f'unexpected {error!r}'
+            self.problems[item.name] = problem
             if self.decoder.is_runner(item.name):
                 era = model.era_of(item.version)
                 self.fleet.update(item.name, None, self.now, era)
