--- a/features/relay_calls.feature
+++ b/features/relay_calls.feature
@@ -52,6 +52,28 @@
     And the caller leaves after 0.3 s
     Then its runner's connection closes within 0.5 s and nothing more is sent
 
+  Scenario Outline: a <kind> stream that sends a byte now and then ends with its time
+    Given 2 stream runners of 6 events, the first chosen does "drip:<gap>"
+    When a <kind> request is sent, and 6 s pass
+    Then it has ended within 4 s and holds nothing of the first runner
+    And the first runner's connection has closed by then
+
+    Examples:
+      | kind      | gap |
+      | stream    | 0.2 |
+      | stream    | 0.9 |
+      | resumable | 0.2 |
+
+  Scenario Outline: a slow but sound <kind> stream is not cut
+    Given 2 stream runners of 6 events, <gap> s apart
+    When a <kind> request is sent, and 6 s pass
+    Then the caller gets events 1 to 6 once each and a whole answer
+
+    Examples:
+      | kind      | gap |
+      | stream    | 0.6 |
+      | resumable | 0.6 |
+
   Scenario: a request waits no longer than its route allows
     Given 1 runners that all do "silent"
     When a once request is sent on a route with a timeout of 1 s
--- a/features/steps/relay_call_steps.py
+++ b/features/steps/relay_call_steps.py
@@ -98,6 +98,39 @@
         context.world.run(seconds)
 
 
+@given('{count:d} stream runners of {events:d} events, {gap_s:g} s apart')
+def slow_streams(context: Any, count: int, events: int, gap_s: float) -> None:
+    """Create stream runners that take their time."""
+    start_world(context, count)
+    for runner in context.runners:
+        runner.events, runner.event_gap_s = events, gap_s
+
+
+@when('a {kind} request is sent, and {seconds:g} s pass')
+def send_and_wait(context: Any, kind: str, seconds: float) -> None:
+    """Send a request of a kind; let all of its time pass."""
+    send(context, **KINDS[kind])
+    context.world.run(seconds)
+
+
+@then(
+    'it has ended within {seconds:g} s and holds nothing of the first runner'
+)
+def check_ended(context: Any, seconds: float) -> None:
+    """Look at when it ended; a second runner may have served it."""
+    assert context.exchange.is_over
+    assert context.exchange.ended_at <= seconds, context.exchange.ended_at
+    assert b'x' not in context.exchange.body, context.exchange.body
+
+
+@then('the first runner\'s connection has closed by then')
+def check_drip_closed(context: Any) -> None:
+    """Look at the runner's end."""
+    [first, *_] = arrivals(context)
+    assert first.closed_at is not None
+    assert first.closed_at <= ROUTE_S + 0.1, first.closed_at
+
+
 def arrivals(context: Any) -> list[Any]:
     """Return what reached the main runners, in order."""
     found = [a for runner in context.runners for a in runner.arrivals]
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -395,7 +395,8 @@
     (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
     falls over if it turns away more than N a second), late:S (ok, after S
     seconds of silence), events:N (a stream of N
-    events), cut:N (a stream reset behind event N). Events show the software
+    events), cut:N (a stream reset behind event N), drip:S (a stream that sends
+    a byte of its first event each S seconds). Events show the software
     version, which runners don't check.
     """
 
@@ -505,9 +506,19 @@
             call.fail(edge.CallErrorKind.CLOSED)
         elif kind == 'foreign':
             call.respond(HTTP_OK, ((b'echo', b'other'),), b'not yours')
+        elif kind == 'drip':
+            call.send(
+                'on_head', edge.HttpResponse(HTTP_OK, EVENT_STREAM + echo)
+            )
+            self._drip(float(count), call)
         elif kind in ('events', 'cut'):
             self._stream(kind, int(count), told, echo, call)
 
+    def _drip(self, gap_s: float, call: LabCall) -> None:
+        if not call.is_over:
+            call.send('on_data', b'x')
+            self.clock.callLater(gap_s, self._drip, gap_s, call)
+
     def _stream(
         self,
         kind: str,
