--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -32,6 +32,7 @@
 # Ages at which a node asks a seed once more for its list: nodes that start
 # together join before the seeds know the rest of them.
 ASK_AGAIN_AGES_S = (0.4, 1.0, 2.0)
+ASK_SPREAD_STEPS = 1000
 FORGET_AFTER_S = 3600.0
 MAX_CLOCK_SAMPLES = 16
 
@@ -116,8 +117,11 @@
         self.next_dead_probe_at = now + DEAD_PROBE_INTERVAL_S
         self.next_sync_at = now
         self.next_join_at = now
+        # Each node has its own share of the spread, so that asks don't meet.
+        spread = model.stable_hash('ask-again', host.name) % ASK_SPREAD_STEPS
         self.ask_again_at = [
-            now + age_s * rng.uniform(0.75, 1.25) for age_s in ASK_AGAIN_AGES_S
+            now + age_s * (0.75 + 0.5 * spread / ASK_SPREAD_STEPS)
+            for age_s in ASK_AGAIN_AGES_S
         ]
         self.is_seed = host.peer_address in seeds
         self.changes: list[MemberChanged] = []
@@ -322,7 +326,9 @@
             return []
         records = self._records() if self.is_seed else [self.own]
         message = model.MemberSync(records, True)
-        return [model.SendPeerMessage(self.rng.choice(asked), message)]
+        left = str(len(self.ask_again_at))
+        choice = model.stable_hash(self.self_name, left) % len(asked)
+        return [model.SendPeerMessage(asked[choice], message)]
 
     def _records(self) -> list[model.MemberUpdate]:
         return [self.members[name].update for name in sorted(self.members)]
