--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -107,7 +107,7 @@
     list_pages(context)
     result = msgspec.structs.replace(context.result, op=listing.op)
     watcher.on_store_result(result, 0.1)
-    (context.watch,) = watcher.tick(0.2, state.WatchTurn())
+    (context.watch,) = watcher.tick(1.0, state.WatchTurn())
 
 
 @then('the watch behind the list brings that it leaves')
