Take the crash of some stage runners not for the loss of all

Two runners in a row that took no connection made their service count as out of reach, also while its other runners answered.

What met no listening runner is no repeat: it spends neither the piece's sends nor the retry budget. The budget of a stage service counts pieces on both sides; it counted groups as requests and pieces as repeats.

The scenarios fail without the change.

--- /dev/null
+++ b/features/stage_runner_crashes.feature
@@ -0,0 +1,33 @@
+Feature: Stage runners that crash take no sound runner's work with them
+  One host batches the pieces of a stage service for all hosts. Several of the
+  service's runners crash at one moment and take no connection for a while.
+
+  Scenario Outline: <crashed> of 10 stage runners crash under load
+    # Guards against an owner that takes the crash of some runners for the loss
+    # of all: it gave all its groups away, and the other hosts, each with calls
+    # of its own, filled the runners' queues.
+    Given 6 hosts and 10 stage runners that take 8 pieces a call
+    When 40 staged requests a second are sent for 6 s
+    And <crashed> of the stage runners crash after 2 s, for 3 s
+    Then the owner gives no group away
+    And at least 0.97 of the requests are answered
+
+    Examples:
+      | crashed |
+      | 2       |
+      | 3       |
+
+  Scenario: pieces that met no listening runner use up no repeats
+    # Guards against requests refused for a runner that never got their pieces.
+    Given 6 hosts and 10 stage runners that take 8 pieces a call
+    And the budget allows no repeats
+    When 40 staged requests a second are sent for 4 s
+    And 2 of the stage runners are gone from the start
+    Then at least 0.99 of the requests are answered
+
+  Scenario: all stage runners crash
+    # Guards against an owner that keeps groups which it can't have made.
+    Given 6 hosts and 10 stage runners that take 8 pieces a call
+    When 40 staged requests a second are sent for 4 s
+    And 10 of the stage runners crash after 2 s, for 9 s
+    Then every request sent later than 1 s after that is refused within 0.5 s
--- a/libs/ragwort_edge/ragwort_edge/_reach_probe.py
+++ b/libs/ragwort_edge/ragwort_edge/_reach_probe.py
@@ -64,9 +64,10 @@
     ) -> None:
         reach = self.catalog.reach
         service = runner.entry.runner.service
+        now = self.reactor.seconds()
         if state != _client.AddressState.OPEN:
-            reach.on_unreachable(runner)
+            reach.on_unreachable(runner, now)
             return
-        reach.on_connected(service)
+        reach.on_connected(service, now)
         if service in self.lost:
-            self.catalog.fleet.end_backoffs(service, self.reactor.seconds())
+            self.catalog.fleet.end_backoffs(service, now)
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -417,7 +417,7 @@
         }
         failure = failures.get(send.result)
         if send.result == relay.SendResult.NOT_SENT:
-            self.context.catalog.reach.on_unreachable(runner)
+            self.context.catalog.reach.on_unreachable(runner, now)
         if failure is not None:
             runner.state.on_failure(failure, now)
             self.context.logger.info(
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -206,7 +206,10 @@
         if batcher is None:
             self._fail_pieces(group, [w.piece for w in group.work], 'error')
             return
-        self.budget.on_request(service, self.reactor.seconds())
+        # Repeats are counted by the piece, too.
+        self.budget.on_request(
+            service, self.reactor.seconds(), len(group.work)
+        )
         batcher.add(group)
         self.schedule_dispatch(service, 0.0)
 
@@ -458,7 +461,7 @@
             self.queue_release(unneeded)
         for group_id, outcomes in by_group.items():
             self._deliver(group_id, outcomes)
-        self._requeue(service, batcher, retries, 'room or error')
+        self._requeue(service, batcher, retries)
         self.schedule_dispatch(service, 0.0)
 
     def _on_error(
@@ -473,7 +476,7 @@
         error_kind = failure.value.kind
         if error_kind == _client.CallErrorKind.NOT_CONNECTED:
             kind = model.CallFailure.UNREACHABLE
-            self.catalog.reach.on_unreachable(call.runner)
+            self.catalog.reach.on_unreachable(call.runner, now)
         elif error_kind == _client.CallErrorKind.CANCELLED:
             kind = model.CallFailure.SILENT
             call.runner.slowness = min(call.runner.slowness * 2, 16.0)
@@ -482,7 +485,13 @@
             kind = model.CallFailure.LOST
             call.runner.state.backoff_until = now + AVOID_RUNNER_S
         call.runner.state.on_failure(kind, now)
-        self._on_failed_call(service, batcher, call, str(failure.value))
+        self._on_failed_call(
+            service,
+            batcher,
+            call,
+            str(failure.value),
+            was_sent=error_kind != _client.CallErrorKind.NOT_CONNECTED,
+        )
 
     def _on_failed_call(
         self,
@@ -490,6 +499,7 @@
         batcher: relay.Batcher,
         call: relay.BatchCall,
         reason: str,
+        was_sent: bool = True,
     ) -> None:
         batcher.on_failure(call)
         self.logger.info(
@@ -502,7 +512,13 @@
         if self.catalog.is_lost(service):
             self._give_back(service)
         wanted = [p for p in call.pieces if p.group.group_id in self.owned]
-        self._requeue(service, batcher, wanted, reason)
+        if was_sent:
+            self._requeue(service, batcher, wanted)
+        else:
+            # No runner has heard of them: this is no repeat.
+            for piece in wanted:
+                piece.group.sends -= 1
+            batcher.queue += wanted
         self.schedule_dispatch(service, 0.0)
 
     def _requeue(
@@ -510,7 +526,6 @@
         service: str,
         batcher: relay.Batcher,
         pieces: list[relay.QueuedPiece],
-        reason: str,
     ) -> None:
         now = self.reactor.seconds()
         for piece in pieces:
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -250,6 +250,7 @@
         self.reader = reader
         self.is_over = False
         self.sent = False
+        self.address = ''
         # Set once its runner has ended without a word.
         self.is_abandoned = False
         # Set while nothing passes on its connection.
@@ -346,6 +347,7 @@
     ) -> LabCall:
         """Send a request."""
         call = LabCall(self.reactor, reader)
+        call.address = address
         target = self.hosts.get(address)
         if target is None:
             if self._is_silent(address):
