--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -111,7 +111,13 @@
         return relay.first_event_s(self.metadata.prompt)
 
     def _typical_s(self, run: relay.StageRun) -> list[float]:
-        return relay.typical_stage_s(run, self.configuration.services)
+        now = self.context.reactor.seconds()
+        waits = self.context.stages.waits
+        return relay.typical_stage_s(
+            run,
+            self.configuration.services,
+            lambda service: waits.call_s(service, now),
+        )
 
     def _timely_waits_s(self, run: relay.StageRun) -> list[float]:
         """Return the queueing time before each stage of a timely request.
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -113,6 +113,7 @@
                 list(wait.waits_s),
                 wait.late_wait_s,
                 now - wait.measured_at,
+                wait.call_s,
             )
             for name, wait in self.waits.recent(now).items()
         ]
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -187,6 +187,7 @@
                 tuple(wait.waits_s),
                 wait.late_wait_s,
                 now - max(wait.age_s, 0.0),
+                max(wait.call_s, 0.0),
             )
             self.waits.update(wait.service_name, queue_wait)
 
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -198,13 +198,15 @@
 
     waits_s holds the wait of work that can be timely for each of several
     times until it is due; late_wait_s is the wait of work that can only be
-    late.
+    late. call_s is how long a call takes that begins after the wait, 0.0 if
+    an idle runner takes new work by itself.
     """
 
     service_name: str
     waits_s: list[float]
     late_wait_s: float
     age_s: float
+    call_s: float = 0.0
 
 
 class StageTaken(msgspec.Struct, frozen=True):
--- a/libs/ragwort_relay/ragwort_relay/_admission.py
+++ b/libs/ragwort_relay/ragwort_relay/_admission.py
@@ -4,6 +4,7 @@
 before they take capacity from those that can meet them.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import enum
@@ -57,15 +58,23 @@
 
 
 def typical_stage_s(
-    run: _stages.StageRun, services: Mapping[str, _routes.ServiceSpec]
+    run: _stages.StageRun,
+    services: Mapping[str, _routes.ServiceSpec],
+    call_s: Callable[[str], float] = lambda service: 0.0,
 ) -> list[float]:
-    """Return the typical time of a call of each stage, in seconds."""
+    """Return the typical time of a call of each stage, in seconds.
+
+    call_s returns how long calls to a service take under its present load.
+    Load pattern: calls shared with many requests take longer than a request's
+    own pieces would; what leaves that out is late by a little in each stage.
+    """
     times_s: list[float] = []
     for index, spec in enumerate(run.stages):
         service = services.get(spec.service)
         limits = service.batch_limits if service else None
         count = min(run.pieces[index], limits.max_pieces) if limits else 0
-        times_s.append(limits.duration_s(count) if limits else 0.0)
+        own_s = limits.duration_s(count) if limits else 0.0
+        times_s.append(max(own_s, call_s(spec.service)) if count else own_s)
     return times_s
 
 
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -30,6 +30,9 @@
 LOCAL_WAIT_SLACK_SHARE = 0.25
 # Weight of a new call in the mean batch size.
 BATCH_SIZE_WEIGHT = 0.1
+# Weight of a new call in the size of recent calls: a service under load makes
+# some 30 calls a second, and a burst fills them within a few tenths of one.
+RECENT_SIZE_WEIGHT = 0.2
 # Downstream queueing time above which late groups are held back: their
 # results would only wait there and occupy storage.
 MAX_DOWNSTREAM_WAIT_S = 0.15
@@ -86,6 +89,7 @@
         self.timely: set[str] = set()
         self.timely_due: list[float] = []
         self.mean_batch_size = float(limits.max_pieces)
+        self.recent_size = 1.0
         self.calls: dict[int, _pieces.BatchCall] = {}
         self.call_ids = itertools.count(1)
         self.storage = _storage.ResultStorage(limits, owned_since)
@@ -165,6 +169,7 @@
                 chosen.add(piece)
         self.queue = waiting
         self._update_mean_batch_size(drafts)
+        self._update_recent_size(drafts)
         return [
             self._create_call(draft, now) for draft in drafts if draft.pieces
         ]
@@ -187,6 +192,23 @@
                 difference = len(draft.pieces) - self.mean_batch_size
                 self.mean_batch_size += BATCH_SIZE_WEIGHT * difference
 
+    def _update_recent_size(self, drafts: list['_DraftCall']) -> None:
+        for draft in drafts:
+            if draft.pieces:
+                difference = len(draft.pieces) - self.recent_size
+                self.recent_size += RECENT_SIZE_WEIGHT * difference
+
+    def _call_s(self, runners: Sequence[_fleet.FleetRunner]) -> float:
+        """Return the time of a call that waits for a busy runner.
+
+        It will hold pieces of other requests too, as recent calls did.
+        """
+        if self._idle_runners(runners):
+            return 0.0
+        size = min(math.ceil(self.recent_size), self.limits.max_pieces)
+        slowness = sum(r.slowness for r in runners) / len(runners)
+        return self.limits.duration_s(size) * slowness
+
     def _dispatch_order(
         self, piece: _pieces.QueuedPiece, domains: set[str], now: float
     ) -> _DispatchOrder:
@@ -418,4 +440,5 @@
             tuple(throughput.start_delay_s(pieces + 1) for pieces in ahead),
             throughput.start_delay_s(len(self.queue) + 1),
             now,
+            self._call_s(runners),
         )
--- a/libs/ragwort_relay/ragwort_relay/_waits.py
+++ b/libs/ragwort_relay/ragwort_relay/_waits.py
@@ -15,12 +15,15 @@
     """Queueing times of a service in seconds, and when they were measured.
 
     waits_s holds the wait of timely work for each of DUE_POINTS_S;
-    late_wait_s is the wait of work that can't meet its target.
+    late_wait_s is the wait of work that can't meet its target. call_s is how
+    long a call takes that begins after the wait: under load it holds the
+    pieces of many requests. It is 0.0 if an idle runner takes new work alone.
     """
 
     waits_s: tuple[float, ...]
     late_wait_s: float
     measured_at: float
+    call_s: float = 0.0
 
     def delayed(self, delay_s: float, now: float) -> 'QueueWait':
         """Return the waits, measured now, if no call starts before a delay."""
@@ -31,6 +34,7 @@
             tuple(wait_s + delay_s for wait_s in waits_s),
             self.late_wait_s + delay_s,
             now,
+            self.call_s,
         )
 
 
@@ -69,6 +73,13 @@
         wait = self.by_service.get(service)
         return _remaining_s(wait, wait.late_wait_s, now) if wait else 0.0
 
+    def call_s(self, service: str, now: float) -> float:
+        """Return how long a call takes under the load there is, or 0.0."""
+        wait = self.by_service.get(service)
+        if wait is None or now - wait.measured_at >= MAX_AGE_S:
+            return 0.0
+        return wait.call_s
+
 
 def _remaining_s(wait: QueueWait, wait_s: float, now: float) -> float:
     age_s = now - wait.measured_at
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -188,7 +188,9 @@
         2: (15, 'waits_s', 4, False),
         3: (4, 'late_wait_s', False),
         4: (4, 'age_s', False),
+        5: (4, 'call_s', False),
     },
+    {'call_s': 0.0},
 )
 
 StageTaken = _payload.new_type(
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -125,6 +125,7 @@
   2: list<double> waits_s
   3: double late_wait_s
   4: double age_s
+  5: double call_s = 0.0
 }
 
 struct StageTaken {
