Refuse take-ups of streams where versions are unknown after a restart

Cause: after all hosts had restarted, a host took the only software version that it saw as the only one that there was. Streams that an earlier version began went on with events of the present one.

Change: one elected host keeps the versions of each streaming service, each with the time it was last there, in stream-versions/SERVICE. A host younger than streams last takes the only version that it sees once a host that remembers, or that object, says that there was no other for as long; it reads the objects once, when a take-up needs it. Otherwise it refuses with a time to come back. An entry that is damaged, gone, or from an earlier era of the store says nothing. Answers to questions on streams carry whether the host remembers all versions; hosts of earlier builds are judged by their incarnation's age.

--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -42,6 +42,55 @@
     When streams run while all hosts restart at once
     Then of the streams taken up at least half the share that begins goes on
 
+  # Guards against taking the only version that is seen after a restart for
+  # the only one that there was: its streams went on with events of another.
+  Scenario Outline: <count> hosts lose power while <release>, <outage>
+    Given <count> relay hosts with runners 4 of v1
+    When all hosts lose power while <release> and <outage>
+    Then some streams were taken up
+    And at most 2 streams hold events of two versions
+    And of the 60 streams that begin afterwards all end whole
+
+    Examples:
+      | count | release | outage |
+      | 1  | the runners of v1 have just left | the store works |
+      | 8  | the runners of v1 have just left | the store works |
+      | 40 | the runners of v1 have just left | the store works |
+      | 8  | both versions serve              | the store works |
+      | 8  | v1 left 12 s before              | the store works |
+      | 8  | the writer was killed as v1 ended | the store works |
+      | 8  | the runners started again as v2 under their names | the store works |
+      | 8  | the runners of v1 have just left | the store answers one host alone |
+      | 8  | the runners of v1 have just left | the hosts' clocks differ by 4 s |
+      | 8  | v1 left 12 s before              | the hosts' clocks differ by 4 s |
+      | 8  | the runners of v1 have just left | the entry is damaged |
+      | 8  | the runners of v1 have just left | another writer replaced the entry |
+      | 8  | the runners of v1 have just left | the entry is gone |
+      | 8  | the runners of v1 have just left | the store returns from a copy taken before v2 |
+      | 8  | v1 is back after v2 served | the store works |
+      | 8  | v1 is back after v2 served | the entry is damaged |
+      | 8  | v1 is back after v2 served | another writer replaced the entry |
+      | 8  | v1 is back after v2 served | the entry is gone |
+      | 8  | v1 is back after v2 served | the store answers one host alone |
+      | 8  | v1 is back after v2 served | the hosts' clocks differ by 4 s |
+      | 8  | v1 is back after v2 served | the store returns from a copy taken before v2 |
+
+  # Guards against a call for each host, start or stream: calls cost money.
+  Scenario: a release costs a few calls for versions, a start one in all
+    Given 8 relay hosts with runners 4 of v1
+    When v2 replaces v1 and 40 s pass
+    Then the store got at most 2 lists and 2 writes of versions
+    When all hosts restart while nobody takes streams up
+    Then the store got at most 1 lists and 0 writes of versions
+
+  # Guards against refusals where no version changed, and against more than
+  # one read a host.
+  Scenario: each of 40 hosts reads the versions once when all have restarted
+    Given 40 relay hosts with runners 4 of v1
+    When all hosts restart while callers take streams up
+    Then of the streams taken up at least half the share that begins goes on
+    And the store got at most 41 lists and 0 writes of versions
+
   Scenario Outline: a take-up of another's stream that names <what> is refused
     Given 8 relay hosts with runners 2 of v1, 2 of v2
     When a caller takes up a stream that began at v1 and names <what>
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -26,6 +26,8 @@
 DOMAINS = ('north', 'east', 'south')
 LINK_S = 0.002
 STEP_S = 0.01
+# Time of day at which a world starts.
+START_WALL_S = 1_700_000_000.0
 # Time that a client of the store waits for an answer beyond a watch's wait.
 WATCH_MARGIN_S = 2.0
 
@@ -97,8 +99,10 @@
             )
             clock.callLater(LINK_S, self.on_result, failed)
         elif effect.verb == model.StoreVerb.PUT:
-            self.objects.put(effect.name, effect.value or '')
-            self._end(effect, model.StoreStatus.OK)
+            status = self.objects.status_of_put(effect)
+            if status == model.StoreStatus.OK:
+                self.objects.put(effect.name, effect.value or '')
+            self._end(effect, status)
         elif effect.verb == model.StoreVerb.DELETE:
             self.objects.items.pop(effect.name, None)
             self._end(effect, model.StoreStatus.OK)
@@ -198,6 +202,16 @@
             way.notify()
         return item
 
+    def status_of_put(self, effect: model.StoreCall) -> model.StoreStatus:
+        """Return how a write ends, which names the version it replaces."""
+        found = self.items.get(effect.name)
+        if effect.expected_version and found is None:
+            return model.StoreStatus.NOT_FOUND
+        version = found.version if found else 0
+        if version != effect.expected_version:
+            return model.StoreStatus.CONFLICT
+        return model.StoreStatus.OK
+
     def copy(self) -> tuple[int, dict[str, model.StoredObject]]:
         """Return a copy to which the store can be restored."""
         return self.revision, dict(self.items)
@@ -318,6 +332,10 @@
         self.runners: list[lab.ScriptedRunner] = []
         self.runner_numbers = itertools.count(1)
         self.stopped: dict[int, float] = {}
+        # Copies of the store to which it may be restored.
+        self.copies: list[tuple[int, dict[str, model.StoredObject]]] = []
+        # How far each host's time of day is ahead when it starts.
+        self.clock_offsets_s: dict[int, float] = {}
         for index, name in enumerate('ab'):
             self._add_runner(name, f'10.0.9.{index + 1}:80')
         self.keep_keys(['k1'])
@@ -399,6 +417,12 @@
             logger,
             random.Random(index),
         )
+        version_store = host.origins.version_store
+        assert version_store is not None
+        offset_s = self.clock_offsets_s.get(index, 0.0)
+        version_store.wall_clock = lambda: (
+            START_WALL_S + self.clock.seconds() + offset_s
+        )
         client: Any = self.network.view()
         if index < len(self.ways):
             self.ways[index] = client
@@ -439,13 +463,19 @@
 
     def restart(self, index: int) -> None:
         """Replace a host by a new process that knows nothing."""
-        old = self.hosts[index]
-        links: Any = FakeLinks(self, 'nowhere')
-        links.send = lambda effect, now: 0
-        old.peers = links
+        self.cut_power(self.hosts[index])
         self.hosts[index] = self._host(index)
         self.hosts[index].start()
 
+    def cut_power(self, host: edge.RelayHost) -> None:
+        """Let a host send nothing more to its peers or the store."""
+        links: Any = FakeLinks(self, 'nowhere')
+        links.send = lambda effect, now: 0
+        host.peers = links
+        way: Any = host.store
+        way.is_silent = True
+        host.is_stopped = True
+
     def kill(self, index: int) -> None:
         """End a host's process; all of its connections break."""
         self.stop_for_good(index)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -23,6 +23,7 @@
 from ragwort_edge import _server
 from ragwort_edge import _stage_service
 from ragwort_edge import _stream_origins
+from ragwort_edge import _version_store
 import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_peers as peers
@@ -192,6 +193,15 @@
             lambda attempt, count: _stream_origins.stream_homes(
                 self.members, attempt, count
             ),
+            _version_store.VersionStore(
+                reactor,
+                self.catalog,
+                self.members,
+                self.store_era,
+                self.rng,
+                logger,
+                lambda call: self.store.call(call),
+            ),
         )
         self.crashes = _crash_watch.CrashWatch(
             reactor,
@@ -484,6 +494,9 @@
         if result.op.startswith(state.SUSPECTS_OP):
             self.crashes.on_store_result(result, now)
             return
+        if result.op.startswith(state.VERSIONS_OP):
+            self.origins.on_store_result(result, now)
+            return
         for prefix, watcher in self.watchers.items():
             if not result.op.startswith(prefix):
                 continue
--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -15,6 +15,7 @@
 from twisted.internet import defer
 
 from ragwort_edge import _metrics
+from ragwort_edge import _version_store
 import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_relay as relay
@@ -29,6 +30,8 @@
 ANSWER_TIMEOUT_S = 0.3
 MAX_STREAMS_PER_MESSAGE = 200
 OBSERVE_INTERVAL_S = 1.0
+# More than differences of times are rounded by.
+ROUNDING_S = 0.001
 
 Homes = Callable[[str, int], list[str]]
 
@@ -69,8 +72,10 @@
         rng: random.Random,
         send_peer: Callable[[model.SendPeerMessage], None],
         homes: Homes,
+        version_store: _version_store.VersionStore | None = None,
     ) -> None:
         """Send to the homes of a stream, which homes returns."""
+        self.version_store = version_store
         self.reactor = reactor
         self.catalog = catalog
         self.origins = catalog.stream_origins
@@ -89,6 +94,8 @@
             self.origins.observe(self.catalog.fleet.runners.values(), now)
             self.origins.remove_expired(now)
         self.share_newly_mixed(now)
+        if self.version_store is not None:
+            self.version_store.tick(now)
 
     def share_newly_mixed(self, now: float) -> None:
         """Tell of the streams that began before a second version came."""
@@ -141,31 +148,43 @@
         """Return what began a stream, and the source of that belief.
 
         The key is None if the caller did not name the first attempt. A host
-        that started lately may have missed a version; it asks others before
-        it takes the only one that it knows.
+        that started lately may have missed a version: it takes the only one
+        that it knows once another host or the store says that there was no
+        other.
         """
         now = self.reactor.seconds()
         known = self.origins.find(key, now) if key is not None else None
         if known is not None:
             return known, 'own'
-        is_sure = self.origins.remembers_all_versions(now)
-        if is_sure or key is None:
-            sole = self._sole_origin(service, now)
-            if sole is not None:
-                return sole, 'only-version'
-        if key is not None:
+        sole = self._sole_origin(service)
+        if sole is None and key is not None:
             told = await self._ask(key, service)
             if told is not None:
                 return told, 'peer'
-        sole = self._sole_origin(service, self.reactor.seconds())
+            sole = self._sole_origin(service)
+        if sole is None and self._may_be_stored(service):
+            assert self.version_store is not None
+            await self.version_store.read()
+            sole = self._sole_origin(service)
         return sole, 'only-version' if sole is not None else 'unknown'
 
-    def _sole_origin(
-        self, service: str, now: float
-    ) -> relay.StreamOrigin | None:
+    def _sole_origin(self, service: str) -> relay.StreamOrigin | None:
+        """Return the origin of all streams if a service had one version."""
+        now = self.reactor.seconds()
         version = self.origins.sole_version(service, now)
+        if version is None:
+            return None
+        if not self.origins.remembers_all_versions(service, now):
+            return None
+        return relay.StreamOrigin(service, version)
+
+    def _may_be_stored(self, service: str) -> bool:
+        """Tell whether the store may say that there was one version."""
+        now = self.reactor.seconds()
         return (
-            None if version is None else relay.StreamOrigin(service, version)
+            self.version_store is not None
+            and not self._is_mixed(service, now)
+            and not self.origins.remembers_all_versions(service, now)
         )
 
     def _ask(
@@ -198,6 +217,11 @@
         if not question.done.called:
             question.done.callback(origin)
 
+    def on_store_result(self, result: model.StoreResult, now: float) -> None:
+        """Take over what the store knows of versions."""
+        if self.version_store is not None:
+            self.version_store.on_store_result(result, now)
+
     # What other hosts send.
 
     def on_peer(self, sender: str, message: model.PeerMessage) -> None:
@@ -208,7 +232,7 @@
             case model.StreamQuestion():
                 self._on_question(sender, message)
             case model.StreamAnswer():
-                self._on_answer(message)
+                self._on_answer(sender, message)
 
     def _on_told(self, message: model.StreamsBegan) -> None:
         now = self.reactor.seconds()
@@ -226,10 +250,21 @@
             asked.question,
             self.origins.to_tell(key, now),
             [model.SeenVersion(v, now - at) for v, at in versions.items()],
+            self.origins.remembers_all_versions(asked.service_name, now),
         )
         self.send_peer(model.SendPeerMessage(sender, answer))
 
-    def _on_answer(self, answer: model.StreamAnswer) -> None:
+    def _remembers_all(self, sender: str, answer: model.StreamAnswer) -> bool:
+        """Tell whether the answering host knows all of a service's versions.
+
+        A host whose build does not say does so once it has run for long.
+        """
+        if answer.remembers_all is not None:
+            return answer.remembers_all
+        store, memory_s = self.version_store, self.origins.memory_s
+        return store is not None and store.has_run_for(sender, memory_s)
+
+    def _on_answer(self, sender: str, answer: model.StreamAnswer) -> None:
         question = self.questions.get(answer.question)
         if question is None:
             return
@@ -242,6 +277,9 @@
                     now - seen.age_s,
                     now,
                 )
+        if self._remembers_all(sender, answer):
+            since = now - self.origins.memory_s - ROUNDING_S
+            self.origins.extend_knowledge(question.service, since)
         question.open_answers -= 1
         told = answer.origin
         if told is not None and math.isfinite(told.ttl_s):
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import json
+import math
 import random
 from typing import Any
 
@@ -81,6 +82,8 @@
             send_peer,
             owners_of,
         )
+        # The lab's hosts have no store for versions, and miss none.
+        catalog.stream_origins.started_at = -math.inf
         origins = edge.OriginService(
             self.clock,
             catalog,
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -357,11 +357,14 @@
     """Answer to a StreamQuestion; origin is None if it is not known.
 
     versions are those that the sender knows the service to have had lately.
+    remembers_all tells whether there were no others for as long as streams
+    last; None is from a host whose build does not say.
     """
 
     question: str
     origin: StreamBegan | None
     versions: list[SeenVersion]
+    remembers_all: bool | None = None
 
 
 PeerMessage = (
--- a/libs/ragwort_relay/ragwort_relay/_origins.py
+++ b/libs/ragwort_relay/ragwort_relay/_origins.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 import msgspec
 
@@ -62,6 +63,8 @@
         self.records: dict[StreamKey, _Record] = {}
         self.seen_at: dict[str, dict[str, float]] = {}
         self.newly_mixed: set[str] = set()
+        # From when on all versions of a service are known, if others told.
+        self.told_since: dict[str, float] = {}
 
     # Versions of a service.
 
@@ -109,9 +112,17 @@
         versions = self.versions(service, now)
         return next(iter(versions)) if len(versions) == 1 else None
 
-    def remembers_all_versions(self, now: float) -> bool:
-        """Tell whether the host has watched for as long as streams last."""
-        return now >= self.started_at + self.memory_s
+    def known_since(self, service: str) -> float:
+        """Return from when on this host knows all versions of a service."""
+        return min(self.started_at, self.told_since.get(service, math.inf))
+
+    def extend_knowledge(self, service: str, since: float) -> None:
+        """Record that the versions told cover the time from since on."""
+        self.told_since[service] = min(since, self.known_since(service))
+
+    def remembers_all_versions(self, service: str, now: float) -> bool:
+        """Tell whether all versions are known for as long as streams last."""
+        return now >= self.known_since(service) + self.memory_s
 
     # Streams.
 
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -152,6 +152,16 @@
             default=0.0,
         )
 
+    @functools.cached_property
+    def streaming_services(self) -> frozenset[str]:
+        """Return the services of routes that stream."""
+        return frozenset(
+            share.service
+            for route in self.routes
+            if route.kind == CallKind.STREAM
+            for share in route.shares
+        )
+
     @functools.cached_property
     def downstream_services(self) -> dict[str, frozenset[str]]:
         """Return the stage services that read each service's results."""
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -15,6 +15,10 @@
 from ragwort_state._replica import Replica
 from ragwort_state._suspect_register import SuspectRegister
 from ragwort_state._suspect_register import SUSPECTS_OP
+from ragwort_state._version_register import ServiceVersions
+from ragwort_state._version_register import VersionRegister
+from ragwort_state._version_register import VERSIONS_OP
+from ragwort_state._version_register import VERSIONS_PREFIX
 from ragwort_state._watcher import LIST_OP
 from ragwort_state._watcher import WATCH_OP
 from ragwort_state._watcher import Watcher
@@ -83,6 +87,7 @@
     'ORDER_EXPIRY_S',
     'parse_target',
     'Replica',
+    'ServiceVersions',
     'SHARD_COUNT',
     'shard_of',
     'StoreEra',
@@ -90,6 +95,9 @@
     'SUSPECTS_OP',
     'TARGET_FIELDS',
     'TargetChange',
+    'VersionRegister',
+    'VERSIONS_OP',
+    'VERSIONS_PREFIX',
     'WATCH_OP',
     'Watcher',
     'WatchTurn',
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -301,6 +301,7 @@
         1: (11, 'question', False),
         2: (12, 'origin', StreamBegan, False),
         3: (15, 'versions', (12, SeenVersion), False),
+        4: (2, 'remembers_all', False),
     },
 )
 
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -199,6 +199,7 @@
   1: string question
   2: optional StreamBegan origin
   3: list<SeenVersion> versions
+  4: optional bool remembers_all
 }
 
 struct LeavingRunner {
