Record in the store which version began each stream while two serve

Callers notice the loss of all hosts seconds later, when events are missing, and take their streams up at hosts that count as sound again.

While versions are mixed, one host for each of 16 groups of streams is told of those that begin, beside the two homes, and writes them every 2 s. A host that has started lately reads them once, when a take-up needs it. With one version nothing is told or called.

--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -115,3 +115,24 @@
     Given a runner that started again with another software version
     When an older copy of the store shows its earlier incarnation
     Then streams from it are of the later version
+
+  # Guards against refusing most take-ups after a loss of all hosts while two
+  # versions serve: callers come back once they miss events, seconds later.
+  Scenario Outline: <count> hosts lose power while both versions serve, for callers of long streams
+    Given <count> relay hosts with runners 4 of v1
+    When streams of both versions run for <run_s> s and all hosts lose power
+    Then some streams were taken up
+    And at most 2 streams hold events of two versions
+    And of the streams taken up at least half the share that begins goes on
+
+    Examples:
+      | count | run_s |
+      | 1     | 3     |
+      | 8     | 3     |
+      | 40    | 4     |
+
+  # Guards against calls for streams while one version serves.
+  Scenario: streams of one version cost no call
+    Given 8 relay hosts with runners 4 of v1
+    When streams run for 4 s
+    Then the store got no call for streams
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -18,6 +18,10 @@
 # Time in which all streams have ended or are given up.
 END_S = 3.0
 KIND = 'stream-versions'
+# Long streams outlast the time between two writes of their origins.
+LONG_EVENTS = 30
+LONG_GAP_S = 0.05
+LONG_END_S = 3.0
 ENTRY = f'{KIND}/main'
 WRITER_ROLE = 'stream-version-writer'
 
@@ -255,3 +259,31 @@
     made = {verb: now[verb] - context.calls[verb] for verb in now}
     assert made[model.StoreVerb.LIST] <= lists, made
     assert made[model.StoreVerb.PUT] <= writes, made
+
+
+@when(
+    'streams of both versions run for {seconds:g} s and all hosts lose power'
+)
+def lose_mixed(context: Any, seconds: float) -> None:
+    """Begin long streams all the time, then end all hosts at once."""
+    callers, world = context.callers, context.world
+    add_second(world)
+    for runner in world.runners:
+        runner.events = LONG_EVENTS
+    callers.start(int(seconds / LONG_GAP_S), LONG_GAP_S)
+    restart(callers, world, 'the store works')
+    callers.run(LONG_END_S)
+
+
+@when('streams run for {seconds:g} s')
+def run_one_version(context: Any, seconds: float) -> None:
+    """Begin streams while one version serves."""
+    context.callers.start(int(seconds / LONG_GAP_S), LONG_GAP_S)
+
+
+@then('the store got no call for streams')
+def check_no_stream_call(context: Any) -> None:
+    """Count the calls for streams."""
+    calls = context.world.objects.calls_of
+    made = {verb: calls[verb, 'stream-origins'] for verb in model.StoreVerb}
+    assert not any(made.values()), made
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -100,9 +100,12 @@
             clock.callLater(LINK_S, self.on_result, failed)
         elif effect.verb == model.StoreVerb.PUT:
             status = self.objects.status_of_put(effect)
+            version = 0
             if status == model.StoreStatus.OK:
-                self.objects.put(effect.name, effect.value or '')
-            self._end(effect, status)
+                version = self.objects.put(
+                    effect.name, effect.value or ''
+                ).version
+            self._end(effect, status, version)
         elif effect.verb == model.StoreVerb.DELETE:
             self.objects.items.pop(effect.name, None)
             self._end(effect, model.StoreStatus.OK)
@@ -119,10 +122,15 @@
             clock.callLater(effect.wait_s, self._end_wait, effect)
             self.notify()
 
-    def _end(self, effect: model.StoreCall, status: model.StoreStatus) -> None:
-        """Answer with a status and the store's era."""
-        era_start = model.make_version(self.objects.era, 0)
-        done = model.StoreResult(effect.op, status, (), era_start)
+    def _end(
+        self,
+        effect: model.StoreCall,
+        status: model.StoreStatus,
+        version: int = 0,
+    ) -> None:
+        """Answer with a status, and the version written or the era."""
+        version = version or model.make_version(self.objects.era, 0)
+        done = model.StoreResult(effect.op, status, (), version)
         self.objects.clock.callLater(LINK_S, self.on_result, done)
 
     def _end_wait(self, effect: model.StoreCall) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -23,6 +23,7 @@
 from ragwort_edge import _server
 from ragwort_edge import _stage_service
 from ragwort_edge import _stream_origins
+from ragwort_edge import _stream_store
 from ragwort_edge import _version_store
 import ragwort_membership as membership
 import ragwort_model as model
@@ -202,6 +203,15 @@
                 logger,
                 lambda call: self.store.call(call),
             ),
+            _stream_store.StreamStore(
+                reactor,
+                self.catalog.stream_origins,
+                self.members,
+                self.store_era,
+                self.rng,
+                logger,
+                lambda call: self.store.call(call),
+            ),
         )
         self.crashes = _crash_watch.CrashWatch(
             reactor,
@@ -494,7 +504,7 @@
         if result.op.startswith(state.SUSPECTS_OP):
             self.crashes.on_store_result(result, now)
             return
-        if result.op.startswith(state.VERSIONS_OP):
+        if result.op.startswith((state.VERSIONS_OP, state.STREAMS_OP)):
             self.origins.on_store_result(result, now)
             return
         for prefix, watcher in self.watchers.items():
--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -15,10 +15,12 @@
 from twisted.internet import defer
 
 from ragwort_edge import _metrics
+from ragwort_edge import _stream_store
 from ragwort_edge import _version_store
 import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_relay as relay
+import ragwort_state as state
 
 # Hosts that are told of a stream, and that are asked: one more, since a host
 # that has just joined may have taken the place of one that was told.
@@ -73,8 +75,10 @@
         send_peer: Callable[[model.SendPeerMessage], None],
         homes: Homes,
         version_store: _version_store.VersionStore | None = None,
+        stream_store: _stream_store.StreamStore | None = None,
     ) -> None:
         """Send to the homes of a stream, which homes returns."""
+        self.stream_store = stream_store
         self.version_store = version_store
         self.reactor = reactor
         self.catalog = catalog
@@ -96,6 +100,8 @@
         self.share_newly_mixed(now)
         if self.version_store is not None:
             self.version_store.tick(now)
+        if self.stream_store is not None:
+            self.stream_store.tick(now)
 
     def share_newly_mixed(self, now: float) -> None:
         """Tell of the streams that began before a second version came."""
@@ -122,7 +128,7 @@
     def _share(self, streams: Iterable[model.StreamBegan]) -> None:
         by_home: dict[str, list[model.StreamBegan]] = {}
         for stream in streams:
-            for address in self.homes(stream.first_attempt, TOLD_HOSTS):
+            for address in self._told_hosts(stream):
                 by_home.setdefault(address, []).append(stream)
         for address, told in by_home.items():
             for at in range(0, len(told), MAX_STREAMS_PER_MESSAGE):
@@ -130,6 +136,19 @@
                 message = model.StreamsBegan(part)
                 self.send_peer(model.SendPeerMessage(address, message))
 
+    def _told_hosts(self, stream: model.StreamBegan) -> set[str]:
+        """Return the addresses of a stream's homes and of its recorder."""
+        told = set(self.homes(stream.first_attempt, TOLD_HOSTS))
+        if self.stream_store is None:
+            return told
+        recorder = self.stream_store.recorder(stream.first_attempt)
+        if recorder is not None:
+            return told | {recorder}
+        self.stream_store.record(
+            relay.StreamKey(stream.workspace, stream.first_attempt)
+        )
+        return told
+
     def on_began(
         self, key: relay.StreamKey, origin: relay.StreamOrigin, ttl_s: float
     ) -> None:
@@ -166,6 +185,10 @@
             assert self.version_store is not None
             await self.version_store.read()
             sole = self._sole_origin(service)
+        if sole is None and key is not None and self._is_young():
+            stored = await self._find_stored(key)
+            if stored is not None:
+                return stored, 'store'
         return sole, 'only-version' if sole is not None else 'unknown'
 
     def _sole_origin(self, service: str) -> relay.StreamOrigin | None:
@@ -178,6 +201,20 @@
             return None
         return relay.StreamOrigin(service, version)
 
+    def _is_young(self) -> bool:
+        """Tell whether streams may have begun before this host started."""
+        age_s = self.reactor.seconds() - self.origins.started_at
+        return bool(age_s < self.origins.memory_s)
+
+    async def _find_stored(
+        self, key: relay.StreamKey
+    ) -> relay.StreamOrigin | None:
+        """Return what the store tells of a stream's origin."""
+        if self.stream_store is None:
+            return None
+        await self.stream_store.read()
+        return self.origins.find(key, self.reactor.seconds())
+
     def _may_be_stored(self, service: str) -> bool:
         """Tell whether the store may say that there was one version."""
         now = self.reactor.seconds()
@@ -218,8 +255,11 @@
             question.done.callback(origin)
 
     def on_store_result(self, result: model.StoreResult, now: float) -> None:
-        """Take over what the store knows of versions."""
-        if self.version_store is not None:
+        """Take over what the store knows of versions and streams."""
+        is_streams = result.op.startswith(state.STREAMS_OP)
+        if is_streams and self.stream_store is not None:
+            self.stream_store.on_store_result(result, now)
+        elif not is_streams and self.version_store is not None:
             self.version_store.on_store_result(result, now)
 
     # What other hosts send.
@@ -239,6 +279,10 @@
         for stream in message.streams:
             if math.isfinite(stream.ttl_s):
                 self.origins.on_told(stream, now)
+                if self.stream_store is not None:
+                    self.stream_store.record(
+                        relay.StreamKey(stream.workspace, stream.first_attempt)
+                    )
             else:
                 self.logger.warning('invalid-stream', stream=repr(stream))
 
--- a/libs/ragwort_state/ragwort_state/__init__.py
+++ b/libs/ragwort_state/ragwort_state/__init__.py
@@ -13,6 +13,11 @@
 from ragwort_state._registry import HOSTS_PREFIX
 from ragwort_state._replica import CONFIG_PREFIX
 from ragwort_state._replica import Replica
+from ragwort_state._stream_register import group_of
+from ragwort_state._stream_register import StoredOrigin
+from ragwort_state._stream_register import StreamRegister
+from ragwort_state._stream_register import STREAMS_OP
+from ragwort_state._stream_register import STREAMS_PREFIX
 from ragwort_state._suspect_register import SuspectRegister
 from ragwort_state._suspect_register import SUSPECTS_OP
 from ragwort_state._version_register import ServiceVersions
@@ -65,6 +70,7 @@
     'drain_status_object',
     'DRAIN_STATUS_PREFIX',
     'Gossip',
+    'group_of',
     'HostRegistry',
     'HOSTS_OP',
     'HOSTS_PREFIX',
@@ -90,7 +96,11 @@
     'ServiceVersions',
     'SHARD_COUNT',
     'shard_of',
+    'StoredOrigin',
     'StoreEra',
+    'StreamRegister',
+    'STREAMS_OP',
+    'STREAMS_PREFIX',
     'SuspectRegister',
     'SUSPECTS_OP',
     'TARGET_FIELDS',
