Let the first hosts of a deployment speak for the time before their start

Cause: versions are believed once they are known for as long as streams last, so that a restart of all hosts in the first half minute of a deployment would have refused every take-up, which went on before.

Change: a writer whose own entry was new in a store of era 0 without any versions, and beside which no host is more than 10 s older, writes that no version is missing from before.

--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -42,6 +42,18 @@
     When streams run while all hosts restart at once
     Then of the streams taken up at least half the share that begins goes on
 
+  # Guards against refusals in the first half minute of a deployment.
+  Scenario: streams go on after the first hosts restarted soon after the start
+    Given 8 relay hosts that have just started first, with runners 4 of v1
+    When all hosts restart while callers take streams up
+    Then of the streams taken up at least half the share that begins goes on
+
+  # Guards against taking the start of a later host for that of the first one.
+  Scenario: a host that is new among older ones does not speak for the past
+    Given 8 relay hosts that have just started first, with runners 4 of v1
+    When the entries of versions are lost and a new host is the writer
+    Then the entry written next covers only its own time
+
   # Guards against taking the only version that is seen after a restart for
   # the only one that there was: its streams went on with events of another.
   Scenario Outline: <count> hosts lose power while <release>, <outage>
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 import json
+import math
 from typing import Any
 
+from behave import given
 from behave import then
 from behave import when
 
+import msgspec
+
 from features.support import relay_hosts
 from features.support import stream_callers
 import ragwort_membership as membership
@@ -255,3 +259,60 @@
     made = {verb: now[verb] - context.calls[verb] for verb in now}
     assert made[model.StoreVerb.LIST] <= lists, made
     assert made[model.StoreVerb.PUT] <= writes, made
+
+
+@given(
+    '{count:d} relay hosts that have just started first, with runners 4 of v1'
+)
+def start_first(context: Any, count: int) -> None:
+    """Start hosts that see runners of one version from the start."""
+    context.world = relay_hosts.HostWorld(0, run_s=0.0)
+    stream_callers.set_versions(context.world, {'v1': 4})
+    world = context.world
+    world.hosts = []
+    for index in range(count):
+        world.hosts.append(world._host(index))
+    for host in world.hosts:
+        host.start()
+    world.run(6.0)
+    context.callers = stream_callers.StreamCallers(world)
+
+
+@when('the entries of versions are lost and a new host is the writer')
+def elect_new(context: Any) -> None:
+    """Add hosts, as names not seen before, until one of them is elected."""
+    world = context.world
+    world.objects.items.pop(ENTRY)
+    members = world.hosts[0].members
+    for host in world.hosts:
+        host.version_store.elected_at = math.inf
+        shift_incarnation(host.members, -60)
+    world.run(0.2)
+    while True:
+        (name,) = membership.role_holders(members, WRITER_ROLE, 1, None)
+        context.writer = int(name.removeprefix('host-'))
+        if context.writer >= 8:
+            break
+        world.hosts.append(world._host(len(world.hosts)))
+        world.hosts[-1].start()
+        world.run(1.0)
+    world.run(5.0)
+
+
+def shift_incarnation(members: membership.Membership, by_s: int) -> None:
+    """Let all hosts that a host knows have started earlier."""
+    for member in members.members.values():
+        member.update = msgspec.structs.replace(
+            member.update, incarnation=member.update.incarnation + by_s
+        )
+
+
+@then('the entry written next covers only its own time')
+def check_covered(context: Any) -> None:
+    """Compare the entry with the start of the host that wrote it."""
+    world = context.world
+    host = world.hosts[context.writer]
+    assert host.version_store.is_new_host
+    value = json.loads(world.objects.items[ENTRY].value or '')
+    started = relay_hosts.START_WALL_S + host.started_at
+    assert value['sinceMs'] >= 1000 * started, (value, started)
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -417,8 +417,7 @@
             logger,
             random.Random(index),
         )
-        version_store = host.origins.version_store
-        assert version_store is not None
+        version_store = host.version_store
         offset_s = self.clock_offsets_s.get(index, 0.0)
         version_store.wall_clock = lambda: (
             START_WALL_S + self.clock.seconds() + offset_s
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -183,6 +183,15 @@
             self.catalog.departure_news, self.members, self.rng, logger
         )
         self.catalog.stream_origins.started_at = now
+        self.version_store = _version_store.VersionStore(
+            reactor,
+            self.catalog,
+            self.members,
+            self.store_era,
+            self.rng,
+            logger,
+            lambda call: self.store.call(call),
+        )
         self.origins = _stream_origins.OriginService(
             reactor,
             self.catalog,
@@ -193,15 +202,7 @@
             lambda attempt, count: _stream_origins.stream_homes(
                 self.members, attempt, count
             ),
-            _version_store.VersionStore(
-                reactor,
-                self.catalog,
-                self.members,
-                self.store_era,
-                self.rng,
-                logger,
-                lambda call: self.store.call(call),
-            ),
+            self.version_store,
         )
         self.crashes = _crash_watch.CrashWatch(
             reactor,
@@ -474,6 +475,8 @@
         was_registered = self.registry.is_registered
         found = self.registry.on_store_result(result, now)
         if self.registry.is_registered and not was_registered:
+            is_new = result.status == model.StoreStatus.OK
+            self.version_store.is_new_host = is_new
             self.logger.info(
                 'host-registered', status=result.status, era=result.era
             )
--- a/libs/ragwort_edge/ragwort_edge/_version_store.py
+++ b/libs/ragwort_edge/ragwort_edge/_version_store.py
@@ -26,6 +26,9 @@
 # Time of day at which hosts may differ: added to the age of what another host
 # wrote, so that it counts for longer.
 MAX_CLOCK_SKEW_S = 5.0
+# Hosts that were started together differ in their starts by less than this:
+# one attempt to join and the time of a process to start, on a busy machine.
+START_SPREAD_S = 10.0
 
 
 class VersionStore:
@@ -53,6 +56,10 @@
         )
         self.wall_clock: Callable[[], float] = time.time
         self.elected_at: float | None = None
+        # Set if the store had no entry of this host when it registered.
+        self.is_new_host = False
+        # Set if no host had run before those that are there now.
+        self.is_first_fleet = False
         self.readers: list[defer.Deferred[None]] = []
 
     def tick(self, now: float) -> None:
@@ -92,9 +99,13 @@
             runner = found.entry.runner
             versions = present.setdefault(runner.service, set())
             versions.add(runner.software_version)
+        # Before the first hosts there were no streams.
+        before_s = 0.0
+        if self.is_first_fleet:
+            before_s = self.origins.memory_s + 2 * MAX_CLOCK_SKEW_S
         return {
             service: state.ServiceVersions(
-                wall - (now - self.origins.known_since(service)),
+                wall - (now - self.origins.known_since(service)) - before_s,
                 {
                     version: None
                     if version in present.get(service, ())
@@ -142,6 +153,7 @@
         """Take over the versions that a list holds."""
         found = self.register.on_store_result(result, now)
         if found is not None:
+            self.is_first_fleet = self._is_first_fleet()
             for service, versions in found.items():
                 self._adopt(service, versions, now)
             self.logger.info('stream-versions-read', services=sorted(found))
@@ -150,6 +162,19 @@
             for done in list(self.readers):
                 self._end(done)
 
+    def _is_first_fleet(self) -> bool:
+        """Tell whether no host ran before those that are there now.
+
+        A store in a later era may have lost the entries of earlier hosts.
+        """
+        if self.register.stored or not self.is_new_host:
+            return False
+        members = self.members.members
+        own = members[self.members.self_name].update.incarnation
+        earliest = min(m.update.incarnation for m in members.values())
+        is_first_era = self.register.store_era.current == 0
+        return is_first_era and own <= earliest + START_SPREAD_S
+
     def _adopt(
         self, service: str, stored: state.ServiceVersions, now: float
     ) -> None:
