Count the store calls for versions, and test their entries in trouble

Cause: nothing bounded what the versions of streams cost in calls, and nothing tested their entries while the writer ends, the store is away or restored, or several hosts write.

Change: scenarios for these, and for take-ups in doubt. A list of versions that a store answers with 404 counts as empty, as for refused parts: a store may know no kind without objects, and nobody would have written then.

A take-up whose answer the store would have to give ends within 1.5 s.

--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -94,6 +94,39 @@
     Then the store got at most 2 lists and 2 writes of versions
     When all hosts restart while nobody takes streams up
     Then the store got at most 1 lists and 0 writes of versions
+    When hosts restart one after another, 3 s apart
+    Then the store got at most 2 lists and 0 writes of versions
+
+  # Guards against a version that ended or began and stays unwritten.
+  Scenario Outline: the entry names the versions although <what>
+    Given 8 relay hosts with runners 4 of v1
+    When v2 comes, v1 leaves after 5 s, and <what>
+    Then 20 s later the entry has v1 as ended and v2 as present
+    And the entry is of the store's era
+    And versions took at most <calls> calls
+
+    Examples:
+      | what                                       | calls |
+      | nothing else happens                       | 4     |
+      | the writer is killed as v1 leaves          | 6     |
+      | the store is away for 10 s                 | 14    |
+      | all hosts think that they write            | 40    |
+      | the store returns from a copy before v2    | 6     |
+      | the entry is damaged and the writer killed | 6     |
+
+  # Guards against a caller that waits for a store which does not answer, and
+  # against an entry from a clock that is far ahead.
+  Scenario Outline: a take-up is refused at once as <what>
+    Given 8 relay hosts with runners 4 of v1
+    When all hosts restart, <what>, and a stream is taken up
+    Then it is refused with a time to come back within 1.5 s
+
+    Examples:
+      | what                                      |
+      | the store goes silent                     |
+      | the store goes away                       |
+      | the entry begins in the future            |
+      | the entry has no versions                 |
 
   # Guards against refusals where no version changed, and against more than
   # one read a host.
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -87,14 +87,19 @@
     world.run(0.1)
 
 
+def writer_of(world: relay_hosts.HostWorld) -> int:
+    """Return the index of the host that writes."""
+    members = world.hosts[0].members
+    (name,) = membership.role_holders(members, WRITER_ROLE, 1, None)
+    return int(name.removeprefix('host-'))
+
+
 @named(RELEASES, 'the writer was killed as v1 ended')
 def kill_writer(callers: Any, world: relay_hosts.HostWorld) -> None:
     """End the host that writes the versions together with v1."""
     add_second(world)
     callers.start(STREAMS, START_GAP_S)
-    members = world.hosts[0].members
-    (name,) = membership.role_holders(members, WRITER_ROLE, 1, None)
-    world.kill(int(name.removeprefix('host-')))
+    world.kill(writer_of(world))
     remove_first(world)
     world.run(0.1)
 
@@ -316,3 +321,13 @@
     value = json.loads(world.objects.items[ENTRY].value or '')
     started = relay_hosts.START_WALL_S + host.started_at
     assert value['sinceMs'] >= 1000 * started, (value, started)
+
+
+@when('hosts restart one after another, {seconds:g} s apart')
+def restart_in_turn(context: Any, seconds: float) -> None:
+    """Count the calls of a rolling restart."""
+    world = context.world
+    context.calls = count_calls(world)
+    for index in range(len(world.hosts)):
+        world.restart(index)
+        world.run(seconds)
--- a/libs/ragwort_state/ragwort_state/_version_register.py
+++ b/libs/ragwort_state/ragwort_state/_version_register.py
@@ -172,15 +172,13 @@
         if self.pending is None or self.pending[0] != result.op:
             return None
         (op, service, entry), self.pending = self.pending, None
-        if result.status in (
-            model.StoreStatus.CONFLICT,
-            model.StoreStatus.NOT_FOUND,
-        ):
-            # Another host has written or removed the object.
-            self.read_era = None
-        if result.status != model.StoreStatus.OK:
-            # The write may have taken effect.
-            self.read_era = None if op == WRITE_OP else self.read_era
+        # A store may know no kind of which there are no objects.
+        is_empty = result.status == model.StoreStatus.NOT_FOUND
+        is_done = result.status == model.StoreStatus.OK
+        if not is_done and not (op == LIST_OP and is_empty):
+            if op == WRITE_OP:
+                # It may have taken effect, or another host's write did.
+                self.read_era = None
             self.next_call_at = now + self.backoff_s * self.rng.uniform(0.5, 1)
             self.backoff_s = min(2 * self.backoff_s, MAX_BACKOFF_S)
             return None
