Send nothing to runners of evacuated failure domains

An operator's object evacuations/DOMAIN had no effect: hosts did not read it, and sent requests to the domain's runners until these ended.

RelayCatalog.usable leaves out the runners of evacuated domains, and all runners until a host has read the evacuations; pauses, chores, releases, reach and stage owners go through it. A replica counts as complete only when each of its prefixes was listed, as a host would otherwise serve without the one that failed. Off unless the settings have the section evacuations.

--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -3,7 +3,6 @@
 import json
 import os
 import pathlib
-import re
 import signal
 import subprocess
 import sys
@@ -12,6 +11,7 @@
 import yaml
 
 from features.soak import proxy
+from features.support import templates
 
 ROOT = pathlib.Path(__file__).parents[2]
 TEMPLATE = ROOT / 'deploy' / 'host.yaml.template'
@@ -77,9 +77,7 @@
             'limits.linkMbps': '1000.0',
         }
         values |= {f'listen.{role}': self.address(role) for role in PORTS}
-        text = re.sub(
-            r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text()
-        )
+        text = templates.render(TEMPLATE.read_text(), values)
         yaml.safe_load(text)
         self.settings.write_text(text)
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 import yaml
 
+from features.support import templates
 import ragwort_edge as edge
 import ragwort_model as model
 import ragwort_platform as platform
@@ -98,7 +99,7 @@
 def template_settings(**changes: str) -> Any:
     """Return the template filled in, as the file's content."""
     values = EXAMPLE | changes
-    text = re.sub(r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text())
+    text = templates.render(TEMPLATE.read_text(), values)
     return yaml.safe_load(text)
 
 
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -186,6 +186,8 @@
             collections.Counter()
         )
         self.items: dict[str, model.StoredObject] = {}
+        # Deletions, which watches tell and lists don't.
+        self.deleted: dict[str, model.StoredObject] = {}
         self.ways: list[FakeStore] = []
 
     def put(self, name: str, value: str) -> model.StoredObject:
@@ -194,10 +196,20 @@
         version = model.make_version(self.era, self.revision)
         item = model.StoredObject(name, version, value)
         self.items[name] = item
+        self.deleted.pop(name, None)
         for way in self.ways:
             way.notify()
         return item
 
+    def delete(self, name: str) -> None:
+        """Delete an object."""
+        self.items.pop(name)
+        self.revision += 1
+        version = model.make_version(self.era, self.revision)
+        self.deleted[name] = model.StoredObject(name, version, None)
+        for way in self.ways:
+            way.notify()
+
     def copy(self) -> tuple[int, dict[str, model.StoredObject]]:
         """Return a copy to which the store can be restored."""
         return self.revision, dict(self.items)
@@ -205,6 +217,7 @@
     def restore(self, copy: tuple[int, dict[str, model.StoredObject]]) -> None:
         """Return to a copy in a new era; the waiting watches break off."""
         self.era += 1
+        self.deleted.clear()
         self.revision, items = copy
         self.items = {
             name: model.StoredObject(
@@ -223,9 +236,10 @@
         As in the real store, that is so whatever era since is from.
         """
         floor = model.revision_of(since)
+        items = self.items | (self.deleted if floor else {})
         return [
             item
-            for name, item in self.items.items()
+            for name, item in items.items()
             if name.startswith(prefix)
             and model.revision_of(item.version) > floor
         ]
@@ -297,6 +311,7 @@
         link_bytes_per_s: float = math.inf,
         has_connections: bool = False,
         run_s: float = 6.0,
+        evacuation_bound_s: float | None = None,
     ) -> None:
         """Start hosts whose store answers or not; run for some time.
 
@@ -304,6 +319,7 @@
         may go silent; else messages are always delivered.
         """
         self.seeds = seeds
+        self.evacuation_bound_s = evacuation_bound_s
         self.link_bytes_per_s = link_bytes_per_s
         self.clock = MemoryReactorClock()
         self.peer_network: peer_links.PeerNetwork | None = None
@@ -377,17 +393,21 @@
             1.0,
             f'{base}:85',
         )
+        prefixes = ['config/', 'runner/']
+        if self.evacuation_bound_s is not None:
+            prefixes.append('evacuations/')
         options = edge.HostOptions(
             entry,
             f'{base}:82',
             f'{base}:83',
             None,
             self.seeds,
-            ('config/', 'runner/'),
+            tuple(prefixes),
             8.0,
             0.2,
             50.0,
             10.0,
+            self.evacuation_bound_s,
         )
         logger = structlog.wrap_logger(structlog.ReturnLogger())
         host = edge.RelayHost(
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -1,5 +1,6 @@
 """Objects shared by the request handlers of one host."""
 
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
@@ -16,6 +17,9 @@
 
 # Mean Retry-After delay of a refusal that is not due to a known queue.
 DEFAULT_RETRY_AFTER_S = 0.5
+# Least delay until a request is repeated whose service is evacuated. Operators
+# end evacuations after minutes; a longer delay would idle runners after it.
+EVACUATED_RETRY_S = 1.0
 # To come back soon with what crashes runners doesn't help.
 REFUSED_SUSPECT_RETRY_S = (30.0, 60.0)
 
@@ -53,6 +57,17 @@
         delay_s = relay.retry_after_s(DEFAULT_RETRY_AFTER_S, self.rng)
         return RefusedError(reason, delay_s + (wait_s or 0.0))
 
+    def refuse_evacuated(self, services: Iterable[str]) -> None:
+        """Raise RefusedError if a service has no runner left."""
+        now = self.reactor.seconds()
+        for service in services:
+            if self.catalog.is_service_evacuated(service, now):
+                self.metrics.evacuation_refusals.labels(service).inc()
+                raise self.refusal(
+                    f'all runners of {service} are evacuated',
+                    EVACUATED_RETRY_S,
+                )
+
     def refuse_deadly(
         self, service: str, suspects: relay.Suspects, request_id: str
     ) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -12,6 +12,7 @@
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
+from ragwort_edge import _evacuation_watch
 from ragwort_edge import _guard
 from ragwort_edge import _hand_over
 from ragwort_edge import _messages
@@ -78,7 +79,9 @@
     """Options of a host, read from its settings.
 
     Addresses are IP numbers with ports. grace_s is the time limit for
-    leaving; prefixes name the kinds of objects to watch.
+    leaving; prefixes name the kinds of objects to watch. evacuation_bound_s is
+    the time in which an evacuation has to be in force, None if the deployment
+    has none.
     """
 
     host: model.EntryHost
@@ -91,6 +94,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    evacuation_bound_s: float | None = None
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -154,6 +158,13 @@
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
         self.guard = _guard.Guard(reactor, self.metrics, logger)
+        self.evacuations = _evacuation_watch.EvacuationWatch(
+            self.catalog, options.evacuation_bound_s, self.metrics, logger
+        )
+        self.evacuations.is_read = lambda: (
+            self.replica.synced
+            or all(watcher.has_listed for watcher in self.watchers.values())
+        )
         self.client = _client.HttpClient(reactor)
         self.budget = relay.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_s
@@ -364,6 +375,7 @@
             'reach': lambda: self.reach_probe.tick(now),
             'crashes': lambda: self.crashes.tick(now),
             'watch': lambda: self._watch(now),
+            'evacuations': lambda: self.evacuations.tick(now),
             'registry': lambda: self._register(now),
             'suspects': lambda: self._store_suspects(now),
             'host-count': lambda: self._share_host_count(now),
@@ -504,6 +516,7 @@
     def _on_adopted(
         self, objects: list[model.StoredObject], source: str
     ) -> None:
+        self.evacuations.update(source, self.reactor.seconds())
         if not objects:
             return
         if len(objects) <= state.MAX_RUMOURED_OBJECTS:
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -55,6 +55,23 @@
             'Runners that name a limit of requests a second',
             registry=self.registry,
         )
+        self.evacuated_domains = prometheus.Gauge(
+            'ragwort_evacuated_domains',
+            'Evacuated failure domains that have runners',
+            registry=self.registry,
+        )
+        self.evacuation_refusals = prometheus.Counter(
+            'ragwort_evacuation_refusals',
+            'Requests refused as a service has no runner left, by service',
+            ['service'],
+            registry=self.registry,
+        )
+        self.evacuated_pieces = prometheus.Counter(
+            'ragwort_evacuated_pieces',
+            'Queued pieces failed as no runner was left, by service',
+            ['service'],
+            registry=self.registry,
+        )
         self.take_ups = prometheus.Counter(
             'ragwort_stream_take_ups',
             'Streams taken up, by how their software version was known',
--- a/libs/ragwort_edge/ragwort_edge/_reach_probe.py
+++ b/libs/ragwort_edge/ragwort_edge/_reach_probe.py
@@ -47,10 +47,10 @@
             return
         self.next_probe_at = now + PROBE_INTERVAL_S
         for service in sorted(services):
-            self._probe(service)
+            self._probe(service, now)
 
-    def _probe(self, service: str) -> None:
-        live = self.catalog.fleet.live_runners(service)
+    def _probe(self, service: str, now: float) -> None:
+        live = self.catalog.live_runners(service, now)
         if not live:
             return
         reach = self.catalog.reach
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -234,6 +234,7 @@
 
     async def _run(self) -> None:
         self._refuse_deadly(self.service)
+        self._refuse_evacuated()
         if self.hop is not None and self.context.hand_over is not None:
             self.context.hand_over.on_asked(self.hop, self.service)
         if await self.hops.is_served_elsewhere():
@@ -245,6 +246,7 @@
         service = self.service
         self.log_fields['service'] = service
         self._refuse_deadly(service)
+        self._refuse_evacuated()
         if not self.context.catalog.has_sendable(
             service, self.context.reactor.seconds(), self.origin
         ):
@@ -309,6 +311,12 @@
             service, self.suspects, self.metadata.request_id
         )
 
+    def _refuse_evacuated(self) -> None:
+        """Refuse the request before its stages if it can't complete."""
+        self.context.refuse_evacuated(
+            [self.service, *(spec.service for spec in self.route.stages)]
+        )
+
     def _likely_domain(self) -> str:
         """Return the failure domain where the main call will likely run."""
         runner = self._choose_runner(self.service, set())
@@ -380,6 +388,7 @@
         self._refuse_deadly(service)
         runner = self._choose_runner(service, tried)
         if runner is None:
+            self.context.refuse_evacuated([service])
             raise self._refusal('no runner')
         tried.add(runner.name)
         return runner
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -99,7 +99,7 @@
         self, service: str, now: float
     ) -> tuple[list[relay.FleetRunner], float]:
         """Return the runners not paused and 0.0, or all and their pause."""
-        usable = self.catalog.fleet.usable(service, now)
+        usable = self.catalog.usable(service, now)
         pauses = self.catalog.pauses
         working = [r for r in usable if pauses.left_s(r, now) == 0.0]
         return working or usable, self.catalog.pause_s(service, now)
@@ -303,6 +303,9 @@
         if batcher is None:
             return
         now = self.reactor.seconds()
+        if self.catalog.is_service_evacuated(service, now):
+            self._fail_evacuated(service, batcher)
+            return
         runners, pause_s = self._working(service, now)
         for piece in batcher.remove_too_late(runners, now + pause_s):
             self._fail_pieces(piece.group, [piece.work.piece], 'late')
@@ -315,6 +318,17 @@
         if batcher.queue:
             self.schedule_dispatch(service, DISPATCH_INTERVAL_S)
 
+    def _fail_evacuated(self, service: str, batcher: relay.Batcher) -> None:
+        """Fail all queued pieces, as no runner is left to take them."""
+        queue, batcher.queue = batcher.queue, []
+        for piece in queue:
+            self._fail_pieces(piece.group, [piece.work.piece], 'evacuated')
+        if queue:
+            self.metrics.evacuated_pieces.labels(service).inc(len(queue))
+            self.logger.info(
+                'pieces-evacuated', service=service, pieces=len(queue)
+            )
+
     def _downstream_queues_s(
         self, service: str, now: float
     ) -> dict[str, float]:
@@ -576,9 +590,7 @@
         now = self.reactor.seconds()
         for address, handles in releases.items():
             runner = self.catalog.runner_at(address)
-            if runner is not None and not self.catalog.takes_chores(
-                runner, now
-            ):
+            if not self.catalog.takes_release(address, now):
                 # They expire; the requests that it takes are kept for work.
                 self.logger.info(
                     'release-skipped', runner=address, results=len(handles)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -26,6 +26,7 @@
 QUEUE = 2
 HTTP_OK = 200
 HTTP_FULL = 503
+EVACUATION_PREFIX = 'evacuations/'
 EVENT_STREAM: edge.Headers = ((b'content-type', b'text/event-stream'),)
 
 
@@ -40,6 +41,12 @@
         """Tell whether the object is a runner's entry."""
         return name.startswith('runner/')
 
+    def evacuated_domain(self, name: str) -> str | None:
+        """Return the failure domain that an object evacuates."""
+        if not name.startswith(EVACUATION_PREFIX):
+            return None
+        return name.removeprefix(EVACUATION_PREFIX)
+
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
         """Refuse: lab worlds set the configuration directly."""
         raise model.ConfigurationError('not in the lab')
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -23,6 +23,9 @@
 from ragwort_relay._crash_evidence import CrashEvidence
 from ragwort_relay._crash_evidence import is_sound_news
 from ragwort_relay._departures import DepartureNews
+from ragwort_relay._evacuations import Evacuation
+from ragwort_relay._evacuations import EvacuationChange
+from ragwort_relay._evacuations import Evacuations
 from ragwort_relay._events import EventSplitter
 from ragwort_relay._events import StreamEvent
 from ragwort_relay._events import StreamProgress
@@ -81,6 +84,9 @@
     'ChooseTimely',
     'CrashEvidence',
     'DepartureNews',
+    'Evacuation',
+    'EvacuationChange',
+    'Evacuations',
     'EventSplitter',
     'first_event_s',
     'Fleet',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -6,6 +6,7 @@
 from ragwort_relay import _brittle
 from ragwort_relay import _crash_evidence
 from ragwort_relay import _departures
+from ragwort_relay import _evacuations
 from ragwort_relay import _fleet
 from ragwort_relay import _limits
 from ragwort_relay import _origins
@@ -28,6 +29,12 @@
     def is_runner(self, name: str) -> bool:
         """Tell whether an object is a runner's entry."""
 
+    def evacuated_domain(self, name: str) -> str | None:
+        """Return the failure domain that an object evacuates.
+
+        None means that the object is no evacuation.
+        """
+
     def decode_configuration(self, value: str) -> _routes.RelayConfiguration:
         """Return the decoded configuration."""
 
@@ -52,6 +59,7 @@
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
         self.pauses = _pauses.Pauses()
+        self.evacuations = _evacuations.Evacuations()
         self.reach = _reach.Reach()
         self.brittle = _brittle.BrittleRunners()
         self.crash_evidence = _crash_evidence.CrashEvidence()
@@ -67,13 +75,40 @@
         now: float,
         origin: _origins.StreamOrigin | None = None,
     ) -> list[_fleet.FleetRunner]:
-        """Return a service's usable runners, for a stream those that fit."""
+        """Return a service's usable runners, for a stream those that fit.
+
+        Runners of evacuated domains, or of any domain while the evacuations
+        are unknown, are not usable.
+        """
+        if not self.evacuations.is_known:
+            return []
         return [
             runner
             for runner in self.fleet.usable(service, now)
-            if origin is None or origin.may_continue_at(runner)
+            if not self.is_evacuated(runner, now)
+            and (origin is None or origin.may_continue_at(runner))
         ]
 
+    def is_evacuated(self, runner: _fleet.FleetRunner, now: float) -> bool:
+        """Tell whether a runner's failure domain is evacuated."""
+        domain = runner.entry.runner.failure_domain
+        return self.evacuations.is_evacuated(domain, now)
+
+    def live_runners(
+        self, service: str, now: float
+    ) -> list[_fleet.FleetRunner]:
+        """Return a service's live runners outside evacuated domains."""
+        return [
+            runner
+            for runner in self.fleet.live_runners(service)
+            if not self.is_evacuated(runner, now)
+        ]
+
+    def is_service_evacuated(self, service: str, now: float) -> bool:
+        """Tell whether all live runners are in evacuated domains."""
+        live = self.fleet.live_runners(service)
+        return bool(live) and not self.live_runners(service, now)
+
     def sendable(
         self,
         service: str,
@@ -139,7 +174,7 @@
         return min(
             (
                 self.pauses.left_s(runner, now)
-                for runner in self.fleet.usable(service, now)
+                for runner in self.usable(service, now)
             ),
             default=0.0,
         )
@@ -178,11 +213,12 @@
 
         All of the runners may as well have ended.
         """
-        return self.reach.is_lost(service, self.fleet.live_runners(service))
+        live = self.live_runners(service, self.now)
+        return self.reach.is_lost(service, live)
 
     def is_unreachable(self, service: str) -> bool:
         """Tell whether a service is lost and each live runner was tried."""
-        live = self.fleet.live_runners(service)
+        live = self.live_runners(service, self.now)
         return bool(live) and all(self.reach.has_failed(r) for r in live)
 
     def limited_count(self, now: float) -> int:
@@ -201,13 +237,26 @@
             default=None,
         )
 
+    def takes_release(self, address: str, now: float) -> bool:
+        """Tell whether results at an address are to be freed by a call.
+
+        A runner whose entry is gone may be in any domain.
+        """
+        runner = self.runner_at(address)
+        if runner is None:
+            return not self.evacuations.active
+        return self.takes_chores(runner, now)
+
     def takes_chores(self, runner: _fleet.FleetRunner, now: float) -> bool:
         """Tell whether a runner gets requests that are no work for callers.
 
-        One that leaves, names a limit or asked for a pause gets none.
+        One that leaves, names a limit, asked for a pause or is in an
+        evacuated domain gets none.
         """
         if runner.entry.runner.state == model.HostState.LEAVING:
             return False
+        if self.is_evacuated(runner, now):
+            return False
         if self.pauses.left_s(runner, now) > 0.0:
             return False
         return not self.rate_limits.is_limited(runner, now)
@@ -215,7 +264,14 @@
     def apply(self, item: model.StoredObject) -> None:
         """Apply a newer version of a stored object."""
         try:
-            self._apply(item)
+            domain = self.decoder.evacuated_domain(item.name)
+            if domain is None:
+                self._apply(item)
+            else:
+                is_stored = item.value is not None
+                self.evacuations.update(
+                    domain, item.version, is_stored, self.now
+                )
         # A decoder that fails on one object must not hide those after it.
         except Exception as error:
             is_expected = isinstance(error, model.ConfigurationError)
--- a/libs/ragwort_state/ragwort_state/_replica.py
+++ b/libs/ragwort_state/ragwort_state/_replica.py
@@ -52,6 +52,8 @@
             set() for _ in range(BUCKET_COUNT)
         ]
         self.synced = False
+        # Prefixes whose watchers have yet to read the store's full list.
+        self.unlisted: set[str] = set()
 
     def merge(
         self, objects: Iterable[model.StoredObject], now: float
--- a/libs/ragwort_state/ragwort_state/_watcher.py
+++ b/libs/ragwort_state/ragwort_state/_watcher.py
@@ -85,6 +85,7 @@
         self.started_at = now
         self.revision = 0
         self.has_listed = False
+        replica.unlisted.add(prefix)
         self.op_count = 0
         self.pending_op: str | None = None
         self.backoff_s = MIN_BACKOFF_S
@@ -104,7 +105,8 @@
 
         turn is None for a node that is not elected to watch.
         """
-        if self.has_listed and now >= self.started_at + PEER_GRACE_S:
+        is_listed = not self.replica.unlisted
+        if is_listed and now >= self.started_at + PEER_GRACE_S:
             self.replica.synced = True
         if self.era < self.store_era.current:
             self._enter_era(now)
@@ -197,6 +199,11 @@
         if result.status == model.StoreStatus.GONE:
             self.has_listed = False
             return []
+        if result.status == model.StoreStatus.NOT_FOUND and (
+            _is_list(result.op)
+        ):
+            # The store has never held an object of this kind.
+            self._on_listed()
         if result.status != model.StoreStatus.OK:
             self.next_call_at = now + self.backoff_s * self.rng.uniform(0.5, 1)
             self.backoff_s = min(2 * self.backoff_s, self.max_backoff_s)
@@ -209,7 +216,7 @@
         if result.era != self.era:
             return []
         if _is_list(result.op):
-            self.has_listed = True
+            self._on_listed()
             adopted = self.replica.merge_list(
                 result.objects, result.revision, now, self.prefix
             )
@@ -218,6 +225,10 @@
         self.revision = max(self.revision, result.revision)
         return adopted
 
+    def _on_listed(self) -> None:
+        self.has_listed = True
+        self.replica.unlisted.discard(self.prefix)
+
 
 def _is_list(op: str) -> bool:
     return op.startswith(LIST_OP)
