--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -96,6 +96,8 @@
                 effect.op, model.StoreStatus.UNAVAILABLE
             )
             clock.callLater(LINK_S, self.on_result, failed)
+        elif kind in self.objects.failing:
+            self._end(effect, self.objects.failing[kind])
         elif effect.verb == model.StoreVerb.PUT:
             self.objects.put(effect.name, effect.value or '')
             self._end(effect, model.StoreStatus.OK)
@@ -181,6 +183,8 @@
         self.revision = 0
         self.era = 0
         self.calls = 0
+        # How calls for a kind of object end that find nothing.
+        self.failing: dict[str, model.StoreStatus] = {}
         # Calls by verb and kind of object.
         self.calls_of: collections.Counter[tuple[model.StoreVerb, str]] = (
             collections.Counter()
