--- a/features/operators.feature
+++ b/features/operators.feature
@@ -25,6 +25,18 @@
     Then the command succeeds and says "serving"
     And the command succeeds and says "0 not yet the same on all nodes"
 
+  Scenario: an evacuation is started, listed and ended
+    Guards against an object under a name that the hosts don't read.
+    When an operator runs "evacuation start fd-1"
+    Then the command succeeds and says "fd-1: evacuation accepted"
+    And "evacuation start fd-1" succeeds again
+    And "evacuation list" shows the line "fd-1"
+    And the store holds "evacuations/fd-1"
+    When an operator runs "evacuation end fd-1"
+    Then the command succeeds and says "fd-1: no evacuation in force"
+    And "evacuation end fd-1" succeeds again
+    And "evacuation list" shows no line "fd-1"
+
   Scenario Outline: data can be had as JSON from "<command>"
     When an operator runs "<command> --output json"
     Then the command succeeds and prints JSON that holds "<key>"
@@ -35,6 +47,8 @@
       | target list                             | target  |
       | settings check examples/campbell/nodes.yaml | peers |
       | addresses                               | ttl_s   |
+      | evacuation start fd-2                   | evacuated |
+      | evacuation end fd-2                     | evacuated |
       | status                                  | members |
 
   Scenario Outline: bad input gets one plain line and its exit code
@@ -50,4 +64,6 @@
       | settings check /nonexistent            | 2    | No such file    |
       | explain abc                            | 1    | no node knows   |
       | status --node localhost:80             | 2    | IPv4 address    |
+      | evacuation start a/b                   | 2    | no failure domain |
+      | evacuation list --adapter no_such      | 2    | no_such         |
       | frobnicate                             | 2    | No such command |
--- a/features/support/evacuations.py
+++ b/features/support/evacuations.py
@@ -6,9 +6,9 @@
 from features.support import relay_hosts
 import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
+import ragwort_relay as relay
 
 BOUND_S = 5.0
-PREFIX = 'evacuations/'
 EVENTS = 6
 EVENT_GAP_S = 0.05
 KINDS = ('safe', 'stream', 'staged', 'open')
@@ -52,11 +52,11 @@
 
     def evacuate(self, domain: str, value: str = '{}') -> None:
         """Let the operator evacuate a domain."""
-        self.objects.put(PREFIX + domain, value)
+        self.objects.put(relay.EVACUATION_PREFIX + domain, value)
 
     def end_evacuation(self, domain: str) -> None:
         """Let the operator end an evacuation."""
-        self.objects.delete(PREFIX + domain)
+        self.objects.delete(relay.EVACUATION_PREFIX + domain)
 
     def in_domain(self, domain: str) -> list[fakes.LabRunner]:
         """Return all runners of a domain."""
--- a/libs/ragwort_cli/ragwort_cli/_main.py
+++ b/libs/ragwort_cli/ragwort_cli/_main.py
@@ -11,6 +11,7 @@
 
 from ragwort_cli import _call_commands
 from ragwort_cli import _demo
+from ragwort_cli import _evacuation_commands
 from ragwort_cli import _evidence_commands
 from ragwort_cli import _lab_commands
 from ragwort_cli import _loop
@@ -39,6 +40,11 @@
 app.add_typer(
     _target_commands.settings_app, name='settings', no_args_is_help=True
 )
+app.add_typer(
+    _evacuation_commands.evacuation_app,
+    name='evacuation',
+    no_args_is_help=True,
+)
 app.command('addresses')(_status_commands.show_addresses)
 app.command('status')(_status_commands.show_status)
 app.command('explain')(_status_commands.explain)
--- a/libs/ragwort_cli/ragwort_cli/_operator.py
+++ b/libs/ragwort_cli/ragwort_cli/_operator.py
@@ -5,6 +5,7 @@
 import getpass
 import json
 from typing import Any
+from typing import Protocol
 import uuid
 
 from twisted.internet import defer
@@ -19,16 +20,40 @@
 REQUEST_TIMEOUT_S = 5.0
 
 
+class StoreCaller(Protocol):
+    """Carries out store calls; a callback takes the results."""
+
+    def call(self, call: model.StoreCall, /) -> None:
+        """Start a call."""
+
+
+OnResult = Callable[[model.StoreResult], None]
+# Opens the store at an address, on a reactor.
+OpenStore = Callable[[Any, str, OnResult], StoreCaller]
+
+
+def open_own_store(
+    reactor: Any, platform: str, on_result: OnResult
+) -> StoreCaller:
+    """Return a client of the object API of ragwortworks itself."""
+    return node.StoreClient(
+        reactor, http.HttpClient(reactor), platform, on_result
+    )
+
+
 class StoreSession:
     """Sequential calls to the platform's object API."""
 
-    def __init__(self, reactor: Any, platform: str) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        platform: str,
+        open_store: OpenStore = open_own_store,
+    ) -> None:
         """Create a store client for the platform's address."""
         self.reactor = reactor
         self.pending: dict[str, defer.Deferred[model.StoreResult]] = {}
-        self.client = node.StoreClient(
-            reactor, http.HttpClient(reactor), platform, self._on_result
-        )
+        self.client = open_store(reactor, platform, self._on_result)
 
     def _on_result(self, result: model.StoreResult) -> None:
         self.pending.pop(result.op).callback(result)
@@ -58,6 +83,10 @@
             _store_call(model.StoreVerb.PUT, name, value, version)
         )
 
+    def delete(self, name: str) -> 'defer.Deferred[model.StoreResult]':
+        """Delete an object."""
+        return self.call(_store_call(model.StoreVerb.DELETE, name))
+
 
 def _store_call(
     verb: model.StoreVerb,
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -26,7 +26,6 @@
 QUEUE = 2
 HTTP_OK = 200
 HTTP_FULL = 503
-EVACUATION_PREFIX = 'evacuations/'
 EVENT_STREAM: edge.Headers = ((b'content-type', b'text/event-stream'),)
 
 
@@ -43,9 +42,9 @@
 
     def evacuated_domain(self, name: str) -> str | None:
         """Return the failure domain that an object evacuates."""
-        if not name.startswith(EVACUATION_PREFIX):
+        if not name.startswith(relay.EVACUATION_PREFIX):
             return None
-        return name.removeprefix(EVACUATION_PREFIX)
+        return name.removeprefix(relay.EVACUATION_PREFIX)
 
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
         """Refuse: lab worlds set the configuration directly."""
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -24,6 +24,7 @@
 from ragwort_relay._crash_evidence import is_sound_news
 from ragwort_relay._departures import DepartureNews
 from ragwort_relay._evacuations import Evacuation
+from ragwort_relay._evacuations import EVACUATION_PREFIX
 from ragwort_relay._evacuations import EvacuationChange
 from ragwort_relay._evacuations import Evacuations
 from ragwort_relay._events import EventSplitter
@@ -85,6 +86,7 @@
     'CrashEvidence',
     'DepartureNews',
     'Evacuation',
+    'EVACUATION_PREFIX',
     'EvacuationChange',
     'Evacuations',
     'EventSplitter',
--- a/libs/ragwort_relay/ragwort_relay/_evacuations.py
+++ b/libs/ragwort_relay/ragwort_relay/_evacuations.py
@@ -9,6 +9,9 @@
 
 import ragwort_model as model
 
+# The rest of an object's name is the failure domain.
+EVACUATION_PREFIX = 'evacuations/'
+
 
 class Evacuation(msgspec.Struct):
     """The evacuation of a failure domain.
