--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -22,6 +22,7 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
 RETRY_WINDOW_S = 10
+EVACUATION_MS = 5000
 
 
 class HostProcess:
@@ -72,6 +73,7 @@
             'bounds.retryBudgetRatio': str(RETRY_RATIO),
             'bounds.retryBudgetSlack': str(RETRY_SLACK),
             'bounds.budgetWindowS': str(RETRY_WINDOW_S),
+            'bounds.evacuationMs': str(EVACUATION_MS),
             'limits.cpuShare': '1.0',
             'limits.cores': '1',
             'limits.linkMbps': '1000.0',
