--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,11 @@
     When the soak plays seed 10 with 4 hosts, brittle runners and 12 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes while a failure domain is evacuated
+    Guards against requests that reach it after all, over real connections.
+    When the soak plays seed 12 with 4 hosts, an evacuation and 14 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -48,6 +53,7 @@
     Examples:
       | promise      | defect                                  |
       | own-answer   | another request's answer                |
+      | evacuated    | a call to a runner of an evacuated domain |
       | event-order  | an event that is left out               |
       | event-order  | an event that came twice                |
       | runs         | an unsafe request that ran twice        |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -19,6 +19,7 @@
     same: bool = False,
     stranded: bool = False,
     brittle: bool = False,
+    evacuation: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -35,6 +36,7 @@
         same,
         stranded,
         brittle,
+        evacuation,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -119,6 +119,8 @@
     same_arrivals: list[float] = dataclasses.field(default_factory=list)
     # Times at which brittle runners fell over.
     falls: list[float] = dataclasses.field(default_factory=list)
+    # Runners of an evacuated domain, and what was sent to them.
+    evacuated: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
     deadly_crashes: list[float] = dataclasses.field(default_factory=list)
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -297,6 +297,13 @@
             yield f'{found.runner} got {len(early)} requests from {found.host}'
 
 
+@promise('evacuated')
+def evacuated(records: ledger.Ledger) -> Iterator[str]:
+    """Nothing is sent to the runners of an evacuated domain."""
+    for runner, target in records.evacuated:
+        yield f'{runner} of an evacuated domain got {target}'
+
+
 @promise('deadly')
 def deadly(records: ledger.Ledger) -> Iterator[str]:
     """A part that has crashed enough runners is kept from them."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -10,6 +10,7 @@
 import time
 from typing import Any
 
+from features.soak import evacuations
 from features.soak import faults
 from features.soak import ledger
 from features.soak import promises
@@ -37,7 +38,8 @@
     or ask for pauses in their answers alone. With has_deadly a part of a
     prompt crashes runners, with has_same a request that comes again and again
     does. With has_stranded hosts lose all runners for a while, with
-    has_brittle runners fall over when they turn many requests away.
+    has_brittle runners fall over when they turn many requests away, with
+    has_evacuation a failure domain is evacuated.
     """
 
     seed: int
@@ -53,6 +55,7 @@
     has_same: bool = False
     has_stranded: bool = False
     has_brittle: bool = False
+    has_evacuation: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -116,6 +119,8 @@
             self.plan += faults.draw_severed(self.extra_rng, options.faults_s)
         if options.has_brittle:
             self.plan += faults.draw_brittle(self.extra_rng, options.faults_s)
+        if options.has_evacuation:
+            self.plan += evacuations.draw_evacuation(self.extra_rng)
         if options.has_stranded:
             self.plan += faults.draw_strandings(
                 self.extra_rng, options.faults_s
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -94,6 +94,8 @@
         self.mode = RunnerMode.OK
         self.limit_per_s: float | None = None
         self.limited_at = 0.0
+        # Set while hosts may send nothing to the runner's domain.
+        self.is_evacuated = False
         # Requests that it turns away in a second without falling over.
         self.brittle_per_s: int | None = None
         self.turned_away_at: list[float] = []
@@ -253,6 +255,9 @@
         is_other = (
             expected is not None and expected.decode() != self.identifier
         )
+        if self.is_evacuated and not is_other:
+            target = exchange.request.target.decode('latin-1')
+            self.records.evacuated.append((self.identifier, target))
         # Also one that hangs or resets runs nothing that is for another.
         if self.mode == RunnerMode.HANG:
             self._note_main(exchange, not is_other)
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -23,6 +23,7 @@
     'same',
     'stranded',
     'brittle',
+    'evacuation',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -71,6 +72,7 @@
     same: bool = typer.Option(False, help='A request that crashes runners.'),
     stranded: bool = typer.Option(False, help='Hosts lose all runners.'),
     brittle: bool = typer.Option(False, help='Runners that fall over.'),
+    evacuation: bool = typer.Option(False, help='Evacuate a domain.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -86,6 +88,7 @@
             same,
             stranded,
             brittle,
+            evacuation,
         ),
         strict=True,
     )
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -84,6 +84,17 @@
     run_soak(context, seed, count, faults_s, '--brittle')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, an evacuation '
+    'and {faults_s:d} s of faults'
+)
+def play_evacuation(
+    context: Any, seed: int, count: int, faults_s: int
+) -> None:
+    """Run the soak with the evacuation of a domain."""
+    run_soak(context, seed, count, faults_s, '--evacuation')
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, lost runners '
     'and {faults_s:d} s of faults'
@@ -346,6 +357,12 @@
     )
 
 
+@defect('a call to a runner of an evacuated domain')
+def send_to_evacuated(records: ledger.Ledger) -> None:
+    """Release results there."""
+    records.evacuated.append(('i-0001', '/handles/free'))
+
+
 @defect('a part that goes on crashing runners')
 def crash_on(records: ledger.Ledger) -> None:
     """Crash a runner each second for fifteen seconds."""
