--- a/features/soak/evacuations.py
+++ b/features/soak/evacuations.py
@@ -24,6 +24,7 @@
     zone = rng.choice(sorted({runner.zone for runner in whole.runners}))
     evacuated = [r for r in whole.runners if r.zone == zone]
     whole.store.put('evacuations', zone, {})
+    whole.evacuated.add(zone)
     bound_s = hosts.EVACUATION_MS / 1000 + SLACK_S
     is_over = False
 
@@ -43,6 +44,7 @@
         is_over = True
         for runner in evacuated:
             runner.is_evacuated = False
+        whole.evacuated.discard(zone)
         whole.store.remove('evacuations', zone)
 
     look(0.0)
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -142,6 +142,8 @@
             for index in range(caller_count)
         ]
         self.is_stopped = False
+        # Domains that the operator evacuates.
+        self.evacuated: set[str] = set()
 
     # The operator.
 
@@ -172,6 +174,11 @@
         if self.is_stopped:
             return
         self.store.put('config', 'main', self.configuration)
+        for kind, name in list(self.store.objects):
+            if kind == 'evacuations' and name not in self.evacuated:
+                self.store.remove(kind, name)
+        for zone in self.evacuated:
+            self.store.put('evacuations', zone, {})
         live = {r.identifier for r in self.runners if r.is_up}
         for runner in self.runners:
             if runner.is_up:
