--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -3,7 +3,6 @@
 import json
 import os
 import pathlib
-import re
 import signal
 import subprocess
 import sys
@@ -12,6 +11,7 @@
 import yaml
 
 from features.soak import proxy
+from features.support import templates
 
 ROOT = pathlib.Path(__file__).parents[2]
 TEMPLATE = ROOT / 'deploy' / 'host.yaml.template'
@@ -22,6 +22,7 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
 RETRY_WINDOW_S = 10
+EVACUATION_MS = 5000
 
 
 class HostProcess:
@@ -72,14 +73,13 @@
             'bounds.retryBudgetRatio': str(RETRY_RATIO),
             'bounds.retryBudgetSlack': str(RETRY_SLACK),
             'bounds.budgetWindowS': str(RETRY_WINDOW_S),
+            'bounds.evacuationMs': str(EVACUATION_MS),
             'limits.cpuShare': '1.0',
             'limits.cores': '1',
             'limits.linkMbps': '1000.0',
         }
         values |= {f'listen.{role}': self.address(role) for role in PORTS}
-        text = re.sub(
-            r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text()
-        )
+        text = templates.render(TEMPLATE.read_text(), values)
         yaml.safe_load(text)
         self.settings.write_text(text)
 
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -98,6 +98,8 @@
                 effect.op, model.StoreStatus.UNAVAILABLE
             )
             clock.callLater(LINK_S, self.on_result, failed)
+        elif kind in self.objects.failing:
+            self._end(effect, self.objects.failing[kind])
         elif effect.verb == model.StoreVerb.PUT:
             status = self.objects.status_of_put(effect)
             version = 0
@@ -193,11 +195,15 @@
         self.revision = 0
         self.era = 0
         self.calls = 0
+        # How calls for a kind of object end that find nothing.
+        self.failing: dict[str, model.StoreStatus] = {}
         # Calls by verb and kind of object.
         self.calls_of: collections.Counter[tuple[model.StoreVerb, str]] = (
             collections.Counter()
         )
         self.items: dict[str, model.StoredObject] = {}
+        # Deletions, which watches tell and lists don't.
+        self.deleted: dict[str, model.StoredObject] = {}
         self.ways: list[FakeStore] = []
 
     def put(self, name: str, value: str) -> model.StoredObject:
@@ -206,6 +212,7 @@
         version = model.make_version(self.era, self.revision)
         item = model.StoredObject(name, version, value)
         self.items[name] = item
+        self.deleted.pop(name, None)
         for way in self.ways:
             way.notify()
         return item
@@ -220,6 +227,15 @@
             return model.StoreStatus.CONFLICT
         return model.StoreStatus.OK
 
+    def delete(self, name: str) -> None:
+        """Delete an object."""
+        self.items.pop(name)
+        self.revision += 1
+        version = model.make_version(self.era, self.revision)
+        self.deleted[name] = model.StoredObject(name, version, None)
+        for way in self.ways:
+            way.notify()
+
     def copy(self) -> tuple[int, dict[str, model.StoredObject]]:
         """Return a copy to which the store can be restored."""
         return self.revision, dict(self.items)
@@ -227,6 +243,7 @@
     def restore(self, copy: tuple[int, dict[str, model.StoredObject]]) -> None:
         """Return to a copy in a new era; the waiting watches break off."""
         self.era += 1
+        self.deleted.clear()
         self.revision, items = copy
         self.items = {
             name: model.StoredObject(
@@ -245,9 +262,10 @@
         As in the real store, that is so whatever era since is from.
         """
         floor = model.revision_of(since)
+        items = self.items | (self.deleted if floor else {})
         return [
             item
-            for name, item in self.items.items()
+            for name, item in items.items()
             if name.startswith(prefix)
             and model.revision_of(item.version) > floor
         ]
@@ -319,6 +337,7 @@
         link_bytes_per_s: float = math.inf,
         has_connections: bool = False,
         run_s: float = 6.0,
+        evacuation_bound_s: float | None = None,
     ) -> None:
         """Start hosts whose store answers or not; run for some time.
 
@@ -326,6 +345,7 @@
         may go silent; else messages are always delivered.
         """
         self.seeds = seeds
+        self.evacuation_bound_s = evacuation_bound_s
         self.link_bytes_per_s = link_bytes_per_s
         self.clock = MemoryReactorClock()
         self.peer_network: peer_links.PeerNetwork | None = None
@@ -403,17 +423,21 @@
             1.0,
             f'{base}:85',
         )
+        prefixes = ['config/', 'runner/']
+        if self.evacuation_bound_s is not None:
+            prefixes.append('evacuations/')
         options = edge.HostOptions(
             entry,
             f'{base}:82',
             f'{base}:83',
             None,
             self.seeds,
-            ('config/', 'runner/'),
+            tuple(prefixes),
             8.0,
             0.2,
             50.0,
             10.0,
+            self.evacuation_bound_s,
         )
         logger = structlog.wrap_logger(structlog.ReturnLogger())
         host = edge.RelayHost(
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -40,6 +40,12 @@
         """Tell whether the object is a runner's entry."""
         return name.startswith('runner/')
 
+    def evacuated_domain(self, name: str) -> str | None:
+        """Return the failure domain that an object evacuates."""
+        if not name.startswith(relay.EVACUATION_PREFIX):
+            return None
+        return name.removeprefix(relay.EVACUATION_PREFIX)
+
     def decode_configuration(self, value: str) -> relay.RelayConfiguration:
         """Refuse: lab worlds set the configuration directly."""
         raise model.ConfigurationError('not in the lab')
