--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -185,7 +185,7 @@
             assert self.version_store is not None
             await self.version_store.read()
             sole = self._sole_origin(service)
-        if sole is None and key is not None and self._is_young():
+        if sole is None and key is not None and self._may_find_stored():
             stored = await self._find_stored(key)
             if stored is not None:
                 return stored, 'store'
@@ -201,10 +201,15 @@
             return None
         return relay.StreamOrigin(service, version)
 
-    def _is_young(self) -> bool:
-        """Tell whether streams may have begun before this host started."""
+    def _may_find_stored(self) -> bool:
+        """Tell whether the store may know a stream that nobody remembers.
+
+        A store that has just failed to tell the versions is not asked again.
+        """
+        versions = self.version_store
+        has_failed = versions is not None and versions.has_failed
         age_s = self.reactor.seconds() - self.origins.started_at
-        return bool(age_s < self.origins.memory_s)
+        return not has_failed and bool(age_s < self.origins.memory_s)
 
     async def _find_stored(
         self, key: relay.StreamKey
--- a/libs/ragwort_edge/ragwort_edge/_version_store.py
+++ b/libs/ragwort_edge/ragwort_edge/_version_store.py
@@ -65,6 +65,7 @@
         # Set if no host had run before those that are there now.
         self.is_first_fleet = False
         self.readers: list[defer.Deferred[None]] = []
+        self.has_tried = False
 
     def tick(self, now: float) -> None:
         """Make the store call that is due."""
@@ -124,6 +125,7 @@
         if not self.register.may_read(now):
             done.callback(None)
             return done
+        self.has_tried = True
         self.readers.append(done)
         self.register.request_read()
         timer = self.reactor.callLater(READ_TIMEOUT_S, self._end, done)
@@ -131,6 +133,11 @@
         self.tick(now)
         return done
 
+    @property
+    def has_failed(self) -> bool:
+        """Tell whether a read was tried and none has succeeded."""
+        return self.has_tried and self.register.read_era is None
+
     def _end(self, done: 'defer.Deferred[None]') -> None:
         if done in self.readers:
             self.readers.remove(done)
