Choose runners by models learned from their answers

Hosts drop four-figure load headers and weigh held prompt parts with constants of other engines: half the time a token takes here, 1.5 ms for a call at any engine, 512 parts whatever their length.

A host now learns for each service what prompts, tokens and calls cost, and for each runner its speed, usual load and pace, with a prior for the few answers that it sees. On for a service once a runner of it has sent its pace, or with runner_models or the contract in the settings; else nothing changes.

Hosts still crowd the holder of a hot part.

--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -75,6 +75,7 @@
             'limits.cpuShare': '1.0',
             'limits.cores': '1',
             'limits.linkMbps': '1000.0',
+            'contracts|json': json.dumps([]),
         }
         values |= {f'listen.{role}': self.address(role) for role in PORTS}
         text = re.sub(
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -37,6 +37,7 @@
     'limits.cpuShare': '0.5',
     'limits.cores': '2',
     'limits.linkMbps': '40.0',
+    'contracts|json': '["stages"]',
 }
 ROUTE = {
     'name': 'briefing',
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -78,7 +78,8 @@
     """Options of a host, read from its settings.
 
     Addresses are IP numbers with ports. grace_s is the time limit for
-    leaving; prefixes name the kinds of objects to watch.
+    leaving; prefixes name the kinds of objects to watch; runner_models tells
+    to choose the runners of all services by what was learned of them.
     """
 
     host: model.EntryHost
@@ -91,6 +92,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    runner_models: bool = False
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -220,6 +222,7 @@
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
         )
+        self.catalog.runner_models.is_forced = options.runner_models
         self.catalog.brittle.self_name = options.host.name
         self.catalog.brittle.holders = self._brittle_holders
         self.reach_probe = _reach_probe.ReachProbe(
@@ -286,6 +289,7 @@
         budget = self.budget
         budget.ratio = options.retry_ratio
         budget.slack = options.retry_slack
+        self.catalog.runner_models.is_forced = options.runner_models
         self.members.seeds = [
             seed
             for seed in options.seeds
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -5,6 +5,7 @@
 LATENCY_BUCKETS_S = (
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.5, 2.2, 3.0, 5.0, 8.0, 15.0,
 )  # fmt: skip
+TOKEN_BUCKETS = (0, 100, 300, 1000, 3000, 6000, 10_000, 30_000)
 
 
 class Metrics:
@@ -44,6 +45,19 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self.held_prompts = prometheus.Counter(
+            'ragwort_held_prompts',
+            'Prompts begun, by whether a runner that holds a part got them',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
+        self.tokens_read_again = prometheus.Histogram(
+            'ragwort_tokens_read_again',
+            'Tokens of a prompt read that some runner held or had held',
+            ['service'],
+            buckets=TOKEN_BUCKETS,
+            registry=self.registry,
+        )
         self.peer_bytes = prometheus.Counter(
             'ragwort_peer_bytes',
             'Bytes of messages to other hosts, by kind of message',
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -12,6 +12,7 @@
 from ragwort_edge import _dialect
 from ragwort_edge import _hand_over
 from ragwort_edge import _messages
+from ragwort_edge import _placement
 from ragwort_edge import _request_hops
 from ragwort_edge import _request_stages
 from ragwort_edge import _runner_replies
@@ -116,6 +117,9 @@
             self._likely_domain,
         )
         self.hops = _request_hops.RequestHops(self)
+        self.placement = _placement.Placement(
+            context, metadata, route, self.log_fields
+        )
 
     @property
     def rank(self) -> int:
@@ -330,37 +334,9 @@
         candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
-        if self.metadata.prompt:
-            runner, estimates = relay.choose_by_prompt_cache(
-                candidates,
-                self.metadata.prompt,
-                context.catalog.prompt_sharing.home(
-                    self.route.name, self.metadata.prompt
-                ),
-                context.catalog.prompt_cache,
-                self.stages.input_bytes(),
-                self.metadata.request_id,
-                context.catalog.prompt_sharing.hosts,
-                now,
-            )
-        else:
-            runner, estimates = relay.choose_by_load(
-                candidates,
-                context.failure_domain,
-                self.metadata.request_id,
-                now,
-            )
-        self.log_fields['runner'] = runner.name
-        self.log_fields['software_version'] = (
-            runner.entry.runner.software_version
+        return self.placement.choose(
+            candidates, self.stages.input_bytes(), now
         )
-        if runner.state.report is not None:
-            age_s = now - runner.state.reported_at
-            self.log_fields['report_age_s'] = round(age_s, 3)
-        self.log_fields['estimates'] = {
-            name: round(value, 3) for name, value in estimates.items()
-        }
-        return runner
 
     async def _await_place(self, service: str) -> None:
         """Wait a little while brittle runners have no place for this host."""
@@ -545,7 +521,7 @@
             response, self.metadata.request_id
         )
         if reply.load is not None:
-            runner.state.on_report(reply.load, now)
+            self.context.catalog.on_load(runner, reply.load, now)
         _runner_replies.on_reply(
             self.context.catalog,
             self.context.logger,
@@ -571,6 +547,7 @@
                 detail=f'status {response.status}',
             )
         runner.state.on_result(took_s, took_s, now)
+        self.placement.on_answer(runner, took_s, now)
         self._clear_suspects()
         return _SendOutcome(relay.SendResult.DONE, response)
 
@@ -665,7 +642,9 @@
         reader = _stream.StreamReader(self, runner, progress)
         runner.state.on_dispatch()
         context.catalog.on_send(runner, reader.opened_at)
-        context.catalog.prompt_cache.record(runner.name, self.metadata.prompt)
+        context.catalog.on_prompt_sent(
+            runner, self.metadata.prompt, reader.opened_at
+        )
         reader.open(self._main_request(runner, last_event))
         try:
             ended: _SendOutcome = await reader.done
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -120,7 +120,7 @@
         )
         now = self.context.reactor.seconds()
         if reply.load is not None:
-            self.runner.state.on_report(reply.load, now)
+            self.context.catalog.on_load(self.runner, reply.load, now)
         _runner_replies.on_reply(
             self.context.catalog,
             self.context.logger,
@@ -159,8 +159,17 @@
             self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
         elif events:
             self.handler.on_event_from(self.called)
+            if self.event_count == len(events):
+                self._on_first_event()
             self._forward(b''.join(event.data for event in events))
 
+    def _on_first_event(self) -> None:
+        """Let the host learn from the time that the first event took."""
+        now = self.context.reactor.seconds()
+        self.handler.placement.on_first_event(
+            self.runner, now - self.opened_at, now
+        )
+
     def _forward(self, data: bytes) -> None:
         exchange = self.handler.exchange
         if not exchange.is_started and not exchange.is_over:
@@ -211,6 +220,7 @@
         self.runner.state.on_result(
             took_s, took_s, self.context.reactor.seconds()
         )
+        self.handler.placement.on_call_end(self.runner, took_s)
         self._finish(relay.SendResult.DONE, '')
 
     def on_error(self, call_error: _client.CallError) -> None:
--- a/libs/ragwort_model/ragwort_model/_stage.py
+++ b/libs/ragwort_model/ragwort_model/_stage.py
@@ -32,7 +32,8 @@
     """Load as a runner reports it.
 
     age_s is the age of the figures when sent; state_version orders the
-    runner's reports of whether it drains.
+    runner's reports of whether it drains. pace is how long work takes on its
+    machine now against the usual, 1.0; None if it sends none.
     """
 
     running: int
@@ -42,6 +43,7 @@
     draining: bool
     state_version: int
     loaded: bool = True
+    pace: float | None = None
 
 
 class StageCall(msgspec.Struct, frozen=True):
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -44,11 +44,16 @@
 from ragwort_relay._pieces import QueuedPiece
 from ragwort_relay._prompts import choose_by_load
 from ragwort_relay._prompts import choose_by_prompt_cache
+from ragwort_relay._prompts import prompt_trade
 from ragwort_relay._prompts import PromptCacheIndex
+from ragwort_relay._prompts import PromptTrade
+from ragwort_relay._prompts import PromptView
+from ragwort_relay._prompts import TradeOutcome
 from ragwort_relay._reach import Reach
 from ragwort_relay._routes import BatchLimits
 from ragwort_relay._routes import CallerLimits
 from ragwort_relay._routes import CallKind
+from ragwort_relay._routes import EngineSpec
 from ragwort_relay._routes import RelayConfiguration
 from ragwort_relay._routes import Route
 from ragwort_relay._routes import ServiceShare
@@ -56,6 +61,10 @@
 from ragwort_relay._routes import StageSpec
 from ragwort_relay._routes import Workspace
 from ragwort_relay._rumours import SPREAD_FANOUT
+from ragwort_relay._runner_model import Expected
+from ragwort_relay._runner_model import RunnerModels
+from ragwort_relay._runner_model import SentWork
+from ragwort_relay._runner_model import Work
 from ragwort_relay._sharing import Home
 from ragwort_relay._sharing import PromptPart
 from ragwort_relay._sharing import PromptSharing
@@ -81,7 +90,9 @@
     'ChooseTimely',
     'CrashEvidence',
     'DepartureNews',
+    'EngineSpec',
     'EventSplitter',
+    'Expected',
     'first_event_s',
     'Fleet',
     'FleetRunner',
@@ -97,9 +108,12 @@
     'PieceGroup',
     'PieceWork',
     'PLACE_WAIT_S',
+    'prompt_trade',
     'PromptCacheIndex',
     'PromptPart',
     'PromptSharing',
+    'PromptTrade',
+    'PromptView',
     'QueuedPiece',
     'QueueWait',
     'QueueWaits',
@@ -111,7 +125,9 @@
     'RetryBudget',
     'Route',
     'RunnerEntry',
+    'RunnerModels',
     'SendResult',
+    'SentWork',
     'ServiceShare',
     'ServiceSpec',
     'SLACK_PER_RANK_S',
@@ -128,8 +144,10 @@
     'Throughput',
     'time_after_stage_s',
     'timely_groups',
+    'TradeOutcome',
     'typical_stage_s',
     'Verdict',
     'WindowCounter',
+    'Work',
     'Workspace',
 ]
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -1,5 +1,6 @@
 """Configuration and runners as a relay host last read them."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import ragwort_model as model
@@ -13,6 +14,7 @@
 from ragwort_relay import _prompts
 from ragwort_relay import _reach
 from ragwort_relay import _routes
+from ragwort_relay import _runner_model
 from ragwort_relay import _sharing
 
 
@@ -58,6 +60,7 @@
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
+        self.runner_models = _runner_model.RunnerModels()
         self.problems: dict[str, str] = {}
         self.now = 0.0
 
@@ -240,6 +243,7 @@
                 # Its entry is gone, or that of a later start.
                 incarnation = (before.name, before.entry.started_ms)
                 self.crash_evidence.on_ended(incarnation, self.now)
+                self._forget_model(before)
             if known is not None and known is not before:
                 self.reach.on_started(known)
             if known is not None:
@@ -252,6 +256,41 @@
                     self.decoder.decode_configuration(item.value)
                 )
 
+    def _forget_model(self, runner: _fleet.FleetRunner) -> None:
+        """Forget what an incarnation that ended held and how fast it was."""
+        models = self.runner_models
+        models.remove(runner.name)
+        if models.is_on(runner.entry.runner.service):
+            self.prompt_cache.remove(runner.name)
+
+    def on_load(
+        self, runner: _fleet.FleetRunner, load: model.LoadReport, now: float
+    ) -> None:
+        """Record the load that a runner has told in an answer."""
+        runner.state.on_report(load, now)
+        self.runner_models.on_report(runner)
+        models = self.models_for(runner.entry.runner.service)
+        limit = models.free_tokens(runner, now) if models else None
+        if limit is not None:
+            # Running calls take the memory of parts.
+            self.prompt_cache.trim(runner.name, limit)
+
+    def on_prompt_sent(
+        self,
+        runner: _fleet.FleetRunner,
+        prompt: Sequence[_sharing.PromptPart],
+        now: float,
+    ) -> None:
+        """Record that a runner will hold the parts of a prompt."""
+        models = self.models_for(runner.entry.runner.service)
+        limit = models.free_tokens(runner, now) if models else None
+        self.prompt_cache.record(runner.name, prompt, limit)
+
+    def models_for(self, service: str) -> _runner_model.RunnerModels | None:
+        """Return the models of a service's runners, None if they are off."""
+        models = self.runner_models
+        return models if models.is_on(service) else None
+
     def _apply_configuration(
         self, configuration: _routes.RelayConfiguration
     ) -> None:
@@ -262,4 +301,9 @@
                 f'{current.version}, which stays in force'
             )
         self.configuration = configuration
+        self.runner_models.engines = {
+            name: spec.engine
+            for name, spec in configuration.services.items()
+            if spec.engine is not None
+        }
         self.stream_origins.on_configuration(configuration.longest_stream_s)
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -11,10 +11,14 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import enum
 import math
 
+import msgspec
+
 import ragwort_model as model
 from ragwort_relay import _fleet
+from ragwort_relay import _runner_model
 from ragwort_relay import _sharing
 
 # Typical prefill time of a token; only its ratio to LOAD_S_PER_CALL matters.
@@ -40,28 +44,52 @@
 
     def __init__(self) -> None:
         """Start with an empty index."""
-        self.parts: dict[str, collections.OrderedDict[str, None]] = {}
+        self.parts: dict[str, collections.OrderedDict[str, int]] = {}
+        self.tokens: collections.Counter[str] = collections.Counter()
 
     def record(
-        self, runner: str, prompt: Sequence[_sharing.PromptPart]
+        self,
+        runner: str,
+        prompt: Sequence[_sharing.PromptPart],
+        limit_tokens: int | None = None,
     ) -> None:
-        """Record that a runner has processed a prompt."""
+        """Record that a runner has processed a prompt.
+
+        limit_tokens is what it has memory for, None if that is not known.
+        """
         cached = self.parts.setdefault(runner, collections.OrderedDict())
         for part in prompt:
-            cached[part.part_id] = None
+            self.tokens[runner] += part.tokens - cached.get(part.part_id, 0)
+            cached[part.part_id] = part.tokens
             cached.move_to_end(part.part_id)
+        if limit_tokens is not None:
+            self.trim(runner, limit_tokens)
+            return
         while len(cached) > MAX_PARTS:
-            cached.popitem(last=False)
+            self._evict(runner, cached)
+
+    def trim(self, runner: str, limit_tokens: int) -> None:
+        """Remove the oldest parts that a runner has no memory for."""
+        cached = self.parts.get(runner)
+        while cached and self.tokens[runner] > limit_tokens:
+            self._evict(runner, cached)
+
+    def _evict(
+        self, runner: str, cached: collections.OrderedDict[str, int]
+    ) -> None:
+        _, tokens = cached.popitem(last=False)
+        self.tokens[runner] -= tokens
 
     def remove(self, runner: str) -> None:
         """Remove a runner that is gone or restarted."""
         self.parts.pop(runner, None)
+        self.tokens.pop(runner, None)
 
     def uncached_tokens(
         self, runner: str, prompt: Sequence[_sharing.PromptPart]
     ) -> int:
         """Return the tokens of a prompt that a runner must prefill."""
-        cached: Mapping[str, None] = self.parts.get(runner, {})
+        cached: Mapping[str, int] = self.parts.get(runner, {})
         total = sum(part.tokens for part in prompt)
         for part in prompt:
             if part.part_id not in cached:
@@ -70,6 +98,93 @@
         return total
 
 
+class PromptView(msgspec.Struct, frozen=True):
+    """A prompt and what a host knows of where its parts are held."""
+
+    prompt: Sequence[_sharing.PromptPart]
+    home: _sharing.Home | None
+    prompt_cache: PromptCacheIndex
+    input_bytes: Mapping[str, float]
+
+    @property
+    def total_tokens(self) -> int:
+        """Return the length of the prompt."""
+        return sum(part.tokens for part in self.prompt)
+
+    def held_tokens(
+        self,
+        runners: Sequence[_fleet.FleetRunner],
+        models: _runner_model.RunnerModels,
+        now: float,
+    ) -> dict[str, float]:
+        """Return the tokens of the prompt that each runner likely holds."""
+        total = self.total_tokens
+        held: dict[str, float] = {
+            runner.name: total
+            - self.prompt_cache.uncached_tokens(runner.name, self.prompt)
+            for runner in runners
+        }
+        if self.home is None:
+            return held
+        [name] = model.select_by_rendezvous(self.home.key, held)
+        runner = next(r for r in runners if r.name == name)
+        free = models.free_tokens(runner, now)
+        cached = self.home.cached_tokens
+        if free is not None:
+            cached = min(cached, free)
+        held[name] = max(held[name], cached)
+        return held
+
+    def work(
+        self,
+        runner: _fleet.FleetRunner,
+        held: float,
+        models: _runner_model.RunnerModels,
+    ) -> _runner_model.Work:
+        """Return the work at a runner that should hold some tokens.
+
+        Other hosts' calls evict parts unseen, hence only the usual share of
+        the tokens is expected to be there.
+        """
+        share = models.held_share(runner.entry.runner.service)
+        return _runner_model.Work(
+            self.total_tokens - held * share,
+            _transfer_s(runner, self.input_bytes),
+        )
+
+
+class TradeOutcome(enum.StrEnum):
+    """Where a prompt went, as to the runner that holds most of it."""
+
+    NO_HOLDER = 'no-holder'
+    HOLDER = 'holder'
+    LEFT = 'left'
+    # Of those that went to a holder: the time shows that it held nothing.
+    GONE = 'gone'
+
+
+class TradeSide(msgspec.Struct, frozen=True):
+    """Time saved at a runner by what it holds, and the wait there."""
+
+    runner: str
+    saved_s: float
+    wait_s: float
+
+
+class PromptTrade(msgspec.Struct, frozen=True):
+    """Both sides of a choice, for the chosen runner and the best holder.
+
+    lost_tokens are those that the holder holds and the chosen one does not;
+    sent is what to learn from once the first event comes.
+    """
+
+    outcome: TradeOutcome
+    chosen: TradeSide
+    holder: TradeSide
+    lost_tokens: float
+    sent: _runner_model.SentWork
+
+
 def choose_by_prompt_cache(
     runners: Sequence[_fleet.FleetRunner],
     prompt: Sequence[_sharing.PromptPart],
@@ -79,14 +194,19 @@
     request_id: str,
     hosts: int,
     now: float,
+    models: _runner_model.RunnerModels | None = None,
 ) -> tuple[_fleet.FleetRunner, dict[str, float]]:
     """Return the runner expected to start first, and all estimates.
 
     input_bytes is the size of the results to fetch, by failure domain; hosts
-    is how many hosts choose among these runners.
+    is how many hosts choose among these runners; models is None unless they
+    are on for the service.
     Rendezvous hashing over the key of the prompt's home gives each session
     a home runner, on which all hosts agree without communication.
     """
+    if models is not None:
+        view = PromptView(prompt, home, prompt_cache, input_bytes)
+        return _choose_by_model(runners, view, request_id, hosts, now, models)
     home_runner = None
     if home is not None:
         names = [runner.name for runner in runners]
@@ -102,24 +222,110 @@
         costs[runner.name] = (
             uncached * PREFILL_S_PER_TOKEN
             + runner.state.failure_share
-            + REMOTE_S_PER_BYTE
-            * sum(
-                size
-                for domain, size in input_bytes.items()
-                if domain != runner.entry.runner.failure_domain
-            )
+            + _transfer_s(runner, input_bytes)
         )
         load_s = runner.state.occupancy(now) * LOAD_S_PER_CALL
         estimates[runner.name] = costs[runner.name] + load_s
     compared_names = set(_compared(costs, request_id, hosts))
     compared = [r for r in runners if r.name in compared_names]
-    tie_key = request_id
+    tie_key = _tie_key(prompt, request_id)
+    return _least(compared, estimates, tie_key), estimates
+
+
+def _tie_key(prompt: Sequence[_sharing.PromptPart], request_id: str) -> str:
+    """Return by what to choose among equal runners."""
     if len(prompt) >= MIN_SESSION_PARTS:
         # Equal runners still get the whole of a session each.
-        tie_key = prompt[-2].part_id
+        return prompt[-2].part_id
+    return request_id
+
+
+def _transfer_s(
+    runner: _fleet.FleetRunner, input_bytes: Mapping[str, float]
+) -> float:
+    """Return the time to fetch results from other failure domains."""
+    return REMOTE_S_PER_BYTE * sum(
+        size
+        for domain, size in input_bytes.items()
+        if domain != runner.entry.runner.failure_domain
+    )
+
+
+def _choose_by_model(
+    runners: Sequence[_fleet.FleetRunner],
+    view: PromptView,
+    request_id: str,
+    hosts: int,
+    now: float,
+    models: _runner_model.RunnerModels,
+) -> tuple[_fleet.FleetRunner, dict[str, float]]:
+    """Return the runner expected to start first, and all estimates.
+
+    Which runners are compared depends on neither load nor speed: hosts that
+    all compared the runners known to be fast would overload these.
+    """
+    held = view.held_tokens(runners, models, now)
+    costs: dict[str, float] = {}
+    estimates: dict[str, float] = {}
+    for runner in runners:
+        work = view.work(runner, held[runner.name], models)
+        expected = models.expect(runner, work, now)
+        # A call that fails is sent again and takes about as long once more.
+        failure_s = runner.state.failure_share
+        service = runner.entry.runner.service
+        costs[runner.name] = (
+            models.read_s(service, work.tokens or 0.0)
+            + failure_s
+            + work.transfer_s
+        )
+        estimates[runner.name] = expected.total_s + failure_s
+    names = set(_compared(costs, request_id, hosts))
+    compared = [runner for runner in runners if runner.name in names]
+    tie_key = _tie_key(view.prompt, request_id)
     return _least(compared, estimates, tie_key), estimates
 
 
+def prompt_trade(
+    chosen: _fleet.FleetRunner,
+    runners: Sequence[_fleet.FleetRunner],
+    view: PromptView,
+    models: _runner_model.RunnerModels,
+    now: float,
+) -> PromptTrade:
+    """Return what was weighed at the chosen runner and at the best holder."""
+    held = view.held_tokens(runners, models, now)
+    holder = max(runners, key=lambda r: (held[r.name], r is chosen))
+    sides = []
+    for runner in (chosen, holder):
+        work = view.work(runner, held[runner.name], models)
+        saved = view.total_tokens - (work.tokens or 0.0)
+        saved_s = models.read_s(runner.entry.runner.service, saved)
+        sides.append(
+            TradeSide(
+                runner.name,
+                saved_s * models.speed(runner),
+                models.expect(runner, work, now).wait_s,
+            )
+        )
+    lost = held[holder.name] - held[chosen.name]
+    if held[holder.name] < _runner_model.MIN_TELLING_TOKENS:
+        outcome = TradeOutcome.NO_HOLDER
+    elif lost <= 0.0:
+        outcome = TradeOutcome.HOLDER
+    else:
+        outcome = TradeOutcome.LEFT
+    work = view.work(chosen, 0.0, models)
+    sent = _runner_model.SentWork(
+        chosen,
+        _runner_model.Work(
+            view.total_tokens - held[chosen.name], work.transfer_s
+        ),
+        held[chosen.name],
+        models.load(chosen, now),
+    )
+    return PromptTrade(outcome, sides[0], sides[1], lost, sent)
+
+
 def _compared(
     costs: Mapping[str, float], request_id: str, hosts: int
 ) -> list[str]:
@@ -157,8 +363,13 @@
     failure_domain: str,
     request_id: str,
     now: float,
+    models: _runner_model.RunnerModels | None = None,
 ) -> tuple[_fleet.FleetRunner, dict[str, float]]:
     """Return the runner with the least expected time, and all estimates."""
+    if models is not None:
+        return _choose_plain_by_model(
+            runners, failure_domain, request_id, now, models
+        )
     estimates: dict[str, float] = {}
     for runner in runners:
         state = runner.state
@@ -171,3 +382,22 @@
             + REMOTE_CALL_S * is_remote
         )
     return _least(runners, estimates, request_id), estimates
+
+
+def _choose_plain_by_model(
+    runners: Sequence[_fleet.FleetRunner],
+    failure_domain: str,
+    request_id: str,
+    now: float,
+    models: _runner_model.RunnerModels,
+) -> tuple[_fleet.FleetRunner, dict[str, float]]:
+    """Return the runner with the least expected time, and all estimates."""
+    estimates: dict[str, float] = {}
+    for runner in runners:
+        is_remote = runner.entry.runner.failure_domain != failure_domain
+        work = _runner_model.Work(transfer_s=REMOTE_CALL_S * is_remote)
+        expected = models.expect(runner, work, now)
+        estimates[runner.name] = (
+            expected.total_s + runner.state.failure_share * expected.work_s
+        )
+    return _least(runners, estimates, request_id), estimates
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -95,11 +95,19 @@
         return self.call_overhead_s + pieces * self.per_piece_s
 
 
+class EngineSpec(msgspec.Struct, frozen=True):
+    """Memory of each engine of a service, in tokens, and its places."""
+
+    cache_tokens: int
+    slots: int | None = None
+
+
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service; batch_limits is set if it runs stages."""
+    """A service; batch_limits is set if it runs stages, engine for models."""
 
     name: str
     batch_limits: BatchLimits | None = None
+    engine: EngineSpec | None = None
 
 
 class Workspace(msgspec.Struct, frozen=True):
