--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -31,6 +31,9 @@
 REMOTE_S_PER_BYTE = 2.7e-9
 # Hosts that compare all runners; as many see most of what a runner gets.
 KNOWING_HOSTS = 8
+# Requests of a part that a home may get, against the mean of all runners; the
+# slowest known runner works at 0.6 of the mean speed.
+MAX_HOME_LOAD = 0.6
 # Runners compared by a host that knows nothing of what others send.
 MIN_COMPARED = 2
 # Parts of a prompt from which on the last but one may be its session's.
@@ -126,15 +129,32 @@
         }
         if self.home is None:
             return held
-        [name] = model.select_by_rendezvous(self.home.key, held)
-        runner = next(r for r in runners if r.name == name)
-        free = models.free_tokens(runner, now)
-        cached = self.home.cached_tokens
-        if free is not None:
-            cached = min(cached, free)
-        held[name] = max(held[name], cached)
+        count = min(self.home_count(len(held)), len(held))
+        homes = set(
+            model.select_by_rendezvous(self.home.key, list(held), count)
+        )
+        for runner in runners:
+            if runner.name not in homes:
+                continue
+            free = models.free_tokens(runner, now)
+            cached = self.home.cached_tokens
+            if free is not None:
+                cached = min(cached, free)
+            held[runner.name] = max(held[runner.name], cached)
         return held
 
+    def home_count(self, runners: int) -> int:
+        """Return how many of some runners are homes of the prompt.
+
+        A host hears too seldom from a hot part's home to see it fill, while
+        all hosts together send there. So a part that more requests have than
+        one runner should get has several homes.
+        """
+        if self.home is None:
+            return 0
+        share = self.home.request_share * runners
+        return max(math.ceil(share / MAX_HOME_LOAD), 1)
+
     def work(
         self,
         runner: _fleet.FleetRunner,
--- a/libs/ragwort_relay/ragwort_relay/_sharing.py
+++ b/libs/ragwort_relay/ragwort_relay/_sharing.py
@@ -24,6 +24,8 @@
 PRIOR_ONLY_SHARE = 0.6
 # Requests after which older ones count half.
 HALVING_REQUESTS = 200.0
+# Prompts of all classes in which the share of each part is counted.
+SHARE_PROMPTS = 256
 # Parts that come again less often than this give a prompt no home.
 MIN_HOME_SHARE = 0.25
 
@@ -40,11 +42,13 @@
 
     key is the same on all hosts for prompts that share their parts up to
     it; cached_tokens is how many tokens of the prompt a runner has likely
-    cached that got the earlier prompts with this key.
+    cached that got the earlier prompts with this key; request_share is the
+    share of all prompts that have this key.
     """
 
     key: str
     cached_tokens: float
+    request_share: float = 0.0
 
 
 class _Recurrence(msgspec.Struct):
@@ -129,6 +133,8 @@
     def __init__(self) -> None:
         """Start with nothing seen; hosts is how many hosts share the load."""
         self.hosts = 1
+        self.part_counts: collections.Counter[str] = collections.Counter()
+        self.recent: collections.deque[tuple[str, ...]] = collections.deque()
         self.classes: dict[str, _ClassSharing] = {}
 
     def record(self, class_of_work: str, prompt: Sequence[PromptPart]) -> None:
@@ -137,6 +143,25 @@
             return
         known = self.classes.setdefault(class_of_work, _ClassSharing())
         known.record(prompt)
+        parts = tuple(part.part_id for part in prompt)
+        self.recent.append(parts)
+        self.part_counts.update(parts)
+        if len(self.recent) > SHARE_PROMPTS:
+            for part_id in self.recent.popleft():
+                self._uncount(part_id)
+
+    def _uncount(self, part_id: str) -> None:
+        self.part_counts[part_id] -= 1
+        if not self.part_counts[part_id]:
+            del self.part_counts[part_id]
+
+    def request_share(self, part_id: str) -> float:
+        """Return the share of recent prompts that have a part.
+
+        A part seen once may be a rare one, hence one prompt counts nothing.
+        """
+        seen = max(self.part_counts[part_id] - 1, 0)
+        return seen / (len(self.recent) + PRIOR_REQUESTS)
 
     def home(
         self, class_of_work: str, prompt: Sequence[PromptPart]
@@ -160,4 +185,6 @@
             if index < common:
                 key = part.part_id
             cached_tokens += share * part.tokens
-        return None if key is None else Home(key, cached_tokens)
+        if key is None:
+            return None
+        return Home(key, cached_tokens, self.request_share(key))
