--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -26,6 +26,7 @@
         """Know nothing."""
         self.cache = relay.PromptCacheIndex()
         self.runners: dict[str, relay.FleetRunner] = {}
+        self.models: relay.RunnerModels | None = None
 
     def learn(self, name: str, slots: int) -> None:
         """Read an engine's entry."""
@@ -65,8 +66,11 @@
             0.0,
             False,
             0,
+            pace=1.0 if host.models is not None else None,
         )
         host.runners[name].state.on_report(load, now)
+        if host.models is not None:
+            host.models.on_report(host.runners[name])
 
     def end_until(self, now: float) -> None:
         """End the requests that are due; their replies tell the load."""
@@ -75,6 +79,11 @@
             self.running[name] -= 1
             host.runners[name].state.on_result(SERVICE_S, SERVICE_S, at)
             self.report(host, name, at)
+            if host.models is not None:
+                runner = host.runners[name]
+                sent = relay.SentWork(runner, relay.Work(TOKENS), 0.0, 0.0)
+                host.models.on_first_event(sent, SERVICE_S, at)
+                host.models.on_call_end(runner, SERVICE_S)
 
     def send(self, number: int, now: float) -> None:
         """Let a host place a request whose parts nobody shares."""
@@ -89,6 +98,7 @@
             f'request-{number}',
             len(self.hosts),
             now,
+            host.models,
         )
         chosen.state.on_dispatch()
         self.running[chosen.name] += 1
@@ -108,6 +118,13 @@
     context.new = new
 
 
+@given('the models of runners are on')
+def turn_on(context: Any) -> None:
+    """Give each host models that know nothing."""
+    for host in context.placing.hosts:
+        host.models = relay.RunnerModels()
+
+
 @when(
     'callers send {per_s:d} requests a second for {seconds:d} s, hosts hear of'
     ' load {heard}'
--- a/libs/ragwort_edge/ragwort_edge/_placement.py
+++ b/libs/ragwort_edge/ragwort_edge/_placement.py
@@ -41,13 +41,12 @@
         catalog = self.context.catalog
         service = candidates[0].entry.runner.service
         models = catalog.models_for(service)
+        prompt, sharing = self.metadata.prompt, catalog.prompt_sharing
+        home = sharing.home(self.route.name, prompt) if prompt else None
         view = relay.PromptView(
-            self.metadata.prompt,
-            catalog.prompt_sharing.home(self.route.name, self.metadata.prompt),
-            catalog.prompt_cache,
-            input_bytes,
+            prompt, home, catalog.prompt_cache, input_bytes
         )
-        if self.metadata.prompt:
+        if prompt:
             runner, estimates = relay.choose_by_prompt_cache(
                 candidates,
                 view.prompt,
@@ -55,7 +54,7 @@
                 view.prompt_cache,
                 view.input_bytes,
                 self.metadata.request_id,
-                catalog.prompt_sharing.hosts,
+                sharing.hosts,
                 now,
                 models,
             )
--- a/libs/ragwort_lab/ragwort_lab/_held_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_held_bench.py
@@ -5,6 +5,7 @@
 those that callers and operators see.
 """
 
+import bisect
 import collections
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -59,7 +60,8 @@
     read_until: float = 0.0
     # When each running or waiting call ends, and the tokens it takes.
     calls: list[tuple[float, int]] = dataclasses.field(default_factory=list)
-    work_s: float = 0.0
+    # Loads after each call that came, and when.
+    loads: list[tuple[float, int]] = dataclasses.field(default_factory=list)
 
     def pace(self, now: float) -> float:
         """Return how much slower the machine is now."""
@@ -73,6 +75,11 @@
             heapq.heappop(self.calls)
         return len(self.calls)
 
+    def load_as_of(self, at: float) -> int:
+        """Return the load as it was after the last call before a time."""
+        index = bisect.bisect_right(self.loads, (at, 1_000_000))
+        return self.loads[index - 1][1] if index else 0
+
     def missing(self, prompt: Sequence[relay.PromptPart]) -> int:
         """Return the tokens that the engine must read."""
         total = sum(part.tokens for part in prompt)
@@ -112,10 +119,10 @@
         """Take a prompt; return when its first event and its end come."""
         first_at, read_at = self.first_event_at(prompt, now)
         missing = self.missing(prompt)
-        self.work_s += read_at - max(now, min(self.read_until, read_at))
         self.read_until = max(self.read_until, read_at)
         end_at = first_at + EVENTS_S / self.speed
         heapq.heappush(self.calls, (end_at, missing))
+        self.loads.append((now, len(self.calls)))
         for part in prompt[:-1]:
             self.kept[part.part_id] = part.tokens
             self.kept.move_to_end(part.part_id)
@@ -362,7 +369,7 @@
         engine = self.by_name[runner.name]
         if self.situation.are_reports_heard:
             told_at = max(now - self.situation.report_age_s, 0.0)
-            load = engine.load(now)
+            load = engine.load_as_of(told_at)
             # A machine's own speed is no part of its pace.
             report = model.LoadReport(
                 min(load, SLOTS),
