Count late and overdue first events as a wait at their runner

A full or slow holder of a hot part was tried again by the same host once what it had heard of the load was seconds old. A first event later than three times the expected time, or overdue by then, now adds to the wait for up to 30 s.

--- a/libs/ragwort_edge/ragwort_edge/_placement.py
+++ b/libs/ragwort_edge/ragwort_edge/_placement.py
@@ -30,6 +30,8 @@
         # Of the latest choice, None if the models are off.
         self.trade: relay.PromptTrade | None = None
         self.sent: relay.SentWork | None = None
+        # What has no first event yet, and when it was sent.
+        self.waiting: tuple[relay.SentWork, float] | None = None
 
     def choose(
         self,
@@ -108,6 +110,21 @@
         self.log_fields['holder_saved_s'] = round(trade.holder.saved_s, 3)
         self.log_fields['holder_wait_s'] = round(trade.holder.wait_s, 3)
 
+    def on_send(self, now: float) -> None:
+        """Record that the latest choice is sent a stream."""
+        self.waiting = None
+        if self.trade is not None and self.metadata.last_event is None:
+            self.waiting = self.trade.sent, now
+            self.context.catalog.runner_models.on_send(self.trade.sent, now)
+
+    def on_send_over(self, now: float) -> None:
+        """Record that the first event came or will not come any more."""
+        if self.waiting is not None:
+            sent, sent_at = self.waiting
+            self.waiting = None
+            models = self.context.catalog.runner_models
+            models.on_send_over(sent, sent_at, now)
+
     def on_first_event(
         self, runner: relay.FleetRunner, took_s: float, now: float
     ) -> None:
@@ -115,6 +132,7 @@
 
         A stream taken up again repeats events that the caller has.
         """
+        self.on_send_over(now)
         sent, trade = self.sent, self.trade
         if sent is None or sent.runner is not runner:
             return
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -645,6 +645,7 @@
         context.catalog.on_prompt_sent(
             runner, self.metadata.prompt, reader.opened_at
         )
+        self.placement.on_send(reader.opened_at)
         reader.open(self._main_request(runner, last_event))
         try:
             ended: _SendOutcome = await reader.done
@@ -657,3 +658,5 @@
                 if not reader.event_count:
                     self._note_silence(runner, reader.opened_at)
             raise
+        finally:
+            self.placement.on_send_over(context.reactor.seconds())
--- a/libs/ragwort_lab/ragwort_lab/_held_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_held_bench.py
@@ -326,6 +326,7 @@
             view = relay.PromptView(prompt, home, host.cache, {})
             sent = relay.prompt_trade(chosen, runners, view, models, now).sent
             limit = models.free_tokens(chosen, now)
+            models.on_send(sent, now)
         host.cache.record(chosen.name, prompt, limit)
         engine = self.by_name[chosen.name]
         if now >= WARM_S:
@@ -383,6 +384,7 @@
             runner.state.on_report(report, now)
             host.models.on_report(runner)
         if sent is not None:
+            host.models.on_send_over(sent, sent_at, now)
             host.models.on_first_event(sent, now - sent_at, now)
 
     def _on_end(
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -334,7 +334,7 @@
         outcome = TradeOutcome.HOLDER
     else:
         outcome = TradeOutcome.LEFT
-    work = view.work(chosen, 0.0, models)
+    work = view.work(chosen, held[chosen.name], models)
     sent = _runner_model.SentWork(
         chosen,
         _runner_model.Work(
@@ -342,6 +342,7 @@
         ),
         held[chosen.name],
         models.load(chosen, now),
+        models.expect(chosen, work, now).total_s,
     )
     return PromptTrade(outcome, sides[0], sides[1], lost, sent)
 
--- a/libs/ragwort_relay/ragwort_relay/_runner_model.py
+++ b/libs/ragwort_relay/ragwort_relay/_runner_model.py
@@ -50,6 +50,13 @@
 # Tokens that must be in question to tell from a time if they were held.
 MIN_TELLING_TOKENS = 1000
 MIN_SAMPLE_S = 0.001
+# A first event is late after this multiple of the expected time, and at least
+# this time: machines are 2.5 times slower at times without a queue.
+LATE_FACTOR = 3.0
+MIN_LATE_S = 0.3
+# Time until a late first event says nothing more of the wait at a runner.
+# Until then a host would try a full holder again, once in a few seconds.
+LATE_MEMORY_S = 30.0
 
 
 class Work(msgspec.Struct, frozen=True):
@@ -82,13 +89,15 @@
 class SentWork(msgspec.Struct, frozen=True):
     """Work sent to a runner, with what was known when it was sent.
 
-    held_tokens are those that the runner was expected to hold.
+    held_tokens are those that the runner was expected to hold, expected_s the
+    time until the first event.
     """
 
     runner: _fleet.FleetRunner
     work: Work
     held_tokens: float
     load: float
+    expected_s: float = 0.0
 
 
 class _Mean(msgspec.Struct):
@@ -113,13 +122,24 @@
     """What was learned of one incarnation of a runner.
 
     speed_log is the logarithm of its time against the service's, pace the
-    mean of the paces that it sent, others the calls of other hosts.
+    mean of the paces that it sent, others the calls of other hosts. late_at
+    are the times from which on the first events not yet received are late;
+    late_s is by how much one was late that came at late_heard_at.
     """
 
     started_ms: int
     speed_log: _Mean = msgspec.field(default_factory=_Mean)
     pace: _Mean = msgspec.field(default_factory=_Mean)
     others: _Mean = msgspec.field(default_factory=_Mean)
+    late_at: list[float] = []
+    late_s: float = 0.0
+    late_heard_at: float = -math.inf
+
+    def known_late_s(self, now: float) -> float:
+        """Return by how much a first event will likely be late."""
+        age_s = now - self.late_heard_at
+        late_s = self.late_s * max(1.0 - age_s / LATE_MEMORY_S, 0.0)
+        return max(late_s, now - min(self.late_at, default=now), 0.0)
 
 
 class _ServiceStatistics:
@@ -193,6 +213,22 @@
             service.pace.add(report.pace, 1.0 - MEAN_WEIGHT)
             own.pace.add(report.pace, SAMPLE_RETENTION)
 
+    def on_send(self, sent: SentWork, now: float) -> None:
+        """Record that a first event is expected from now on."""
+        self._own(sent.runner).late_at.append(_late_at(sent, now))
+
+    def on_send_over(self, sent: SentWork, sent_at: float, now: float) -> None:
+        """Record that a first event came, or is expected no more."""
+        own, late_at = self._own(sent.runner), _late_at(sent, sent_at)
+        if late_at not in own.late_at:
+            return
+        own.late_at.remove(late_at)
+        late_s = max(now - late_at, 0.0)
+        if late_s >= own.known_late_s(now):
+            own.late_s, own.late_heard_at = late_s, now
+        elif not late_s:
+            own.late_s /= 2.0
+
     def on_first_event(
         self, sent: SentWork, took_s: float, now: float
     ) -> float | None:
@@ -279,7 +315,9 @@
         idle_s = service.times.expect(_features(work.tokens, 0.0, 0.0))
         busy_s = service.times.expect(features)
         return Expected(
-            (busy_s - idle_s) * factor + self._place_wait_s(runner, load),
+            (busy_s - idle_s) * factor
+            + self._place_wait_s(runner, load)
+            + self._own(runner).known_late_s(now),
             idle_s * factor,
             work.transfer_s,
         )
@@ -390,3 +428,8 @@
     thousands = tokens / 1000.0
     full = (share - NEARLY_FULL_SHARE) / (1.0 - NEARLY_FULL_SHARE)
     return 1.0, thousands, load, thousands * min(max(full, 0.0), 1.0)
+
+
+def _late_at(sent: SentWork, sent_at: float) -> float:
+    """Return from when on the first event of a request is late."""
+    return sent_at + max(LATE_FACTOR * sent.expected_s, MIN_LATE_S)
