--- a/libs/ragwort_lab/ragwort_lab/_held_bench.py
+++ b/libs/ragwort_lab/ragwort_lab/_held_bench.py
@@ -96,8 +96,7 @@
         load = self.load(now)
         start = max(now, self.read_until)
         if load >= SLOTS:
-            ends = heapq.nsmallest(load - SLOTS + 1, self.calls)
-            start = max(start, ends[-1][0])
+            start = max(start, sorted(self.calls)[load - SLOTS][0])
         full = (load / SLOTS - NEARLY_FULL_SHARE) / (1 - NEARLY_FULL_SHARE)
         slowness = 1.0 + FULL_SLOWDOWN * min(max(full, 0.0), 1.0)
         left = self.missing(prompt) * slowness / TOKENS_PER_S / self.speed
@@ -131,8 +130,9 @@
 
     def _evict(self) -> None:
         room = MEMORY_TOKENS - sum(tokens for _, tokens in self.calls)
-        while self.kept and sum(self.kept.values()) > room:
-            self.kept.popitem(last=False)
+        taken = sum(self.kept.values())
+        while self.kept and taken > room:
+            taken -= self.kept.popitem(last=False)[1]
 
 
 class Host:
--- a/libs/ragwort_relay/ragwort_relay/_prompts.py
+++ b/libs/ragwort_relay/ragwort_relay/_prompts.py
@@ -290,7 +290,7 @@
     for runner in runners:
         work = view.work(runner, held[runner.name], models)
         expected = models.expect(runner, work, now)
-        # A call that fails is sent again and takes about as long once more.
+        # As in the earlier rule, a call that fails costs about a second.
         failure_s = runner.state.failure_share
         service = runner.entry.runner.service
         costs[runner.name] = (
