--- a/features/steps/evacuation_decision_steps.py
+++ b/features/steps/evacuation_decision_steps.py
@@ -157,7 +157,7 @@
     item = model.StoredObject(f'evacuations/{domain}', 11, '{}')
     catalog.apply(item)
     runner = catalog.fleet.runners[f'runner/{domain}']
-    catalog.reach.on_unreachable(runner)
+    catalog.reach.on_unreachable(runner, 1.0)
     assert not catalog.is_lost('main')
     assert not catalog.is_unreachable('main')
 
@@ -167,7 +167,7 @@
     """Look at the service after all connections failed."""
     catalog = context.catalog
     for runner in catalog.fleet.runners.values():
-        catalog.reach.on_unreachable(runner)
+        catalog.reach.on_unreachable(runner, 1.0)
     assert catalog.is_service_evacuated('main', NOW)
     assert not catalog.is_lost('main')
     assert not catalog.is_left_to_others('main', NOW)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -83,7 +83,8 @@
     Addresses are IP numbers with ports. grace_s is the time limit for
     leaving; prefixes name the kinds of objects to watch. evacuation_bound_s is
     the time in which an evacuation has to be in force, None if the deployment
-    has none.
+    has none; runner_models tells to choose the runners of all services by what
+    was learned of them.
     """
 
     host: model.EntryHost
@@ -97,6 +98,7 @@
     retry_slack: float
     retry_window_s: float
     evacuation_bound_s: float | None = None
+    runner_models: bool = False
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -252,6 +254,7 @@
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
         )
+        self.catalog.runner_models.is_forced = options.runner_models
         self.catalog.brittle.self_name = options.host.name
         self.catalog.brittle.holders = self._brittle_holders
         self.reach_probe = _reach_probe.ReachProbe(
@@ -318,6 +321,7 @@
         budget = self.budget
         budget.ratio = options.retry_ratio
         budget.slack = options.retry_slack
+        self.catalog.runner_models.is_forced = options.runner_models
         self.members.seeds = [
             seed
             for seed in options.seeds
