Keep requests in the home regions of their routes and workspaces

relay.Homes decides for one request. RelayCatalog.usable and the functions over it take it as an argument, hand-overs ask it for hosts, StageAsk has the optional field allowed_domains, and the directory gives callers of bound names hosts of their own region first. Without homeRegions nothing changes.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -13,6 +13,7 @@
       | a negative time | grace_s: -1           | grace_s    |
       | no name         | name: ''              | name       |
       | a link of zero  | limits: {link_mbps: 0} | link_mbps |
+      | a list of zones | regions: [north]       | regions   |
 
   Scenario: the template gives settings that are valid
     When the settings template is filled in with an example
@@ -40,6 +41,10 @@
     Then its staged route has two services, a target and three stages
     And its keys lead to their workspace and an unknown field is ignored
 
+  Scenario: home regions of routes and tenants are read
+    When a configuration names home regions
+    Then the route and the workspace have these homes, and none without them
+
   Scenario Outline: a configuration with <mistake> leaves the last in force
     When a configuration with <mistake> follows a valid one
     Then the valid one stays in force and the problem is noted
@@ -50,6 +55,7 @@
       | an unknown kind    |
       | no services        |
       | a text for a time  |
+      | a text for homes   |
 
   Scenario Outline: a runner's entry with <mistake> names no runner
     When a runner's entry has <mistake>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -22,6 +22,7 @@
     'node': 'host-1',
     'zone': 'north',
     'region': 'here',
+    'zones|json': '{"north": "here", "west": "there"}',
     'listen.front': '10.0.0.1:81',
     'listen.ready': '10.0.0.1:82',
     'listen.directory': '10.0.0.1:83',
@@ -131,6 +132,8 @@
     host = platform.host_options(settings).host
     assert host.capacity == 0.4
     assert host.hand_over_address == '10.0.0.1:85'
+    regions = platform.host_options(settings).all_regions
+    assert regions == {'north': 'here', 'west': 'there'}, regions
 
 
 DEPLOY = pathlib.Path('deploy/system.toml')
@@ -210,6 +213,27 @@
     assert 'k3' not in keys
 
 
+@when('a configuration names home regions')
+def read_homes(context: Any) -> None:
+    """Apply a configuration with and one without homes."""
+    bound = json.loads(json.dumps(CONFIGURATION))
+    bound['routes'][0]['homeRegions'] = ['here', 'there']
+    bound['tenants'][0]['homeRegions'] = ['there']
+    context.catalog = catalog_with(json.dumps(CONFIGURATION))
+    context.bound = catalog_with(json.dumps(bound))
+
+
+@then('the route and the workspace have these homes, and none without them')
+def check_homes(context: Any) -> None:
+    """Compare both configurations."""
+    bound = context.bound.configuration
+    assert bound.routes[0].home_regions == {'here', 'there'}
+    assert bound.workspaces[0].home_regions == {'there'}
+    free = context.catalog.configuration
+    assert free.routes[0].home_regions is None
+    assert free.workspaces[0].home_regions is None
+
+
 @when('a configuration with {mistake} follows a valid one')
 def follow_invalid(context: Any, mistake: str) -> None:
     """Apply an invalid version."""
@@ -220,6 +244,8 @@
         del broken['services']
     elif mistake == 'a text for a time':
         broken['routes'][0]['timeoutMs'] = 'soon'
+    elif mistake == 'a text for homes':
+        broken['routes'][0]['homeRegions'] = 'here'
     value = json.dumps(broken)
     if mistake == 'bytes not readable':
         value = value[:-9]
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -37,7 +37,13 @@
         """Return routes of all kinds, one public, and two workspaces."""
         prep = relay.StageSpec('prep', (), 1000.0)
         fields = json.loads(value)
-        make = relay_decision_steps.make_route
+        homes = _homes(fields, 'homes')
+
+        def make(**values: Any) -> relay.Route:
+            return relay_decision_steps.make_route(
+                home_regions=homes, **values
+            )
+
         once = {'kind': relay.CallKind.ONCE, 'attempts': 1}
         stream = {'kind': relay.CallKind.STREAM, 'is_resumable': True}
         return relay.RelayConfiguration(
@@ -56,13 +62,21 @@
             ),
             {'prep': relay.ServiceSpec('prep', PREP_LIMITS)},
             (
-                relay.Workspace('school', frozenset(fields['keys'])),
+                relay.Workspace(
+                    'school',
+                    frozenset(fields['keys']),
+                    home_regions=_homes(fields, 'workspace_homes'),
+                ),
                 relay.Workspace('museum', frozenset(['k2'])),
             ),
             relay.CallerLimits(),
         )
 
 
+def _homes(fields: dict[str, Any], name: str) -> frozenset[str] | None:
+    return frozenset(fields[name]) if name in fields else None
+
+
 class FakeStore(edge.Store):
     """One host's way to the store, which may turn it away."""
 
@@ -297,13 +311,16 @@
         link_bytes_per_s: float = math.inf,
         has_connections: bool = False,
         run_s: float = 6.0,
+        region_of: dict[str, str] | None = None,
     ) -> None:
         """Start hosts whose store answers or not; run for some time.
 
         With has_connections they reach each other over connections, which
-        may go silent; else messages are always delivered.
+        may go silent; else messages are always delivered. region_of names
+        the region of each failure domain; all are in one without it.
         """
         self.seeds = seeds
+        self.region_of = region_of or {}
         self.link_bytes_per_s = link_bytes_per_s
         self.clock = MemoryReactorClock()
         self.peer_network: peer_links.PeerNetwork | None = None
@@ -351,13 +368,17 @@
         self.objects.put(f'runner/{runner.name}', text)
 
     def keep_keys(
-        self, keys: list[str], size_bytes: int = 0
+        self, keys: list[str], size_bytes: int = 0, **homes: list[str]
     ) -> model.StoredObject:
-        """Write a configuration with these keys, padded to a size."""
+        """Write a configuration with these keys, padded to a size.
+
+        homes are the home regions of all routes, workspace_homes those of
+        the first workspace.
+        """
         version = self.objects.revision + 1
         padding = sample_routes(size_bytes, random.Random(version))
         text = json.dumps(
-            {'version': version, 'keys': keys, 'padding': padding}
+            {'version': version, 'keys': keys, 'padding': padding} | homes
         )
         return self.objects.put('config/main', text)
 
@@ -373,7 +394,7 @@
             f'{base}:81',
             f'{base}:84',
             DOMAINS[index % len(DOMAINS)],
-            'here',
+            self.region_of.get(DOMAINS[index % len(DOMAINS)], 'here'),
             1.0,
             f'{base}:85',
         )
@@ -388,6 +409,7 @@
             0.2,
             50.0,
             10.0,
+            self.region_of,
         )
         logger = structlog.wrap_logger(structlog.ReturnLogger())
         host = edge.RelayHost(
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -229,11 +229,17 @@
         self.helpers = relay.Helpers()
 
     def choose(
-        self, service: str, asked: int, preferred: Collection[str] = ()
+        self,
+        service: str,
+        asked: int,
+        preferred: Collection[str] = (),
+        homes: relay.Homes = relay.ANYWHERE,
     ) -> model.MemberUpdate | None:
         """Return the next host to ask for a request, None if there is none.
 
-        The preferred hosts go before all others.
+        The preferred hosts go before all others. Only hosts in the home
+        regions of a request get its body: the region of the caller, which
+        might get it too, is not known here.
         """
         now = self.reactor.seconds()
         if not self.helpers.may_ask(service, asked, now):
@@ -244,6 +250,7 @@
             if update.accepting
             and update.hand_over_address
             and update.name != self.members.self_name
+            and homes.admits_region(update.region)
         ]
         likely = [update for update in hosts if update.name in preferred]
         return self.helpers.choose(
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -91,6 +91,13 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    # Region of each failure domain.
+    region_of: dict[str, str] = {}
+
+    @property
+    def all_regions(self) -> dict[str, str]:
+        """Return the region of each failure domain, the host's own too."""
+        return {self.host.failure_domain: self.host.region} | self.region_of
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -122,6 +129,7 @@
         now = reactor.seconds()
         self.started_at = now
         self.catalog = relay.RelayCatalog(dialect)
+        self.catalog.region_of = options.all_regions
         self.replica = state.Replica(self.catalog)
         self.store_era = state.StoreEra()
         self.gossip = state.Gossip(self.replica, self.rng, now)
@@ -291,6 +299,7 @@
             for seed in options.seeds
             if seed != self.options.host.peer_address
         ]
+        self.catalog.region_of = options.all_regions
         self.parts.read_again()
         self.logger.info('reload', seeds=list(options.seeds))
 
@@ -778,9 +787,26 @@
             _messages.HttpResponse(HTTP_OK, headers, self.metrics.text())
         )
 
-    def addresses(self, failure_domain: str, caller: str) -> list[str]:
-        """Return the addresses for callers to choose from at random."""
-        found = membership.entry_members(self.members, failure_domain, caller)
+    def addresses(
+        self,
+        failure_domain: str,
+        caller: str,
+        name: str = '',
+        region: str = '',
+    ) -> list[str]:
+        """Return the addresses for callers to choose from at random.
+
+        name is the host name that the caller will ask for, region where it
+        is; the region of its failure domain stands for one it doesn't tell.
+        """
+        regions = relay.entry_regions(
+            self.catalog.configuration,
+            name.lower(),
+            region or self.catalog.region_of.get(failure_domain, ''),
+        )
+        found = membership.entry_members(
+            self.members, failure_domain, caller, regions
+        )
         if not found:
             found = self.members.live()
         return membership.weighted_addresses(found, MAX_ADDRESSES)
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -102,6 +102,9 @@
         # Set once the caller holds an event, here or from an attempt before.
         self.origin: relay.StreamOrigin | None = None
         self.is_origin_recorded = False
+        self.homes = relay.homes_of(
+            route, workspace, context.catalog.region_of
+        )
         self.stages = _request_stages.RequestStages(
             context,
             metadata,
@@ -114,6 +117,7 @@
                 self.rank,
             ),
             self._likely_domain,
+            self.homes,
         )
         self.hops = _request_hops.RequestHops(self)
 
@@ -245,8 +249,9 @@
         service = self.service
         self.log_fields['service'] = service
         self._refuse_deadly(service)
+        self._refuse_homeless()
         if not self.context.catalog.has_sendable(
-            service, self.context.reactor.seconds(), self.origin
+            service, self.context.reactor.seconds(), self.origin, self.homes
         ):
             raise self.context.refusal('other hosts hold the runners\' limits')
         if self.route.stages:
@@ -281,7 +286,7 @@
         if self.service not in {s.service for s in self.route.shares}:
             raise context.refusal('the route has left the stream\'s service')
         if not context.catalog.usable(
-            self.service, context.reactor.seconds(), self.origin
+            self.service, context.reactor.seconds(), self.origin, self.homes
         ):
             raise context.refusal(
                 'no runner of the stream\'s software version'
@@ -297,7 +302,7 @@
                 'queues are too long', admission.retry_after_s
             )
         now = self.context.reactor.seconds()
-        pause_s = self.context.catalog.pause_s(self.service, now)
+        pause_s = self.context.catalog.pause_s(self.service, now, self.homes)
         if pause_s > admission.forecast.total_s:
             raise self._refusal('all runners asked for a pause')
         await self.stages.execute()
@@ -309,11 +314,28 @@
             service, self.suspects, self.metadata.request_id
         )
 
+    def _refuse_homeless(self) -> None:
+        """Refuse a bound request before its stages if no runner may run it.
+
+        Stage runners that are only left alone for a moment still count: their
+        pieces wait for them.
+        """
+        if not self.homes.is_bound:
+            return
+        catalog = self.context.catalog
+        now = self.context.reactor.seconds()
+        stages = {spec.service for spec in self.route.stages}
+        if not catalog.usable(
+            self.service, now, self.origin, self.homes
+        ) or not all(catalog.has_home_runner(s, self.homes) for s in stages):
+            raise self.context.refusal('no runner in the home regions')
+
     def _likely_domain(self) -> str:
         """Return the failure domain where the main call will likely run."""
         runner = self._choose_runner(self.service, set())
         if runner is None:
-            return self.context.failure_domain
+            # A domain outside the homes would only delay the pieces.
+            return '' if self.homes.is_bound else self.context.failure_domain
         return runner.entry.runner.failure_domain
 
     # Main call.
@@ -323,7 +345,9 @@
     ) -> relay.FleetRunner | None:
         context = self.context
         now = context.reactor.seconds()
-        sendable = context.catalog.sendable(service, now, self.origin)
+        sendable = context.catalog.sendable(
+            service, now, self.origin, self.homes
+        )
         if context.hand_over is not None and context.catalog.is_lost(service):
             reach = context.catalog.reach
             sendable = [r for r in sendable if not reach.has_failed(r)]
@@ -368,7 +392,9 @@
         until = self.started_at + PLACE_WAIT_SHARE * self.route.target_s
         while context.reactor.seconds() < until:
             now = context.reactor.seconds()
-            wait_s = context.catalog.send_wait_s(service, now, self.origin)
+            wait_s = context.catalog.send_wait_s(
+                service, now, self.origin, self.homes
+            )
             if wait_s is None or not 0.0 < wait_s <= relay.PLACE_WAIT_S:
                 return
             await task.deferLater(
@@ -453,7 +479,7 @@
         """Return a refusal until a runner takes a request again."""
         now = self.context.reactor.seconds()
         wait_s = self.context.catalog.send_wait_s(
-            self.service, now, self.origin
+            self.service, now, self.origin, self.homes
         )
         return self.context.refusal(reason, wait_s)
 
@@ -486,7 +512,7 @@
         if send.result == relay.SendResult.DONE:
             may_resend = False
         if self.origin is not None and not self.context.catalog.usable(
-            service, now, self.origin
+            service, now, self.origin, self.homes
         ):
             may_resend = False
         if may_resend and send.result != relay.SendResult.NOT_SENT:
--- a/libs/ragwort_edge/ragwort_edge/_request_hops.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_hops.py
@@ -29,7 +29,7 @@
         service = self.handler.service
         now = self.context.reactor.seconds()
         return catalog.is_lost(service) or (
-            catalog.is_left_to_others(service, now)
+            catalog.is_left_to_others(service, now, self.handler.homes)
         )
 
     @property
@@ -55,8 +55,11 @@
                 self.handler.service,
                 self.asked,
                 self.context.catalog.senders(
-                    self.handler.service, self.context.reactor.seconds()
+                    self.handler.service,
+                    self.context.reactor.seconds(),
+                    self.handler.homes,
                 ),
+                self.handler.homes,
             )
             if helper is None:
                 return False
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -53,6 +53,7 @@
         configuration: relay.RelayConfiguration,
         times: RequestTimes,
         likely_domain: Callable[[], str],
+        homes: relay.Homes = relay.ANYWHERE,
     ) -> None:
         """Start with no stage run.
 
@@ -65,6 +66,7 @@
         self.configuration = configuration
         self.times = times
         self.likely_domain = likely_domain
+        self.homes = homes
         self.run: relay.StageRun | None = None
         self.is_late = False
         self.pending: dict[int, Any] = {}
@@ -237,6 +239,7 @@
                 for spec in self.route.stages
                 if stage in spec.after
             ),
+            domains=self.homes.domains(),
         )
 
     def _preferred_domain(self, run: relay.StageRun, stage: int) -> str:
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -149,6 +149,11 @@
             message.result_bytes,
             message.failure_domain,
             next_services=tuple(message.next_services),
+            domains=(
+                None
+                if message.allowed_domains is None
+                else frozenset(message.allowed_domains)
+            ),
         )
         self.enqueue(message.service_name, group, sender)
 
@@ -206,6 +211,14 @@
         if batcher is None:
             self._fail_pieces(group, [w.piece for w in group.work], 'error')
             return
+        if group.domains is not None and not any(
+            group.admits(runner.entry.runner.failure_domain)
+            for runner in self.catalog.fleet.live_runners(service)
+        ):
+            self._fail_pieces(
+                group, [w.piece for w in group.work], 'no runner at home'
+            )
+            return
         self.budget.on_request(service, self.reactor.seconds())
         batcher.add(group)
         self.schedule_dispatch(service, 0.0)
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -168,6 +168,7 @@
             group.result_bytes,
             group.failure_domain,
             list(group.next_services),
+            None if group.domains is None else sorted(group.domains),
         )
         self.send_peer(model.SendPeerMessage(owner, message))
         self._set_timer(pending, ACK_TIMEOUT_S, self._on_owner_timeout)
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -1,5 +1,6 @@
 """Choice of entry addresses for callers and of hosts for roles."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from ragwort_membership import _membership
@@ -19,14 +20,25 @@
 
 
 def entry_members(
-    members: _membership.Membership, failure_domain: str, caller: str
+    members: _membership.Membership,
+    failure_domain: str,
+    caller: str,
+    regions: Sequence[Collection[str]] = (),
 ) -> list[model.MemberUpdate]:
     """Return accepting live nodes, the caller's failure domain first.
 
+    Of the groups of regions only the first with such nodes counts; without
+    one, nodes of all regions do.
+
     Nodes of equal rank are ordered by a hash of the caller and the node,
     which spreads callers over the nodes.
     """
     accepting = [m for m in members.live() if m.accepting]
+    for group in regions:
+        near = [update for update in accepting if update.region in group]
+        if near:
+            accepting = near
+            break
 
     def sort_key(update: model.MemberUpdate) -> tuple[bool, int]:
         is_other_domain = update.failure_domain != failure_domain
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -179,7 +179,8 @@
 
     target_s and deadline_s are the seconds from receipt until the pieces
     are due for the request's target and for its deadline. next_services are
-    those whose pieces read the results.
+    those whose pieces read the results. allowed_domains are the failure
+    domains whose runners may get the pieces, None for any.
     """
 
     group: str
@@ -191,6 +192,7 @@
     result_bytes: float
     failure_domain: str
     next_services: list[str]
+    allowed_domains: list[str] | None = None
 
 
 class ServiceWait(msgspec.Struct, frozen=True):
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -30,6 +30,10 @@
 from ragwort_relay._fleet import FleetRunner
 from ragwort_relay._fleet import RunnerEntry
 from ragwort_relay._helpers import Helpers
+from ragwort_relay._homes import ANYWHERE
+from ragwort_relay._homes import entry_regions
+from ragwort_relay._homes import Homes
+from ragwort_relay._homes import homes_of
 from ragwort_relay._limits import RateLimits
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import SLACK_PER_RANK_S
@@ -69,6 +73,7 @@
 __all__ = [
     'Admission',
     'admit',
+    'ANYWHERE',
     'Attempts',
     'BatchCall',
     'Batcher',
@@ -81,6 +86,7 @@
     'ChooseTimely',
     'CrashEvidence',
     'DepartureNews',
+    'entry_regions',
     'EventSplitter',
     'first_event_s',
     'Fleet',
@@ -89,6 +95,8 @@
     'Forecast',
     'Helpers',
     'Home',
+    'Homes',
+    'homes_of',
     'is_sound_news',
     'next_step',
     'NextStep',
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -294,6 +294,8 @@
         A group starts only in a call that can hold all of it, or as much
         of it as any call can.
         """
+        if not group.admits(draft.failure_domain):
+            return False
         free = self.limits.max_pieces - len(draft.pieces)
         if free < 1 or draft.free_bytes < group.result_bytes:
             return False
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -7,6 +7,7 @@
 from ragwort_relay import _crash_evidence
 from ragwort_relay import _departures
 from ragwort_relay import _fleet
+from ragwort_relay import _homes
 from ragwort_relay import _limits
 from ragwort_relay import _origins
 from ragwort_relay import _pauses
@@ -60,18 +61,25 @@
         self.prompt_sharing = _sharing.PromptSharing()
         self.problems: dict[str, str] = {}
         self.now = 0.0
+        # Region of each failure domain, from the host's settings.
+        self.region_of: dict[str, str] = {}
 
     def usable(
         self,
         service: str,
         now: float,
         origin: _origins.StreamOrigin | None = None,
+        homes: _homes.Homes = _homes.ANYWHERE,
     ) -> list[_fleet.FleetRunner]:
-        """Return a service's usable runners, for a stream those that fit."""
+        """Return a service's usable runners that a request may reach.
+
+        A stream goes on where its origin fits; homes bind any request.
+        """
         return [
             runner
             for runner in self.fleet.usable(service, now)
-            if origin is None or origin.may_continue_at(runner)
+            if (origin is None or origin.may_continue_at(runner))
+            and homes.admits(runner.entry.runner.failure_domain)
         ]
 
     def sendable(
@@ -79,11 +87,12 @@
         service: str,
         now: float,
         origin: _origins.StreamOrigin | None = None,
+        homes: _homes.Homes = _homes.ANYWHERE,
     ) -> list[_fleet.FleetRunner]:
         """Return the usable runners that take a request from this host now."""
         return [
             runner
-            for runner in self.usable(service, now, origin)
+            for runner in self.usable(service, now, origin, homes)
             if self._wait_s(runner, now) == 0.0
         ]
 
@@ -114,18 +123,28 @@
             return False
         return self.brittle.is_held_elsewhere(runner)
 
-    def is_left_to_others(self, service: str, now: float) -> bool:
+    def is_left_to_others(
+        self,
+        service: str,
+        now: float,
+        homes: _homes.Homes = _homes.ANYWHERE,
+    ) -> bool:
         """Tell whether only other hosts send to a service's runners."""
-        usable = self.usable(service, now)
+        usable = self.usable(service, now, homes=homes)
         return bool(usable) and all(
             self._is_held_elsewhere(runner) for runner in usable
         )
 
-    def senders(self, service: str, now: float) -> set[str]:
+    def senders(
+        self,
+        service: str,
+        now: float,
+        homes: _homes.Homes = _homes.ANYWHERE,
+    ) -> set[str]:
         """Return the hosts that alone send to a service's brittle runners."""
         return {
             host
-            for runner in self.usable(service, now)
+            for runner in self.usable(service, now, homes=homes)
             for host in self.brittle.senders(runner) or ()
         }
 
@@ -134,12 +153,17 @@
         self.rate_limits.on_send(runner, now)
         self.brittle.on_send(runner, now)
 
-    def pause_s(self, service: str, now: float) -> float:
+    def pause_s(
+        self,
+        service: str,
+        now: float,
+        homes: _homes.Homes = _homes.ANYWHERE,
+    ) -> float:
         """Return the time until the first usable runner's pause is over."""
         return min(
             (
                 self.pauses.left_s(runner, now)
-                for runner in self.fleet.usable(service, now)
+                for runner in self.usable(service, now, homes=homes)
             ),
             default=0.0,
         )
@@ -149,6 +173,7 @@
         service: str,
         now: float,
         origin: _origins.StreamOrigin | None = None,
+        homes: _homes.Homes = _homes.ANYWHERE,
     ) -> float | None:
         """Return the time until this host may send to a usable runner.
 
@@ -156,7 +181,7 @@
         """
         waits_s = [
             self._wait_s(runner, now)
-            for runner in self.usable(service, now, origin)
+            for runner in self.usable(service, now, origin, homes)
         ]
         return min((s for s in waits_s if s is not None), default=None)
 
@@ -165,13 +190,22 @@
         service: str,
         now: float,
         origin: _origins.StreamOrigin | None = None,
+        homes: _homes.Homes = _homes.ANYWHERE,
     ) -> bool:
         """Tell whether this host sends to any of the usable runners.
 
         It does not if other hosts hold the limits of all of them.
         """
-        usable = self.usable(service, now, origin)
-        return not usable or self.send_wait_s(service, now, origin) is not None
+        usable = self.usable(service, now, origin, homes)
+        wait_s = self.send_wait_s(service, now, origin, homes)
+        return not usable or wait_s is not None
+
+    def has_home_runner(self, service: str, homes: _homes.Homes) -> bool:
+        """Tell whether a runner of a service is in a request's homes."""
+        return any(
+            homes.admits(runner.entry.runner.failure_domain)
+            for runner in self.fleet.live_runners(service)
+        )
 
     def is_lost(self, service: str) -> bool:
         """Tell whether this host reaches no runner of a service.
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -18,7 +18,8 @@
     target_at and deadline_at are when the stage has to finish to meet the
     request's target and its deadline, in seconds of this host's clock.
     sends counts the pieces sent so far; a group with none is not started.
-    next_services are those whose pieces read the results.
+    next_services are those whose pieces read the results. domains are the
+    failure domains whose runners may get the pieces, None for any.
     """
 
     group_id: str
@@ -30,11 +31,16 @@
     failure_domain: str
     sends: int = 0
     next_services: tuple[str, ...] = ()
+    domains: frozenset[str] | None = None
 
     def slack_s(self, now: float, work_s: float) -> float:
         """Return the seconds left before the target after work_s of work."""
         return self.target_at - now - work_s
 
+    def admits(self, failure_domain: str) -> bool:
+        """Tell whether runners of a failure domain may get the pieces."""
+        return self.domains is None or failure_domain in self.domains
+
 
 class QueuedPiece(msgspec.Struct, frozen=True):
     """One piece waiting for a call."""
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -42,6 +42,7 @@
     """A class of work, which callers address by host and path prefix.
 
     Callers of a stream leave if no event comes for patience_s seconds.
+    home_regions are those that may run its requests, None for any.
     """
 
     name: str
@@ -58,6 +59,7 @@
     is_resumable: bool = False
     max_gap_s: float = 0.0
     patience_s: float = math.inf
+    home_regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -103,11 +105,15 @@
 
 
 class Workspace(msgspec.Struct, frozen=True):
-    """A workspace and its access keys; its priority overrides a route's."""
+    """A workspace and its access keys; its priority overrides a route's.
+
+    home_regions are those that may run its requests, None for any.
+    """
 
     name: str
     keys: frozenset[str]
     priority: int | None = None
+    home_regions: frozenset[str] | None = None
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -177,6 +177,7 @@
         7: (4, 'result_bytes', False),
         8: (11, 'failure_domain', False),
         9: (15, 'next_services', 11, False),
+        10: (15, 'allowed_domains', 11, False),
     },
     {'next_services': []},
 )
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -118,6 +118,7 @@
   7: double result_bytes
   8: string failure_domain
   9: list<string> next_services = []
+  10: optional list<string> allowed_domains
 }
 
 struct ServiceWait {
