--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -594,6 +594,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         sender, message = frame.sender, frame.message
+        self.members.departures.on_heard(sender, now)
         self.guard.run(
             type(message).__name__,
             lambda: self._send_all(
@@ -805,7 +806,11 @@
             region or self.catalog.region_of.get(failure_domain, ''),
         )
         found = membership.entry_members(
-            self.members, failure_domain, caller, regions
+            self.members,
+            failure_domain,
+            caller,
+            regions,
+            self.reactor.seconds(),
         )
         if not found:
             found = self.members.live()
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -24,16 +24,20 @@
     failure_domain: str,
     caller: str,
     regions: Sequence[Collection[str]] = (),
+    now: float | None = None,
 ) -> list[model.MemberUpdate]:
     """Return accepting live nodes, the caller's failure domain first.
 
     Of the groups of regions only the first with such nodes counts; without
-    one, nodes of all regions do.
+    one, nodes of all regions do. With now, nodes that may have departed
+    with many others are left out.
 
     Nodes of equal rank are ordered by a hash of the caller and the node,
     which spreads callers over the nodes.
     """
     accepting = [m for m in members.live() if m.accepting]
+    if now is not None:
+        accepting = _not_departed(members, accepting, now)
     for group in regions:
         near = [update for update in accepting if update.region in group]
         if near:
@@ -47,6 +51,21 @@
     return sorted(accepting, key=sort_key)
 
 
+def _not_departed(
+    members: _membership.Membership,
+    accepting: list[model.MemberUpdate],
+    now: float,
+) -> list[model.MemberUpdate]:
+    """Return the nodes that may be named, all if that leaves none."""
+    named = [
+        update
+        for update in accepting
+        if update.name == members.self_name
+        or members.departures.may_be_named(update, now)
+    ]
+    return named or accepting
+
+
 def weighted_addresses(
     updates: Sequence[model.MemberUpdate], limit: int
 ) -> list[str]:
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -5,6 +5,7 @@
 probes fail waits longer before it suspects its peers.
 """
 
+import bisect
 from collections.abc import Iterable
 import math
 import random
@@ -12,6 +13,7 @@
 
 import msgspec
 
+from ragwort_membership import _departed
 import ragwort_model as model
 
 PROBE_INTERVAL_S = 1.0
@@ -111,6 +113,9 @@
         self.probe: _Probe | None = None
         self.indirect_probes: dict[int, _IndirectProbe] = {}
         self.probe_order: list[str] = []
+        # Whether the last probe was of the next node in the ring of names.
+        self.is_ring_turn = False
+        self.departures = _departed.Departures()
         self.sequence = 0
         self.health_penalty = 0
         self.next_probe_at = now + rng.uniform(0, PROBE_INTERVAL_S)
@@ -233,6 +238,9 @@
         self._set_record(update, now)
 
     def _set_record(self, update: model.MemberUpdate, now: float) -> None:
+        known = self.members.get(update.name)
+        if known is not None and update.name != self.self_name:
+            self.departures.on_record(update, known.update, now)
         self.members[update.name] = Member(update, now)
         self.by_address[update.peer_address] = update.name
         self.version += 1
@@ -292,7 +300,24 @@
         if now >= self.next_dead_probe_at:
             messages += self._probe_dead(now, wall)
         self._expire(now)
-        return messages
+        return messages + self._tell_departures(now, wall)
+
+    def _tell_departures(
+        self, now: float, wall: float
+    ) -> list[model.SendPeerMessage]:
+        """Tell a few peers at once of nodes that depart."""
+        names = self.departures.take_untold(now)
+        updates = [self.members[n].update for n in names if n in self.members]
+        if not updates:
+            return []
+        peers = self.peer_addresses()
+        count = min(_departed.TELL_FANOUT, len(peers))
+        # No probe has number 0: the message asks for no answer.
+        message = model.Ack(0, wall, updates)
+        return [
+            model.SendPeerMessage(address, message)
+            for address in self.rng.sample(peers, count)
+        ]
 
     def _join(self, now: float) -> list[model.SendPeerMessage]:
         """Contact a seed that is not among the live nodes.
@@ -345,7 +370,14 @@
         return [self._ping(target, wall, sequence=self.sequence)]
 
     def _next_probe_target(self) -> str | None:
-        """Return the next address in a shuffled round over all members."""
+        """Return the next address: of the ring, then of a shuffled round.
+
+        By chance alone, a node of a large fleet may be probed by no other for
+        five seconds or more; its predecessor in the ring probes it every two.
+        """
+        self.is_ring_turn = not self.is_ring_turn
+        if self.is_ring_turn:
+            return self._ring_successor()
         while True:
             if not self.probe_order:
                 self.probe_order = self._new_probe_order()
@@ -356,6 +388,16 @@
             if member is not None and self._is_probed(member):
                 return member.update.peer_address
 
+    def _ring_successor(self) -> str | None:
+        """Return the address of the next live node in the ring of names."""
+        live = self.live()
+        names = [update.name for update in live]
+        after = bisect.bisect_right(names, self.self_name)
+        found = live[after % len(live)] if live else None
+        if found is None or found.name == self.self_name:
+            return None
+        return found.peer_address
+
     def _is_probed(self, member: Member) -> bool:
         status = member.update.status
         return (
@@ -435,6 +477,7 @@
                     self._set_record(dead, now)
             elif status >= model.MemberStatus.DEAD and age >= FORGET_AFTER_S:
                 del self.members[name]
+                self.departures.forget(member.update.peer_address)
                 self.version += 1
                 self.pending_updates.pop(name, None)
                 self.clock_offsets.pop(name, None)
