Let only a host promise callers that a request has not run

Cause: a runner's own 503, 429 or 408, sealed and without not-executed, was passed on although the request had run (job, safe and stream, also through a hand-over). A runner's header ragwort-declined passed for a host's word; a plain call whose caller left while it connected went to the next runner; a stream request whose runner answered 404 got no answer at all.

Such statuses are answered 502, headers of the prefix ragwort- pass no host, and a call whose caller is gone is not sent again. A connection that opens after its call was given up carries nothing.

--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -216,7 +216,12 @@
         self.call_protocol: _CallProtocol | None = None
         self.is_cancelled = False
 
-    def buildProtocol(self, addr: Any) -> _CallProtocol:  # noqa: N802
+    def buildProtocol(  # noqa: N802
+        self, addr: Any
+    ) -> _CallProtocol | None:
+        if self.is_cancelled:
+            # The call counts as not sent; None closes the connection.
+            return None
         self.call_protocol = _CallProtocol(self.request, self.reader)
         return self.call_protocol
 
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -23,12 +23,11 @@
 import ragwort_model as model
 import ragwort_relay as relay
 
-HOP_PREFIX = b'ragwort-'
-HOST_HEADER = HOP_PREFIX + b'host'
-LEFT_HEADER = HOP_PREFIX + b'left-ms'
-VERSION_HEADER = HOP_PREFIX + b'version'
-DECLINED_HEADER = HOP_PREFIX + b'declined'
-CUT_OFF_HEADER = HOP_PREFIX + b'cut-off'
+HOST_HEADER = _messages.HOP_PREFIX + b'host'
+LEFT_HEADER = _messages.HOP_PREFIX + b'left-ms'
+VERSION_HEADER = _messages.HOP_PREFIX + b'version'
+DECLINED_HEADER = _messages.HOP_PREFIX + b'declined'
+CUT_OFF_HEADER = _messages.HOP_PREFIX + b'cut-off'
 # Bytes of the hop's headers, beyond what a caller may send.
 MAX_HOP_HEADER_BYTES = 1024
 # Interval of looking whether a silent helper is alive, once its answer is due.
@@ -82,7 +81,7 @@
     headers = tuple(
         (name, value)
         for name, value in request.headers
-        if not name.startswith(HOP_PREFIX)
+        if not name.startswith(_messages.HOP_PREFIX)
     )
     return msgspec.structs.replace(request, headers=headers)
 
--- a/libs/ragwort_edge/ragwort_edge/_messages.py
+++ b/libs/ragwort_edge/ragwort_edge/_messages.py
@@ -4,6 +4,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Prefix of the headers that hosts add for each other. One in a runner's answer
+# could pass for a host's word that a request has not run.
+HOP_PREFIX = b'ragwort-'
 # Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
@@ -71,5 +74,7 @@
     return tuple(
         (name, value)
         for name, value in headers
-        if name not in HOP_BY_HOP and name not in connection_options
+        if name not in HOP_BY_HOP
+        and name not in connection_options
+        and not name.startswith(HOP_PREFIX)
     )
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -35,6 +35,9 @@
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_GATEWAY = 502
 HTTP_GATEWAY_TIMEOUT = 504
+# These promise callers that a request has not run and never will. A runner's
+# own answer, without word that it has not run, can't make that promise.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class _SendOutcome(msgspec.Struct):
@@ -542,6 +545,10 @@
             )
         except _client.CallError as error:
             if error.kind == _client.CallErrorKind.NOT_CONNECTED:
+                if self.is_timed_out or self.log_fields.get('gone'):
+                    # Nobody waits for an answer: no other runner is asked.
+                    runner.state.on_cancel()
+                    raise
                 return _SendOutcome(
                     relay.SendResult.NOT_SENT, detail=str(error)
                 )
@@ -590,7 +597,7 @@
             )
         if not reply.is_authentic:
             return _SendOutcome(relay.SendResult.LOST, detail='not the answer')
-        if response.status >= 500:
+        if response.status >= 500 or response.status in NOT_RUN_STATUSES:
             return _SendOutcome(
                 relay.SendResult.FAILED,
                 response,
@@ -604,6 +611,9 @@
         self.context.crashes.on_began(self.service, self.suspects)
 
     def _deliver(self, response: _messages.HttpResponse) -> None:
+        if response.status in NOT_RUN_STATUSES:
+            self.fail(HTTP_BAD_GATEWAY, f'runner answered {response.status}')
+            return
         self._observe_latency()
         self.log_end('answered', status=response.status)
         self.exchange.respond(
@@ -668,7 +678,8 @@
                     await self.stages.execute()
                 continue
             if step == relay.NextStep.DELIVER:
-                if send.result == relay.SendResult.DONE:
+                is_events = send.response is None
+                if send.result == relay.SendResult.DONE and is_events:
                     self.log_end('answered', events=progress.forwarded)
                     self.exchange.finish()
                 elif send.response is not None and (
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -393,7 +393,8 @@
     lost), refused (not run, 421), silent, foreign (another's answer),
     gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
     (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
-    falls over if it turns away more than N a second), late:S (ok, after S
+    falls over if it turns away more than N a second), status:N (its own
+    answer with this status, after it ran), late:S (ok, after S
     seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N), drip:S (a stream that sends
     a byte of its first event each S seconds). Events show the software
@@ -410,6 +411,8 @@
         self.events = 0
         self.event_gap_s = 0.0
         self.version = ''
+        # Further headers of answers with a status of their own.
+        self.extra_headers: edge.Headers = ()
         self.calls: list[LabCall] = []
         # Parts of a prompt, and requests by target, on which it crashes as it
         # begins its answer.
@@ -496,6 +499,8 @@
             call.respond(HTTP_OK, echo, b'whole')
         elif kind == 'error':
             call.respond(500, echo, b'own failure')
+        elif kind == 'status':
+            call.respond(int(count), echo + self.extra_headers, b'own answer')
         elif kind == 'full':
             self.turn_away(call)
         elif kind == 'refused':
