--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -152,6 +152,7 @@
             now,
             time.time(),
             JOIN_INTERVAL_S,
+            is_bounded=True,
         )
         self.registry = state.HostRegistry(
             options.host, self.store_era, self.rng, now
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -84,12 +84,16 @@
         now: float,
         wall: float,
         join_interval_s: float = JOIN_INTERVAL_S,
+        is_bounded: bool = False,
     ) -> None:
         """Start with only this node, not yet accepting requests.
 
         The incarnation starts at the wall time. A node that knows no
-        other live node contacts a seed every join_interval_s.
+        other live node contacts a seed every join_interval_s. With is_bounded
+        it probes the ring of names as well and tells of departures at once,
+        for a directory that may name a departed node for a bounded time only.
         """
+        self.is_bounded = is_bounded
         self.join_interval_s = join_interval_s
         self.rng = rng
         seeds = list(seeds)
@@ -306,6 +310,8 @@
         self, now: float, wall: float
     ) -> list[model.SendPeerMessage]:
         """Tell a few peers at once of nodes that depart."""
+        if not self.is_bounded:
+            return []
         names = self.departures.take_untold(now)
         updates = [self.members[n].update for n in names if n in self.members]
         if not updates:
@@ -375,7 +381,7 @@
         By chance alone, a node of a large fleet may be probed by no other for
         five seconds or more; its predecessor in the ring probes it every two.
         """
-        self.is_ring_turn = not self.is_ring_turn
+        self.is_ring_turn = self.is_bounded and not self.is_ring_turn
         if self.is_ring_turn:
             return self._ring_successor()
         while True:
