Count what waits for slow callers and runners in one account

Cause: what a caller left unread piled up in its transport without a bound, as did requests that runners read slowly; a host of 160 MB could run out of memory.

HeldBytes counts it beside the bodies being collected, up to 15 % of the memory in the settings (limits.memory_mb, 24 MB without it); the largest is given up openly.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -38,6 +38,7 @@
     'limits.cpuShare': '0.5',
     'limits.cores': '2',
     'limits.linkMbps': '40.0',
+    'limits.memoryMb': '200',
 }
 ROUTE = {
     'name': 'briefing',
@@ -132,7 +133,9 @@
     host = platform.host_options(settings).host
     assert host.capacity == 0.4
     assert host.hand_over_address == '10.0.0.1:85'
-    regions = platform.host_options(settings).all_regions
+    options = platform.host_options(settings)
+    assert options.memory_mb == 200
+    regions = options.all_regions
     assert regions == {'north': 'here', 'west': 'there'}, regions
 
 
--- a/libs/ragwort_edge/ragwort_edge/_body.py
+++ b/libs/ragwort_edge/ragwort_edge/_body.py
@@ -1,40 +1,72 @@
-"""Collecting bodies of answers within bounds on each and on all."""
+"""One account of the bytes that a host holds for callers and runners."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 # Largest body of an answer. The smallest hosts have 160 MB.
 MAX_ANSWER_BYTES = 8_000_000
 # Largest body of a short message: a load report, a release.
 MAX_REPORT_BYTES = 64_000
-# Bodies of all calls of a host together.
+# All that a host holds, if its settings don't name its memory.
 MAX_HELD_BYTES = 24_000_000
+# Share of the memory that may be held: 24 MB of 160 MB, the bound of before.
+# Requests, parsers and the host's own state take the rest.
+HELD_SHARE = 0.15
+BYTES_PER_MB = 1_000_000
+
+
+def held_limit(memory_mb: float | None) -> int:
+    """Return how many bytes a host with some memory may hold."""
+    if memory_mb is None:
+        return MAX_HELD_BYTES
+    return int(memory_mb * BYTES_PER_MB * HELD_SHARE)
+
+
+class Holder(Protocol):
+    """Something that holds bytes and can give them up."""
+
+    @property
+    def size(self) -> int:
+        """Return the bytes held."""
+
+    def give_up(self, reason: str) -> None:
+        """Drop the bytes and end what they are for, openly."""
 
 
 class HeldBytes:
-    """Counts the bytes of the bodies that a host is collecting.
+    """Counts bodies being collected, and bytes that wait for slow readers.
 
-    Beyond the limit the largest body is given up.
+    Beyond the limit the largest is given up.
     """
 
     def __init__(self, limit: int = MAX_HELD_BYTES) -> None:
         """Hold at most limit bytes."""
         self.limit = limit
         self.total = 0
-        self.bodies: set[BodyBuffer] = set()
+        self.holders: set[Holder] = set()
+        self.given_up = 0
 
-    def add(self, body: 'BodyBuffer', count: int) -> None:
-        """Count bytes of a body."""
-        self.bodies.add(body)
+    def add(self, holder: Holder, count: int) -> None:
+        """Count bytes that a holder has just taken."""
+        self.holders.add(holder)
         self.total += count
-        while self.total > self.limit:
-            largest = max(self.bodies, key=lambda held: held.size)
-            largest.give_up(f'bodies of over {self.limit} bytes together')
-
-    def remove(self, body: 'BodyBuffer') -> None:
-        """Count a body no more."""
-        if body in self.bodies:
-            self.bodies.discard(body)
-            self.total -= body.size
+        while self.total > self.limit and self.holders:
+            largest = max(self.holders, key=lambda held: held.size)
+            self.given_up += 1
+            largest.give_up(f'over {self.limit} bytes held together')
+
+    def take_off(self, holder: Holder, count: int) -> None:
+        """Count bytes no more that a holder has just passed on."""
+        if holder in self.holders:
+            self.total -= count
+            if not holder.size:
+                self.holders.discard(holder)
+
+    def remove(self, holder: Holder) -> None:
+        """Count a holder no more."""
+        if holder in self.holders:
+            self.holders.discard(holder)
+            self.total -= holder.size
 
 
 class BodyBuffer:
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -98,11 +98,20 @@
 
 
 class _CallProtocol(protocol.Protocol):
-    """One request and its response."""
+    """One request and its response.
+
+    The request counts towards the host's account until an answer begins: its
+    reader may read slowly.
+    """
 
     def __init__(
-        self, request: _messages.HttpRequest, reader: ResponseReader
+        self,
+        request: _messages.HttpRequest,
+        reader: ResponseReader,
+        held: _body.HeldBytes,
     ) -> None:
+        self.held = held
+        self.size = 0
         self.request = request
         self.reader = reader
         self.connection = h11.Connection(
@@ -130,6 +139,18 @@
             data += self.connection.send(h11.Data(data=request.body))
         data += self.connection.send(h11.EndOfMessage())
         self.transport.write(data)
+        self.size = len(data)
+        self.held.add(self, self.size)
+
+    def give_up(self, reason: str) -> None:
+        """Break the call off, for want of room for its request."""
+        self._let_go()
+        if not self.is_over:
+            self._fail(CallErrorKind.CLOSED, reason)
+
+    def _let_go(self) -> None:
+        self.held.remove(self)
+        self.size = 0
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes to the parser."""
@@ -140,6 +161,7 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """End a response that the close delimits, or fail the call."""
+        self._let_go()
         if self.is_over:
             return
         if reason.check(error.ConnectionDone):
@@ -164,6 +186,7 @@
         if isinstance(event, h11.InformationalResponse):
             self._count_interim_head()
         elif isinstance(event, h11.Response):
+            self._let_go()
             headers = tuple((bytes(n), bytes(v)) for n, v in event.headers)
             self.reader.on_head(
                 _messages.HttpResponse(event.status_code, headers)
@@ -209,10 +232,14 @@
     noisy = False
 
     def __init__(
-        self, request: _messages.HttpRequest, reader: ResponseReader
+        self,
+        request: _messages.HttpRequest,
+        reader: ResponseReader,
+        held: _body.HeldBytes,
     ) -> None:
         self.request = request
         self.reader = reader
+        self.held = held
         self.call_protocol: _CallProtocol | None = None
         self.is_cancelled = False
 
@@ -222,7 +249,9 @@
         if self.is_cancelled:
             # The call counts as not sent; None closes the connection.
             return None
-        self.call_protocol = _CallProtocol(self.request, self.reader)
+        self.call_protocol = _CallProtocol(
+            self.request, self.reader, self.held
+        )
         return self.call_protocol
 
     def clientConnectionFailed(  # noqa: N802
@@ -250,6 +279,21 @@
         """Tell whether any bytes of the request may have been sent."""
         return self.factory.call_protocol is not None
 
+    def pause(self) -> None:
+        """Read no more for now."""
+        self._produce('pauseProducing')
+
+    def resume(self) -> None:
+        """Read on."""
+        self._produce('resumeProducing')
+
+    def _produce(self, name: str) -> None:
+        call_protocol = self.factory.call_protocol
+        if call_protocol is None or call_protocol.is_over:
+            return
+        if call_protocol.transport is not None:
+            getattr(call_protocol.transport, name)()
+
     def cancel(self) -> None:
         """Close the connection; the reader gets no more callbacks."""
         self.factory.is_cancelled = True
@@ -265,10 +309,12 @@
 class HttpClient:
     """Opens one connection per call."""
 
-    def __init__(self, reactor: Any) -> None:
-        """Connect through a reactor."""
+    def __init__(
+        self, reactor: Any, held: _body.HeldBytes | None = None
+    ) -> None:
+        """Connect through a reactor; count what is held in an account."""
         self.reactor = reactor
-        self.held = _body.HeldBytes()
+        self.held = held or _body.HeldBytes()
 
     def open(
         self,
@@ -278,7 +324,7 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> OpenCall:
         """Send a request to an IP number and port."""
-        factory = _CallFactory(request, reader)
+        factory = _CallFactory(request, reader, self.held)
         host, port = model.split_address(address)
         connector = self.reactor.connectTCP(
             host, port, factory, connect_timeout_s
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -16,6 +16,7 @@
 import msgspec
 from twisted.internet import defer
 
+from ragwort_edge import _back_pressure
 from ragwort_edge import _client
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
@@ -112,6 +113,7 @@
         self.done: defer.Deferred[tuple[HopResult, str]] = defer.Deferred()
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
+        self.pressure = _back_pressure.BackPressure(reactor, exchange)
         self.is_alive: Callable[[], bool] = lambda: False
         self.declined: str | None = None
         self.is_helper_cut_off = False
@@ -130,6 +132,7 @@
         A host that is alive is waited for longer: it may serve slowly.
         """
         self.open_call = client.open(address, request, self)
+        self.pressure.call = self.open_call
         self.is_alive = is_alive
         if head_timeout_s is not None:
             self.timer = self.reactor.callLater(
@@ -144,6 +147,7 @@
     def cancel(self) -> None:
         """Close the connection, which cancels the request there."""
         self._stop_timer()
+        self.pressure.stop()
         if self.open_call is not None:
             self.open_call.cancel()
 
@@ -183,6 +187,7 @@
         """Pass on a part of the body."""
         if self.declined is None:
             self.exchange.write(data)
+            self.pressure.on_data()
 
     def on_end(self) -> None:
         """End the caller's answer as a whole one."""
@@ -204,6 +209,7 @@
 
     def _end(self, result: HopResult, detail: str) -> None:
         self._stop_timer()
+        self.pressure.stop()
         if not self.done.called:
             self.done.callback((result, detail))
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
@@ -93,6 +94,7 @@
     retry_window_s: float
     # Region of each failure domain.
     region_of: dict[str, str] = {}
+    memory_mb: float | None = None
 
     @property
     def all_regions(self) -> dict[str, str]:
@@ -163,7 +165,8 @@
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
         self.guard = _guard.Guard(reactor, self.metrics, logger)
-        self.client = _client.HttpClient(reactor)
+        self.held = _body.HeldBytes(_body.held_limit(options.memory_mb))
+        self.client = _client.HttpClient(reactor, self.held)
         self.budget = relay.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
@@ -236,8 +239,13 @@
         )
         self.open_requests: set[_request_handler.RequestHandler] = set()
         self.caller_site = _server.Site(
-            reactor, self._limits, self._on_request, self._on_invalid_request
+            reactor,
+            self._limits,
+            self._on_request,
+            self._on_invalid_request,
+            self.held,
         )
+        self.caller_site.on_slow_reader = self._on_slow_reader
         self.ports: list[Any] = []
         self.caller_port: Any = None
         self.leaving_at: float | None = None
@@ -273,7 +281,9 @@
                 self._hop_limits,
                 self._on_handed,
                 self._on_invalid_request,
+                self.held,
             )
+            site.on_slow_reader = self._on_slow_reader
             self._listen(options.host.hand_over_address, site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
@@ -657,6 +667,10 @@
         self.metrics.rejected.labels(status).inc()
         self.logger.info('request-invalid', status=status)
 
+    def _on_slow_reader(self, reason: str) -> None:
+        self.metrics.slow_readers.inc()
+        self.logger.warning('slow-reader-aborted', reason=reason)
+
     def _hop_limits(self) -> relay.CallerLimits:
         limits = self._limits()
         size = limits.header_bytes + _hand_over.MAX_HOP_HEADER_BYTES
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -37,6 +37,11 @@
             ['status'],
             registry=self.registry,
         )
+        self.slow_readers = prometheus.Counter(
+            'ragwort_slow_readers',
+            'Connections reset as too much waited for them',
+            registry=self.registry,
+        )
         self.latency = prometheus.Histogram(
             'ragwort_answer_seconds',
             'Time from a request to the first part of its answer',
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -8,6 +8,8 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from ragwort_edge import _body
+from ragwort_edge import _caller_queue
 from ragwort_edge import _messages
 import ragwort_peers as peers
 import ragwort_relay as relay
@@ -48,6 +50,9 @@
         self.server = server
         self.request = request
         self.on_disconnect: Callable[[], None] | None = None
+        # Told when the caller falls behind with reading, and when it is not.
+        self.on_pause: Callable[[bool], None] = lambda is_behind: None
+        self.is_behind = False
         self.is_started = False
         self.is_over = False
 
@@ -104,6 +109,7 @@
         self.body_parts: list[bytes] = []
         self.body_size = 0
         self.exchange: Exchange | None = None
+        self.queue: _caller_queue.CallerQueue | None = None
         self.timer: Any = None
         self.pipelined_bytes = 0
 
@@ -114,6 +120,9 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request."""
         peers.set_socket_options(self.transport)
+        self.queue = _caller_queue.CallerQueue(
+            self.site.held, self.transport, self._on_pause, self._on_given_up
+        )
         self.site.connections.add(self)
         self._set_timer(self.site.limits().idle_timeout_s)
 
@@ -124,10 +133,26 @@
         self.state = _State.CLOSED
         self._set_timer(None)
         self.site.connections.discard(self)
+        if self.queue is not None:
+            self.queue.drop()
         if self.exchange is not None:
             self.exchange.connection_lost()
             self.exchange = None
 
+    def _on_pause(self, is_behind: bool) -> None:
+        if self.exchange is not None:
+            self.exchange.is_behind = is_behind
+            self.exchange.on_pause(is_behind)
+
+    def _on_given_up(self, reason: str) -> None:
+        """Reset the connection of a caller that reads too slowly."""
+        exchange = self.exchange
+        self.abort()
+        if exchange is not None:
+            # Whoever writes right now goes on first.
+            self.site.reactor.callLater(0.0, exchange.connection_lost)
+        self.site.on_slow_reader(reason)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes, or buffer them while responding."""
         if self.state == _State.CLOSED:
@@ -240,8 +265,8 @@
         if self.state == _State.CLOSED:
             return
         data = self.connection.send(event)
-        if data:
-            self.transport.write(data)
+        if data and self.queue is not None:
+            self.queue.write(data)
 
     def end_response(self) -> None:
         """End the response and read the next request, if any."""
@@ -267,6 +292,8 @@
     def abort(self) -> None:
         """Reset the connection."""
         self.exchange = None
+        if self.queue is not None:
+            self.queue.drop()
         if self.state != _State.CLOSED:
             self.state = _State.CLOSED
             self.transport.abortConnection()
@@ -279,7 +306,12 @@
     def _close(self) -> None:
         self.state = _State.CLOSED
         self._set_timer(None)
-        self.transport.loseConnection()
+        if self.queue is None:
+            return
+        self.queue.close()
+        if self.queue.data:
+            # A caller that reads nothing more must not hold bytes for ever.
+            self._set_timer(self.site.limits().idle_timeout_s)
 
     def _set_timer(self, delay_s: float | None) -> None:
         if self.timer is not None and self.timer.active():
@@ -290,7 +322,9 @@
 
     def _on_timeout(self) -> None:
         self.timer = None
-        if self.state == _State.IDLE:
+        if self.state == _State.CLOSED:
+            self.transport.abortConnection()
+        elif self.state == _State.IDLE:
             self._close()
         elif self.state == _State.READING:
             self._reject(408)
@@ -307,8 +341,14 @@
         limits: Callable[[], relay.CallerLimits],
         on_exchange: Callable[[Exchange], None],
         on_rejected: Callable[[int], None],
+        held: _body.HeldBytes | None = None,
     ) -> None:
-        """Pass each complete request to on_exchange."""
+        """Pass each complete request to on_exchange.
+
+        held is the account of what waits for slow callers.
+        """
+        self.held = held or _body.HeldBytes()
+        self.on_slow_reader: Callable[[str], None] = lambda reason: None
         self.reactor = reactor
         self.limits = limits
         self.on_exchange = on_exchange
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from ragwort_edge import _back_pressure
 from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _messages
@@ -58,6 +59,9 @@
         self.is_event_stream = False
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
+        self.pressure = _back_pressure.BackPressure(
+            self.context.reactor, handler.exchange, self._on_pause
+        )
         self.opened_at = self.context.reactor.seconds()
 
     @property
@@ -70,6 +74,7 @@
         self.open_call = self.context.client.open(
             self.runner.address, request, self
         )
+        self.pressure.call = self.open_call
         route = self.handler.route
         if route.may_repeat and self.handler.attempts.ran + 1 < route.attempts:
             self._set_timer(
@@ -98,6 +103,7 @@
     def stop(self) -> None:
         """Close the connection and read no more."""
         self._set_timer(None)
+        self.pressure.stop()
         self.body.drop()
         if self.open_call is not None:
             self.open_call.cancel()
@@ -170,8 +176,19 @@
                 self.head.status, _messages.end_to_end(self.head.headers)
             )
         exchange.write(data)
+        self.pressure.on_data()
+        self._await_event()
+
+    def _on_pause(self, is_paused: bool) -> None:
+        """Expect no event while this host does not read."""
+        if is_paused:
+            self._set_timer(None)
+        else:
+            self._await_event()
+
+    def _await_event(self) -> None:
         route = self.handler.route
-        if route.may_repeat:
+        if route.may_repeat and not self.pressure.is_paused:
             self._set_timer(
                 max(GAP_TIMEOUT_FACTOR * route.max_gap_s, MIN_GAP_TIMEOUT_S)
             )
@@ -179,6 +196,7 @@
     def on_end(self) -> None:
         """Finish the send at the end of the response."""
         self._set_timer(None)
+        self.pressure.stop()
         assert self.head is not None
         took_s = self.context.reactor.seconds() - self.opened_at
         if not self.is_event_stream:
@@ -216,6 +234,7 @@
     def on_error(self, call_error: _client.CallError) -> None:
         """Finish the send after a failed call."""
         self._set_timer(None)
+        self.pressure.stop()
         self.body.drop()
         if call_error.kind == _client.CallErrorKind.NOT_CONNECTED:
             self._finish(relay.SendResult.NOT_SENT, str(call_error))
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -254,6 +254,9 @@
         self.is_abandoned = False
         # Set while nothing passes on its connection.
         self.is_muted = False
+        # What came while the host did not read.
+        self.is_paused = False
+        self.unread: list[Callable[[], None]] = []
         self.on_close: Callable[[], None] = lambda: None
 
     @property
@@ -261,6 +264,17 @@
         """Tell whether the request has gone out."""
         return self.sent
 
+    def pause(self) -> None:
+        """Deliver nothing for now."""
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Deliver what came meanwhile."""
+        self.is_paused = False
+        unread, self.unread = self.unread, []
+        for deliver in unread:
+            deliver()
+
     def cancel(self) -> None:
         """Close the connection; the runner hears of it."""
         if not self.is_over:
@@ -273,6 +287,9 @@
         def deliver() -> None:
             if self.is_over or self.is_muted:
                 return
+            if self.is_paused:
+                self.unread.append(deliver)
+                return
             self.is_over = ends
             getattr(self.reader, name)(*arguments)
 
@@ -651,6 +668,8 @@
         self.clock = clock
         self.request = request
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_pause: Callable[[bool], None] = lambda is_behind: None
+        self.is_behind = False
         self.is_started = False
         self.is_over = False
         self.status: int | None = None
