Let home runners serve that have yet to register again

Cause: after the store returns from an older copy, runners elsewhere that had registered again hid unconfirmed ones at home, so that bound requests would be refused for up to 2 s. Fleet.usable takes the homes before it prefers confirmed runners.

That the new scenario fails without this change was not run.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -46,6 +46,22 @@
     When callers send 60 "staged" requests to all hosts while runners fail
     Then they reached runners in "coast" alone
 
+  Scenario: home runners that have yet to register again serve, whoever else has
+    Given hosts and runners in two regions, and routes at home in "coast"
+    When the store returns from an older copy and only other runners register again
+    And callers send 12 "safe" requests to all hosts while runners fail
+    Then they reached runners in "coast" alone
+    And at least 12 of them are answered 200
+
+  Scenario Outline: pieces that may go to <domains> keep that between hosts
+    Then a request for pieces that may go to "<domains>" is read as it was written
+
+    Examples:
+      | domains    |
+      | any        |
+      | none       |
+      | north,east |
+
   Scenario: a failure domain of an unknown region is in no home
     Given hosts and runners in two regions, and routes at home in "coast"
     When the hosts lose the regions of all domains but their own
--- a/features/steps/homes_steps.py
+++ b/features/steps/homes_steps.py
@@ -11,7 +11,9 @@
 from features.support import relay_hosts
 import ragwort_edge as edge
 import ragwort_lab as lab
+import ragwort_model as model
 from ragwort_platform import _directory
+import ragwort_wire as wire
 
 REGION_OF = {'north': 'inland', 'east': 'inland', 'south': 'coast'}
 ROUTE_HOST = 'one.example'
@@ -170,6 +172,42 @@
         host.catalog.region_of = {own.failure_domain: own.region}
 
 
+@when(
+    'the store returns from an older copy and only other runners register'
+    ' again'
+)
+def restore(context: Any) -> None:
+    """Lose the runners at home, and write the others anew."""
+    world = context.world
+    copy = world.objects.copy()
+    homes = [
+        runner
+        for runner in world.network.runners.values()
+        if REGION_OF[runner.domain] == 'coast'
+    ]
+    for runner in homes:
+        copy[1].pop(f'runner/{runner.name}')
+    world.objects.restore(copy)
+    world.run(0.5)
+    for runner in world.runners:
+        if runner not in homes:
+            world.set_runner(runner, 'live')
+    world.run(0.3)
+
+
+@then(
+    'a request for pieces that may go to "{domains}" is read as it was written'
+)
+def check_message(context: Any, domains: str) -> None:
+    """Encode and decode a message."""
+    allowed = None if domains == 'any' else domains.split(',')
+    if domains == 'none':
+        allowed = []
+    ask = model.StageAsk('g', 's', [], 1.0, 2.0, 0, 1.0, '', [], allowed)
+    frame = wire.decode_peer(wire.encode_peer('10.0.0.1:84', ask))
+    assert frame.message == ask, frame.message
+
+
 @then('requests at hosts outside "{region}" are refused')
 def check_outside(context: Any, region: str) -> None:
     """Look at the answers by the region of their hosts."""
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -77,9 +77,8 @@
         """
         return [
             runner
-            for runner in self.fleet.usable(service, now)
-            if (origin is None or origin.may_continue_at(runner))
-            and homes.admits(runner.entry.runner.failure_domain)
+            for runner in self.fleet.usable(service, now, homes)
+            if origin is None or origin.may_continue_at(runner)
         ]
 
     def sendable(
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -4,6 +4,7 @@
 
 import ragwort_model as model
 import ragwort_policy as policy
+from ragwort_relay import _homes
 
 # After an outage of the store, live runners register again within this time;
 # until then a missing entry does not mean that its runner is gone.
@@ -219,12 +220,22 @@
         known.entry = entry
         known.state.runner = entry.runner
 
-    def usable(self, service: str, now: float) -> list[FleetRunner]:
-        """Return a service's usable runners, only confirmed ones if any."""
+    def usable(
+        self,
+        service: str,
+        now: float,
+        homes: _homes.Homes = _homes.ANYWHERE,
+    ) -> list[FleetRunner]:
+        """Return a service's usable runners, only confirmed ones if any.
+
+        Runners outside of the homes don't count as confirmed ones either.
+        """
         found = [
             runner
             for runner in self.runners.values()
-            if runner.entry.runner.service == service and runner.is_usable(now)
+            if runner.entry.runner.service == service
+            and runner.is_usable(now)
+            and homes.admits(runner.entry.runner.failure_domain)
         ]
         confirmed = [r for r in found if r.unconfirmed_until is None]
         return confirmed or found
