Give the stand-ins of socket options what connections now ask of them

Cause: a caller's connection registers a producer and a call takes the host's account; two scenarios of socket_options.feature ended in errors. Only the stand-ins change; what is checked is the same.

features/socket_options.feature: 4 scenarios passed.

--- a/features/steps/socket_option_steps.py
+++ b/features/steps/socket_option_steps.py
@@ -33,11 +33,18 @@
     def write(self, data: bytes) -> None:
         """Send nothing."""
 
+    def registerProducer(  # noqa: N802
+        self, producer: Any, is_streaming: bool
+    ) -> None:
+        """Pause nothing."""
+
 
 def call_protocol() -> Any:
     """Return the protocol of a call."""
     request = edge.HttpRequest(b'GET', b'/', ((b'host', b'one'),))
-    return _client._CallProtocol(request, edge.ResponseReader())
+    return _client._CallProtocol(
+        request, edge.ResponseReader(), edge.HeldBytes()
+    )
 
 
 def server_protocol() -> Any:
