--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -16,6 +16,7 @@
 import msgspec
 from twisted.internet import defer
 
+from ragwort_edge import _back_pressure
 from ragwort_edge import _client
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
@@ -23,12 +24,11 @@
 import ragwort_model as model
 import ragwort_relay as relay
 
-HOP_PREFIX = b'ragwort-'
-HOST_HEADER = HOP_PREFIX + b'host'
-LEFT_HEADER = HOP_PREFIX + b'left-ms'
-VERSION_HEADER = HOP_PREFIX + b'version'
-DECLINED_HEADER = HOP_PREFIX + b'declined'
-CUT_OFF_HEADER = HOP_PREFIX + b'cut-off'
+HOST_HEADER = _messages.HOP_PREFIX + b'host'
+LEFT_HEADER = _messages.HOP_PREFIX + b'left-ms'
+VERSION_HEADER = _messages.HOP_PREFIX + b'version'
+DECLINED_HEADER = _messages.HOP_PREFIX + b'declined'
+CUT_OFF_HEADER = _messages.HOP_PREFIX + b'cut-off'
 # Bytes of the hop's headers, beyond what a caller may send.
 MAX_HOP_HEADER_BYTES = 1024
 # Interval of looking whether a silent helper is alive, once its answer is due.
@@ -82,7 +82,7 @@
     headers = tuple(
         (name, value)
         for name, value in request.headers
-        if not name.startswith(HOP_PREFIX)
+        if not name.startswith(_messages.HOP_PREFIX)
     )
     return msgspec.structs.replace(request, headers=headers)
 
@@ -113,6 +113,7 @@
         self.done: defer.Deferred[tuple[HopResult, str]] = defer.Deferred()
         self.open_call: _client.OpenCall | None = None
         self.timer: Any = None
+        self.pressure = _back_pressure.BackPressure(reactor, exchange)
         self.is_alive: Callable[[], bool] = lambda: False
         self.declined: str | None = None
         self.is_helper_cut_off = False
@@ -131,6 +132,7 @@
         A host that is alive is waited for longer: it may serve slowly.
         """
         self.open_call = client.open(address, request, self)
+        self.pressure.call = self.open_call
         self.is_alive = is_alive
         if head_timeout_s is not None:
             self.timer = self.reactor.callLater(
@@ -145,6 +147,7 @@
     def cancel(self) -> None:
         """Close the connection, which cancels the request there."""
         self._stop_timer()
+        self.pressure.stop()
         if self.open_call is not None:
             self.open_call.cancel()
 
@@ -184,6 +187,7 @@
         """Pass on a part of the body."""
         if self.declined is None:
             self.exchange.write(data)
+            self.pressure.on_data()
 
     def on_end(self) -> None:
         """End the caller's answer as a whole one."""
@@ -205,6 +209,7 @@
 
     def _end(self, result: HopResult, detail: str) -> None:
         self._stop_timer()
+        self.pressure.stop()
         if not self.done.called:
             self.done.callback((result, detail))
 
@@ -229,11 +234,17 @@
         self.helpers = relay.Helpers()
 
     def choose(
-        self, service: str, asked: int, preferred: Collection[str] = ()
+        self,
+        service: str,
+        asked: int,
+        preferred: Collection[str] = (),
+        homes: relay.Homes = relay.ANYWHERE,
     ) -> model.MemberUpdate | None:
         """Return the next host to ask for a request, None if there is none.
 
-        The preferred hosts go before all others.
+        The preferred hosts go before all others. Only hosts in the home
+        regions of a request get its body: the region of the caller, which
+        might get it too, is not known here.
         """
         now = self.reactor.seconds()
         if not self.helpers.may_ask(service, asked, now):
@@ -244,6 +255,7 @@
             if update.accepting
             and update.hand_over_address
             and update.name != self.members.self_name
+            and homes.admits_region(update.region)
         ]
         likely = [update for update in hosts if update.name in preferred]
         return self.helpers.choose(
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
@@ -99,6 +100,14 @@
     retry_window_s: float
     evacuation_bound_s: float | None = None
     runner_models: bool = False
+    # Region of each failure domain.
+    region_of: dict[str, str] = {}
+    memory_mb: float | None = None
+
+    @property
+    def all_regions(self) -> dict[str, str]:
+        """Return the region of each failure domain, the host's own too."""
+        return {self.host.failure_domain: self.host.region} | self.region_of
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -130,6 +139,7 @@
         now = reactor.seconds()
         self.started_at = now
         self.catalog = relay.RelayCatalog(dialect)
+        self.catalog.region_of = options.all_regions
         self.replica = state.Replica(self.catalog)
         self.store_era = state.StoreEra()
         self.gossip = state.Gossip(self.replica, self.rng, now)
@@ -152,6 +162,7 @@
             now,
             time.time(),
             JOIN_INTERVAL_S,
+            is_bounded=True,
         )
         self.registry = state.HostRegistry(
             options.host, self.store_era, self.rng, now
@@ -169,7 +180,8 @@
             self.replica.synced
             or all(watcher.has_listed for watcher in self.watchers.values())
         )
-        self.client = _client.HttpClient(reactor)
+        self.held = _body.HeldBytes(_body.held_limit(options.memory_mb))
+        self.client = _client.HttpClient(reactor, self.held)
         self.budget = relay.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
@@ -262,8 +274,13 @@
         )
         self.open_requests: set[_request_handler.RequestHandler] = set()
         self.caller_site = _server.Site(
-            reactor, self._limits, self._on_request, self._on_invalid_request
+            reactor,
+            self._limits,
+            self._on_request,
+            self._on_invalid_request,
+            self.held,
         )
+        self.caller_site.on_slow_reader = self._on_slow_reader
         self.ports: list[Any] = []
         self.caller_port: Any = None
         self.leaving_at: float | None = None
@@ -299,7 +316,9 @@
                 self._hop_limits,
                 self._on_handed,
                 self._on_invalid_request,
+                self.held,
             )
+            site.on_slow_reader = self._on_slow_reader
             self._listen(options.host.hand_over_address, site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
@@ -327,6 +346,7 @@
             for seed in options.seeds
             if seed != self.options.host.peer_address
         ]
+        self.catalog.region_of = options.all_regions
         self.parts.read_again()
         self.logger.info('reload', seeds=list(options.seeds))
 
@@ -628,6 +648,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         sender, message = frame.sender, frame.message
+        self.members.departures.on_heard(sender, now)
         self.guard.run(
             type(message).__name__,
             lambda: self._send_all(
@@ -689,6 +710,10 @@
         self.metrics.rejected.labels(status).inc()
         self.logger.info('request-invalid', status=status)
 
+    def _on_slow_reader(self, reason: str) -> None:
+        self.metrics.slow_readers.inc()
+        self.logger.warning('slow-reader-aborted', reason=reason)
+
     def _hop_limits(self) -> relay.CallerLimits:
         limits = self._limits()
         size = limits.header_bytes + _hand_over.MAX_HOP_HEADER_BYTES
@@ -821,9 +846,30 @@
             _messages.HttpResponse(HTTP_OK, headers, self.metrics.text())
         )
 
-    def addresses(self, failure_domain: str, caller: str) -> list[str]:
-        """Return the addresses for callers to choose from at random."""
-        found = membership.entry_members(self.members, failure_domain, caller)
+    def addresses(
+        self,
+        failure_domain: str,
+        caller: str,
+        name: str = '',
+        region: str = '',
+    ) -> list[str]:
+        """Return the addresses for callers to choose from at random.
+
+        name is the host name that the caller will ask for, region where it
+        is; the region of its failure domain stands for one it doesn't tell.
+        """
+        regions = relay.entry_regions(
+            self.catalog.configuration,
+            name.lower(),
+            region or self.catalog.region_of.get(failure_domain, ''),
+        )
+        found = membership.entry_members(
+            self.members,
+            failure_domain,
+            caller,
+            regions,
+            self.reactor.seconds(),
+        )
         if not found:
             found = self.members.live()
         return membership.weighted_addresses(found, MAX_ADDRESSES)
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -261,6 +261,9 @@
         self.is_abandoned = False
         # Set while nothing passes on its connection.
         self.is_muted = False
+        # What came while the host did not read.
+        self.is_paused = False
+        self.unread: list[Callable[[], None]] = []
         self.on_close: Callable[[], None] = lambda: None
 
     @property
@@ -268,6 +271,17 @@
         """Tell whether the request has gone out."""
         return self.sent
 
+    def pause(self) -> None:
+        """Deliver nothing for now."""
+        self.is_paused = True
+
+    def resume(self) -> None:
+        """Deliver what came meanwhile."""
+        self.is_paused = False
+        unread, self.unread = self.unread, []
+        for deliver in unread:
+            deliver()
+
     def cancel(self) -> None:
         """Close the connection; the runner hears of it."""
         if not self.is_over:
@@ -280,6 +294,9 @@
         def deliver() -> None:
             if self.is_over or self.is_muted:
                 return
+            if self.is_paused:
+                self.unread.append(deliver)
+                return
             self.is_over = ends
             getattr(self.reader, name)(*arguments)
 
@@ -401,7 +418,8 @@
     lost), refused (not run, 421), silent, foreign (another's answer),
     gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
     (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
-    falls over if it turns away more than N a second), late:S (ok, after S
+    falls over if it turns away more than N a second), status:N (its own
+    answer with this status, after it ran), late:S (ok, after S
     seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N), drip:S (a stream that sends
     a byte of its first event each S seconds). Events show the software
@@ -418,6 +436,8 @@
         self.events = 0
         self.event_gap_s = 0.0
         self.version = ''
+        # Further headers of answers with a status of their own.
+        self.extra_headers: edge.Headers = ()
         self.calls: list[LabCall] = []
         # Parts of a prompt, and requests by target, on which it crashes as it
         # begins its answer.
@@ -504,6 +524,8 @@
             call.respond(HTTP_OK, echo, b'whole')
         elif kind == 'error':
             call.respond(500, echo, b'own failure')
+        elif kind == 'status':
+            call.respond(int(count), echo + self.extra_headers, b'own answer')
         elif kind == 'full':
             self.turn_away(call)
         elif kind == 'refused':
@@ -654,6 +676,8 @@
         self.clock = clock
         self.request = request
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_pause: Callable[[bool], None] = lambda is_behind: None
+        self.is_behind = False
         self.is_started = False
         self.is_over = False
         self.status: int | None = None
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -1,5 +1,6 @@
 """Choice of entry addresses for callers and of hosts for roles."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from ragwort_membership import _membership
@@ -19,14 +20,29 @@
 
 
 def entry_members(
-    members: _membership.Membership, failure_domain: str, caller: str
+    members: _membership.Membership,
+    failure_domain: str,
+    caller: str,
+    regions: Sequence[Collection[str]] = (),
+    now: float | None = None,
 ) -> list[model.MemberUpdate]:
     """Return accepting live nodes, the caller's failure domain first.
 
+    Of the groups of regions only the first with such nodes counts; without
+    one, nodes of all regions do. With now, nodes that may have departed
+    with many others are left out.
+
     Nodes of equal rank are ordered by a hash of the caller and the node,
     which spreads callers over the nodes.
     """
     accepting = [m for m in members.live() if m.accepting]
+    if now is not None:
+        accepting = _not_departed(members, accepting, now)
+    for group in regions:
+        near = [update for update in accepting if update.region in group]
+        if near:
+            accepting = near
+            break
 
     def sort_key(update: model.MemberUpdate) -> tuple[bool, int]:
         is_other_domain = update.failure_domain != failure_domain
@@ -35,6 +51,21 @@
     return sorted(accepting, key=sort_key)
 
 
+def _not_departed(
+    members: _membership.Membership,
+    accepting: list[model.MemberUpdate],
+    now: float,
+) -> list[model.MemberUpdate]:
+    """Return the nodes that may be named, all if that leaves none."""
+    named = [
+        update
+        for update in accepting
+        if update.name == members.self_name
+        or members.departures.may_be_named(update, now)
+    ]
+    return named or accepting
+
+
 def weighted_addresses(
     updates: Sequence[model.MemberUpdate], limit: int
 ) -> list[str]:
