Ask for evacuated domains only while there are any

A confirmed runner of an evacuated domain hid the missing ones of other domains in the 2 s after an outage, and each request scanned the whole fleet twice for each of its services during an evacuation.

Fleet.usable leaves evacuated runners out before it prefers confirmed ones; is_service_evacuated ends at the first runner that is left.

--- a/features/evacuation_decisions.feature
+++ b/features/evacuation_decisions.feature
@@ -50,6 +50,13 @@
     And a release to an unknown runner is skipped
     And failed connections to "north" alone do not make the service lost
 
+  Scenario: a catalog whose other runner is missing since an outage
+    Guards against a confirmed runner that hides the only one left.
+    Given a catalog with a runner in "north" and one in "east"
+    When "north" is evacuated
+    And the entry of the runner in "east" is missing after an outage
+    Then it offers the runner in "east" alone
+
   Scenario: a catalog whose domains are all evacuated
     Guards against hand-overs and waits for runners that may not be used.
     Given a catalog with a runner in "north" and one in "east"
--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -211,6 +211,20 @@
     Then nothing has reached "north" from 3 s after the write on
     And requests were handed over
 
+  Scenario: the start and the end of an evacuation are logged
+    Guards against operators who can't see what is in force, and since when.
+    Given 3 hosts that honour evacuations
+    When the store turns host 0 away
+    And the hosts' log lines on evacuations are kept
+    And the operator evacuates "north"
+    And the operator evacuates "nowhere"
+    And 4 s passes
+    And the operator ends the evacuation of "north"
+    And 4 s passes
+    Then each host has logged one start and one end of "north"
+    And host 0 names a peer as the source, the others the store or a peer
+    And each host has logged once that "nowhere" has no runners
+
   Scenario: an evacuation of an unknown domain
     Guards against an effect on domains with other names.
     Given 3 hosts that honour evacuations
--- a/features/steps/evacuation_decision_steps.py
+++ b/features/steps/evacuation_decision_steps.py
@@ -105,6 +105,15 @@
     context.catalog.apply(item)
 
 
+@when('the entry of the runner in "{domain}" is missing after an outage')
+def lose_entry(context: Any, domain: str) -> None:
+    """Remove the entry right after the store has returned."""
+    catalog = context.catalog
+    catalog.fleet.on_store_recovered(NOW)
+    catalog.apply(model.StoredObject(f'runner/{domain}', 12, None))
+    assert catalog.fleet.runners[f'runner/{domain}'].unconfirmed_until
+
+
 @then('it offers no runner')
 def check_none(context: Any) -> None:
     """Look at the usable runners."""
--- a/features/steps/evacuation_steps.py
+++ b/features/steps/evacuation_steps.py
@@ -343,6 +343,59 @@
         assert is_refused or is_answered, exchange.status
 
 
+class _LogLines:
+    """Keeps the log lines of one host."""
+
+    def __init__(self) -> None:
+        """Start with no line."""
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Keep a line."""
+        self.lines.append((event, fields))
+
+    def of(self, domain: str) -> list[tuple[str, dict[str, Any]]]:
+        """Return the lines on a domain."""
+        return [line for line in self.lines if line[1]['domain'] == domain]
+
+
+@when("the hosts' log lines on evacuations are kept")
+def keep_lines(context: Any) -> None:
+    """Replace the loggers of the part that logs them."""
+    for host in context.world.hosts:
+        host.evacuations.logger = _LogLines()
+
+
+@then('each host has logged one start and one end of "{domain}"')
+def check_lines(context: Any, domain: str) -> None:
+    """Compare events, versions and ages."""
+    for host in context.world.hosts:
+        started, ended = host.evacuations.logger.of(domain)
+        assert (started[0], ended[0]) == ('evacuation-start', 'evacuation-end')
+        assert int(started[1]['version']) < int(ended[1]['version'])
+        assert started[1]['age_s'] == 0.0
+        assert 3.0 < ended[1]['age_s'] < 5.0, ended
+
+
+@then(
+    'host {index:d} names a peer as the source, the others the store or a peer'
+)
+def check_sources(context: Any, index: int) -> None:
+    """Compare the sources."""
+    for number, host in enumerate(context.world.hosts):
+        sources = {f['source'] for _, f in host.evacuations.logger.lines[:1]}
+        expected = {'peer'} if number == index else {'peer', 'evacuations/'}
+        assert sources <= expected, (number, sources)
+
+
+@then('each host has logged once that "{domain}" has no runners')
+def check_unknown(context: Any, domain: str) -> None:
+    """Count the lines."""
+    for host in context.world.hosts:
+        events = [event for event, _ in host.evacuations.logger.of(domain)]
+        assert events.count('evacuation-without-runners') == 1, events
+
+
 @when('host {index:d} loses its way to all runners')
 def cut_off(context: Any, index: int) -> None:
     """Cut one host off from runners alone."""
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -82,11 +82,11 @@
         """
         if not self.evacuations.is_known:
             return []
+        is_evacuated = self.is_evacuated if self.evacuations.active else None
         return [
             runner
-            for runner in self.fleet.usable(service, now)
-            if not self.is_evacuated(runner, now)
-            and (origin is None or origin.may_continue_at(runner))
+            for runner in self.fleet.usable(service, now, is_evacuated)
+            if origin is None or origin.may_continue_at(runner)
         ]
 
     def is_evacuated(self, runner: _fleet.FleetRunner, now: float) -> bool:
@@ -98,16 +98,26 @@
         self, service: str, now: float
     ) -> list[_fleet.FleetRunner]:
         """Return a service's live runners outside evacuated domains."""
-        return [
-            runner
-            for runner in self.fleet.live_runners(service)
-            if not self.is_evacuated(runner, now)
-        ]
+        live = self.fleet.live_runners(service)
+        if not self.evacuations.active:
+            return live
+        return [r for r in live if not self.is_evacuated(r, now)]
 
     def is_service_evacuated(self, service: str, now: float) -> bool:
-        """Tell whether all live runners are in evacuated domains."""
-        live = self.fleet.live_runners(service)
-        return bool(live) and not self.live_runners(service, now)
+        """Tell whether all live runners are in evacuated domains.
+
+        Asked for each request, so that it ends at the first other runner.
+        """
+        if not self.evacuations.active:
+            return False
+        has_live = False
+        for runner in self.fleet.runners.values():
+            if not runner.is_live_of(service):
+                continue
+            if not self.is_evacuated(runner, now):
+                return False
+            has_live = True
+        return has_live
 
     def sendable(
         self,
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -1,5 +1,7 @@
 """Runners listed in the store, with this host's statistics of them."""
 
+from collections.abc import Callable
+
 import msgspec
 
 import ragwort_model as model
@@ -53,6 +55,13 @@
         """Return the runner's IP address and port."""
         return self.entry.runner.address
 
+    def is_live_of(self, service: str) -> bool:
+        """Tell whether the runner is one of a service and does not leave."""
+        runner = self.entry.runner
+        return (
+            runner.service == service and runner.state == model.HostState.LIVE
+        )
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may go to the runner."""
         if self.entry.runner.state == model.HostState.LEAVING:
@@ -219,12 +228,19 @@
         known.entry = entry
         known.state.runner = entry.runner
 
-    def usable(self, service: str, now: float) -> list[FleetRunner]:
+    def usable(
+        self,
+        service: str,
+        now: float,
+        is_evacuated: Callable[[FleetRunner, float], bool] | None = None,
+    ) -> list[FleetRunner]:
         """Return a service's usable runners, only confirmed ones if any."""
         found = [
             runner
             for runner in self.runners.values()
-            if runner.entry.runner.service == service and runner.is_usable(now)
+            if runner.entry.runner.service == service
+            and runner.is_usable(now)
+            and not (is_evacuated and is_evacuated(runner, now))
         ]
         confirmed = [r for r in found if r.unconfirmed_until is None]
         return confirmed or found
@@ -241,12 +257,7 @@
 
     def live_runners(self, service: str) -> list[FleetRunner]:
         """Return all runners of a service that are not leaving."""
-        return [
-            runner
-            for runner in self.runners.values()
-            if runner.entry.runner.service == service
-            and runner.entry.runner.state == model.HostState.LIVE
-        ]
+        return [r for r in self.runners.values() if r.is_live_of(service)]
 
 
 def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
