--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -1,5 +1,7 @@
 """Runners listed in the store, with this host's statistics of them."""
 
+from collections.abc import Callable
+
 import msgspec
 
 import ragwort_model as model
@@ -54,6 +56,13 @@
         """Return the runner's IP address and port."""
         return self.entry.runner.address
 
+    def is_live_of(self, service: str) -> bool:
+        """Tell whether the runner is one of a service and does not leave."""
+        runner = self.entry.runner
+        return (
+            runner.service == service and runner.state == model.HostState.LIVE
+        )
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may go to the runner."""
         if self.entry.runner.state == model.HostState.LEAVING:
@@ -225,10 +234,12 @@
         service: str,
         now: float,
         homes: _homes.Homes = _homes.ANYWHERE,
+        is_evacuated: Callable[[FleetRunner, float], bool] | None = None,
     ) -> list[FleetRunner]:
         """Return a service's usable runners, only confirmed ones if any.
 
-        Runners outside of the homes don't count as confirmed ones either.
+        Runners outside of the homes or in evacuated domains don't count as
+        confirmed ones either.
         """
         found = [
             runner
@@ -236,6 +247,7 @@
             if runner.entry.runner.service == service
             and runner.is_usable(now)
             and homes.admits(runner.entry.runner.failure_domain)
+            and not (is_evacuated and is_evacuated(runner, now))
         ]
         confirmed = [r for r in found if r.unconfirmed_until is None]
         return confirmed or found
@@ -252,12 +264,7 @@
 
     def live_runners(self, service: str) -> list[FleetRunner]:
         """Return all runners of a service that are not leaving."""
-        return [
-            runner
-            for runner in self.runners.values()
-            if runner.entry.runner.service == service
-            and runner.entry.runner.state == model.HostState.LIVE
-        ]
+        return [r for r in self.runners.values() if r.is_live_of(service)]
 
 
 def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
