Bound the requests that a cold runner gets from all hosts

Cause: a runner that has just started sustains few requests a second and crashes well above that. Nothing in the hosts knew of cold runners, so that a burst, or a prompt that concentrates on one runner, reached it at full rate.

Change: relay.ColdRunners keeps what entries, answers, other hosts and ended evacuations report of each cold runner, and divides a rate among two holders (one for a stage runner). The rate keeps two groups of hosts that each elect holders within the bound together. RelayCatalog asks it before each send and records each. ColdRunners is a new message (field 34) that older hosts ignore.

--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -40,6 +40,8 @@
 from ragwort_model._peer import ClaimReply
 from ragwort_model._peer import ClaimStatus
 from ragwort_model._peer import ClearedSuspect
+from ragwort_model._peer import ColdRunner
+from ragwort_model._peer import ColdRunners
 from ragwort_model._peer import CrashNews
 from ragwort_model._peer import Follow
 from ragwort_model._peer import FollowEvent
@@ -156,6 +158,8 @@
     'ClearedSuspect',
     'ConfigurationError',
     'content_digest',
+    'ColdRunner',
+    'ColdRunners',
     'CrashNews',
     'DaemonSettings',
     'describe_problem',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -271,6 +271,24 @@
     limits: list[RunnerLimit]
 
 
+class ColdRunner(msgspec.Struct, frozen=True):
+    """A cold runner's incarnation, as an answer told age_s seconds ago.
+
+    left_s is how long it will still be cold, 0 if it is warm.
+    """
+
+    runner: str
+    started_ms: int
+    left_s: float
+    age_s: float
+
+
+class ColdRunners(msgspec.Struct, frozen=True):
+    """Cold runners that the sender knows from answers."""
+
+    runners: list[ColdRunner]
+
+
 class StreamBegan(msgspec.Struct, frozen=True):
     """The software version of a service that began a stream.
 
@@ -389,6 +407,7 @@
     | StreamAnswer
     | RunnersLeaving
     | CrashNews
+    | ColdRunners
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -19,6 +19,8 @@
 from ragwort_relay._budget import WindowCounter
 from ragwort_relay._catalog import ObjectDecoder
 from ragwort_relay._catalog import RelayCatalog
+from ragwort_relay._cold import ColdBound
+from ragwort_relay._cold import ColdRunners
 from ragwort_relay._crash_evidence import BREAK_TTL_S
 from ragwort_relay._crash_evidence import CrashEvidence
 from ragwort_relay._crash_evidence import is_sound_news
@@ -79,6 +81,8 @@
     'choose_by_load',
     'choose_by_prompt_cache',
     'ChooseTimely',
+    'ColdBound',
+    'ColdRunners',
     'CrashEvidence',
     'DepartureNews',
     'EventSplitter',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -4,6 +4,7 @@
 
 import ragwort_model as model
 from ragwort_relay import _brittle
+from ragwort_relay import _cold
 from ragwort_relay import _crash_evidence
 from ragwort_relay import _departures
 from ragwort_relay import _fleet
@@ -54,12 +55,20 @@
         self.pauses = _pauses.Pauses()
         self.reach = _reach.Reach()
         self.brittle = _brittle.BrittleRunners()
+        self.cold = _cold.ColdRunners(self.find_spec, self.fleet)
         self.crash_evidence = _crash_evidence.CrashEvidence()
         self.stream_origins = _origins.StreamOrigins()
         self.prompt_cache = _prompts.PromptCacheIndex()
         self.prompt_sharing = _sharing.PromptSharing()
         self.problems: dict[str, str] = {}
         self.now = 0.0
+        # Wall-clock time minus that of now.
+        self.wall_offset_s = 0.0
+
+    def find_spec(self, service: str) -> _routes.ServiceSpec | None:
+        """Return what the configuration says of a service."""
+        configuration = self.configuration
+        return configuration.services.get(service) if configuration else None
 
     def usable(
         self,
@@ -91,48 +100,89 @@
         """Return the time until this host may send to a runner.
 
         None means that other hosts hold its limit, or send to it alone while
-        it is brittle.
+        it is brittle or cold.
         """
         limit_s = self.rate_limits.wait_s(runner, now)
-        if limit_s is None or self._is_held_elsewhere(runner):
+        cold_s = self.cold.wait_s(runner, now)
+        if limit_s is None or cold_s is None:
+            return None
+        if self._is_held_elsewhere(runner, now):
             return None
         return max(
             limit_s,
+            cold_s,
             self.pauses.left_s(runner, now),
             self.brittle.wait_s(runner, now),
         )
 
-    def _is_held_elsewhere(self, runner: _fleet.FleetRunner) -> bool:
-        """Tell whether other hosts alone send to a brittle runner.
+    def _is_held_elsewhere(
+        self, runner: _fleet.FleetRunner, now: float
+    ) -> bool:
+        """Tell whether other hosts alone send to a brittle or cold runner.
 
         One host alone gives work to the runners of a stage service.
         """
-        configuration = self.configuration
-        service = runner.entry.runner.service
-        spec = configuration.services.get(service) if configuration else None
+        spec = self.find_spec(runner.entry.runner.service)
         if spec is not None and spec.batch_limits is not None:
             return False
-        return self.brittle.is_held_elsewhere(runner)
+        return self.brittle.is_held_elsewhere(runner) or (
+            self.cold.wait_s(runner, now) is None
+        )
 
     def is_left_to_others(self, service: str, now: float) -> bool:
         """Tell whether only other hosts send to a service's runners."""
         usable = self.usable(service, now)
         return bool(usable) and all(
-            self._is_held_elsewhere(runner) for runner in usable
+            self._is_held_elsewhere(runner, now) for runner in usable
         )
 
     def senders(self, service: str, now: float) -> set[str]:
-        """Return the hosts that alone send to a service's brittle runners."""
+        """Return the hosts that alone send to brittle or cold runners."""
         return {
             host
             for runner in self.usable(service, now)
-            for host in self.brittle.senders(runner) or ()
+            for host in (
+                *(self.brittle.senders(runner) or ()),
+                *self.cold.senders(runner, now),
+            )
         }
 
+    def cold_left_s(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> float:
+        """Return the time until a usable runner is warm, 0 if one is."""
+        if not self.cold.records:
+            return 0.0
+        usable = self.usable(service, now, origin)
+        return min((self.cold.left_s(r, now) for r in usable), default=0.0)
+
+    def is_withheld(
+        self,
+        service: str,
+        now: float,
+        origin: _origins.StreamOrigin | None = None,
+    ) -> bool:
+        """Tell whether a cold runner takes no request from this host now."""
+        return bool(self.cold.records) and any(
+            self.cold.wait_s(runner, now) != 0.0
+            for runner in self.usable(service, now, origin)
+        )
+
+    def warm_of(
+        self, runners: list[_fleet.FleetRunner], now: float
+    ) -> list[_fleet.FleetRunner]:
+        """Return the runners that are not cold, all of them if none is."""
+        warm = [r for r in runners if not self.cold.is_cold(r, now)]
+        return warm or runners
+
     def on_send(self, runner: _fleet.FleetRunner, now: float) -> None:
         """Record that this host sends a request to a runner."""
         self.rate_limits.on_send(runner, now)
         self.brittle.on_send(runner, now)
+        self.cold.on_send(runner, now)
 
     def pause_s(self, service: str, now: float) -> float:
         """Return the time until the first usable runner's pause is over."""
@@ -204,12 +254,15 @@
     def takes_chores(self, runner: _fleet.FleetRunner, now: float) -> bool:
         """Tell whether a runner gets requests that are no work for callers.
 
-        One that leaves, names a limit or asked for a pause gets none.
+        One that leaves, names a limit, is cold or asked for a pause gets
+        none.
         """
         if runner.entry.runner.state == model.HostState.LEAVING:
             return False
         if self.pauses.left_s(runner, now) > 0.0:
             return False
+        if self.cold.is_cold(runner, now):
+            return False
         return not self.rate_limits.is_limited(runner, now)
 
     def apply(self, item: model.StoredObject) -> None:
@@ -234,6 +287,8 @@
                 entry = self.decoder.decode_runner(item.name, item.value)
             era = model.era_of(item.version)
             before = self.fleet.runners.get(item.name)
+            # A later entry of the same start replaces the one of before.
+            entry_before = before.entry if before is not None else None
             self.fleet.update(item.name, entry, self.now, era)
             known = self.fleet.runners.get(item.name)
             if before is not None and before is not known:
@@ -244,6 +299,12 @@
                 self.reach.on_started(known)
             if known is not None:
                 self.stream_origins.observe([known], self.now)
+                self.cold.on_entry(
+                    known,
+                    entry_before,
+                    self.now,
+                    self.now + self.wall_offset_s,
+                )
             if item.name not in self.fleet.runners:
                 self.prompt_cache.remove(item.name)
         elif self.decoder.is_configuration(item.name):
@@ -262,4 +323,10 @@
                 f'{current.version}, which stays in force'
             )
         self.configuration = configuration
+        if current is None:
+            # Runners that were read before are cold as their services say.
+            for runner in self.fleet.runners.values():
+                self.cold.on_entry(
+                    runner, None, self.now, self.now + self.wall_offset_s
+                )
         self.stream_origins.on_configuration(configuration.longest_stream_s)
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -20,12 +20,14 @@
     """A runner's entry in the store.
 
     started_ms is the wall-clock start of this incarnation in milliseconds;
-    slots is how many calls it works on at once.
+    slots is how many calls it works on at once; cold_remaining_s is how long
+    it was still cold when the entry was written, None if it does not say.
     """
 
     runner: model.Runner
     started_ms: int
     slots: int
+    cold_remaining_s: float | None = None
 
 
 class FleetRunner(msgspec.Struct):
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -96,10 +96,16 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service; batch_limits is set if it runs stages."""
+    """A service; batch_limits is set if it runs stages.
+
+    Its runners are cold for cold_start_s after a start and sustain cold_per_s
+    requests a second meanwhile; 0 means that they have no such limit.
+    """
 
     name: str
     batch_limits: BatchLimits | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class Workspace(msgspec.Struct, frozen=True):
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -351,6 +351,23 @@
     },
 )
 
+ColdRunner = _payload.new_type(
+    'ColdRunner',
+    {
+        1: (11, 'runner', False),
+        2: (10, 'started_ms', False),
+        3: (4, 'left_s', False),
+        4: (4, 'age_s', False),
+    },
+)
+
+ColdRunners = _payload.new_type(
+    'ColdRunners',
+    {
+        1: (15, 'runners', (12, ColdRunner), False),
+    },
+)
+
 Envelope = _payload.new_type(
     'Envelope',
     {
@@ -381,6 +398,7 @@
         31: (12, 'runners_leaving', RunnersLeaving, False),
         32: (12, 'crash_news', CrashNews, False),
         33: (12, 'stage_declined', StageDeclined, False),
+        34: (12, 'cold_runners', ColdRunners, False),
     },
     {'number': 0},
 )
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -232,6 +232,17 @@
   2: list<ClearedSuspect> cleared
 }
 
+struct ColdRunner {
+  1: string runner
+  2: i64 started_ms
+  3: double left_s
+  4: double age_s
+}
+
+struct ColdRunners {
+  1: list<ColdRunner> runners
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -262,4 +273,5 @@
   31: optional RunnersLeaving runners_leaving
   32: optional CrashNews crash_news
   33: optional StageDeclined stage_declined
+  34: optional ColdRunners cold_runners
 }
