Choose the holders of cold runners so that no part of a fleet adds others

Cause: holders chosen among the live hosts differ between hosts that are out of reach of each other. In a large fleet a host needs minutes to learn that it is cut off, and replaces others meanwhile.

ColdSharing tells others what answers said. Requests wait up to their target for a turn if all their runners are cold, go to a holder, or are refused with the rest of the cold time.

--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -58,6 +58,7 @@
     it turned nothing away or named no time. rejects_per_s is how many requests
     it may turn away in a second before it falls over, None if it is not
     brittle; is_full tells whether it turned this one away for want of room.
+    cold_s is how long it will still be cold, None if it does not say.
     """
 
     is_authentic: bool
@@ -70,6 +71,7 @@
     pause_s: float | None = None
     rejects_per_s: float | None = None
     is_full: bool = False
+    cold_s: float | None = None
 
 
 class PieceResult(enum.StrEnum):
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ragwort_edge import _client
+from ragwort_edge import _cold_runners
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
@@ -78,7 +79,8 @@
     """Options of a host, read from its settings.
 
     Addresses are IP numbers with ports. grace_s is the time limit for
-    leaving; prefixes name the kinds of objects to watch.
+    leaving; prefixes name the kinds of objects to watch; cold bounds what a
+    cold runner gets in a second, None for no bound.
     """
 
     host: model.EntryHost
@@ -91,6 +93,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    cold: relay.ColdBound | None = None
 
 
 StoreFactory = Callable[[Callable[[model.StoreResult], None]], Store]
@@ -178,6 +181,10 @@
             self.metrics,
             logger,
         )
+        self.catalog.cold.bound = options.cold
+        self.cold_sharing = _cold_runners.ColdSharing(
+            self.catalog, self.members, self.rng, self.metrics, logger, now
+        )
         self.departure_sharing = _runner_replies.DepartureSharing(
             self.catalog.departure_news, self.members, self.rng, logger
         )
@@ -286,6 +293,7 @@
         budget = self.budget
         budget.ratio = options.retry_ratio
         budget.slack = options.retry_slack
+        self.catalog.cold.bound = options.cold
         self.members.seeds = [
             seed
             for seed in options.seeds
@@ -355,6 +363,7 @@
             'members': lambda: self._send_all(self.members.tick(now, wall)),
             'gossip': self._send_gossip,
             'limits': lambda: self._send_all(self.limit_sharing.messages(now)),
+            'cold': lambda: self._send_all(self.cold_sharing.tick(now)),
             'departures': lambda: self._send_all(
                 self.departure_sharing.messages(now)
             ),
@@ -585,6 +594,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         sender, message = frame.sender, frame.message
+        self.cold_sharing.on_frame(sender, now)
         self.guard.run(
             type(message).__name__,
             lambda: self._send_all(
@@ -622,6 +632,8 @@
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
             case model.CrashNews():
                 self.crashes.on_told(message)
+            case model.ColdRunners():
+                self.cold_sharing.on_told(message.runners, now)
             case model.RunnersLeaving():
                 self.departure_sharing.on_told(message.runners, now)
             case model.RunnerLimits():
--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -55,6 +55,17 @@
             'Runners that name a limit of requests a second',
             registry=self.registry,
         )
+        self.cold_runners = prometheus.Gauge(
+            'ragwort_cold_runners',
+            'Runners that are cold, as far as this host knows',
+            registry=self.registry,
+        )
+        self.withheld = prometheus.Counter(
+            'ragwort_withheld_from_cold',
+            'Requests sent elsewhere or refused as runners are cold',
+            ['service', 'result'],
+            registry=self.registry,
+        )
         self.take_ups = prometheus.Counter(
             'ragwort_stream_take_ups',
             'Streams taken up, by how their software version was known',
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -30,6 +30,9 @@
 # the interval of looking for one.
 PLACE_WAIT_SHARE = 0.125
 PLACE_CHECK_S = 0.01
+# Longest wait for a turn at a cold runner, as a share of the target: a holder
+# has one each 0.15 s at 17 requests a second, and each 0.33 s at 7.4.
+COLD_WAIT_SHARE = 1.0
 MAX_LOGGED_PARTS = 8
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
@@ -248,7 +251,7 @@
         if not self.context.catalog.has_sendable(
             service, self.context.reactor.seconds(), self.origin
         ):
-            raise self.context.refusal('other hosts hold the runners\' limits')
+            raise self._held_elsewhere(service)
         if self.route.stages:
             await self._run_stages()
         self.context.budget.on_request(service, self.context.reactor.seconds())
@@ -257,6 +260,14 @@
         else:
             await self._run_plain(service)
 
+    def _held_elsewhere(self, service: str) -> _context.RefusedError:
+        """Return a refusal, for as long as the runners are cold."""
+        context, now = self.context, self.context.reactor.seconds()
+        if context.catalog.is_withheld(service, now, self.origin):
+            context.metrics.withheld.labels(service, 'refused').inc()
+        wait_s = context.catalog.cold_left_s(service, now, self.origin)
+        return context.refusal('other hosts hold the runners\' limits', wait_s)
+
     @property
     def _is_take_up(self) -> bool:
         """Tell whether the caller holds events of this stream."""
@@ -330,13 +341,17 @@
         candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
+        home = context.catalog.prompt_sharing.home(
+            self.route.name, self.metadata.prompt
+        )
+        if self.metadata.prompt and home is None:
+            # What a cold runner takes is left to prompts that will recur.
+            candidates = context.catalog.warm_of(candidates, now)
         if self.metadata.prompt:
             runner, estimates = relay.choose_by_prompt_cache(
                 candidates,
                 self.metadata.prompt,
-                context.catalog.prompt_sharing.home(
-                    self.route.name, self.metadata.prompt
-                ),
+                home,
                 context.catalog.prompt_cache,
                 self.stages.input_bytes(),
                 self.metadata.request_id,
@@ -363,13 +378,21 @@
         return runner
 
     async def _await_place(self, service: str) -> None:
-        """Wait a little while brittle runners have no place for this host."""
+        """Wait a little while runners have no place for this host.
+
+        They are brittle, or all of them are cold.
+        """
         context = self.context
-        until = self.started_at + PLACE_WAIT_SHARE * self.route.target_s
-        while context.reactor.seconds() < until:
+        while True:
             now = context.reactor.seconds()
+            longest_s, share = relay.PLACE_WAIT_S, PLACE_WAIT_SHARE
+            if context.catalog.cold_left_s(service, now, self.origin):
+                share = COLD_WAIT_SHARE
+                longest_s = share * self.route.target_s
+            if now >= self.started_at + share * self.route.target_s:
+                return
             wait_s = context.catalog.send_wait_s(service, now, self.origin)
-            if wait_s is None or not 0.0 < wait_s <= relay.PLACE_WAIT_S:
+            if wait_s is None or not 0.0 < wait_s <= longest_s:
                 return
             await task.deferLater(
                 context.reactor, min(wait_s, PLACE_CHECK_S), lambda: None
@@ -379,11 +402,21 @@
         """Return a runner and mark it tried; raise RefusedError if none."""
         self._refuse_deadly(service)
         runner = self._choose_runner(service, tried)
+        self._count_withheld(service, runner)
         if runner is None:
             raise self._refusal('no runner')
         tried.add(runner.name)
         return runner
 
+    def _count_withheld(
+        self, service: str, runner: relay.FleetRunner | None
+    ) -> None:
+        """Count a request that may not go to a cold runner."""
+        context, now = self.context, self.context.reactor.seconds()
+        if context.catalog.is_withheld(service, now, self.origin):
+            result = 'refused' if runner is None else 'elsewhere'
+            context.metrics.withheld.labels(service, result).inc()
+
     def _main_request(
         self, runner: relay.FleetRunner, last_event: int | None
     ) -> _messages.HttpRequest:
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -42,6 +42,7 @@
             kept_s=round(catalog.pauses.left_s(runner, now), 3),
         )
     _on_brittleness(catalog, logger, runner, reply, is_whole, now)
+    catalog.cold.on_answer(runner, reply.cold_s, sent_at, now)
     rate_per_s = reply.limit_per_s
     if rate_per_s is None and not (is_whole or reply.is_not_run):
         # An answer that may be damaged ends no limit.
--- a/libs/ragwort_membership/ragwort_membership/__init__.py
+++ b/libs/ragwort_membership/ragwort_membership/__init__.py
@@ -5,6 +5,7 @@
 from ragwort_membership._directory import is_elected
 from ragwort_membership._directory import owner_address
 from ragwort_membership._directory import owner_addresses
+from ragwort_membership._directory import preferred_owners
 from ragwort_membership._directory import role_holders
 from ragwort_membership._directory import weighted_addresses
 from ragwort_membership._membership import Member
@@ -21,6 +22,7 @@
     'Membership',
     'owner_address',
     'owner_addresses',
+    'preferred_owners',
     'PROBE_INTERVAL_S',
     'role_holders',
     'weighted_addresses',
--- a/libs/ragwort_membership/ragwort_membership/_directory.py
+++ b/libs/ragwort_membership/ragwort_membership/_directory.py
@@ -116,18 +116,30 @@
     owners = members.owner_cache.get((key, count))
     if owners is None:
         names = _candidates(members, None)
-        capacity = {n: members.members[n].update.capacity for n in names}
-        min_capacity = MIN_OWNER_CAPACITY_RATIO * max(
-            capacity.values(), default=0.0
-        )
-        strong = [name for name in names if capacity[name] >= min_capacity]
-        weak = [name for name in names if capacity[name] < min_capacity]
-        owners = model.select_by_rendezvous(key, strong, count)
-        owners += model.select_by_rendezvous(key, weak, count - len(owners))
+        owners = preferred_owners(members, names, key, count)
         members.owner_cache[key, count] = owners
     return owners
 
 
+def preferred_owners(
+    members: _membership.Membership, names: list[str], key: str, count: int
+) -> list[str]:
+    """Return a key's owners among the named nodes, strong ones first."""
+    capacity = {
+        name: members.members[name].update.capacity
+        for name in names
+        if name in members.members
+    }
+    min_capacity = MIN_OWNER_CAPACITY_RATIO * max(
+        capacity.values(), default=0.0
+    )
+    strong = [name for name in capacity if capacity[name] >= min_capacity]
+    weak = [name for name in capacity if capacity[name] < min_capacity]
+    owners = model.select_by_rendezvous(key, strong, count)
+    owners += model.select_by_rendezvous(key, weak, count - len(owners))
+    return owners
+
+
 def owner_address(members: _membership.Membership, key: str) -> str | None:
     """Return the peer address of a key's owner, None if this node is it."""
     owners = owner_addresses(members, key, 1)
