Test cold runners, on decisions and on whole hosts

Cause: nothing showed whether the bound holds in bursts, partitions, losses of hosts and with reports that disagree or are missing.

Change: lab runners name a cold time; whole hosts may be parted into groups.

--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -18,6 +18,8 @@
 
 TEMPLATE = pathlib.Path('deploy/host.yaml.template')
 STORE = '10.0.0.9:80'
+# A section is rendered once if the platform has its value.
+SECTION_PATTERN = re.compile(r'{{#([^}]+)}}\n?(.*?){{/\1}}\n?', re.DOTALL)
 EXAMPLE = {
     'node': 'host-1',
     'zone': 'north',
@@ -98,7 +100,10 @@
 def template_settings(**changes: str) -> Any:
     """Return the template filled in, as the file's content."""
     values = EXAMPLE | changes
-    text = re.sub(r'{{([^}]+)}}', lambda m: values[m[1]], TEMPLATE.read_text())
+    text = SECTION_PATTERN.sub(
+        lambda m: m[2] if m[1] in values else '', TEMPLATE.read_text()
+    )
+    text = re.sub(r'{{([^}]+)}}', lambda m: values[m[1]], text)
     return yaml.safe_load(text)
 
 
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -54,7 +54,14 @@
                     **stream,
                 ),
             ),
-            {'prep': relay.ServiceSpec('prep', PREP_LIMITS)},
+            {
+                'prep': relay.ServiceSpec(
+                    'prep', PREP_LIMITS, *fields.get('cold_prep', ())
+                ),
+                'main': relay.ServiceSpec(
+                    'main', None, *fields.get('cold_main', ())
+                ),
+            },
             (
                 relay.Workspace('school', frozenset(fields['keys'])),
                 relay.Workspace('museum', frozenset(['k2'])),
@@ -287,7 +294,14 @@
 
 
 class HostWorld:
-    """Some hosts, their runners and their store."""
+    """Some hosts, their runners and their store.
+
+    cold bounds what cold runners get; settings are further fields of the
+    configuration.
+    """
+
+    cold: relay.ColdBound | None = None
+    settings: dict[str, Any] = {}
 
     def __init__(
         self,
@@ -338,6 +352,7 @@
         state: str,
         born: int = 0,
         service: str = 'main',
+        cold_s: float | None = None,
     ) -> None:
         """Write a runner's entry; born is 0 where it names no start."""
         text = relay_decision_steps.entry_text(
@@ -347,6 +362,7 @@
             state=state,
             version=getattr(runner, 'version', ''),
             born=born,
+            cold_s=cold_s,
         )
         self.objects.put(f'runner/{runner.name}', text)
 
@@ -358,6 +374,7 @@
         padding = sample_routes(size_bytes, random.Random(version))
         text = json.dumps(
             {'version': version, 'keys': keys, 'padding': padding}
+            | self.settings
         )
         return self.objects.put('config/main', text)
 
@@ -388,6 +405,7 @@
             0.2,
             50.0,
             10.0,
+            self.cold,
         )
         logger = structlog.wrap_logger(structlog.ReturnLogger())
         host = edge.RelayHost(
@@ -494,10 +512,16 @@
         self.hosts[index].peers = links
         self.stopped[index] = self.clock.seconds()
 
+    def is_cut(self, sender: str, index: int) -> bool:
+        """Tell whether nothing passes from an address to a host."""
+        return False
+
     def deliver(self, address: str, frame: Any, size: int) -> None:
         """Hand a frame to the host at an address, over its link."""
         for index, host in enumerate(self.hosts):
             is_there = host.options.host.peer_address == address
+            if self.is_cut(frame.sender, index):
+                continue
             if is_there and index not in self.stopped:
                 self._carry_to(index, size, lambda: host._on_frame(frame))
                 return
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -56,7 +56,9 @@
                 state=model.HostState(fields['state']),
                 software_version=fields.get('version', ''),
             )
-            return relay.RunnerEntry(runner, fields['born'], fields['slots'])
+            return relay.RunnerEntry(
+                runner, fields['born'], fields['slots'], fields.get('cold_s')
+            )
         except (ValueError, KeyError, TypeError) as error:
             raise model.ConfigurationError(f'{name}: {error}') from None
 
@@ -95,6 +97,7 @@
         limit = response.header(b'limit')
         pause = response.header(b'pause')
         brittle = response.header(b'brittle')
+        cold = response.header(b'cold')
         return edge.RunnerReply(
             echoed == request_id,
             not_run,
@@ -106,6 +109,7 @@
             float(pause) if pause else None,
             float(brittle) if brittle else None,
             not_run and response.status == HTTP_FULL,
+            float(cold) if cold else None,
         )
 
     def stage_request(
@@ -201,6 +205,8 @@
         # Requests that it turns away in a second without falling over.
         self.brittle_per_s: float | None = None
         self.turned_away_at: list[float] = []
+        # Returns for how long it is still cold, None if no answer tells.
+        self.cold_s: Callable[[], float] | None = None
         # When the first answer told of leaving, and the pauses asked for.
         self.left_at: float | None = None
         self.pauses: list[tuple[float, float]] = []
@@ -210,6 +216,8 @@
         found: edge.Headers = ()
         if self.brittle_per_s is not None:
             found += ((b'brittle', str(self.brittle_per_s).encode()),)
+        if self.cold_s is not None:
+            found += ((b'cold', str(self.cold_s()).encode()),)
         if self.limit_per_s is not None:
             found += ((b'limit', str(self.limit_per_s).encode()),)
         if self.is_leaving and self.leaving_target in (None, target):
