--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -19,6 +19,8 @@
 
 TEMPLATE = pathlib.Path('deploy/host.yaml.template')
 STORE = '10.0.0.9:80'
+# A section is rendered once if the platform has its value.
+SECTION_PATTERN = re.compile(r'{{#([^}]+)}}\n?(.*?){{/\1}}\n?', re.DOTALL)
 EXAMPLE = {
     'node': 'host-1',
     'zone': 'north',
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -62,7 +62,14 @@
                     **stream,
                 ),
             ),
-            {'prep': relay.ServiceSpec('prep', PREP_LIMITS)},
+            {
+                'prep': relay.ServiceSpec(
+                    'prep', PREP_LIMITS, *fields.get('cold_prep', ())
+                ),
+                'main': relay.ServiceSpec(
+                    'main', None, *fields.get('cold_main', ())
+                ),
+            },
             (
                 relay.Workspace(
                     'school',
@@ -341,7 +348,14 @@
 
 
 class HostWorld:
-    """Some hosts, their runners and their store."""
+    """Some hosts, their runners and their store.
+
+    cold bounds what cold runners get; settings are further fields of the
+    configuration.
+    """
+
+    cold: relay.ColdBound | None = None
+    settings: dict[str, Any] = {}
 
     def __init__(
         self,
@@ -401,6 +415,7 @@
         state: str,
         born: int = 0,
         service: str = 'main',
+        cold_s: float | None = None,
     ) -> None:
         """Write a runner's entry; born is 0 where it names no start."""
         text = relay_decision_steps.entry_text(
@@ -410,6 +425,7 @@
             state=state,
             version=getattr(runner, 'version', ''),
             born=born,
+            cold_s=cold_s,
         )
         self.objects.put(f'runner/{runner.name}', text)
 
@@ -424,7 +440,9 @@
         version = self.objects.revision + 1
         padding = sample_routes(size_bytes, random.Random(version))
         text = json.dumps(
-            {'version': version, 'keys': keys, 'padding': padding} | homes
+            {'version': version, 'keys': keys, 'padding': padding}
+            | homes
+            | self.settings
         )
         return self.objects.put('config/main', text)
 
@@ -460,6 +478,7 @@
             10.0,
             evacuation_bound_s=self.evacuation_bound_s,
             region_of=self.region_of,
+            cold=self.cold,
         )
         logger = structlog.wrap_logger(structlog.ReturnLogger())
         host = edge.RelayHost(
@@ -577,10 +596,16 @@
         self.hosts[index].peers = links
         self.stopped[index] = self.clock.seconds()
 
+    def is_cut(self, sender: str, index: int) -> bool:
+        """Tell whether nothing passes from an address to a host."""
+        return False
+
     def deliver(self, address: str, frame: Any, size: int) -> None:
         """Hand a frame to the host at an address, over its link."""
         for index, host in enumerate(self.hosts):
             is_there = host.options.host.peer_address == address
+            if self.is_cut(frame.sender, index):
+                continue
             if is_there and index not in self.stopped:
                 self._carry_to(index, size, lambda: host._on_frame(frame))
                 return
--- a/libs/ragwort_edge/ragwort_edge/_evacuation_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_evacuation_watch.py
@@ -45,6 +45,8 @@
                 source=source,
                 age_s=round(change.age_s, 3),
             )
+            if not change.is_active:
+                self.catalog.cold.on_domain_returned(change.domain, now)
 
     def tick(self, now: float) -> None:
         """End what nobody has written again; note unknown domains."""
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -10,6 +10,7 @@
 
 from ragwort_edge import _body
 from ragwort_edge import _client
+from ragwort_edge import _cold_runners
 from ragwort_edge import _context
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
@@ -85,7 +86,8 @@
     leaving; prefixes name the kinds of objects to watch. evacuation_bound_s is
     the time in which an evacuation has to be in force, None if the deployment
     has none; runner_models tells to choose the runners of all services by what
-    was learned of them.
+    was learned of them; cold bounds what a cold runner gets in a second, None
+    for no bound.
     """
 
     host: model.EntryHost
@@ -103,6 +105,7 @@
     # Region of each failure domain.
     region_of: dict[str, str] = {}
     memory_mb: float | None = None
+    cold: relay.ColdBound | None = None
 
     @property
     def all_regions(self) -> dict[str, str]:
@@ -205,6 +208,10 @@
             self.metrics,
             logger,
         )
+        self.catalog.cold.bound = options.cold
+        self.cold_sharing = _cold_runners.ColdSharing(
+            self.catalog, self.members, self.rng, self.metrics, logger, now
+        )
         self.departure_sharing = _runner_replies.DepartureSharing(
             self.catalog.departure_news, self.members, self.rng, logger
         )
@@ -341,6 +348,7 @@
         budget.ratio = options.retry_ratio
         budget.slack = options.retry_slack
         self.catalog.runner_models.is_forced = options.runner_models
+        self.catalog.cold.bound = options.cold
         self.members.seeds = [
             seed
             for seed in options.seeds
@@ -411,6 +419,7 @@
             'members': lambda: self._send_all(self.members.tick(now, wall)),
             'gossip': self._send_gossip,
             'limits': lambda: self._send_all(self.limit_sharing.messages(now)),
+            'cold': lambda: self._send_all(self.cold_sharing.tick(now)),
             'departures': lambda: self._send_all(
                 self.departure_sharing.messages(now)
             ),
@@ -649,6 +658,7 @@
         self.catalog.now = now
         sender, message = frame.sender, frame.message
         self.members.departures.on_heard(sender, now)
+        self.cold_sharing.on_frame(sender, now)
         self.guard.run(
             type(message).__name__,
             lambda: self._send_all(
@@ -686,6 +696,8 @@
                 self._on_adopted(gossip.on_push(message, now, count), 'peer')
             case model.CrashNews():
                 self.crashes.on_told(message)
+            case model.ColdRunners():
+                self.cold_sharing.on_told(message.runners, now)
             case model.RunnersLeaving():
                 self.departure_sharing.on_told(message.runners, now)
             case model.RunnerLimits():
--- a/libs/ragwort_edge/ragwort_edge/_placement.py
+++ b/libs/ragwort_edge/ragwort_edge/_placement.py
@@ -45,6 +45,9 @@
         models = catalog.models_for(service)
         prompt, sharing = self.metadata.prompt, catalog.prompt_sharing
         home = sharing.home(self.route.name, prompt) if prompt else None
+        if prompt and home is None:
+            # What a cold runner takes is left to prompts that will recur.
+            candidates = catalog.warm_of(candidates, now)
         view = relay.PromptView(
             prompt, home, catalog.prompt_cache, input_bytes
         )
--- a/libs/ragwort_relay/ragwort_relay/_routes.py
+++ b/libs/ragwort_relay/ragwort_relay/_routes.py
@@ -105,10 +105,16 @@
 
 
 class ServiceSpec(msgspec.Struct, frozen=True):
-    """A service; batch_limits is set if it runs stages, engine for models."""
+    """A service; batch_limits is set if it runs stages, engine for models.
+
+    Its runners are cold for cold_start_s after a start and sustain cold_per_s
+    requests a second meanwhile; 0 means that they have no such limit.
+    """
 
     name: str
     batch_limits: BatchLimits | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: EngineSpec | None = None
 
 
