--- a/features/steps/build_compatibility_steps.py
+++ b/features/steps/build_compatibility_steps.py
@@ -12,10 +12,13 @@
 from behave import when
 import msgspec
 from twisted.internet import defer
+from twisted.internet import task
 
 from features.support import relay_hosts
 import ragwort_edge as edge
 from ragwort_edge import _hand_over
+from ragwort_edge import _messages
+import ragwort_lab as lab
 import ragwort_model as model
 import ragwort_relay as relay
 import ragwort_state as state
@@ -188,7 +191,7 @@
         sent = _hand_over._hop_request(request, hop).headers
         assert set(expected) <= set(sent), sent
         added = [pair for pair in sent if pair not in request.headers]
-        assert all(n.startswith(_hand_over.HOP_PREFIX) for n, _ in added)
+        assert all(n.startswith(_messages.HOP_PREFIX) for n, _ in added)
         size = sum(len(name) + len(value) + 4 for name, value in added)
         assert size <= context.build['hop_header_bytes'], size
 
@@ -197,7 +200,10 @@
 def check_declined(context: Any) -> None:
     """Compare what both answer."""
     status, headers = context.build['hop_declined']
-    call = _hand_over.HopCall(None, None)
+    exchange = lab.LabExchange(
+        task.Clock(), edge.HttpRequest(b'POST', b'/x', ())
+    )
+    call = _hand_over.HopCall(exchange.clock, exchange)
     call.on_head(edge.HttpResponse(status, to_headers(headers)))
     assert call.declined == 'not ready'
     assert not call.is_helper_cut_off
