--- a/libs/ragwort_state/ragwort_state/_stream_register.py
+++ b/libs/ragwort_state/ragwort_state/_stream_register.py
@@ -2,8 +2,9 @@
 
 Two hosts remember what began a stream; what all hosts forget when all of them
 end at once is read from here. Streams fall into groups. One host records a
-group: it writes what it was told since, at most once an interval. A host
-reads when it has to know what none remembers, once in an era of the store.
+group: it writes what it was told since, the less often the more that is. A
+host reads when it has to know what none remembers, once in an era of the
+store.
 """
 
 from collections.abc import Iterable
@@ -22,8 +23,11 @@
 # Groups of streams, each an object of its own: 16 hold 8,000 streams a second
 # for 8 s, 60 bytes each, within the size of an object.
 GROUPS = 16
-# Streams that began since the last write are lost with all hosts.
-WRITE_INTERVAL_S = 2.0
+# Streams that began since the last write are lost with all hosts: at least
+# half of those taken up have to go on, and many last for a few seconds.
+MIN_INTERVAL_S = 0.5
+# Bytes a second that the writes of a group take at most in the mean.
+WRITE_BYTES_PER_S = 64_000
 # Latest streams of a group that are written.
 MAX_STREAMS = 8_000
 MIN_BACKOFF_S = 0.5
@@ -63,7 +67,8 @@
         # Versions of the objects, None where a write told no new one.
         self.stored: dict[int, int | None] = {}
         self.pending: tuple[str, int] | None = None
-        self.written_at: dict[int, float] = {}
+        # When a group may be written again.
+        self.next_write_at: dict[int, float] = {}
         self.next_call_at = now
         self.backoff_s = MIN_BACKOFF_S
 
@@ -83,7 +88,7 @@
         return [
             group
             for group in sorted(dirty)
-            if now >= self.written_at.get(group, 0.0) + WRITE_INTERVAL_S
+            if now >= self.next_write_at.get(group, 0.0)
         ]
 
     def tick(self, now: float, due: Groups) -> list[model.StoreCall]:
@@ -101,8 +106,10 @@
                 model.StoreCall(LIST_OP, model.StoreVerb.LIST, STREAMS_PREFIX)
             ]
         self.pending = (WRITE_OP, group)
-        self.written_at[group] = now
         value = msgspec.json.encode(due[group][-MAX_STREAMS:]).decode()
+        self.next_write_at[group] = now + max(
+            len(value) / WRITE_BYTES_PER_S, MIN_INTERVAL_S
+        )
         return [
             model.StoreCall(
                 WRITE_OP,
