--- a/features/soak/hosts.py
+++ b/features/soak/hosts.py
@@ -77,6 +77,8 @@
             'limits.cpuShare': '1.0',
             'limits.cores': '1',
             'limits.linkMbps': '1000.0',
+            'limits.memoryMb': '200',
+            'zones|json': json.dumps({self.zone: 'here'}),
             'contracts|json': json.dumps([]),
         }
         values |= {f'listen.{role}': self.address(role) for role in PORTS}
