Log and count silent runners and answers that are cut

A line runner-silent now says what was awaited and for how long, the request's line says whether its answer was cut, and two counters go with them.

--- a/libs/ragwort_edge/ragwort_edge/_metrics.py
+++ b/libs/ragwort_edge/ragwort_edge/_metrics.py
@@ -20,6 +20,18 @@
             ['route', 'outcome'],
             registry=self.registry,
         )
+        self.cut_answers = prometheus.Counter(
+            'ragwort_cut_answers',
+            'Answers broken off after their first byte, by route',
+            ['route'],
+            registry=self.registry,
+        )
+        self.silences = prometheus.Counter(
+            'ragwort_runner_silences',
+            'Sends whose runner was silent, by service and what was awaited',
+            ['service', 'awaited'],
+            registry=self.registry,
+        )
         self.sends = prometheus.Counter(
             'ragwort_sends',
             'Calls sent to runners, by service and result',
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -209,13 +209,15 @@
 
     def fail(self, status: int, reason: str) -> None:
         """Answer with an error, or break an answer that has begun."""
-        self.log_end('failed', status=status, reason=reason)
+        is_cut = self.exchange.is_started
+        self.log_end('failed', status=status, reason=reason, is_cut=is_cut)
         self._respond_error(status, None, reason)
 
     def _respond_error(
         self, status: int, retry_after_s: float | None, reason: str
     ) -> None:
         if self.exchange.is_started:
+            self.context.metrics.cut_answers.labels(self.route.name).inc()
             self.exchange.abort()
             return
         dialect = self.context.dialect
@@ -522,6 +524,21 @@
                 return relay.NextStep.FAIL
         return self._next_step(service, send)
 
+    def log_silence(
+        self, runner: relay.FleetRunner, awaited: str, waited_s: float
+    ) -> None:
+        """Log and count that a runner with an open connection is silent."""
+        service = runner.entry.runner.service
+        self.context.metrics.silences.labels(service, awaited).inc()
+        self.context.logger.info(
+            'runner-silent',
+            request=self.metadata.request_id,
+            service=service,
+            runner=runner.name,
+            awaited=awaited,
+            waited_s=round(waited_s, 3),
+        )
+
     def _note_silence(self, runner: relay.FleetRunner, sent_at: float) -> None:
         self.context.crashes.on_silent(
             runner, self.suspects, sent_at, self.metadata.request_id
@@ -575,6 +592,9 @@
                 runner.state.on_cancel()
                 self._note_silence(runner, sent_at)
                 raise
+            if error.kind == _client.CallErrorKind.CANCELLED:
+                waited_s = context.reactor.seconds() - sent_at
+                self.log_silence(runner, 'answer', waited_s)
             return _SendOutcome(
                 relay.SendResult.LOST,
                 detail=str(error),
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -63,6 +63,8 @@
             self.context.reactor, handler.exchange, self._on_pause
         )
         self.opened_at = self.context.reactor.seconds()
+        # When the request was sent, or the latest event came.
+        self.heard_at = self.opened_at
 
     @property
     def was_sent(self) -> bool:
@@ -95,6 +97,9 @@
 
     def _on_timeout(self) -> None:
         self.timer = None
+        waited_s = self.context.reactor.seconds() - self.heard_at
+        awaited = 'next event' if self.event_count else 'first event'
+        self.handler.log_silence(self.runner, awaited, waited_s)
         self.stop()
         self._finish(
             relay.SendResult.BROKEN, 'runner is silent', is_silent=True
@@ -164,6 +169,7 @@
         if self.event_count > MAX_STREAM_EVENTS:
             self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
         elif events:
+            self.heard_at = self.context.reactor.seconds()
             self.handler.on_event_from(self.called)
             if self.event_count == len(events):
                 self._on_first_event()
