Show that answers of sound runners are given up for a second of silence

Callers of a resumable stream whose runner sends nothing for 0.8 s (1.0 s on the site of the report) and then goes on get a reset after the first events; with a late first event, or on a safe plain route, they get a 502 or the other runner's error. It happens whenever no second send comes of it: the budget is spent, the attempts are used up, the other runner is full, fails or is silent.

A new step of the scripted runner, stall:N,S, makes a stream pause.

--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -430,8 +430,9 @@
     answer with this status, after it ran), late:S (ok, after S
     seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N), drip:S (a stream that sends
-    a byte of its first event each S seconds). Events show the software
-    version, which runners don't check.
+    a byte of its first event each S seconds), stall:N,S (a stream that is
+    silent for S seconds behind event N). Events show the software version,
+    which runners don't check.
     """
 
     def __init__(
@@ -551,6 +552,10 @@
             self._drip(float(count), call)
         elif kind in ('events', 'cut'):
             self._stream(kind, int(count), told, echo, call)
+        elif kind == 'stall':
+            behind, _, stall_s = count.partition(',')
+            stall = int(behind), float(stall_s)
+            self._stream('events', self.events, told, echo, call, stall)
 
     def _drip(self, gap_s: float, call: LabCall) -> None:
         if not call.is_over:
@@ -564,12 +569,16 @@
         told: dict[str, Any],
         echo: edge.Headers,
         call: LabCall,
+        stall: tuple[int, float] = (0, 0.0),
     ) -> None:
+        """Send events; stall is a number of an event and a time behind it."""
         call.send('on_head', edge.HttpResponse(HTTP_OK, EVENT_STREAM + echo))
         first = (told['last_event'] or 0) + 1
         later = self.clock.callLater
         delay_s = 0.0
         for number in range(first, last + 1):
+            if number == stall[0] + 1:
+                delay_s += stall[1]
             text = f'id: {number}\ndata: e{number}{self.version}\n\n'
             later(delay_s, call.send, 'on_data', text.encode())
             delay_s += self.event_gap_s
