Wait for a silent runner until another one has taken its request

Callers of a resumable stream got a reset in the middle of it, others a 502 or another runner's error, though their runner was sound and had only been silent for a second. Beside a change of the configuration that is a lost request.

Cause: a timer ended the send (a gap of 0.8 s or four times the wanted one, a first event after twice the target, an answer after 45% of the time left) before anything was known of a second send. If the budget, the attempts, the stream's version, homes, an evacuation, a full or a failing runner kept that from coming about, the sound answer had been given up for none.

Now the first connection stays open while a second runner is asked, and only a runner that has not got the request is. The one that brings something first goes on, the other's connection is closed. Two runners work on one stream for 0.3 s at most: one that does not take it says so by then. If no second runner can be asked, the first is waited for and its address checked: one that takes no connection for a second is given up, as a host that is cut off would else wait for its dead connections until their deadlines. A stream's gap is 1.5 s or four times the wanted one, at most 0.7 of its caller's patience.

The sends of a request move from its handler to _send_loop and _sends, plain calls and streams in one loop.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -46,6 +46,7 @@
       | resumable  | 1.7     | the other runner takes no connection |
       | resumable  | 1.7     | the other runner is silent           |
       | resumable  | 1.7     | the other runner leaves              |
+      | repeatable | 2.2     | nothing hinders a second send        |
       | repeatable | 2.2     | the budget of repeats is spent       |
       | repeatable | 2.2     | the other runner turns all away      |
       | repeatable | 2.2     | the other runner answers with errors |
--- a/libs/ragwort_edge/ragwort_edge/_back_pressure.py
+++ b/libs/ragwort_edge/ragwort_edge/_back_pressure.py
@@ -24,8 +24,13 @@
         self.on_pause = on_pause
         self.call: Any = None
         self.timer: Any = None
-        self.is_behind: bool = exchange.is_behind
-        exchange.on_pause = self._on_exchange
+        self.is_behind = False
+        self.follow()
+
+    def follow(self) -> None:
+        """Be the one that the exchange tells, in place of any other."""
+        self.is_behind = self.exchange.is_behind
+        self.exchange.on_pause = self._on_exchange
 
     @property
     def is_paused(self) -> bool:
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -1,9 +1,9 @@
 """Handling of one request: stages, sends to runners and the response."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from typing import Any
 
-import msgspec
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -16,6 +16,8 @@
 from ragwort_edge import _request_hops
 from ragwort_edge import _request_stages
 from ragwort_edge import _runner_replies
+from ragwort_edge import _send_loop
+from ragwort_edge import _sends
 from ragwort_edge import _server
 from ragwort_edge import _stream
 import ragwort_model as model
@@ -23,8 +25,8 @@
 
 # Time reserved before a deadline or timeout for sending the response.
 RESPONSE_MARGIN_S = 0.02
-# Timeout of a repeatable call if another runner may be tried: a share of the
-# time left, with a minimum.
+# Time after which another runner is asked beside a silent one, for a call that
+# may be repeated: a share of the time left, with a minimum.
 SEND_TIMEOUT_SHARE = 0.45
 MIN_SEND_TIMEOUT_S = 0.7
 # Longest wait for a place at a brittle runner, as a share of the target, and
@@ -44,21 +46,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
-class _SendOutcome(msgspec.Struct):
-    """Outcome of one send to a runner.
-
-    is_closed_early tells that the connection closed before any of the answer
-    proper had come, is_silent that nothing of it came in time.
-    """
-
-    result: relay.SendResult
-    response: _messages.HttpResponse | None = None
-    detail: str = ''
-    is_input_gone: bool = False
-    is_closed_early: bool = False
-    is_silent: bool = False
-
-
 class RequestHandler:
     """Handles one request from admission to the end of its response."""
 
@@ -126,6 +113,8 @@
             self._likely_domain,
             self.homes,
         )
+        # What the caller of a stream holds.
+        self.progress = relay.StreamProgress(metadata.last_event)
         self.hops = _request_hops.RequestHops(self)
         self.placement = _placement.Placement(
             context, metadata, route, self.log_fields
@@ -143,7 +132,7 @@
         return float(self.deadline_at - self.context.reactor.seconds())
 
     def send_timeout_s(self) -> float:
-        """Return how long to wait for an answer if others may be asked."""
+        """Return how long an answer takes before others may be asked."""
         return max(MIN_SEND_TIMEOUT_S, self.left_s() * SEND_TIMEOUT_SHARE)
 
     def start(self) -> None:
@@ -271,10 +260,31 @@
         if self.route.stages:
             await self._run_stages()
         self.context.budget.on_request(service, self.context.reactor.seconds())
-        if self.route.kind == relay.CallKind.STREAM:
-            await self._run_stream(service)
+        is_stream = self.route.kind == relay.CallKind.STREAM
+        end = await _send_loop.SendLoop(
+            self, service, _send_loop.OVERLAP_S if is_stream else None
+        ).run()
+        if end is not None:
+            self._conclude(end.step, end.outcome)
+
+    def _conclude(
+        self, step: relay.NextStep, send: _sends.SendOutcome
+    ) -> None:
+        """End the caller's answer as the last send allows."""
+        if step == relay.NextStep.REFUSE:
+            raise self._refusal(send.detail)
+        is_done = send.result == relay.SendResult.DONE
+        if is_done and send.response is None:
+            self.log_end('answered', events=self.progress.forwarded)
+            self.exchange.finish()
+        elif (
+            step == relay.NextStep.DELIVER
+            and send.response is not None
+            and not self.exchange.is_started
+        ):
+            self._deliver(send.response)
         else:
-            await self._run_plain(service)
+            self.fail(HTTP_BAD_GATEWAY, send.detail)
 
     def _held_elsewhere(self, service: str) -> _context.RefusedError:
         """Return a refusal, for as long as the runners are cold."""
@@ -370,25 +380,36 @@
 
     # Main call.
 
-    def _choose_runner(
-        self, service: str, tried: set[str]
-    ) -> relay.FleetRunner | None:
+    def sendable(self, service: str) -> list[relay.FleetRunner]:
+        """Return the runners to which the request may be sent now."""
         context = self.context
-        now = context.reactor.seconds()
-        sendable = context.catalog.sendable(
-            service, now, self.origin, self.homes
+        found = context.catalog.sendable(
+            service, context.reactor.seconds(), self.origin, self.homes
         )
         if context.hand_over is not None and context.catalog.is_lost(service):
             reach = context.catalog.reach
-            sendable = [r for r in sendable if not reach.has_failed(r)]
+            found = [r for r in found if not reach.has_failed(r)]
+        return found
+
+    def _choose_runner(
+        self,
+        service: str,
+        tried: Collection[str],
+        excluded: Collection[str] = (),
+    ) -> relay.FleetRunner | None:
+        sendable = [
+            r for r in self.sendable(service) if r.name not in excluded
+        ]
         candidates = [r for r in sendable if r.name not in tried] or sendable
         if not candidates:
             return None
         return self.placement.choose(
-            candidates, self.stages.input_bytes(), now
+            candidates,
+            self.stages.input_bytes(),
+            self.context.reactor.seconds(),
         )
 
-    async def _await_place(self, service: str) -> None:
+    async def await_place(self, service: str) -> None:
         """Wait a little while runners have no place for this host.
 
         They are brittle, or all of them are cold.
@@ -413,10 +434,15 @@
                 context.reactor, min(wait_s, PLACE_CHECK_S), lambda: None
             )
 
-    def _take_runner(self, service: str, tried: set[str]) -> relay.FleetRunner:
-        """Return a runner and mark it tried; raise RefusedError if none."""
+    def take_runner(
+        self, service: str, tried: set[str], excluded: Collection[str]
+    ) -> relay.FleetRunner:
+        """Return a runner and mark it tried; raise RefusedError if none.
+
+        Those tried before come last, those excluded never.
+        """
         self._refuse_deadly(service)
-        runner = self._choose_runner(service, tried)
+        runner = self._choose_runner(service, tried, excluded)
         self._count_withheld(service, runner)
         if runner is None:
             self.context.refuse_evacuated([service])
@@ -433,6 +459,25 @@
             result = 'refused' if runner is None else 'elsewhere'
             context.metrics.withheld.labels(service, result).inc()
 
+    def new_send(
+        self, runner: relay.FleetRunner, owner: _sends.SendOwner
+    ) -> _sends.Send:
+        """Return a send to a runner that is not open yet."""
+        if self.route.kind == relay.CallKind.STREAM:
+            return _stream.StreamReader(self, runner, owner)
+        return _sends.PlainSend(self, runner, owner)
+
+    def open_send(self, send: _sends.Send) -> None:
+        """Send the request; a stream goes on behind what its caller has."""
+        last_event = None
+        if self.route.kind == relay.CallKind.STREAM:
+            last_event = self.progress.last_event_id
+            self.context.catalog.on_prompt_sent(
+                send.runner, self.metadata.prompt, send.opened_at
+            )
+            self.placement.on_send(send.opened_at)
+        send.open(self._main_request(send.runner, last_event))
+
     def _main_request(
         self, runner: relay.FleetRunner, last_event: int | None
     ) -> _messages.HttpRequest:
@@ -450,13 +495,14 @@
             )
         )
 
-    def _record_send(
-        self, service: str, runner: relay.FleetRunner, send: _SendOutcome
+    def record_send(
+        self, service: str, send: _sends.Send, outcome: _sends.SendOutcome
     ) -> None:
-        """Record a send in the metrics, attempts and runner state."""
-        now = self.context.reactor.seconds()
-        self.context.metrics.sends.labels(service, send.result).inc()
-        self.attempts.on_result(send.result)
+        """Record the end of a send in metrics, attempts and runner state."""
+        now, result = self.context.reactor.seconds(), outcome.result
+        runner = send.runner
+        self.context.metrics.sends.labels(service, result).inc()
+        self.attempts.on_end(result, send.is_counted)
         failures = {
             relay.SendResult.NOT_SENT: model.CallFailure.UNREACHABLE,
             relay.SendResult.NOT_RUN: model.CallFailure.OVERLOADED,
@@ -464,8 +510,8 @@
             relay.SendResult.LOST: model.CallFailure.LOST,
             relay.SendResult.BROKEN: model.CallFailure.LOST,
         }
-        failure = failures.get(send.result)
-        if send.result == relay.SendResult.NOT_SENT:
+        failure = failures.get(result)
+        if result == relay.SendResult.NOT_SENT:
             self.context.catalog.reach.on_unreachable(runner, now)
         if failure is not None:
             runner.state.on_failure(failure, now)
@@ -475,29 +521,10 @@
                 service=service,
                 runner=runner.name,
                 software_version=runner.entry.runner.software_version,
-                result=send.result,
-                detail=send.detail,
+                result=result,
+                detail=outcome.detail,
             )
 
-    async def _run_plain(self, service: str) -> None:
-        tried: set[str] = set()
-        while not await self.hops.is_served_elsewhere():
-            await self._await_place(service)
-            runner = self._take_runner(service, tried)
-            sent_at = self.context.reactor.seconds()
-            send = await self._send_plain(service, runner)
-            self._record_send(service, runner, send)
-            step = await self._step_after(service, runner, send, sent_at)
-            if step == relay.NextStep.SEND_AGAIN:
-                continue
-            if step == relay.NextStep.DELIVER and send.response is not None:
-                self._deliver(send.response)
-            elif step == relay.NextStep.REFUSE:
-                raise self._refusal(send.detail)
-            else:
-                self.fail(HTTP_BAD_GATEWAY, send.detail)
-            return
-
     def _refusal(self, reason: str) -> _context.RefusedError:
         """Return a refusal until a runner takes a request again."""
         now = self.context.reactor.seconds()
@@ -506,45 +533,46 @@
         )
         return self.context.refusal(reason, wait_s)
 
-    async def _step_after(
-        self,
-        service: str,
-        runner: relay.FleetRunner,
-        send: _SendOutcome,
-        sent_at: float,
-    ) -> relay.NextStep:
-        """Return the next step after a send; don't repeat a likely crash."""
-        if send.is_silent:
-            self._note_silence(runner, sent_at)
-        if send.is_closed_early and await self.context.crashes.has_crashed(
-            runner, self.suspects, sent_at, self.metadata.request_id
+    async def has_likely_crashed(
+        self, service: str, send: _sends.Send, outcome: _sends.SendOutcome
+    ) -> bool:
+        """Tell whether the request likely ended its runner, as others."""
+        if outcome.is_closed_early and await self.context.crashes.has_crashed(
+            send.runner,
+            self.suspects,
+            send.opened_at,
+            self.metadata.request_id,
         ):
             evidence = self.context.catalog.crash_evidence
-            if evidence.is_doubtful(service, self.suspects):
-                return relay.NextStep.FAIL
-        return self._next_step(service, send)
+            return bool(evidence.is_doubtful(service, self.suspects))
+        return False
 
-    def log_silence(
-        self, runner: relay.FleetRunner, awaited: str, waited_s: float
-    ) -> None:
+    def log_silence(self, send: _sends.Send, asks_another: bool) -> None:
         """Log and count that a runner with an open connection is silent."""
+        runner = send.runner
         service = runner.entry.runner.service
-        self.context.metrics.silences.labels(service, awaited).inc()
+        waited_s = self.context.reactor.seconds() - send.heard_at
+        self.context.metrics.silences.labels(service, send.awaited).inc()
         self.context.logger.info(
             'runner-silent',
             request=self.metadata.request_id,
             service=service,
             runner=runner.name,
-            awaited=awaited,
+            awaited=send.awaited,
             waited_s=round(waited_s, 3),
+            asks_another=asks_another,
         )
 
-    def _note_silence(self, runner: relay.FleetRunner, sent_at: float) -> None:
+    def note_silence(self, runner: relay.FleetRunner, sent_at: float) -> None:
+        """Keep that a runner has not begun; it may have ended."""
         self.context.crashes.on_silent(
             runner, self.suspects, sent_at, self.metadata.request_id
         )
 
-    def _next_step(self, service: str, send: _SendOutcome) -> relay.NextStep:
+    def next_step(
+        self, service: str, send: _sends.SendOutcome
+    ) -> relay.NextStep:
+        """Return the next step after a send; spend the budget for another."""
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
         now = self.context.reactor.seconds()
         if send.result == relay.SendResult.DONE:
@@ -559,57 +587,12 @@
             send.result, may_resend, bool(self.attempts.ran)
         )
 
-    async def _send_plain(
-        self, service: str, runner: relay.FleetRunner
-    ) -> _SendOutcome:
-        context = self.context
-        sent_at = context.reactor.seconds()
-        timeout_s = self.left_s()
-        if self.route.may_repeat and (
-            self.attempts.ran + 1 < self.route.attempts
-        ):
-            timeout_s = min(timeout_s, self.send_timeout_s())
-        runner.state.on_dispatch()
-        context.catalog.on_send(runner, sent_at)
-        try:
-            response = await _client.fetch(
-                context.client,
-                runner.address,
-                self._main_request(runner, None),
-                timeout_s,
-            )
-        except _client.CallError as error:
-            if error.kind == _client.CallErrorKind.NOT_CONNECTED:
-                if self.is_timed_out or self.log_fields.get('gone'):
-                    # Nobody waits for an answer: no other runner is asked.
-                    runner.state.on_cancel()
-                    raise
-                return _SendOutcome(
-                    relay.SendResult.NOT_SENT, detail=str(error)
-                )
-            if self.is_timed_out or self.log_fields.get('gone'):
-                self.attempts.ran += 1
-                runner.state.on_cancel()
-                self._note_silence(runner, sent_at)
-                raise
-            if error.kind == _client.CallErrorKind.CANCELLED:
-                waited_s = context.reactor.seconds() - sent_at
-                self.log_silence(runner, 'answer', waited_s)
-            return _SendOutcome(
-                relay.SendResult.LOST,
-                detail=str(error),
-                is_closed_early=error.kind == _client.CallErrorKind.CLOSED,
-                is_silent=error.kind == _client.CallErrorKind.CANCELLED,
-            )
-        took_s = context.reactor.seconds() - sent_at
-        return self.classify_response(runner, response, took_s)
-
     def classify_response(
         self,
         runner: relay.FleetRunner,
         response: _messages.HttpResponse,
         took_s: float,
-    ) -> _SendOutcome:
+    ) -> _sends.SendOutcome:
         """Return the outcome of a send from a complete response."""
         now = self.context.reactor.seconds()
         reply = self.context.dialect.read_reply(
@@ -628,15 +611,17 @@
         )
         if reply.is_not_run:
             runner.is_misdirected |= reply.is_misdirected
-            return _SendOutcome(
+            return _sends.SendOutcome(
                 relay.SendResult.NOT_RUN,
                 detail=f'status {response.status}',
                 is_input_gone=reply.is_input_gone,
             )
         if not reply.is_authentic:
-            return _SendOutcome(relay.SendResult.LOST, detail='not the answer')
+            return _sends.SendOutcome(
+                relay.SendResult.LOST, detail='not the answer'
+            )
         if response.status >= 500 or response.status in NOT_RUN_STATUSES:
-            return _SendOutcome(
+            return _sends.SendOutcome(
                 relay.SendResult.FAILED,
                 response,
                 detail=f'status {response.status}',
@@ -644,7 +629,7 @@
         runner.state.on_result(took_s, took_s, now)
         self.placement.on_answer(runner, took_s, now)
         self._clear_suspects()
-        return _SendOutcome(relay.SendResult.DONE, response)
+        return _sends.SendOutcome(relay.SendResult.DONE, response)
 
     def _clear_suspects(self) -> None:
         self.context.crashes.on_began(self.service, self.suspects)
@@ -685,77 +670,3 @@
             )
         ttl_s = self.metadata.deadline_s or self.route.timeout_s
         self.context.origins.on_began(self.stream_key, self.origin, ttl_s)
-
-    def send_outcome(
-        self,
-        result: relay.SendResult,
-        detail: str,
-        is_closed_early: bool = False,
-        is_silent: bool = False,
-    ) -> '_SendOutcome':
-        """Return the outcome of a send without a complete response."""
-        return _SendOutcome(
-            result,
-            detail=detail,
-            is_closed_early=is_closed_early,
-            is_silent=is_silent,
-        )
-
-    async def _run_stream(self, service: str) -> None:
-        progress = relay.StreamProgress(self.metadata.last_event)
-        tried: set[str] = set()
-        while not await self.hops.is_served_elsewhere():
-            await self._await_place(service)
-            runner = self._take_runner(service, tried)
-            sent_at = self.context.reactor.seconds()
-            send = await self._send_stream(runner, progress)
-            self._record_send(service, runner, send)
-            step = await self._step_after(service, runner, send, sent_at)
-            if step == relay.NextStep.SEND_AGAIN:
-                if self.stages.run is None or send.is_input_gone:
-                    self.log_fields['remade'] = True
-                    await self.stages.execute()
-                continue
-            if step == relay.NextStep.DELIVER:
-                is_events = send.response is None
-                if send.result == relay.SendResult.DONE and is_events:
-                    self.log_end('answered', events=progress.forwarded)
-                    self.exchange.finish()
-                elif send.response is not None and (
-                    not self.exchange.is_started
-                ):
-                    self._deliver(send.response)
-                else:
-                    self.fail(HTTP_BAD_GATEWAY, send.detail)
-            elif step == relay.NextStep.REFUSE:
-                raise self._refusal(send.detail)
-            else:
-                self.fail(HTTP_BAD_GATEWAY, send.detail)
-            return
-
-    async def _send_stream(
-        self, runner: relay.FleetRunner, progress: relay.StreamProgress
-    ) -> _SendOutcome:
-        context = self.context
-        last_event = progress.last_event_id
-        reader = _stream.StreamReader(self, runner, progress)
-        runner.state.on_dispatch()
-        context.catalog.on_send(runner, reader.opened_at)
-        context.catalog.on_prompt_sent(
-            runner, self.metadata.prompt, reader.opened_at
-        )
-        self.placement.on_send(reader.opened_at)
-        reader.open(self._main_request(runner, last_event))
-        try:
-            ended: _SendOutcome = await reader.done
-            return ended
-        except defer.CancelledError:
-            reader.stop()
-            runner.state.on_cancel()
-            if reader.was_sent:
-                self.attempts.ran += 1
-                if not reader.event_count:
-                    self._note_silence(runner, reader.opened_at)
-            raise
-        finally:
-            self.placement.on_send_over(context.reactor.seconds())
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -1,26 +1,25 @@
 """Forwarding the complete events of a runner's event stream."""
 
-from typing import Any
 from typing import TYPE_CHECKING
 
-from twisted.internet import defer
-
 from ragwort_edge import _back_pressure
 from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _messages
 from ragwort_edge import _runner_replies
+from ragwort_edge import _sends
 import ragwort_relay as relay
 
 if TYPE_CHECKING:
     from ragwort_edge import _request_handler
 
-# Time without data after which a stream that may be resumed is sent to
-# another runner, as a multiple of the longest gap that meets the target.
+# Time without an event after which a second runner is asked to go on with a
+# stream, as a multiple of the longest gap that meets the target. A sound
+# runner may be silent for a second; the caller leaves after its patience.
 GAP_TIMEOUT_FACTOR = 4.0
-MIN_GAP_TIMEOUT_S = 0.8
-# Timeout for the first event if the request may be sent again, as a multiple
-# of the target latency.
+MIN_GAP_TIMEOUT_S = 1.5
+GAP_PATIENCE_SHARE = 0.7
+# The same for the first event, as a multiple of the target latency.
 FIRST_EVENT_TIMEOUT_FACTOR = 2.0
 MIN_FIRST_EVENT_TIMEOUT_S = 1.5
 EVENT_STREAM = b'text/event-stream'
@@ -29,24 +28,21 @@
 MAX_STREAM_EVENTS = 100_000
 
 
-class StreamReader(_client.ResponseReader):
+class StreamReader(_sends.Send, _client.ResponseReader):
     """Reads the response to one send of a streaming request."""
 
     def __init__(
         self,
         handler: '_request_handler.RequestHandler',
         runner: relay.FleetRunner,
-        progress: relay.StreamProgress,
+        owner: _sends.SendOwner,
     ) -> None:
-        """Read runner's response; skip events that progress has seen."""
-        self.handler = handler
-        self.context = handler.context
-        self.runner = runner
+        """Read runner's response; skip events that the caller has."""
+        super().__init__(handler, runner, owner)
         # As of the call: the entry may be that of a new incarnation later.
         self.called = runner.entry.runner
-        self.progress = progress
+        self.progress = handler.progress
         self.event_parser = relay.EventSplitter()
-        self.done: defer.Deferred[Any] = defer.Deferred()
         self.head: _messages.HttpResponse | None = None
         # Of a response that is no event stream.
         self.body = _body.BodyBuffer(
@@ -58,19 +54,25 @@
         self.event_count = 0
         self.is_event_stream = False
         self.open_call: _client.OpenCall | None = None
-        self.timer: Any = None
         self.pressure = _back_pressure.BackPressure(
             self.context.reactor, handler.exchange, self._on_pause
         )
-        self.opened_at = self.context.reactor.seconds()
-        # When the request was sent, or the latest event came.
-        self.heard_at = self.opened_at
 
     @property
     def was_sent(self) -> bool:
         """Tell whether any bytes of the request may have been sent."""
         return self.open_call is not None and self.open_call.was_sent
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether an event has come."""
+        return self.event_count > 0
+
+    @property
+    def awaited(self) -> str:
+        """Return what the runner is to send next, for the log."""
+        return 'next event' if self.has_begun else 'first event'
+
     def open(self, request: _messages.HttpRequest) -> None:
         """Send the request."""
         self.open_call = self.context.client.open(
@@ -78,32 +80,17 @@
         )
         self.pressure.call = self.open_call
         route = self.handler.route
-        if route.may_repeat and self.handler.attempts.ran + 1 < route.attempts:
-            self._set_timer(
+        if route.may_repeat:
+            self.expect(
                 max(
                     FIRST_EVENT_TIMEOUT_FACTOR * route.target_s,
                     MIN_FIRST_EVENT_TIMEOUT_S,
                 )
             )
 
-    def _set_timer(self, delay_s: float | None) -> None:
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
-        if delay_s is not None:
-            self.timer = self.context.reactor.callLater(
-                delay_s, self._on_timeout
-            )
-
-    def _on_timeout(self) -> None:
-        self.timer = None
-        waited_s = self.context.reactor.seconds() - self.heard_at
-        awaited = 'next event' if self.event_count else 'first event'
-        self.handler.log_silence(self.runner, awaited, waited_s)
-        self.stop()
-        self._finish(
-            relay.SendResult.BROKEN, 'runner is silent', is_silent=True
-        )
+    def go_on(self) -> None:
+        """Prepare to be the only send again."""
+        self.pressure.follow()
 
     def stop(self) -> None:
         """Close the connection and read no more."""
@@ -170,6 +157,7 @@
             self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
         elif events:
             self.heard_at = self.context.reactor.seconds()
+            self.owner.on_answer(self)
             self.handler.on_event_from(self.called)
             if self.event_count == len(events):
                 self._on_first_event()
@@ -204,8 +192,12 @@
     def _await_event(self) -> None:
         route = self.handler.route
         if route.may_repeat and not self.pressure.is_paused:
-            self._set_timer(
-                max(GAP_TIMEOUT_FACTOR * route.max_gap_s, MIN_GAP_TIMEOUT_S)
+            usual_s = GAP_TIMEOUT_FACTOR * route.max_gap_s
+            self.expect(
+                min(
+                    max(usual_s, MIN_GAP_TIMEOUT_S),
+                    GAP_PATIENCE_SHARE * route.patience_s,
+                )
             )
 
     def on_end(self) -> None:
@@ -218,12 +210,9 @@
             response = _messages.HttpResponse(
                 self.head.status, self.head.headers, self.body.take()
             )
-            if not self.done.called:
-                self.done.callback(
-                    self.handler.classify_response(
-                        self.runner, response, took_s
-                    )
-                )
+            self.end(
+                self.handler.classify_response(self.runner, response, took_s)
+            )
             return
         if self.event_parser.buffer.strip():
             self._finish(
@@ -265,21 +254,13 @@
             )
 
     def _finish(
-        self,
-        result: relay.SendResult,
-        detail: str,
-        is_closed: bool = False,
-        is_silent: bool = False,
+        self, result: relay.SendResult, detail: str, is_closed: bool = False
     ) -> None:
-        if self.done.called:
-            return
-        has_begun = self.event_count > 0
-        self.done.callback(
-            self.handler.send_outcome(
+        self.end(
+            _sends.SendOutcome(
                 result,
-                detail,
-                is_closed_early=is_closed and not has_begun,
-                is_silent=is_silent and not has_begun,
+                detail=detail,
+                is_closed_early=is_closed and not self.has_begun,
             )
         )
 
--- a/libs/ragwort_relay/ragwort_relay/_attempts.py
+++ b/libs/ragwort_relay/ragwort_relay/_attempts.py
@@ -58,6 +58,15 @@
         else:
             self.ran += 1
 
+    def on_end(self, result: SendResult, is_counted: bool) -> None:
+        """Count a send that ended.
+
+        is_counted tells that it was counted as one that may have run before.
+        """
+        if is_counted:
+            self.ran -= 1
+        self.on_result(result)
+
     def may_send_again(self, result: SendResult, remaining_s: float) -> bool:
         """Tell whether the route's kind and limits allow another send."""
         if remaining_s < MIN_RETRY_S:
@@ -68,6 +77,17 @@
             return False
         return self.ran < max(self.route.attempts, 1)
 
+    def may_send_beside(self, remaining_s: float, is_counted: bool) -> bool:
+        """Tell whether a call may go to a second runner beside a first.
+
+        is_counted tells whether ran includes the first one.
+        """
+        if remaining_s < MIN_RETRY_S or not self.route.may_repeat:
+            return False
+        if self.not_run >= MAX_SENDS_NOT_RUN:
+            return False
+        return self.ran + (not is_counted) < self.route.attempts
+
 
 def next_step(
     result: SendResult, may_send_again: bool, may_have_run: bool
