Wait for a node's silent runner unless another attempt can be made

Requests on nodes ended as failed though their runner was sound: an attempt at an idempotent service without a sign for 1.0 s was cancelled first, and only then the retry budget, the number of attempts and the runners were looked at.

Now an attempt is given up for silence only if a retry is allowed, the budget has a token and another runner (or a fresh connection, if the one in use came from the pool) can take the call at once; else it is looked at again every 0.25 s until its deadline. Silence begins after 1.5 s.

An attempt that is replaced is still given up before the next one has been taken.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -82,3 +82,21 @@
     When a resumable request is sent, and 2 s pass
     And the caller leaves after 0.3 s
     Then no runner has an open connection 0.5 s later
+
+  # Guards against the same on nodes, which ended such requests as failed.
+  Scenario Outline: a node's <part> of an answer after <silence> s of silence completes it though <hindrance>
+    Given a node with <runners> generators
+    When a request's generator is silent for <silence> s before its <part>, and <hindrance>
+    Then the request completes with all of its chunks
+
+    Examples:
+      | part        | silence | runners | hindrance                |
+      | first chunk | 1.2     | 2       | nothing hinders a retry  |
+      | first chunk | 1.2     | 2       | the budget is spent      |
+      | next chunk  | 1.2     | 2       | the budget is spent      |
+      | next chunk  | 1.8     | 2       | nothing hinders a retry  |
+      | next chunk  | 1.8     | 2       | the budget is spent      |
+      | next chunk  | 1.8     | 1       | nothing hinders a retry  |
+      | next chunk  | 1.8     | 1       | the budget is spent      |
+      | next chunk  | 1.8     | 2       | the other runners drain  |
+      | next chunk  | 1.8     | 2       | the attempts are used up |
--- a/libs/ragwort_lab/ragwort_lab/_runner_side.py
+++ b/libs/ragwort_lab/ragwort_lab/_runner_side.py
@@ -23,6 +23,12 @@
         self.world = world
         self.connections: dict[tuple[str, str], int] = {}
         self.order_delays: dict[str, float] = {}
+        # Until when what a runner sends is held back.
+        self.silent_until: dict[str, float] = {}
+
+    def silence(self, name: str, for_s: float) -> None:
+        """Hold back what a runner sends; it works on meanwhile."""
+        self.silent_until[name] = self.world.now + for_s
 
     def call(
         self, name: str, slot: _world_parts.NodeSlot, effect: model.CallRunner
@@ -81,9 +87,10 @@
         | model.StageHeartbeat
         | model.StageEnd
         | model.StageFailed,
+        held_s: float = 0.0,
     ) -> None:
         self.world.after(
-            _world_parts.RUNNER_DELAY_S,
+            held_s + _world_parts.RUNNER_DELAY_S,
             lambda: self.world.on_node(
                 opened.node,
                 opened.epoch,
@@ -95,6 +102,7 @@
         self, runner: str, replies: list[fakes.RunnerReply]
     ) -> None:
         slot = self.world.runners[runner]
+        held_s = self.silent_until.get(runner, 0.0) - self.world.now
         for reply in replies:
             opened = slot.calls.get(reply.attempt)
             if opened is None:
@@ -104,7 +112,7 @@
                 continue
             assert reply.record is not None
             event = wire.to_stage_event(opened.attempt, reply.record)
-            self._to_node(opened, event)
+            self._to_node(opened, event, max(held_s, 0.0))
         self._arm_runner(runner, slot)
 
     def _arm_runner(self, name: str, slot: _world_parts.RunnerSlot) -> None:
--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -12,7 +12,10 @@
 import ragwort_policy as policy
 
 MAX_ATTEMPTS_PER_STAGE = 4
-PROGRESS_TIMEOUT_S = 1.0
+# Time without a sign after which an attempt is replaced, if another one can be
+# made; a sound runner may be silent for a second. Else the time to look again.
+PROGRESS_TIMEOUT_S = 1.5
+PROGRESS_LOOK_S = 0.25
 RESUME_RETENTION_S = 30.0
 CALL_PRIORITY = 5
 HEDGE_PRIORITY = 2
@@ -470,6 +473,19 @@
     ) -> str:
         """Return why a stage may not be retried, empty if it may."""
         service = execution.service
+        limit = self._retry_limit(execution, now)
+        if limit:
+            return limit
+        # These failures put no load on a runner, so a retry does not
+        # amplify load either.
+        if failure in BUDGET_EXEMPT_FAILURES:
+            return ''
+        if not self.dispatcher.retry_budget(service.name).take():
+            return 'the retry budget is used up'
+        return ''
+
+    def _retry_limit(self, execution: _execution.Execution, now: float) -> str:
+        """Return why no budget allows a retry, empty if one may."""
         if execution.in_doubt:
             return 'it may have run and may not be repeated'
         if execution.stage_attempt_count >= MAX_ATTEMPTS_PER_STAGE:
@@ -480,12 +496,6 @@
             and estimate.probability < policy.MIN_PROBABILITY
         ):
             return 'too little time is left'
-        # These failures put no load on a runner, so a retry does not
-        # amplify load either.
-        if failure in BUDGET_EXEMPT_FAILURES:
-            return ''
-        if not self.dispatcher.retry_budget(service.name).take():
-            return 'the retry budget is used up'
         return ''
 
     def on_timer(
@@ -522,11 +532,37 @@
         if now < due:
             self._add_timer(due, _timers.TimerKind.PROGRESS, attempt)
             return
-        self.effects.append(model.CancelCall(attempt.ident))
         failure = model.CallFailure.SILENT
+        if not self._may_replace(execution, attempt, failure, now):
+            due = now + PROGRESS_LOOK_S
+            self._add_timer(due, _timers.TimerKind.PROGRESS, attempt)
+            return
+        self.effects.append(model.CancelCall(attempt.ident))
         detail = f'no sign for {PROGRESS_TIMEOUT_S:.1f} s'
         self._fail_attempt(execution, attempt, failure, detail, now)
 
+    def _may_replace(
+        self,
+        execution: _execution.Execution,
+        attempt: _execution.Attempt,
+        failure: model.CallFailure,
+        now: float,
+    ) -> bool:
+        """Tell whether another attempt can be made at once.
+
+        Silence is no reason to give up an attempt for none.
+        """
+        if len(execution.open_attempts) > 1:
+            return False
+        if self._retry_limit(execution, now):
+            return False
+        if not self.dispatcher.retry_budget(execution.service.name).has_token:
+            return False
+        if self._suspects_connection(attempt, failure):
+            return True
+        exclude = frozenset({attempt.state.runner.name})
+        return self.dispatcher.choose(execution, now, exclude) is not None
+
     def _hedge(
         self,
         execution: _execution.Execution,
--- a/libs/ragwort_policy/ragwort_policy/_retry.py
+++ b/libs/ragwort_policy/ragwort_policy/_retry.py
@@ -25,9 +25,14 @@
         """Add the tokens of one ordinary call."""
         self.tokens = min(self.tokens + self.ratio, self.burst)
 
+    @property
+    def has_token(self) -> bool:
+        """Tell whether take would get a token."""
+        return self.tokens >= 1.0
+
     def take(self) -> bool:
         """Take one token if there is one."""
-        if self.tokens < 1.0:
+        if not self.has_token:
             return False
         self.tokens -= 1.0
         return True
