--- a/libs/ragwort_edge/ragwort_edge/_send_loop.py
+++ b/libs/ragwort_edge/ragwort_edge/_send_loop.py
@@ -141,7 +141,9 @@
     def on_silent(self, send: _sends.Send) -> None:
         """Ask another runner if one can take over, else go on waiting."""
         may_ask = self.kept is None and self._may_ask_another(send)
-        self.handler.log_silence(send, may_ask)
+        if may_ask or send.silence_logged_at != send.heard_at:
+            send.silence_logged_at = send.heard_at
+            self.handler.log_silence(send, may_ask)
         self._check_reach(send)
         if may_ask:
             send.pass_on(send.lost('runner is silent', is_silent=True))
--- a/libs/ragwort_edge/ragwort_edge/_sends.py
+++ b/libs/ragwort_edge/ragwort_edge/_sends.py
@@ -60,6 +60,8 @@
         self.opened_at: float = self.context.reactor.seconds()
         # When the request was sent, or the latest part of the answer came.
         self.heard_at = self.opened_at
+        # What heard_at was when the latest silence was logged.
+        self.silence_logged_at: float | None = None
         # Set once the request's attempts include this send.
         self.is_counted = False
         self.timer: Any = None
