Use the pieces of a stage runner that was silent for a moment

Requests were refused (stage: error) though their pieces were about to be made: a call without an answer for three times its expected time, 0.6 s at least, was closed, and its pieces failed if the budget of repeats was spent.

Now a call is closed for silence only if another runner can take its pieces: it is sendable, the pieces may be sent once more and the budget has room for all of them. Else the call stays open, its runner gets no further ones, and it is looked at every 0.25 s; its answer is of use until the latest deadline of its pieces.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -83,6 +83,21 @@
     And the caller leaves after 0.3 s
     Then no runner has an open connection 0.5 s later
 
+  # Guards against requests refused though their pieces were about to be made.
+  Scenario Outline: pieces of a runner that is silent for <silence> s are used though <hindrance>
+    Given a route with stages 0, 1 after 0, and 2, of 2, 3 and 1 pieces
+    And the first stage's runners are silent for <silence> s once
+    And <hindrance>
+    When a staged request is sent
+    Then the caller gets 200 after 1 runs
+
+    Examples:
+      | silence | hindrance                          |
+      | 0.7     | nothing hinders a second send      |
+      | 0.7     | the budget of repeats is spent     |
+      | 1.2     | the budget of repeats is spent     |
+      | 1.2     | the other stage runner leaves      |
+
   # Guards against the same on nodes, which ended such requests as failed.
   Scenario Outline: a node's <part> of an answer after <silence> s of silence completes it though <hindrance>
     Given a node with <runners> generators
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -73,6 +73,19 @@
     context.world.hosts[0].catalog.apply(item)
 
 
+@given("the first stage's runners are silent for {silence:g} s once")
+def silence_stage(context: Any, silence: float) -> None:
+    """Hold back the first answer of each of them."""
+    for runner in context.stage_runners[:2]:
+        runner.silences_s = [silence]
+
+
+@given('the other stage runner leaves')
+def leave_stage(context: Any) -> None:
+    """Leave one runner of the first stage."""
+    enter(context, context.stage_runners[1], service='first', state='leaving')
+
+
 @given('nothing hinders a second send')
 def hinder_nothing(context: Any) -> None:
     """Leave all as it is."""
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+from twisted.internet import defer
 
 from ragwort_edge import _body
 from ragwort_edge import _client
@@ -27,6 +28,8 @@
 MAX_FINISHED_GROUPS = 256
 # Time to avoid a runner that rejected or lost a call.
 AVOID_RUNNER_S = 0.15
+# Interval of looking for another runner for the pieces of a silent one.
+LOOK_AGAIN_S = 0.25
 # Interval of dispatches while pieces stay queued.
 DISPATCH_INTERVAL_S = 0.05
 
@@ -370,9 +373,12 @@
             self.client,
             call.runner.address,
             request,
-            call.timeout_s,
+            max(call.timeout_s, call.latest_deadline_at - now),
             _body.MAX_REPORT_BYTES + len(call.pieces) * MAX_PIECE_REPLY_BYTES,
         )
+        self.reactor.callLater(
+            call.timeout_s, self._on_silent_call, service, call, done
+        )
         done.addCallbacks(
             self._on_response,
             self._on_error,
@@ -381,6 +387,48 @@
         )
         done.addErrback(self._on_unhandled_error)
 
+    def _on_silent_call(
+        self,
+        service: str,
+        call: relay.BatchCall,
+        done: 'defer.Deferred[_messages.HttpResponse]',
+    ) -> None:
+        """Give a call up if another runner can take its pieces.
+
+        Silence is no reason to give pieces up for none.
+        """
+        if done.called:
+            return
+        now = self.reactor.seconds()
+        if self._may_replace(service, call, now):
+            done.cancel()
+            return
+        state = call.runner.state
+        state.backoff_until = max(state.backoff_until, now + LOOK_AGAIN_S)
+        self.reactor.callLater(
+            LOOK_AGAIN_S, self._on_silent_call, service, call, done
+        )
+
+    def _may_replace(
+        self, service: str, call: relay.BatchCall, now: float
+    ) -> bool:
+        wanted = [p for p in call.pieces if p.group.group_id in self.owned]
+        if not wanted:
+            return True
+        others = [
+            runner
+            for runner in self.catalog.sendable(service, now)
+            if runner is not call.runner
+        ]
+        return (
+            bool(others)
+            and all(self._may_resend(piece.group) for piece in wanted)
+            and self.budget.has_room(service, now, len(wanted))
+        )
+
+    def _may_resend(self, group: relay.PieceGroup) -> bool:
+        return group.sends < MAX_SENDS_PER_PIECE * len(group.work)
+
     def _log_call(
         self, service: str, batcher: relay.Batcher, call: relay.BatchCall
     ) -> None:
@@ -558,8 +606,7 @@
         now = self.reactor.seconds()
         for piece in pieces:
             group = piece.group
-            may_resend = group.sends < MAX_SENDS_PER_PIECE * len(group.work)
-            if may_resend and self.budget.take(service, now):
+            if self._may_resend(group) and self.budget.take(service, now):
                 batcher.queue.append(piece)
             else:
                 self._fail_pieces(group, [piece.work.piece], 'error')
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -613,6 +613,8 @@
         self.made: list[tuple[str, int, int]] = []
         # Calls that will find no inputs; runners may share the list.
         self.lost_inputs: list[bool] = []
+        # How long each answer to a call is held back, once for each number.
+        self.silences_s: list[float] = []
 
     def serve(self, request: edge.HttpRequest, open_call: LabCall) -> None:
         """Take a call that makes pieces or frees results."""
@@ -656,8 +658,12 @@
             made: list[tuple[str, str | None]] = [('gone', None)] * len(items)
         else:
             made = [self._make(item) for item in items]
+        held_s = self.silences_s.pop(0) if self.silences_s else 0.0
         self.clock.callLater(
-            self.limits.duration_s(len(items)), self._finish, made, call
+            self.limits.duration_s(len(items)) + held_s,
+            self._finish,
+            made,
+            call,
         )
 
     def _make(self, item: dict[str, Any]) -> tuple[str, str | None]:
--- a/libs/ragwort_relay/ragwort_relay/_budget.py
+++ b/libs/ragwort_relay/ragwort_relay/_budget.py
@@ -60,12 +60,16 @@
 
     def take(self, service: str, now: float, count: int = 1) -> bool:
         """Spend the budget for some repeats; return False if it is short."""
-        repeats = self._counter(self.repeats, service)
-        if repeats.total(now) + count > self.allowance(service, now):
+        if not self.has_room(service, now, count):
             return False
-        repeats.add(now, count)
+        self._counter(self.repeats, service).add(now, count)
         return True
 
+    def has_room(self, service: str, now: float, count: int = 1) -> bool:
+        """Tell whether take would spend the budget."""
+        repeats = self._counter(self.repeats, service).total(now)
+        return repeats + count <= self.allowance(service, now)
+
     def allowance(self, service: str, now: float) -> float:
         """Return the number of repeats this host may send in a window."""
         requests = self._counter(self.requests, service).total(now)
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -60,9 +60,14 @@
 
     @property
     def timeout_s(self) -> float:
-        """Return how long to wait for the answer, in seconds."""
+        """Return after how long the runner counts as silent, in seconds."""
         return max(TIMEOUT_FACTOR * self.expected_s, MIN_TIMEOUT_S)
 
+    @property
+    def latest_deadline_at(self) -> float:
+        """Return until when a result of the call is of use."""
+        return max(piece.group.deadline_at for piece in self.pieces)
+
     @property
     def result_bytes(self) -> float:
         """Return the storage that the results will take."""
