Answer requests whose admission raises an unexpected error

Callers saw their connection close with neither an answer nor a refusal, and other hosts lost a request that they had handed over.

Cause: what RelayHost raised between the last byte of a request and the start of its handler left ServerProtocol.dataReceived. If the handler's start raised, the handler stayed in open_requests with an armed timer, so that a leaving host waited for it until its grace time was over.

One place, _last_resort.LastResort.serve, now runs all entry points of a host: requests of callers and of other hosts, readiness, directory and metrics. What they raise is logged and counted by the guard and answered 503 with a Retry-After, to another host with a decline. Nothing has been sent to a runner by then, so both are true. A handler whose start raises ends itself first.

--- /dev/null
+++ b/features/steps/unanswered_request_steps.py
@@ -0,0 +1,162 @@
+"""Steps of requests whose handling raises what nobody expected."""
+
+from typing import Any
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from features.support import relay_hosts
+from features.support import transports
+import ragwort_edge as edge
+from ragwort_edge import _request_handler
+import ragwort_relay as relay
+
+
+def fail(*arguments: Any, **named: Any) -> Any:
+    """Raise what no caller expects."""
+    raise ZeroDivisionError('of the test')
+
+
+BREAKERS: dict[str, Any] = {
+    'configuration': lambda host: mock.patch.object(
+        relay.RelayConfiguration, 'find_route', fail
+    ),
+    'request reader': lambda host: mock.patch.object(
+        host.dialect, 'read_request', fail
+    ),
+    'route': lambda host: mock.patch.object(relay.Route, 'service_for', fail),
+    'parts of the prompt': lambda host: mock.patch.object(
+        relay, 'suspects_of', fail
+    ),
+    'handler': lambda host: mock.patch.object(
+        _request_handler, 'RequestHandler', fail
+    ),
+    'clock': lambda host: mock.patch.object(
+        _request_handler.RequestHandler, 'left_s', fail
+    ),
+    'sharing of prompts': lambda host: mock.patch.object(
+        host.catalog.prompt_sharing, 'record', fail
+    ),
+    'member list': lambda host: mock.patch.object(
+        host.members, 'is_alive', fail
+    ),
+    'ready': lambda host: mock.patch.object(
+        edge.RelayHost, 'is_ready', property(fail)
+    ),
+    'directory': lambda host: mock.patch.object(host, 'directory', fail),
+    'metrics': lambda host: mock.patch.object(host.metrics, 'text', fail),
+}
+PORTS = {'ready': 82, 'directory': 83, 'metrics': 86}
+
+
+def break_part(context: Any, patch: Any) -> None:
+    """Let a part raise until the scenario is over."""
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+def connect(site: Any) -> tuple[Any, transports.QuietTransport]:
+    """Return a connection to a site and what it writes to."""
+    served = site.buildProtocol(None)
+    transport = transports.QuietTransport()
+    served.makeConnection(transport)
+    return served, transport
+
+
+def start_world(context: Any) -> Any:
+    """Start two hosts and return the one that is asked."""
+    context.world = world = relay_hosts.HostWorld(2)
+    world.run(1.0)
+    context.host = world.hosts[1]
+    return context.host
+
+
+@given('a host whose "{part}" raises as a request comes')
+def break_host(context: Any, part: str) -> None:
+    """Let a part raise after the host has started."""
+    host = start_world(context)
+    break_part(context, BREAKERS[part](host))
+
+
+@when('the host gets a "{route}" request')
+def send(context: Any, route: str) -> None:
+    """Send a request; whatever leaves the host ends the connection."""
+    facts = {'request_id': 'once', 'access_key': 'k1'}
+    world = context.world
+    context.asked = world.submit(1, f'/{route}/1', facts)
+    world.run(1.0)
+
+
+@when('another host hands it a request')
+def hand(context: Any) -> None:
+    """Send a request to the port for other hosts."""
+    context.asked = context.world.hand(1, {})
+
+
+@when('somebody asks over a connection for the host\'s "{part}"')
+def ask_port(context: Any, part: str) -> None:
+    """Send a request to the port of a part."""
+    host = context.host
+    if part == 'metrics':
+        host.options = msgspec.structs.replace(
+            host.options, metrics_address=f'10.0.1.1:{PORTS[part]}'
+        )
+        host.start()
+    listening = context.world.clock.tcpServers
+    sites = {port: site for port, site, *_ in listening}
+    served, context.transport = connect(sites[PORTS[part]])
+    served.dataReceived(b'GET / HTTP/1.1\r\nHost: one.example\r\n\r\n')
+
+
+@then('it is answered {status:d} on the connection with a time to come back')
+def check_written(context: Any, status: int) -> None:
+    """Look at what was written."""
+    written = context.transport.value()
+    assert written.startswith(b'HTTP/1.1 %d ' % status), written
+    assert b'retry-after' in written, written
+
+
+@then('it is answered {status:d} with a time to come back')
+def check_refused(context: Any, status: int) -> None:
+    """Look at the answer."""
+    asked = context.asked
+    assert asked.status == status, asked.status
+    assert asked.is_whole
+    retry_after = edge.find_header(asked.headers, b'retry-after')
+    assert retry_after is not None and float(retry_after) > 0
+
+
+@then('it declines the request')
+def check_declined(context: Any) -> None:
+    """Look at the answer to the other host."""
+    assert context.asked.is_whole
+    assert context.asked.is_declined
+
+
+@then('no runner has got it, and the host has no request open')
+def check_unsent(context: Any) -> None:
+    """Look at the runners and the host."""
+    for runner in context.world.runners:
+        assert not runner.arrivals, runner.arrivals
+    assert not context.host.open_requests
+    armed = [
+        call
+        for call in context.world.clock.getDelayedCalls()
+        if 'RequestHandler' in repr(call.func)
+    ]
+    assert not armed, armed
+
+
+@then('the host has counted an error of its "{part}"')
+def check_counted(context: Any, part: str) -> None:
+    """Look at the counter of any host."""
+    found = [
+        host.metrics.registry.get_sample_value(
+            'ragwort_unexpected_errors_total', {'part': part}
+        )
+        for host in context.world.hosts
+    ]
+    assert any(found), found
--- a/libs/ragwort_edge/ragwort_edge/_guard.py
+++ b/libs/ragwort_edge/ragwort_edge/_guard.py
@@ -29,15 +29,21 @@
         self.logger = logger
         self.logged_at: dict[str, float] = {}
 
-    def run(self, part: str, call: Callable[[], object]) -> None:
-        """Call a part; its errors go to the log and the metrics."""
+    def run(self, part: str, call: Callable[[], object]) -> bool:
+        """Call a part; its errors go to the log and the metrics.
+
+        Return whether it raised nothing.
+        """
         try:
             call()
         # Whatever is wrong with one part is no reason to stop the others.
         except Exception:
-            self._report(part, traceback.format_exc())
+            self.report(part, traceback.format_exc())
+            return False
+        return True
 
-    def _report(self, part: str, trace: str) -> None:
+    def report(self, part: str, trace: str) -> None:
+        """Log and count an error of a part."""
         self.metrics.unexpected_errors.labels(part).inc()
         now = self.reactor.seconds()
         if now < self.logged_at.get(part, -math.inf) + LOG_INTERVAL_S:
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -17,6 +17,7 @@
 from ragwort_edge import _evacuation_watch
 from ragwort_edge import _guard
 from ragwort_edge import _hand_over
+from ragwort_edge import _last_resort
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
 from ragwort_edge import _reach_probe
@@ -176,6 +177,7 @@
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
         self.guard = _guard.Guard(reactor, self.metrics, logger)
+        self.last_resort = _last_resort.LastResort(self.guard, dialect)
         self.evacuations = _evacuation_watch.EvacuationWatch(
             self.catalog, options.evacuation_bound_s, self.metrics, logger
         )
@@ -304,16 +306,18 @@
             options.host.caller_address, self.caller_site
         )
         handlers = [
-            (options.ready_address, self._on_ready),
-            (options.directory_address, self._on_directory),
+            ('ready', options.ready_address, self._on_ready),
+            ('directory', options.directory_address, self._on_directory),
         ]
         if options.metrics_address:
-            handlers.append((options.metrics_address, self._on_metrics))
-        for address, handler in handlers:
+            handlers.append(
+                ('metrics', options.metrics_address, self._on_metrics)
+            )
+        for part, address, handler in handlers:
             site = _server.Site(
                 self.reactor,
                 relay.CallerLimits,
-                handler,
+                self._guarded(part, handler),
                 self._on_invalid_request,
             )
             self._listen(address, site)
@@ -334,6 +338,14 @@
         self.logger.info('start', address=options.host.caller_address)
         self._tick()
 
+    def _guarded(
+        self, part: str, handler: Callable[[_server.Exchange], None]
+    ) -> Callable[[_server.Exchange], None]:
+        """Return a handler that answers 503 if another one raises."""
+        return lambda exchange: self.last_resort.serve(
+            part, exchange, handler, self.last_resort.refusal
+        )
+
     def _listen(self, address: str, factory: Any) -> Any:
         host, port = model.split_address(address)
         listening = self.reactor.listenTCP(
@@ -733,6 +745,14 @@
 
     def _on_handed(self, exchange: _server.Exchange) -> None:
         """Serve a request for another host, or decline it."""
+        self.last_resort.serve(
+            'hop',
+            exchange,
+            self._serve_handed,
+            lambda: _hand_over.decline(_last_resort.INTERNAL_ERROR),
+        )
+
+    def _serve_handed(self, exchange: _server.Exchange) -> None:
         try:
             hop, exchange.request = _hand_over.read_hop(exchange.request)
         except model.InvalidInputError as error:
@@ -756,7 +776,12 @@
         return None
 
     def _on_request(self, exchange: _server.Exchange) -> None:
-        self._serve(exchange, None)
+        self.last_resort.serve(
+            'request',
+            exchange,
+            lambda exchange: self._serve(exchange, None),
+            self.last_resort.refusal,
+        )
 
     def _serve(
         self, exchange: _server.Exchange, hop: _hand_over.Hop | None
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -136,19 +136,28 @@
         return max(MIN_SEND_TIMEOUT_S, self.left_s() * SEND_TIMEOUT_SHARE)
 
     def start(self) -> None:
-        """Start handling the request."""
-        reactor = self.context.reactor
+        """Start handling the request.
+
+        If this raises, nothing has been sent and the handler is over.
+        """
+        try:
+            self._prepare()
+        except Exception:
+            self._finish(None)
+            raise
         self.exchange.on_disconnect = self._on_disconnect
-        self.context.catalog.prompt_sharing.record(
-            self.route.name, self.metadata.prompt
-        )
-        self.timer = reactor.callLater(
-            max(self.left_s(), 0.0), self._on_timeout
-        )
         self.running = defer.Deferred.fromCoroutine(self._run())
         self.running.addErrback(self._on_failure)
         self.running.addBoth(self._finish)
 
+    def _prepare(self) -> None:
+        self.timer = self.context.reactor.callLater(
+            max(self.left_s(), 0.0), self._on_timeout
+        )
+        self.context.catalog.prompt_sharing.record(
+            self.route.name, self.metadata.prompt
+        )
+
     def _on_disconnect(self) -> None:
         self.log_fields['gone'] = True
         self.running.cancel()
@@ -158,7 +167,7 @@
         self.running.cancel()
 
     def _finish(self, _: Any) -> None:
-        if self.timer.active():
+        if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.stages.release_all()
         self.on_end(self)
