End requests whose failure handling raises, and always forget them

Callers waited until they gave up, with their connection open: a request whose refusal or failure raised never got an answer. If freeing its stage results raised, the host kept it among the open requests, and a host that left waited for it until its grace time was over.

Cause: the errors of RequestHandler._on_failure, _refuse, fail and log_end went into a Deferred that nobody read, and _finish then stopped the request's timer. _finish could itself raise before on_end.

_finish now ends an exchange that is still open: with 503 and a Retry-After if nothing was sent to a runner or another host, with a decline if another host asked, else with 502, and with a reset if the answer has begun. The handler notes itself that it has sent something, as an error may keep a send out of the attempts. An unexpected error before the first send is now a 503 in place of a 502. Each step of _finish is guarded, so that on_end is always called. A request that goes on though it was cancelled at its deadline ends 1 s later.

Errors in _deliver and _conclude were answered before, too.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -7,11 +7,13 @@
 from behave import then
 from behave import when
 import msgspec
+from twisted.internet import defer
 
 from features.support import relay_hosts
 from features.support import transports
 import ragwort_edge as edge
 from ragwort_edge import _request_handler
+from ragwort_edge import _request_stages
 import ragwort_relay as relay
 
 
@@ -20,6 +22,19 @@
     raise ZeroDivisionError('of the test')
 
 
+async def go_on(handler: Any) -> None:
+    """Go on for ever, also when cancelled."""
+    while True:
+        try:
+            await defer.Deferred()
+        except defer.CancelledError:
+            continue
+
+
+def _in_handler(name: str, function: Any = fail) -> Any:
+    return mock.patch.object(_request_handler.RequestHandler, name, function)
+
+
 BREAKERS: dict[str, Any] = {
     'configuration': lambda host: mock.patch.object(
         relay.RelayConfiguration, 'find_route', fail
@@ -43,12 +58,35 @@
     'member list': lambda host: mock.patch.object(
         host.members, 'is_alive', fail
     ),
+    'failure handling': lambda host: _in_handler('_on_failure'),
+    'refusal': lambda host: _in_handler('_refuse'),
+    'failure': lambda host: _in_handler('fail'),
+    'cancellation': lambda host: _in_handler('_on_cancelled'),
+    'delivery': lambda host: _in_handler('_deliver'),
+    'conclusion': lambda host: _in_handler('_conclude'),
+    'request log': lambda host: _in_handler('log_end'),
+    'steps, cancelled': lambda host: _in_handler('_run', go_on),
+    'error answer': lambda host: mock.patch.object(
+        host.dialect, 'error_response', fail
+    ),
+    'release': lambda host: mock.patch.object(
+        _request_stages.RequestStages, 'release_all', fail
+    ),
     'ready': lambda host: mock.patch.object(
         edge.RelayHost, 'is_ready', property(fail)
     ),
     'directory': lambda host: mock.patch.object(host, 'directory', fail),
     'metrics': lambda host: mock.patch.object(host.metrics, 'text', fail),
 }
+SCRIPTS = {
+    'runners reset': 'reset',
+    'runners are silent': 'silent',
+    'runners turn it away': 'full',
+    'runners break off': 'cut:3',
+}
+# Longer than the time limit of any route.
+LONG_S = 12.0
+NOT_RUN = 503
 PORTS = {'ready': 82, 'directory': 83, 'metrics': 86}
 
 
@@ -90,6 +128,29 @@
     world.run(1.0)
 
 
+@when('the host gets a "{route}" request whose {cause}')
+def send_scripted(context: Any, route: str, cause: str) -> None:
+    """Send a request and wait until its time is over."""
+    world = context.world
+    for runner in world.runners:
+        runner.events = 3 if route == 'stream' else 0
+        if cause in SCRIPTS:
+            runner.script = [SCRIPTS[cause]] * 9
+        elif cause == 'runners are gone':
+            world.remove_runner(runner.name)
+    facts = {'request_id': 'once', 'access_key': 'k1'}
+    context.asked = world.submit(1, f'/{route}/1', facts)
+    world.run(LONG_S)
+
+
+@when('all runners are gone and another host hands it a request')
+def hand_without_runners(context: Any) -> None:
+    """Send a request that the host has to refuse."""
+    for runner in context.world.runners:
+        context.world.remove_runner(runner.name)
+    context.asked = context.world.hand(1, {})
+
+
 @when('another host hands it a request')
 def hand(context: Any) -> None:
     """Send a request to the port for other hosts."""
@@ -160,3 +221,30 @@
         for host in context.world.hosts
     ]
     assert any(found), found
+
+
+@then('it is answered {status:d} with the promise of that status')
+def check_promise(context: Any, status: int) -> None:
+    """Look at the answer, and whether it may be sent again."""
+    asked = context.asked
+    assert asked.status == status, asked.status
+    assert asked.is_whole
+    ran = any(a.ran for r in context.world.runners for a in r.arrivals)
+    has_time = edge.find_header(asked.headers, b'retry-after') is not None
+    assert has_time == (status == NOT_RUN)
+    assert status != NOT_RUN or not ran
+
+
+@then('the host has no request open')
+def check_none_open(context: Any) -> None:
+    """Look at what a leaving host waits for."""
+    assert not context.host.open_requests
+
+
+@then('its answer is broken off and the host has no request open')
+def check_broken(context: Any) -> None:
+    """Look at the end of the stream."""
+    assert context.asked.status == 200, context.asked.status
+    assert context.asked.is_over
+    assert not context.asked.is_whole
+    assert not context.host.open_requests
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -16,10 +16,12 @@
 from ragwort_edge._dialect import PieceResult
 from ragwort_edge._dialect import RequestMetadata
 from ragwort_edge._dialect import RunnerReply
+from ragwort_edge._guard import Guard
 from ragwort_edge._host import ADDRESS_TTL_S
 from ragwort_edge._host import HostOptions
 from ragwort_edge._host import RelayHost
 from ragwort_edge._host import Store
+from ragwort_edge._last_resort import LastResort
 from ragwort_edge._logs import configure_logs
 from ragwort_edge._messages import end_to_end
 from ragwort_edge._messages import find_header
@@ -45,12 +47,14 @@
     'Exchange',
     'fetch',
     'find_header',
+    'Guard',
     'Headers',
     'HeldBytes',
     'HostOptions',
     'HttpClient',
     'HttpRequest',
     'HttpResponse',
+    'LastResort',
     'MainCall',
     'Metrics',
     'OpenCall',
--- a/libs/ragwort_edge/ragwort_edge/_context.py
+++ b/libs/ragwort_edge/ragwort_edge/_context.py
@@ -9,6 +9,7 @@
 from ragwort_edge import _crash_watch
 from ragwort_edge import _dialect
 from ragwort_edge import _hand_over
+from ragwort_edge import _last_resort
 from ragwort_edge import _metrics
 from ragwort_edge import _stage_service
 from ragwort_edge import _stream_origins
@@ -48,6 +49,7 @@
     metrics: _metrics.Metrics
     logger: Any
     failure_domain: str
+    last_resort: _last_resort.LastResort
     hand_over: _hand_over.HandOver | None = None
 
     def refusal(
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -271,6 +271,7 @@
             self.metrics,
             logger,
             options.host.failure_domain,
+            self.last_resort,
             _hand_over.HandOver(
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
--- a/libs/ragwort_edge/ragwort_edge/_last_resort.py
+++ b/libs/ragwort_edge/ragwort_edge/_last_resort.py
@@ -23,6 +23,14 @@
         self.guard = guard
         self.dialect = dialect
 
+    def run(self, part: str, call: Callable[[], object]) -> bool:
+        """Call a part, as Guard.run does."""
+        return self.guard.run(part, call)
+
+    def report(self, part: str, detail: str) -> None:
+        """Log and count an error of a part."""
+        self.guard.report(part, detail)
+
     def serve(
         self,
         part: str,
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -6,11 +6,13 @@
 
 from twisted.internet import defer
 from twisted.internet import task
+from twisted.python import failure
 
 from ragwort_edge import _client
 from ragwort_edge import _context
 from ragwort_edge import _dialect
 from ragwort_edge import _hand_over
+from ragwort_edge import _last_resort
 from ragwort_edge import _messages
 from ragwort_edge import _placement
 from ragwort_edge import _request_hops
@@ -36,7 +38,11 @@
 # Longest wait for a turn at a cold runner, as a share of the target: a holder
 # has one each 0.15 s at 17 requests a second, and each 0.33 s at 7.4.
 COLD_WAIT_SHARE = 1.0
+# Time in which a cancelled request has to end.
+CANCEL_S = 1.0
 MAX_LOGGED_PARTS = 8
+# Name of a request's last steps in the log and the metrics.
+REQUEST_END = 'request-end'
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_GATEWAY = 502
@@ -81,6 +87,10 @@
         self.running: Any = None
         self.timer: Any = None
         self.is_timed_out = False
+        self.is_finished = False
+        # Set before the first send to a runner or to another host. After an
+        # unexpected error the attempts may lack a send.
+        self.has_sent = False
         self.log_fields: dict[str, Any] = {}
         self.service = route.service_for(metadata.request_id)
         self.suspects = relay.suspects_of(
@@ -160,29 +170,61 @@
 
     def _on_disconnect(self) -> None:
         self.log_fields['gone'] = True
-        self.running.cancel()
+        self._cancel()
 
     def _on_timeout(self) -> None:
         self.is_timed_out = True
-        self.running.cancel()
+        self.timer = self.context.reactor.callLater(CANCEL_S, self._on_overdue)
+        self._cancel()
 
-    def _finish(self, _: Any) -> None:
+    def _cancel(self) -> None:
+        self.context.last_resort.run(REQUEST_END, self.running.cancel)
+
+    def _on_overdue(self) -> None:
+        """End a request that goes on though it was cancelled."""
+        self.context.last_resort.report(REQUEST_END, 'cancelled in vain')
+        self._finish(None)
+
+    def _finish(self, result: Any) -> None:
+        """End the request for good, whatever has raised."""
+        if self.is_finished:
+            return
+        self.is_finished = True
+        last_resort = self.context.last_resort
+        if isinstance(result, failure.Failure):
+            last_resort.report(REQUEST_END, result.getTraceback())
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.stages.release_all()
+        last_resort.end(self.exchange, self._last_response)
+        last_resort.run(REQUEST_END, self.stages.release_all)
         self.on_end(self)
 
-    def _on_failure(self, failure: Any) -> None:
-        if failure.check(_context.RefusedError):
-            self._refuse(str(failure.value), failure.value.retry_after_s)
-        elif failure.check(defer.CancelledError, _client.CallError):
+    def _last_response(self) -> _messages.HttpResponse:
+        """Return the answer to a request that has none at its end."""
+        last_resort = self.context.last_resort
+        if self.has_sent:
+            return last_resort.error_response(HTTP_BAD_GATEWAY)
+        if self.hop is not None:
+            return _hand_over.decline(_last_resort.INTERNAL_ERROR)
+        return last_resort.refusal()
+
+    def _on_failure(self, reason: failure.Failure) -> None:
+        error = reason.value
+        if isinstance(error, _context.RefusedError):
+            self._refuse(str(error), error.retry_after_s)
+        elif reason.check(defer.CancelledError, _client.CallError):
             self._on_cancelled()
-        elif failure.check(model.InvalidInputError):
-            self.fail(HTTP_BAD_REQUEST, str(failure.value))
+        elif reason.check(model.InvalidInputError):
+            self.fail(HTTP_BAD_REQUEST, str(error))
         else:
-            detail = failure.getTraceback()[-1500:]
+            detail = reason.getTraceback()[-1500:]
             self.context.logger.error('unhandled-error', detail=detail)
-            self.fail(HTTP_BAD_GATEWAY, 'internal error')
+            if self.has_sent:
+                self.fail(HTTP_BAD_GATEWAY, _last_resort.INTERNAL_ERROR)
+            else:
+                self._refuse(
+                    _last_resort.INTERNAL_ERROR, _last_resort.RETRY_AFTER_S
+                )
 
     def _on_cancelled(self) -> None:
         if self.log_fields.get('gone'):
@@ -478,6 +520,7 @@
 
     def open_send(self, send: _sends.Send) -> None:
         """Send the request; a stream goes on behind what its caller has."""
+        self.has_sent = True
         last_event = None
         if self.route.kind == relay.CallKind.STREAM:
             last_event = self.progress.last_event_id
@@ -519,11 +562,11 @@
             relay.SendResult.LOST: model.CallFailure.LOST,
             relay.SendResult.BROKEN: model.CallFailure.LOST,
         }
-        failure = failures.get(result)
+        call_failure = failures.get(result)
         if result == relay.SendResult.NOT_SENT:
             self.context.catalog.reach.on_unreachable(runner, now)
-        if failure is not None:
-            runner.state.on_failure(failure, now)
+        if call_failure is not None:
+            runner.state.on_failure(call_failure, now)
             self.context.logger.info(
                 'send-failed',
                 request=self.metadata.request_id,
--- a/libs/ragwort_edge/ragwort_edge/_request_hops.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_hops.py
@@ -81,6 +81,7 @@
             self.context.catalog.is_lost(handler.service),
         )
         may_ask_again = handler.route.may_repeat
+        handler.has_sent = True
         call = hand_over.open(
             helper,
             handler.service,
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -116,6 +116,7 @@
             metrics,
             logger,
             DOMAINS[index % len(DOMAINS)],
+            edge.LastResort(edge.Guard(self.clock, metrics, logger), dialect),
         )
         return LabHost(
             name,
