Check that an answer can be sent before any of it is

Callers got a reset, or waited until they gave up, in place of an answer:

- A HEAD request that was refused or failed got its head, but the next request on the connection waited until its caller gave up: the body of the error can't follow the head of an answer to HEAD, and h11 sends nothing more after that error.
For an unknown route the error left dataReceived and the connection closed.
- A runner's answer whose status, headers or body HTTP does not allow was a reset in place of a 502; a stream was cut.
- A CONNECT request for a path whose runner answered 2xx was a reset.
- A host's decline with a line break or a null in its reason, which may quote the caller, was a closed connection; one of 100,000 characters was over the other host's limit of headers.

Cause: Exchange.start noted that the answer had begun before h11 had looked at it, so that no other answer was possible; what raised in a handler's refusal was not read by anyone.

Exchange.start and respond now check the head first (_heads) and raise before they write; the handler answers 502 on the same connection. The body of an answer to HEAD is left out. CONNECT is answered 400: h11 takes a success of it for the end of HTTP. Reasons of declines are printable ASCII of up to 200 bytes. If h11 refuses a later part, the connection is reset at once.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -1,5 +1,6 @@
 """Steps of requests whose handling raises what nobody expected."""
 
+import json
 from typing import Any
 from unittest import mock
 
@@ -8,12 +9,15 @@
 from behave import when
 import msgspec
 from twisted.internet import defer
+from twisted.internet import task
 
 from features.support import relay_hosts
 from features.support import transports
 import ragwort_edge as edge
+from ragwort_edge import _hand_over
 from ragwort_edge import _request_handler
 from ragwort_edge import _request_stages
+from ragwort_edge import _server
 import ragwort_relay as relay
 
 
@@ -78,6 +82,24 @@
     'directory': lambda host: mock.patch.object(host, 'directory', fail),
     'metrics': lambda host: mock.patch.object(host.metrics, 'text', fail),
 }
+UNSENDABLE: dict[str, tuple[int, edge.Headers, bytes]] = {
+    'a status of 101': (101, (), b'body'),
+    'a status of 1000': (1000, (), b'body'),
+    'a body to a 204': (204, (), b'body'),
+    'a body to a 304': (304, (), b'body'),
+    'a line break in a header': (200, ((b'x', b'a\r\nb: c'),), b'body'),
+    'a null in a header': (200, ((b'x', b'a\x00b'),), b'body'),
+    'a header without a name': (200, ((b'', b'a'),), b'body'),
+    'a space in the name of a header': (200, ((b'x y', b'a'),), b'body'),
+}
+REASONS = {
+    'a line break': 'no\r\nragwort-cut-off: 1',
+    'a null': 'no\x00',
+    'another script': 'no \u05d0 \U0001f40d',
+    'a lone surrogate': 'no \udc80',
+    '100,000 characters': 'no' * 50_000,
+    'nothing in it': '',
+}
 SCRIPTS = {
     'runners reset': 'reset',
     'runners are silent': 'silent',
@@ -248,3 +270,141 @@
     assert context.asked.is_over
     assert not context.asked.is_whole
     assert not context.host.open_requests
+
+
+@given('a host with callers on connections')
+def start_connected(context: Any) -> None:
+    """Open a connection to the port of callers."""
+    host = start_world(context)
+    context.served, context.transport = connect(host.caller_site)
+
+
+def ask(
+    context: Any, target: str, method: str = 'GET', key: str = 'k1'
+) -> None:
+    """Send a request on the connection and wait for its end."""
+    facts = json.dumps({'request_id': 'once', 'access_key': key})
+    head = f'{method} {target} HTTP/1.1\r\nHost: one.example\r\n'
+    context.served.dataReceived(f'{head}facts: {facts}\r\n\r\n'.encode())
+    context.world.run(LONG_S)
+
+
+def answer_with(
+    context: Any, status: int, headers: edge.Headers, body: bytes
+) -> None:
+    """Let all runners give one answer, whatever HTTP allows."""
+    echo = ((b'echo', b'once'),)
+    for runner in context.world.runners:
+        runner.serve = lambda request, call: call.respond(
+            status, headers + echo, body
+        )
+
+
+@when('a caller asks over a connection and the runner answers with {what}')
+def ask_unsendable(context: Any, what: str) -> None:
+    """Let the runner give an answer that a server can't pass on."""
+    status, headers, body = UNSENDABLE[what]
+    answer_with(context, status, headers, body)
+    ask(context, '/job/1')
+
+
+@when('a caller asks for a stream and the runner begins with {what}')
+def ask_unsendable_stream(context: Any, what: str) -> None:
+    """Let the runner begin a stream that a server can't pass on."""
+    _, headers, _ = UNSENDABLE[what]
+    headers += ((b'content-type', b'text/event-stream'),)
+    answer_with(context, 200, headers, b'id: 1\ndata: e1\n\n')
+    ask(context, '/stream/1')
+
+
+@when('the host gets a HEAD request {case}')
+def ask_head(context: Any, case: str) -> None:
+    """Ask for an answer without its body."""
+    target = '/job/1'
+    if case == 'while all runners are gone':
+        for runner in context.world.runners:
+            context.world.remove_runner(runner.name)
+    elif case == 'for a path without a route':
+        target = '/nowhere'
+    elif case == 'and the runners fail':
+        for runner in context.world.runners:
+            runner.script = ['reset'] * 9
+    else:
+        answer_with(context, 200, (), b'body')
+    ask(context, target, 'HEAD')
+
+
+@when('the host gets a CONNECT request')
+def ask_connect(context: Any) -> None:
+    """Ask for a tunnel."""
+    answer_with(context, 200, (), b'body')
+    ask(context, '/job/1', 'CONNECT')
+
+
+def check_one_answer(context: Any, status: int) -> bytes:
+    """Return the body of the only answer."""
+    written = context.transport.value()
+    assert written.startswith(b'HTTP/1.1 %d ' % status), written
+    assert written.count(b'HTTP/1.1') == 1, written
+    _, _, body = written.partition(b'\r\n\r\n')
+    return bytes(body)
+
+
+@then('it is answered {status:d} on the connection, which stays open')
+def check_stays_open(context: Any, status: int) -> None:
+    """Look at the connection."""
+    assert check_one_answer(context, status)
+    check_next(context)
+
+
+@then(
+    'it is answered {status:d} without a body on the connection, which stays '
+    'open'
+)
+def check_without_body(context: Any, status: int) -> None:
+    """Look at the connection."""
+    assert not check_one_answer(context, status)
+    check_next(context)
+
+
+def check_next(context: Any) -> None:
+    """Send another request on the connection."""
+    transport = context.transport
+    assert not transport.disconnecting and not transport.disconnected
+    transport.clear()
+    ask(context, '/nowhere')
+    assert transport.value().startswith(b'HTTP/1.1 404 '), transport.value()
+
+
+@then('it is answered {status:d} on the connection, which closes')
+def check_closes(context: Any, status: int) -> None:
+    """Look at the connection."""
+    check_one_answer(context, status)
+    assert context.transport.disconnecting
+
+
+@when('a host declines for a reason with {what}')
+def make_decline(context: Any, what: str) -> None:
+    """Decline, and send that over a connection."""
+    context.decline = _hand_over.decline(REASONS[what])
+    clock = task.Clock()
+    site = _server.Site(
+        clock,
+        relay.CallerLimits,
+        lambda exchange: exchange.respond(context.decline),
+        lambda status: None,
+    )
+    served, context.transport = connect(site)
+    served.dataReceived(b'GET / HTTP/1.1\r\nHost: one.example\r\n\r\n')
+
+
+@then('its decline can be sent and tells the reason as far as a header can')
+def check_decline(context: Any) -> None:
+    """Look at what was written."""
+    written = context.transport.value()
+    assert written.startswith(b'HTTP/1.1 503 '), written[:80]
+    assert b'ragwort-declined: ' in written
+    assert len(written) < 1000
+    reason = context.decline.header(b'ragwort-declined')
+    assert not reason or reason.startswith(b'no')
+    assert context.transport.connected
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -77,3 +77,59 @@
     When all runners are gone and another host hands it a request
     Then it declines the request
     And the host has no request open
+
+  Scenario Outline: a runner's answer with <what> becomes a 502, not a reset
+    Given a host with callers on connections
+    When a caller asks over a connection and the runner answers with <what>
+    Then it is answered 502 on the connection, which stays open
+
+    Examples:
+      | what                               |
+      | a status of 101                    |
+      | a status of 1000                   |
+      | a body to a 204                    |
+      | a body to a 304                    |
+      | a line break in a header           |
+      | a null in a header                 |
+      | a header without a name            |
+      | a space in the name of a header    |
+
+  Scenario Outline: a stream whose runner begins with <what> becomes a 502
+    Given a host with callers on connections
+    When a caller asks for a stream and the runner begins with <what>
+    Then it is answered 502 on the connection, which stays open
+
+    Examples:
+      | what                               |
+      | a line break in a header           |
+      | a null in a header                 |
+
+  Scenario Outline: a HEAD request that gets <status> has an end without a body
+    Given a host with callers on connections
+    When the host gets a HEAD request <case>
+    Then it is answered <status> without a body on the connection, which stays open
+
+    Examples:
+      | case                                | status |
+      | while all runners are gone          | 503    |
+      | for a path without a route          | 404    |
+      | and the runner answers with a body  | 200    |
+      | and the runners fail                | 502    |
+
+  Scenario: a CONNECT request, which would end HTTP, is refused
+    Given a host with callers on connections
+    When the host gets a CONNECT request
+    Then it is answered 400 on the connection, which closes
+
+  Scenario Outline: a host declines for a reason with <what>
+    When a host declines for a reason with <what>
+    Then its decline can be sent and tells the reason as far as a header can
+
+    Examples:
+      | what               |
+      | a line break       |
+      | a null             |
+      | another script     |
+      | a lone surrogate   |
+      | 100,000 characters |
+      | nothing in it      |
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -18,6 +18,7 @@
 
 from ragwort_edge import _back_pressure
 from ragwort_edge import _client
+from ragwort_edge import _heads
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
 import ragwort_membership as membership
@@ -93,7 +94,7 @@
     is_cut_off tells that this host reaches no runner of the service.
     """
     headers: tuple[tuple[bytes, bytes], ...] = (
-        (DECLINED_HEADER, reason.encode()),
+        (DECLINED_HEADER, _heads.header_text(reason)),
     )
     if is_cut_off:
         headers += ((CUT_OFF_HEADER, b'1'),)
@@ -181,6 +182,11 @@
         length = response.header(b'content-length')
         if length is not None:
             headers += ((b'content-length', length),)
+        problem = _heads.head_problem(response.status, headers)
+        if problem is not None:
+            self.cancel()
+            self._end(HopResult.LOST, problem)
+            return
         self.exchange.start(response.status, headers)
 
     def on_data(self, data: bytes) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -12,6 +12,7 @@
 from ragwort_edge import _context
 from ragwort_edge import _dialect
 from ragwort_edge import _hand_over
+from ragwort_edge import _heads
 from ragwort_edge import _last_resort
 from ragwort_edge import _messages
 from ragwort_edge import _placement
@@ -690,15 +691,18 @@
         if response.status in NOT_RUN_STATUSES:
             self.fail(HTTP_BAD_GATEWAY, f'runner answered {response.status}')
             return
+        answer = _messages.HttpResponse(
+            response.status,
+            _messages.end_to_end(response.headers),
+            response.body,
+        )
+        problem = _heads.response_problem(answer)
+        if problem is not None:
+            self.fail(HTTP_BAD_GATEWAY, problem)
+            return
         self._observe_latency()
         self.log_end('answered', status=response.status)
-        self.exchange.respond(
-            _messages.HttpResponse(
-                response.status,
-                _messages.end_to_end(response.headers),
-                response.body,
-            )
-        )
+        self.exchange.respond(answer)
 
     def _observe_latency(self) -> None:
         took_s = self.context.reactor.seconds() - self.started_at
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -10,6 +10,7 @@
 
 from ragwort_edge import _body
 from ragwort_edge import _caller_queue
+from ragwort_edge import _heads
 from ragwort_edge import _messages
 import ragwort_peers as peers
 import ragwort_relay as relay
@@ -57,9 +58,12 @@
         self.is_over = False
 
     def respond(self, response: _messages.HttpResponse) -> None:
-        """Send a complete response."""
+        """Send a complete response; raise UnsendableError if none begins."""
         if self.is_over:
             return
+        problem = _heads.response_problem(response)
+        if problem is not None:
+            raise _heads.UnsendableError(problem)
         length = str(len(response.body)).encode()
         headers = response.headers + ((b'content-length', length),)
         self.start(response.status, headers)
@@ -67,14 +71,22 @@
         self.finish()
 
     def start(self, status: int, headers: _messages.Headers) -> None:
-        """Send status and headers; write sends the body."""
-        if not self.is_over:
-            self.is_started = True
-            self.server.send_head(status, headers)
+        """Send status and headers; write sends the body.
+
+        Raise UnsendableError if they can't be sent as they are; another
+        response may follow then.
+        """
+        if self.is_over:
+            return
+        problem = _heads.head_problem(status, headers)
+        if problem is not None:
+            raise _heads.UnsendableError(problem)
+        self.is_started = True
+        self.server.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if data and not self.is_over:
+        """Send a part of the body, unless a HEAD request asks for none."""
+        if data and not self.is_over and self.request.method != b'HEAD':
             self.server.send_event(h11.Data(data=data))
 
     def finish(self) -> None:
@@ -197,7 +209,8 @@
             # Parsers may disagree where such a body ends (request smuggling).
             self._reject(400)
             return
-        if not head.target.startswith(b'/'):
+        if not head.target.startswith(b'/') or head.method == b'CONNECT':
+            # The parser takes a success of CONNECT for the end of HTTP.
             self._reject(400)
             return
         length = dict(head.headers).get(b'content-length', b'0')
@@ -261,10 +274,15 @@
         )
 
     def send_event(self, event: Any) -> None:
-        """Write one h11 event of a response."""
+        """Write one h11 event of a response; reset if it can't be sent."""
         if self.state == _State.CLOSED:
             return
-        data = self.connection.send(event)
+        try:
+            data = self.connection.send(event)
+        except h11.LocalProtocolError:
+            # The caller would wait for the rest for ever.
+            self.abort()
+            raise
         if data and self.queue is not None:
             self.queue.write(data)
 
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -5,6 +5,7 @@
 from ragwort_edge import _back_pressure
 from ragwort_edge import _body
 from ragwort_edge import _client
+from ragwort_edge import _heads
 from ragwort_edge import _messages
 from ragwort_edge import _runner_replies
 from ragwort_edge import _sends
@@ -133,6 +134,12 @@
             and reply.is_authentic
             and content_type.startswith(EVENT_STREAM)
         )
+        problem = _heads.head_problem(
+            response.status, _messages.end_to_end(response.headers)
+        )
+        if problem is not None:
+            self.is_event_stream = False
+            self._on_damaged(problem)
 
     def on_data(self, data: bytes) -> None:
         """Forward the events that are complete."""
