Answer 500 if an unexpected error occurs while a request is read

Callers saw their connection close without a word. A connection that was to be closed with 408 stayed open without a timer.

Cause: what _read, _on_headers, _on_body or the count of rejected requests raised, other than h11's own errors, left ServerProtocol.dataReceived or the timer's call.

Every read of a connection is guarded now: the error is logged and counted as part `http`, the request is answered 500 and the connection closes. An error of the count only is logged, the caller gets its 400 or 408. If the refusal itself can't be written, the connection is reset.

Evidence: features/unanswered_requests.feature, 8 new scenarios.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import h11
 import msgspec
 from twisted.internet import defer
 from twisted.internet import task
@@ -408,3 +409,47 @@
     reason = context.decline.header(b'ragwort-declined')
     assert not reason or reason.startswith(b'no')
     assert context.transport.connected
+
+
+CONNECTION_PARTS: dict[str, Any] = {
+    'parser': lambda site: mock.patch.object(
+        h11.Connection, 'next_event', fail
+    ),
+    'headers': lambda site: mock.patch.object(
+        _server.ServerProtocol, '_on_headers', fail
+    ),
+    'body': lambda site: mock.patch.object(
+        _server.ServerProtocol, '_on_body', fail
+    ),
+    'end': lambda site: mock.patch.object(
+        _server.ServerProtocol, '_on_complete_request', fail
+    ),
+    'handler': lambda site: mock.patch.object(site, 'on_exchange', fail),
+    'refusal': lambda site: mock.patch.object(
+        _server.ServerProtocol, '_send_rejection', fail
+    ),
+    'count of invalid': lambda site: mock.patch.object(
+        site, 'on_rejected', fail
+    ),
+    'count of late': lambda site: mock.patch.object(site, 'on_rejected', fail),
+}
+
+
+@when('the "{part}" of the connection raises while a request is read')
+def break_connection(context: Any, part: str) -> None:
+    """Send a request, a damaged one or a part of one."""
+    site = context.host.caller_site
+    break_part(context, CONNECTION_PARTS[part](site))
+    data = b'POST /job/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc'
+    if part in ('count of invalid', 'refusal'):
+        data = b'no request\r\n\r\n'
+    elif part == 'count of late':
+        data = data[:-1]
+    context.served.dataReceived(data)
+    context.world.run(LONG_S)
+
+
+@then('the connection is reset')
+def check_reset(context: Any) -> None:
+    """Look at the connection."""
+    assert context.transport.disconnected
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -133,3 +133,25 @@
       | a lone surrogate   |
       | 100,000 characters |
       | nothing in it      |
+
+  Scenario Outline: a request is answered <status> though the <part> raises while it is read
+    Given a host with callers on connections
+    When the "<part>" of the connection raises while a request is read
+    Then it is answered <status> on the connection, which closes
+    And the host has counted an error of its "http"
+
+    Examples:
+      | part             | status |
+      | parser           | 500    |
+      | headers          | 500    |
+      | body             | 500    |
+      | end              | 500    |
+      | handler          | 500    |
+      | count of invalid | 400    |
+      | count of late    | 408    |
+
+  Scenario: a connection whose refusal can't be written is reset
+    Given a host with callers on connections
+    When the "refusal" of the connection raises while a request is read
+    Then the connection is reset
+    And the host has counted an error of its "http"
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import random
 import time
+import traceback
 from typing import Any
 
 import msgspec
@@ -291,6 +292,7 @@
             self.held,
         )
         self.caller_site.on_slow_reader = self._on_slow_reader
+        self.caller_site.on_error = self._on_http_error
         self.ports: list[Any] = []
         self.caller_port: Any = None
         self.leaving_at: float | None = None
@@ -321,6 +323,7 @@
                 self._guarded(part, handler),
                 self._on_invalid_request,
             )
+            site.on_error = self._on_http_error
             self._listen(address, site)
         if options.host.hand_over_address:
             site = _server.Site(
@@ -331,6 +334,7 @@
                 self.held,
             )
             site.on_slow_reader = self._on_slow_reader
+            site.on_error = self._on_http_error
             self._listen(options.host.hand_over_address, site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
@@ -735,6 +739,9 @@
         self.metrics.rejected.labels(status).inc()
         self.logger.info('request-invalid', status=status)
 
+    def _on_http_error(self) -> None:
+        self.guard.report('http', traceback.format_exc())
+
     def _on_slow_reader(self, reason: str) -> None:
         self.metrics.slow_readers.inc()
         self.logger.warning('slow-reader-aborted', reason=reason)
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -7,6 +7,7 @@
 import h11
 from twisted.internet import protocol
 from twisted.python import failure
+from twisted.python import log
 
 from ragwort_edge import _body
 from ragwort_edge import _caller_queue
@@ -17,6 +18,7 @@
 
 # Pipelined bytes that are buffered while a request is being served.
 MAX_PIPELINED_BYTES = 64 * 1024
+HTTP_INTERNAL_ERROR = 500
 REASON_PHRASES = {
     200: b'OK',
     400: b'Bad Request',
@@ -167,8 +169,10 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes, or buffer them while responding."""
-        if self.state == _State.CLOSED:
-            return
+        if self.state != _State.CLOSED:
+            self._guarded(lambda: self._receive(data))
+
+    def _receive(self, data: bytes) -> None:
         if self.state == _State.IDLE:
             self.state = _State.READING
             self._set_timer(self.site.limits().header_timeout_s)
@@ -180,13 +184,43 @@
             return
         self._read()
 
-    def _read(self) -> None:
+    def _guarded(self, read: Callable[[], None]) -> None:
+        """Read; whatever raises, the caller gets an answer."""
+        try:
+            self._read_or_reject(read)
+        # A connection that closes without a word tells callers nothing.
+        except Exception:
+            self.site.on_error()
+            try:
+                self._answer_error()
+            except Exception:
+                self.site.on_error()
+                self.abort()
+
+    def _read_or_reject(self, read: Callable[[], None]) -> None:
         try:
-            while self.state == _State.READING and self._next_event():
-                pass
+            read()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
+    def _answer_error(self) -> None:
+        """Answer a request that can't be read or handed on, and close."""
+        if self.state != _State.RESPONDING:
+            self._reject(HTTP_INTERNAL_ERROR)
+        elif self.exchange is None:
+            self._send_rejection(HTTP_INTERNAL_ERROR)
+        elif not self.exchange.is_started:
+            close = ((b'connection', b'close'),)
+            self.exchange.respond(
+                _messages.HttpResponse(HTTP_INTERNAL_ERROR, close)
+            )
+        else:
+            self.exchange.abort()
+
+    def _read(self) -> None:
+        while self.state == _State.READING and self._next_event():
+            pass
+
     def _next_event(self) -> bool:
         event = self.connection.next_event()
         if isinstance(event, h11.Request):
@@ -249,7 +283,13 @@
 
     def _reject(self, status: int) -> None:
         """Respond to a request that is invalid or too slow, and close."""
-        self.site.on_rejected(status)
+        try:
+            self.site.on_rejected(status)
+        except Exception:
+            self.site.on_error()
+        self._send_rejection(status)
+
+    def _send_rejection(self, status: int) -> None:
         if self.connection.our_state is h11.SEND_RESPONSE or (
             self.connection.our_state is h11.IDLE
         ):
@@ -300,7 +340,7 @@
         self.connection.start_next_cycle()
         self.state = _State.READING
         self._set_timer(self.site.limits().idle_timeout_s)
-        self._read()
+        self._guarded(self._read)
         if (
             self.state == _State.READING
             and not (self.connection.trailing_data[0])
@@ -345,7 +385,7 @@
         elif self.state == _State.IDLE:
             self._close()
         elif self.state == _State.READING:
-            self._reject(408)
+            self._guarded(lambda: self._reject(408))
 
 
 class Site(protocol.Factory):
@@ -366,6 +406,8 @@
         held is the account of what waits for slow callers.
         """
         self.held = held or _body.HeldBytes()
+        # Called while an unexpected error is handled.
+        self.on_error: Callable[[], None] = log.err
         self.on_slow_reader: Callable[[str], None] = lambda reason: None
         self.reactor = reactor
         self.limits = limits
