Read each request under the limits in force when it begins

Beside a change of the configuration, a request whose headers the new configuration allows got 431 on a connection that a caller had opened before and kept; headers over a lowered limit were served on it. A body that was half sent was refused with 413 if the new configuration allowed less.

Cause: the parser keeps the limit with which it was made, at the opening of the connection; the limit of bodies and the times were read anew for each part.

Each request now has the limits of its start, with a parser of its own that takes over what was pipelined behind the request before.

Evidence: features/unanswered_requests.feature, 5 of the 6 new scenarios failed on the code before (larger and smaller headers, alone and pipelined, and a smaller body limit); all pass now.

Not changed: h11 checks the limit of headers only while a head is incomplete, so a larger one that arrives in one piece is still read.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -107,6 +107,9 @@
     'runners turn it away': 'full',
     'runners break off': 'cut:3',
 }
+KEPT_LIMITS = relay.CallerLimits(1000, 4096, 2.0, 5.0)
+# Bytes that come at a time.
+STEP = 100
 # Longer than the time limit of any route.
 LONG_S = 12.0
 NOT_RUN = 503
@@ -453,3 +456,75 @@
 def check_reset(context: Any) -> None:
     """Look at the connection."""
     assert context.transport.disconnected
+
+
+@given('a connection of a caller that has had an answer')
+def answer_first(context: Any) -> None:
+    """Let a site answer a request on a connection that stays open."""
+    context.limits = KEPT_LIMITS
+    context.exchanges = []
+    site = _server.Site(
+        task.Clock(),
+        lambda: context.limits,
+        context.exchanges.append,
+        lambda status: None,
+    )
+    context.served, context.transport = connect(site)
+    context.served.dataReceived(padded(0))
+    context.exchanges.pop().respond(edge.HttpResponse(200))
+    assert b' 200 ' in context.transport.value()
+    context.transport.clear()
+
+
+def padded(size: int, body: bytes = b'') -> bytes:
+    """Return a request with headers of about a size."""
+    head = f'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {len(body)}\r\n'
+    return f'{head}X: {"x" * size}\r\n\r\n'.encode() + body
+
+
+@when(
+    'its site allows headers of {size:d} bytes and it sends {sent:d} bytes of '
+    'them {how}'
+)
+def send_headers(context: Any, size: int, sent: int, how: str) -> None:
+    """Send a request in small pieces, as a slow network does."""
+    changed = msgspec.structs.replace(KEPT_LIMITS, header_bytes=size)
+    data = padded(sent)
+    context.sent_count = 1
+    if how == 'pipelined':
+        context.sent_count = 2
+        context.served.dataReceived(padded(0))
+        context.served.dataReceived(data[:-STEP])
+        context.limits = changed
+        context.exchanges.pop().respond(edge.HttpResponse(200))
+        data = data[-STEP:]
+    context.limits = changed
+    for at in range(0, len(data), STEP):
+        context.served.dataReceived(data[at : at + STEP])
+
+
+@when('its site allows {what} while a request is read')
+def change_limits(context: Any, what: str) -> None:
+    """Change the limits behind the first byte, then behind the head."""
+    name = {
+        'smaller headers': 'header_bytes',
+        'smaller bodies': 'body_bytes',
+    }[what]
+    data = padded(500, b'x' * 3000)
+    context.sent_count = 1
+    context.served.dataReceived(data[:10])
+    context.limits = msgspec.structs.replace(KEPT_LIMITS, **{name: 100})
+    for at in range(10, len(data), STEP):
+        context.served.dataReceived(data[at : at + STEP])
+
+
+@then('the request gets {status:d}')
+def check_limits(context: Any, status: int) -> None:
+    """Answer the request if it has been handed on; look at the last answer."""
+    for exchange in context.exchanges:
+        exchange.respond(edge.HttpResponse(200))
+    written = context.transport.value()
+    last = written[written.rindex(b'HTTP/1.1') :]
+    assert last.startswith(b'HTTP/1.1 %d ' % status), written
+    answers = written.count(b'HTTP/1.1')
+    assert answers == context.sent_count, written
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -155,3 +155,25 @@
     When the "refusal" of the connection raises while a request is read
     Then the connection is reset
     And the host has counted an error of its "http"
+
+  Scenario Outline: a kept connection follows a configuration that allows <what>
+    Given a connection of a caller that has had an answer
+    When its site allows headers of <size> bytes and it sends <sent> bytes of them <how>
+    Then the request gets <status>
+
+    Examples:
+      | what | size | sent | how           | status |
+      | more | 9000 | 5000 | alone         | 200    |
+      | less | 500  | 900  | alone         | 431    |
+      | more | 9000 | 5000 | pipelined     | 200    |
+      | less | 500  | 900  | pipelined     | 431    |
+
+  Scenario Outline: a request that has begun is read under the limits of its start
+    Given a connection of a caller that has had an answer
+    When its site allows <what> while a request is read
+    Then the request gets 200
+
+    Examples:
+      | what                  |
+      | smaller headers       |
+      | smaller bodies        |
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -117,6 +117,8 @@
     def __init__(self, site: 'Site') -> None:
         """Serve under the limits of site and with its handler."""
         self.site = site
+        # As of the start of the request that is read.
+        self.limits = site.limits()
         self.connection = self._new_parser()
         self.state = _State.IDLE
         self.head: h11.Request | None = None
@@ -128,9 +130,21 @@
         self.pipelined_bytes = 0
 
     def _new_parser(self) -> h11.Connection:
-        limit = self.site.limits().header_bytes
+        limit = self.limits.header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
 
+    def _begin_request(self, data: bytes) -> None:
+        """Read a request under the limits in force now.
+
+        data is what has come of it already.
+        """
+        self.state = _State.READING
+        self.limits = self.site.limits()
+        # A parser keeps the limit that it was made with.
+        self.connection = self._new_parser()
+        if data:
+            self.connection.receive_data(data)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request."""
         peers.set_socket_options(self.transport)
@@ -138,7 +152,7 @@
             self.site.held, self.transport, self._on_pause, self._on_given_up
         )
         self.site.connections.add(self)
-        self._set_timer(self.site.limits().idle_timeout_s)
+        self._set_timer(self.limits.idle_timeout_s)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -174,8 +188,8 @@
 
     def _receive(self, data: bytes) -> None:
         if self.state == _State.IDLE:
-            self.state = _State.READING
-            self._set_timer(self.site.limits().header_timeout_s)
+            self._begin_request(b'')
+            self._set_timer(self.limits.header_timeout_s)
         self.connection.receive_data(data)
         if self.state == _State.RESPONDING:
             self.pipelined_bytes += len(data)
@@ -248,7 +262,7 @@
             self._reject(400)
             return
         length = dict(head.headers).get(b'content-length', b'0')
-        if int(length) > self.site.limits().body_bytes:
+        if int(length) > self.limits.body_bytes:
             self._reject(413)
             return
         if self.connection.they_are_waiting_for_100_continue:
@@ -259,11 +273,11 @@
     def _on_body(self, data: bytes) -> None:
         self.body_parts.append(data)
         self.body_size += len(data)
-        if self.body_size > self.site.limits().body_bytes:
+        if self.body_size > self.limits.body_bytes:
             self._reject(413)
         else:
             # A body may take any time as long as data keeps arriving.
-            self._set_timer(self.site.limits().header_timeout_s)
+            self._set_timer(self.limits.header_timeout_s)
 
     def _on_complete_request(self) -> None:
         assert self.head is not None
@@ -337,16 +351,19 @@
         ):
             self._close()
             return
-        self.connection.start_next_cycle()
-        self.state = _State.READING
-        self._set_timer(self.site.limits().idle_timeout_s)
-        self._guarded(self._read)
+        self._guarded(self._read_next)
         if (
             self.state == _State.READING
             and not (self.connection.trailing_data[0])
         ):
             self.state = _State.IDLE
 
+    def _read_next(self) -> None:
+        data, _ = self.connection.trailing_data
+        self._begin_request(data)
+        self._set_timer(self.limits.idle_timeout_s)
+        self._read()
+
     def abort(self) -> None:
         """Reset the connection."""
         self.exchange = None
@@ -369,7 +386,7 @@
         self.queue.close()
         if self.queue.data:
             # A caller that reads nothing more must not hold bytes for ever.
-            self._set_timer(self.site.limits().idle_timeout_s)
+            self._set_timer(self.limits.idle_timeout_s)
 
     def _set_timer(self, delay_s: float | None) -> None:
         if self.timer is not None and self.timer.active():
