--- /dev/null
+++ b/features/unanswered_requests.feature
@@ -0,0 +1,179 @@
+Feature: A whole request gets an answer or a refusal whatever raises
+
+  Scenario Outline: a request is refused though the host's <part> raises
+    Given a host whose "<part>" raises as a request comes
+    When the host gets a "job" request
+    Then it is answered 503 with a time to come back
+    And no runner has got it, and the host has no request open
+    And the host has counted an error of its "request"
+
+    Examples:
+      | part                   |
+      | configuration          |
+      | request reader         |
+      | route                  |
+      | parts of the prompt    |
+      | handler                |
+      | clock                  |
+      | sharing of prompts     |
+
+  Scenario Outline: a host declines a request though its <part> raises
+    Given a host whose "<part>" raises as a request comes
+    When another host hands it a request
+    Then it declines the request
+    And no runner has got it, and the host has no request open
+    And the host has counted an error of its "hop"
+
+    Examples:
+      | part                   |
+      | member list            |
+      | request reader         |
+      | handler                |
+      | sharing of prompts     |
+
+  Scenario Outline: a request for the host's <part> is answered though it raises
+    Given a host whose "<part>" raises as a request comes
+    When somebody asks over a connection for the host's "<part>"
+    Then it is answered 503 on the connection with a time to come back
+    And the host has counted an error of its "<part>"
+
+    Examples:
+      | part      |
+      | ready     |
+      | directory |
+      | metrics   |
+
+  Scenario Outline: a request whose <cause> gets <status> though the <part> raises
+    Given a host whose "<part>" raises as a request comes
+    When the host gets a "<route>" request whose <cause>
+    Then it is answered <status> with the promise of that status
+    And the host has no request open
+
+    Examples:
+      | route  | cause                 | part             | status |
+      | job    | runners are gone      | failure handling | 503    |
+      | job    | runners are gone      | refusal          | 503    |
+      | job    | runners are gone      | error answer     | 503    |
+      | job    | runners are gone      | request log      | 503    |
+      | job    | runners turn it away  | refusal          | 502    |
+      | job    | runners reset         | failure          | 502    |
+      | safe   | runners reset         | failure          | 502    |
+      | stream | runners reset         | failure          | 502    |
+      | job    | runners reset         | error answer     | 502    |
+      | job    | runners reset         | request log      | 502    |
+      | job    | runners are silent    | cancellation     | 502    |
+      | job    | runner answers        | delivery         | 502    |
+      | job    | runner answers        | conclusion       | 502    |
+      | job    | runner answers        | release          | 200    |
+      | job    | runner answers        | steps, cancelled | 503    |
+
+  Scenario: an answer that has begun is broken off though the failure raises
+    Given a host whose "failure" raises as a request comes
+    When the host gets a "stream" request whose runners break off
+    Then its answer is broken off and the host has no request open
+
+  Scenario: a request handed over is declined though the refusal raises
+    Given a host whose "refusal" raises as a request comes
+    When all runners are gone and another host hands it a request
+    Then it declines the request
+    And the host has no request open
+
+  Scenario Outline: a runner's answer with <what> becomes a 502, not a reset
+    Given a host with callers on connections
+    When a caller asks over a connection and the runner answers with <what>
+    Then it is answered 502 on the connection, which stays open
+
+    Examples:
+      | what                               |
+      | a status of 101                    |
+      | a status of 1000                   |
+      | a body to a 204                    |
+      | a body to a 304                    |
+      | a line break in a header           |
+      | a null in a header                 |
+      | a header without a name            |
+      | a space in the name of a header    |
+
+  Scenario Outline: a stream whose runner begins with <what> becomes a 502
+    Given a host with callers on connections
+    When a caller asks for a stream and the runner begins with <what>
+    Then it is answered 502 on the connection, which stays open
+
+    Examples:
+      | what                               |
+      | a line break in a header           |
+      | a null in a header                 |
+
+  Scenario Outline: a HEAD request that gets <status> has an end without a body
+    Given a host with callers on connections
+    When the host gets a HEAD request <case>
+    Then it is answered <status> without a body on the connection, which stays open
+
+    Examples:
+      | case                                | status |
+      | while all runners are gone          | 503    |
+      | for a path without a route          | 404    |
+      | and the runner answers with a body  | 200    |
+      | and the runners fail                | 502    |
+
+  Scenario: a CONNECT request, which would end HTTP, is refused
+    Given a host with callers on connections
+    When the host gets a CONNECT request
+    Then it is answered 400 on the connection, which closes
+
+  Scenario Outline: a host declines for a reason with <what>
+    When a host declines for a reason with <what>
+    Then its decline can be sent and tells the reason as far as a header can
+
+    Examples:
+      | what               |
+      | a line break       |
+      | a null             |
+      | another script     |
+      | a lone surrogate   |
+      | 100,000 characters |
+      | nothing in it      |
+
+  Scenario Outline: a request is answered <status> though the <part> raises while it is read
+    Given a host with callers on connections
+    When the "<part>" of the connection raises while a request is read
+    Then it is answered <status> on the connection, which closes
+    And the host has counted an error of its "http"
+
+    Examples:
+      | part             | status |
+      | parser           | 500    |
+      | headers          | 500    |
+      | body             | 500    |
+      | end              | 500    |
+      | handler          | 500    |
+      | count of invalid | 400    |
+      | count of late    | 408    |
+
+  Scenario: a connection whose refusal can't be written is reset
+    Given a host with callers on connections
+    When the "refusal" of the connection raises while a request is read
+    Then the connection is reset
+    And the host has counted an error of its "http"
+
+  Scenario Outline: a kept connection follows a configuration that allows <what>
+    Given a connection of a caller that has had an answer
+    When its site allows headers of <size> bytes and it sends <sent> bytes of them <how>
+    Then the request gets <status>
+
+    Examples:
+      | what | size | sent | how           | status |
+      | more | 9000 | 5000 | alone         | 200    |
+      | less | 500  | 900  | alone         | 431    |
+      | more | 9000 | 5000 | pipelined     | 200    |
+      | less | 500  | 900  | pipelined     | 431    |
+
+  Scenario Outline: a request that has begun is read under the limits of its start
+    Given a connection of a caller that has had an answer
+    When its site allows <what> while a request is read
+    Then the request gets 200
+
+    Examples:
+      | what                  |
+      | smaller headers       |
+      | smaller bodies        |
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import random
 import time
+import traceback
 from typing import Any
 
 import msgspec
@@ -17,6 +18,7 @@
 from ragwort_edge import _evacuation_watch
 from ragwort_edge import _guard
 from ragwort_edge import _hand_over
+from ragwort_edge import _last_resort
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
 from ragwort_edge import _reach_probe
@@ -176,6 +178,7 @@
         self.store = store_factory(self._on_store)
         self.metrics = _metrics.Metrics()
         self.guard = _guard.Guard(reactor, self.metrics, logger)
+        self.last_resort = _last_resort.LastResort(self.guard, dialect)
         self.evacuations = _evacuation_watch.EvacuationWatch(
             self.catalog, options.evacuation_bound_s, self.metrics, logger
         )
@@ -269,6 +272,7 @@
             self.metrics,
             logger,
             options.host.failure_domain,
+            self.last_resort,
             _hand_over.HandOver(
                 reactor, self.client, self.members, self.rng, self.metrics
             ),
@@ -288,6 +292,7 @@
             self.held,
         )
         self.caller_site.on_slow_reader = self._on_slow_reader
+        self.caller_site.on_error = self._on_http_error
         self.ports: list[Any] = []
         self.caller_port: Any = None
         self.leaving_at: float | None = None
@@ -304,18 +309,21 @@
             options.host.caller_address, self.caller_site
         )
         handlers = [
-            (options.ready_address, self._on_ready),
-            (options.directory_address, self._on_directory),
+            ('ready', options.ready_address, self._on_ready),
+            ('directory', options.directory_address, self._on_directory),
         ]
         if options.metrics_address:
-            handlers.append((options.metrics_address, self._on_metrics))
-        for address, handler in handlers:
+            handlers.append(
+                ('metrics', options.metrics_address, self._on_metrics)
+            )
+        for part, address, handler in handlers:
             site = _server.Site(
                 self.reactor,
                 relay.CallerLimits,
-                handler,
+                self._guarded(part, handler),
                 self._on_invalid_request,
             )
+            site.on_error = self._on_http_error
             self._listen(address, site)
         if options.host.hand_over_address:
             site = _server.Site(
@@ -326,6 +334,7 @@
                 self.held,
             )
             site.on_slow_reader = self._on_slow_reader
+            site.on_error = self._on_http_error
             self._listen(options.host.hand_over_address, site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
@@ -334,6 +343,14 @@
         self.logger.info('start', address=options.host.caller_address)
         self._tick()
 
+    def _guarded(
+        self, part: str, handler: Callable[[_server.Exchange], None]
+    ) -> Callable[[_server.Exchange], None]:
+        """Return a handler that answers 503 if another one raises."""
+        return lambda exchange: self.last_resort.serve(
+            part, exchange, handler, self.last_resort.refusal
+        )
+
     def _listen(self, address: str, factory: Any) -> Any:
         host, port = model.split_address(address)
         listening = self.reactor.listenTCP(
@@ -722,6 +739,9 @@
         self.metrics.rejected.labels(status).inc()
         self.logger.info('request-invalid', status=status)
 
+    def _on_http_error(self) -> None:
+        self.guard.report('http', traceback.format_exc())
+
     def _on_slow_reader(self, reason: str) -> None:
         self.metrics.slow_readers.inc()
         self.logger.warning('slow-reader-aborted', reason=reason)
@@ -733,6 +753,14 @@
 
     def _on_handed(self, exchange: _server.Exchange) -> None:
         """Serve a request for another host, or decline it."""
+        self.last_resort.serve(
+            'hop',
+            exchange,
+            self._serve_handed,
+            lambda: _hand_over.decline(_last_resort.INTERNAL_ERROR),
+        )
+
+    def _serve_handed(self, exchange: _server.Exchange) -> None:
         try:
             hop, exchange.request = _hand_over.read_hop(exchange.request)
         except model.InvalidInputError as error:
@@ -756,7 +784,12 @@
         return None
 
     def _on_request(self, exchange: _server.Exchange) -> None:
-        self._serve(exchange, None)
+        self.last_resort.serve(
+            'request',
+            exchange,
+            lambda exchange: self._serve(exchange, None),
+            self.last_resort.refusal,
+        )
 
     def _serve(
         self, exchange: _server.Exchange, hop: _hand_over.Hop | None
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -7,15 +7,18 @@
 import h11
 from twisted.internet import protocol
 from twisted.python import failure
+from twisted.python import log
 
 from ragwort_edge import _body
 from ragwort_edge import _caller_queue
+from ragwort_edge import _heads
 from ragwort_edge import _messages
 import ragwort_peers as peers
 import ragwort_relay as relay
 
 # Pipelined bytes that are buffered while a request is being served.
 MAX_PIPELINED_BYTES = 64 * 1024
+HTTP_INTERNAL_ERROR = 500
 REASON_PHRASES = {
     200: b'OK',
     400: b'Bad Request',
@@ -57,9 +60,12 @@
         self.is_over = False
 
     def respond(self, response: _messages.HttpResponse) -> None:
-        """Send a complete response."""
+        """Send a complete response; raise UnsendableError if none begins."""
         if self.is_over:
             return
+        problem = _heads.response_problem(response)
+        if problem is not None:
+            raise _heads.UnsendableError(problem)
         length = str(len(response.body)).encode()
         headers = response.headers + ((b'content-length', length),)
         self.start(response.status, headers)
@@ -67,14 +73,22 @@
         self.finish()
 
     def start(self, status: int, headers: _messages.Headers) -> None:
-        """Send status and headers; write sends the body."""
-        if not self.is_over:
-            self.is_started = True
-            self.server.send_head(status, headers)
+        """Send status and headers; write sends the body.
+
+        Raise UnsendableError if they can't be sent as they are; another
+        response may follow then.
+        """
+        if self.is_over:
+            return
+        problem = _heads.head_problem(status, headers)
+        if problem is not None:
+            raise _heads.UnsendableError(problem)
+        self.is_started = True
+        self.server.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
-        """Send a part of the body."""
-        if data and not self.is_over:
+        """Send a part of the body, unless a HEAD request asks for none."""
+        if data and not self.is_over and self.request.method != b'HEAD':
             self.server.send_event(h11.Data(data=data))
 
     def finish(self) -> None:
@@ -103,6 +117,8 @@
     def __init__(self, site: 'Site') -> None:
         """Serve under the limits of site and with its handler."""
         self.site = site
+        # As of the start of the request that is read.
+        self.limits = site.limits()
         self.connection = self._new_parser()
         self.state = _State.IDLE
         self.head: h11.Request | None = None
@@ -114,9 +130,21 @@
         self.pipelined_bytes = 0
 
     def _new_parser(self) -> h11.Connection:
-        limit = self.site.limits().header_bytes
+        limit = self.limits.header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
 
+    def _begin_request(self, data: bytes) -> None:
+        """Read a request under the limits in force now.
+
+        data is what has come of it already.
+        """
+        self.state = _State.READING
+        self.limits = self.site.limits()
+        # A parser keeps the limit that it was made with.
+        self.connection = self._new_parser()
+        if data:
+            self.connection.receive_data(data)
+
     def connectionMade(self) -> None:  # noqa: N802
         """Wait for a request."""
         peers.set_socket_options(self.transport)
@@ -124,7 +152,7 @@
             self.site.held, self.transport, self._on_pause, self._on_given_up
         )
         self.site.connections.add(self)
-        self._set_timer(self.site.limits().idle_timeout_s)
+        self._set_timer(self.limits.idle_timeout_s)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -155,11 +183,13 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes, or buffer them while responding."""
-        if self.state == _State.CLOSED:
-            return
+        if self.state != _State.CLOSED:
+            self._guarded(lambda: self._receive(data))
+
+    def _receive(self, data: bytes) -> None:
         if self.state == _State.IDLE:
-            self.state = _State.READING
-            self._set_timer(self.site.limits().header_timeout_s)
+            self._begin_request(b'')
+            self._set_timer(self.limits.header_timeout_s)
         self.connection.receive_data(data)
         if self.state == _State.RESPONDING:
             self.pipelined_bytes += len(data)
@@ -168,13 +198,43 @@
             return
         self._read()
 
-    def _read(self) -> None:
+    def _guarded(self, read: Callable[[], None]) -> None:
+        """Read; whatever raises, the caller gets an answer."""
         try:
-            while self.state == _State.READING and self._next_event():
-                pass
+            self._read_or_reject(read)
+        # A connection that closes without a word tells callers nothing.
+        except Exception:
+            self.site.on_error()
+            try:
+                self._answer_error()
+            except Exception:
+                self.site.on_error()
+                self.abort()
+
+    def _read_or_reject(self, read: Callable[[], None]) -> None:
+        try:
+            read()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
+    def _answer_error(self) -> None:
+        """Answer a request that can't be read or handed on, and close."""
+        if self.state != _State.RESPONDING:
+            self._reject(HTTP_INTERNAL_ERROR)
+        elif self.exchange is None:
+            self._send_rejection(HTTP_INTERNAL_ERROR)
+        elif not self.exchange.is_started:
+            close = ((b'connection', b'close'),)
+            self.exchange.respond(
+                _messages.HttpResponse(HTTP_INTERNAL_ERROR, close)
+            )
+        else:
+            self.exchange.abort()
+
+    def _read(self) -> None:
+        while self.state == _State.READING and self._next_event():
+            pass
+
     def _next_event(self) -> bool:
         event = self.connection.next_event()
         if isinstance(event, h11.Request):
@@ -197,11 +257,12 @@
             # Parsers may disagree where such a body ends (request smuggling).
             self._reject(400)
             return
-        if not head.target.startswith(b'/'):
+        if not head.target.startswith(b'/') or head.method == b'CONNECT':
+            # The parser takes a success of CONNECT for the end of HTTP.
             self._reject(400)
             return
         length = dict(head.headers).get(b'content-length', b'0')
-        if int(length) > self.site.limits().body_bytes:
+        if int(length) > self.limits.body_bytes:
             self._reject(413)
             return
         if self.connection.they_are_waiting_for_100_continue:
@@ -212,11 +273,11 @@
     def _on_body(self, data: bytes) -> None:
         self.body_parts.append(data)
         self.body_size += len(data)
-        if self.body_size > self.site.limits().body_bytes:
+        if self.body_size > self.limits.body_bytes:
             self._reject(413)
         else:
             # A body may take any time as long as data keeps arriving.
-            self._set_timer(self.site.limits().header_timeout_s)
+            self._set_timer(self.limits.header_timeout_s)
 
     def _on_complete_request(self) -> None:
         assert self.head is not None
@@ -236,7 +297,13 @@
 
     def _reject(self, status: int) -> None:
         """Respond to a request that is invalid or too slow, and close."""
-        self.site.on_rejected(status)
+        try:
+            self.site.on_rejected(status)
+        except Exception:
+            self.site.on_error()
+        self._send_rejection(status)
+
+    def _send_rejection(self, status: int) -> None:
         if self.connection.our_state is h11.SEND_RESPONSE or (
             self.connection.our_state is h11.IDLE
         ):
@@ -261,10 +328,15 @@
         )
 
     def send_event(self, event: Any) -> None:
-        """Write one h11 event of a response."""
+        """Write one h11 event of a response; reset if it can't be sent."""
         if self.state == _State.CLOSED:
             return
-        data = self.connection.send(event)
+        try:
+            data = self.connection.send(event)
+        except h11.LocalProtocolError:
+            # The caller would wait for the rest for ever.
+            self.abort()
+            raise
         if data and self.queue is not None:
             self.queue.write(data)
 
@@ -279,16 +351,19 @@
         ):
             self._close()
             return
-        self.connection.start_next_cycle()
-        self.state = _State.READING
-        self._set_timer(self.site.limits().idle_timeout_s)
-        self._read()
+        self._guarded(self._read_next)
         if (
             self.state == _State.READING
             and not (self.connection.trailing_data[0])
         ):
             self.state = _State.IDLE
 
+    def _read_next(self) -> None:
+        data, _ = self.connection.trailing_data
+        self._begin_request(data)
+        self._set_timer(self.limits.idle_timeout_s)
+        self._read()
+
     def abort(self) -> None:
         """Reset the connection."""
         self.exchange = None
@@ -311,7 +386,7 @@
         self.queue.close()
         if self.queue.data:
             # A caller that reads nothing more must not hold bytes for ever.
-            self._set_timer(self.site.limits().idle_timeout_s)
+            self._set_timer(self.limits.idle_timeout_s)
 
     def _set_timer(self, delay_s: float | None) -> None:
         if self.timer is not None and self.timer.active():
@@ -327,7 +402,7 @@
         elif self.state == _State.IDLE:
             self._close()
         elif self.state == _State.READING:
-            self._reject(408)
+            self._guarded(lambda: self._reject(408))
 
 
 class Site(protocol.Factory):
@@ -348,6 +423,8 @@
         held is the account of what waits for slow callers.
         """
         self.held = held or _body.HeldBytes()
+        # Called while an unexpected error is handled.
+        self.on_error: Callable[[], None] = log.err
         self.on_slow_reader: Callable[[str], None] = lambda reason: None
         self.reactor = reactor
         self.limits = limits
