Give each store call a result, however deep one of its entries is

A host that lists or watches entries of which one holds 5,000 nested arrays or objects got no result at all: it never had a list, or followed it no more, and its callers' requests went to runners that were gone. Another writer's entry of one line was enough.

Cause: msgspec raises RecursionError, which is no DecodeError. _decode let it pass, _on_call_failure trapped two error types alone, and on_result was never called.

Any other error of a call is logged with its traceback and ends the call as UNAVAILABLE.

--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,160 @@
+"""Steps of odd entries and numbers that other programs wrote."""
+
+import json
+import time
+from typing import Any
+
+from behave import then
+from behave import when
+import structlog
+
+from features.steps import platform_steps
+from features.steps import platform_store_steps
+import ragwort_lab as lab
+import ragwort_model as model
+import ragwort_platform as platform
+
+# Stands for content that the JSON encoder can't write.
+PLACE = '"@"'
+BRACKETS = {'arrays': ('[', ']'), 'objects': ('{"a":', '}')}
+WRITE = model.StoreCall('op', model.StoreVerb.PUT, 'servers/a', '{}')
+EFFECTS = {
+    'list': platform_store_steps.LIST,
+    'watch': platform_store_steps.WATCH,
+}
+
+
+def nested(depth: int, kind: str = 'arrays') -> str:
+    """Return JSON that is nested some levels deep."""
+    opening, closing = BRACKETS[kind]
+    return f'{opening * depth}0{closing * depth}'
+
+
+def entry(name: str, revision: Any, specification: Any) -> dict[str, Any]:
+    """Return an entry as the store sends it."""
+    return {
+        'metadata': {'name': name, 'revision': revision, 'created': 1},
+        'specification': specification,
+    }
+
+
+def answer_with(call: str, entries: list[Any], revision: Any = 20) -> str:
+    """Return the store's answer that brings entries."""
+    if call == 'watch':
+        events = [{'object': item} for item in entries]
+        return json.dumps({'events': events, 'storeRevision': revision})
+    return json.dumps({'items': entries, 'storeRevision': revision})
+
+
+def call_store(
+    context: Any,
+    effect: model.StoreCall,
+    body: str,
+    headers: Any = (),
+) -> None:
+    """Make one store call and keep its results and log lines."""
+    world = lab.RelayWorld(hosts=1)
+    server = RawStore(world.clock, body.encode(), headers)
+    world.network.runners[platform_steps.STORE] = server
+    context.results = []
+    context.lines = []
+    network: Any = world.network
+    store = platform.ObjectStore(
+        network,
+        platform_steps.STORE,
+        recording_logger(context.lines),
+        context.results.append,
+    )
+    started_at = time.monotonic()
+    store.call(effect)
+    world.run(30.0)
+    context.taken_s = time.monotonic() - started_at
+
+
+class RawStore(platform_store_steps.StoreServer):
+    """Answers each call with the same bytes and headers."""
+
+    def __init__(self, clock: Any, body: bytes, headers: Any) -> None:
+        """Answer with a body."""
+        super().__init__(clock)
+        self.body = body
+        self.headers = headers
+
+    def serve(self, request: Any, open_call: Any) -> None:
+        """Answer one call."""
+        open_call.respond(200, self.headers, self.body)
+
+
+def recording_logger(lines: list[dict[str, Any]]) -> Any:
+    """Return a logger that adds its lines to a list."""
+
+    def record(_: Any, level: str, line: Any) -> Any:
+        lines.append({'level': level, **line})
+        raise structlog.DropEvent
+
+    return structlog.wrap_logger(structlog.ReturnLogger(), processors=[record])
+
+
+@when('a {call} brings an entry of {depth:d} nested {kind} between two others')
+def bring_deep_entry(context: Any, call: str, depth: int, kind: str) -> None:
+    """Answer a call with sound entries and a deep one."""
+    server = platform_steps.SERVER
+    entries = [
+        entry('a', 3, server),
+        entry('b', 4, {**server, 'extra': '@'}),
+        entry('c', 5, server),
+    ]
+    body = answer_with(call, entries).replace(PLACE, nested(depth, kind))
+    call_store(context, EFFECTS[call], body)
+
+
+@then('the call has one result with all three entries within 5 s')
+def check_entries(context: Any) -> None:
+    """Compare the result's entries."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result.status
+    assert result.revision == 20, result.revision
+    found = [(item.name, item.version) for item in result.objects]
+    assert found == [('servers/a', 3), ('servers/b', 4), ('servers/c', 5)]
+    assert context.taken_s < 5.0, context.taken_s
+
+
+@then('the entry can be read without its deep value')
+def check_deep_entry(context: Any) -> None:
+    """Decode all entries."""
+    dialect = platform.PlatformDialect()
+    for item in context.results[0].objects:
+        runner = dialect.decode_runner(item.name, item.value)
+        assert runner.slots == platform_steps.SERVER['slots'], runner
+
+
+@when('the store answers a write with {depth:d} nested arrays')
+def answer_write(context: Any, depth: int) -> None:
+    """Write an object."""
+    body = json.dumps(entry('a', 4, '@')).replace(PLACE, nested(depth))
+    call_store(context, WRITE, body)
+
+
+@then('the call has one result, ok with its revision')
+def check_write(context: Any) -> None:
+    """Compare the result of a write."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.revision == 4, result
+
+
+@when('a store call raises an unforeseen error')
+def raise_error(context: Any) -> None:
+    """Write text that can't be encoded."""
+    effect = model.StoreCall('op', model.StoreVerb.PUT, 'servers/a', '\ud800')
+    call_store(context, effect, '{}')
+
+
+@then('the call has one result, unavailable, and the error is logged')
+def check_error(context: Any) -> None:
+    """Look at the result and the log."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.UNAVAILABLE, result
+    errors = [line for line in context.lines if line['level'] == 'error']
+    assert len(errors) == 1, context.lines
+    assert 'UnicodeEncodeError' in errors[0]['detail'], errors
