Read no revision or era that a version can't hold

One entry with a revision of 400 digits, or with one that is no number, either hid all entries of its list and watch or gave a version that no peer can be told: versions are sent in fields of 64 bits, and make_version lets a revision above 48 bits count as a later era. An era header of 5,000 digits raised ValueError, and every list of that store failed.

Cause: the revisions were plain integers, a list was decoded as a whole, and the era was any run of digits.

Revisions are 0 to 2^48 - 1 now, eras 0 to 2^15 - 1; an era beyond that is no valid one, as before. The entries of a list and of a watch are decoded one by one: one that can't be read is logged as invalid-stored-object and costs no other. A list whose own revision can't be read stays UNAVAILABLE.

--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -30,6 +30,12 @@
     return f'{opening * depth}0{closing * depth}'
 
 
+def number_text(text: str) -> str:
+    """Return JSON for a value of a table; N digits stands for a number."""
+    digits, _, unit = text.partition(' ')
+    return '9' * int(digits) if unit == 'digits' else text
+
+
 def entry(name: str, revision: Any, specification: Any) -> dict[str, Any]:
     """Return an entry as the store sends it."""
     return {
@@ -158,3 +164,70 @@
     errors = [line for line in context.lines if line['level'] == 'error']
     assert len(errors) == 1, context.lines
     assert 'UnicodeEncodeError' in errors[0]['detail'], errors
+
+
+@when('a {call} brings an entry of revision {revision} between two others')
+def bring_odd_revision(context: Any, call: str, revision: str) -> None:
+    """Answer a call with sound entries and one of an odd revision."""
+    entries = [
+        entry('a', 3, platform_steps.SERVER),
+        entry('b', '@', platform_steps.SERVER),
+        entry('c', 5, platform_steps.SERVER),
+    ]
+    body = answer_with(call, entries).replace(PLACE, number_text(revision))
+    call_store(context, EFFECTS[call], body)
+
+
+@then('the call has one result with the two others')
+def check_others(context: Any) -> None:
+    """Compare the result's entries and the log."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result.status
+    found = [(item.name, item.version) for item in result.objects]
+    assert found == [('servers/a', 3), ('servers/c', 5)], found
+    events = [line['event'] for line in context.lines]
+    assert events == ['invalid-stored-object'], context.lines
+
+
+@when('a {call} finds the store at revision {revision}')
+def find_store_revision(context: Any, call: str, revision: str) -> None:
+    """Answer a call with an odd revision of the store."""
+    entries = [entry('a', 3, platform_steps.SERVER)]
+    body = answer_with(call, entries, '@')
+    body = body.replace(PLACE, number_text(revision))
+    call_store(context, EFFECTS[call], body)
+    (context.result,) = context.results
+
+
+@when('a write is answered with revision {revision}')
+def answer_write_revision(context: Any, revision: str) -> None:
+    """Write an object."""
+    body = json.dumps(entry('a', '@', {}))
+    call_store(context, WRITE, body.replace(PLACE, number_text(revision)))
+
+
+@then('the call has one result, ok with revision {revision:d}')
+def check_written_revision(context: Any, revision: int) -> None:
+    """Compare the result of a write."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.revision == revision, result
+
+
+@when('a list comes from a store of era {era}')
+def list_era(context: Any, era: str) -> None:
+    """List entries of a store with an era."""
+    body = answer_with('list', [entry('a', 3, platform_steps.SERVER)])
+    headers = ((b'store-era', number_text(era).encode()),)
+    call_store(context, EFFECTS['list'], body, headers)
+
+
+@then('the call has one result, ok of era {era:d}')
+def check_era(context: Any, era: int) -> None:
+    """Compare the era of the result and of its entry."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.era == era, result.era
+    (item,) = result.objects
+    assert model.era_of(item.version) == era, item
+    assert item.version < 1 << 63, item
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -100,6 +100,8 @@
 from ragwort_model._store import era_of
 from ragwort_model._store import format_version
 from ragwort_model._store import make_version
+from ragwort_model._store import MAX_ERA
+from ragwort_model._store import MAX_REVISION
 from ragwort_model._store import revision_of
 from ragwort_model._store import StoreCall
 from ragwort_model._store import StoredObject
@@ -185,6 +187,8 @@
     'LoadReport',
     'LoadResult',
     'make_version',
+    'MAX_ERA',
+    'MAX_REVISION',
     'MAX_DEADLINE_S',
     'MAX_HISTORY',
     'MemberStatus',
--- a/libs/ragwort_model/ragwort_model/_store.py
+++ b/libs/ragwort_model/ragwort_model/_store.py
@@ -31,6 +31,9 @@
 
 # Bits of a version below its era: room for 280 million million revisions.
 REVISION_BITS = 48
+MAX_REVISION = (1 << REVISION_BITS) - 1
+# Versions are sent to peers in signed fields of 64 bits.
+MAX_ERA = (1 << (63 - REVISION_BITS)) - 1
 
 
 def make_version(era: int, revision: int) -> int:
@@ -50,7 +53,7 @@
 
 def revision_of(version: int) -> int:
     """Return the store's own revision of a version."""
-    return version & ((1 << REVISION_BITS) - 1)
+    return version & MAX_REVISION
 
 
 def format_version(version: int) -> str:
