Refuse entries and configurations with absurd numbers

An entry with 400 digits of slots named a runner; each request of its service then divided a float by them and raised OverflowError. A start beyond 64 bits made thrift refuse the whole frame in which peers were told of leaving or cold runners, sound ones included. A remaining cold time of 400 digits raised OverflowError, one of 1e400 refused its entry, and numbers of that size in an engine object refused the whole configuration. Other numbers of a configuration came into force as they were, as times of 1e297 s.

Cause: the decoders' fields were plain int, float and Any.

All numbers are bounded where they are read: counts, sizes and times by 10^12 either way, priorities by 32 bits and starts and versions by 64, as the peers' fields hold them. An absurd one gives the typed ConfigurationError for that object alone. The cold time and the engine are kept as raw JSON and decoded apart, so that an odd one reads as none.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -78,3 +78,81 @@
       | 400 digits  | 0     |
       | 5000 digits | 0     |
       | -1          | 0     |
+
+  # Guards against an OverflowError for each request of a service, and against
+  # starts that no peer can be told.
+  Scenario Outline: a runner whose <field> is <value> costs only itself
+    When the runners of a list are sound but for one whose <field> is <value>
+    Then the others are known, and the entry has a problem in plain words
+
+    Examples:
+      | field | value                |
+      | slots | 400 digits           |
+      | slots | 5000 digits          |
+      | slots | 10000000000000       |
+      | slots | 1e400                |
+      | born  | 400 digits           |
+      | born  | 9223372036854775808  |
+      | born  | -9223372036854775809 |
+      | born  | 5000 arrays          |
+
+  # Guards against an OverflowError in place of a runner.
+  Scenario Outline: a remaining cold time of <value> names a runner
+    When a runner's remaining cold time is <value>
+    Then the runner is known with the cold time <read>
+
+    Examples:
+      | value       | read |
+      | 1500        | 1.5  |
+      | 1500.5      | 1.5005 |
+      | -3          | 0    |
+      | 400 digits  | none |
+      | 5000 digits | none |
+      | 1e300       | none |
+      | 1e400       | none |
+      | true        | none |
+      | "soon"      | none |
+      | 5000 arrays | none |
+
+  # Guards against configurations in force that no request can be served by.
+  Scenario Outline: a configuration with <value> at <place> is refused
+    When the configuration gets <value> at <place>
+    Then the valid one stays in force and the problem is noted
+
+    Examples:
+      | value               | place                            |
+      | 400 digits          | version                          |
+      | 9223372036854775808 | version                          |
+      | 1e300               | routes/0/timeoutMs               |
+      | 1e300               | routes/0/targetLatencyMs         |
+      | 1e300               | routes/0/targetGapMs             |
+      | 400 digits          | routes/0/priority                |
+      | 2147483648          | routes/0/priority                |
+      | 400 digits          | routes/0/attempts                |
+      | 1e308               | routes/0/split/0/weight          |
+      | 1e308               | routes/0/stages/0/bytes          |
+      | 400 digits          | routes/0/stages/2/after/0        |
+      | 400 digits          | services/1/pieces/batch          |
+      | 1e308               | services/1/pieces/callMs         |
+      | 1e308               | services/1/pieces/itemMs         |
+      | 1e308               | services/1/pieces/headroomMb     |
+      | 1e308               | services/1/pieces/handleS        |
+      | 1e308               | services/0/coldStartS            |
+      | 1e308               | services/0/coldPerS              |
+      | 400 digits          | limits/headerBytes               |
+      | 400 digits          | limits/bodyBytes                 |
+      | 1e308               | limits/idleTimeoutMs             |
+      | 2147483648          | tenants/0/priority               |
+
+  Scenario Outline: an engine object <content> gives <engine> at odd numbers
+    When the engine of a service is <content>
+    Then its engine is read as <engine>
+
+    Examples:
+      | content                                      | engine |
+      | {"kvCacheTokens": @400 digits@}              | none   |
+      | {"kvCacheTokens": 1e400}                     | none   |
+      | {"kvCacheTokens": 1e30}                      | none   |
+      | {"kvCacheTokens": 5, "slots": @400 digits@}  | 5      |
+      | {"kvCacheTokens": 5, "slots": 1e400}         | 5      |
+      | {"kvCacheTokens": 5, "slots": @5000 arrays@} | 5      |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps of odd entries and numbers that other programs wrote."""
 
 import json
+import re
 import time
 from typing import Any
 
@@ -13,6 +14,7 @@
 import ragwort_lab as lab
 import ragwort_model as model
 import ragwort_platform as platform
+import ragwort_relay as relay
 
 # Stands for content that the JSON encoder can't write.
 PLACE = '"@"'
@@ -31,9 +33,11 @@
 
 
 def number_text(text: str) -> str:
-    """Return JSON for a value of a table; N digits stands for a number."""
-    digits, _, unit = text.partition(' ')
-    return '9' * int(digits) if unit == 'digits' else text
+    """Return JSON for a value of a table, such as 400 digits."""
+    count, _, unit = text.partition(' ')
+    if unit == 'digits':
+        return '9' * int(count)
+    return nested(int(count)) if unit == 'arrays' else text
 
 
 def entry(name: str, revision: Any, specification: Any) -> dict[str, Any]:
@@ -231,3 +235,83 @@
     (item,) = result.objects
     assert model.era_of(item.version) == era, item
     assert item.version < 1 << 63, item
+
+
+@when('the runners of a list are sound but for one whose {field} is {value}')
+def list_odd_runner(context: Any, field: str, value: str) -> None:
+    """Apply a list to a catalog."""
+    server = platform_steps.SERVER
+    contents = {
+        'servers/a': json.dumps(server),
+        'servers/b': odd_value({**server, field: '@'}, value),
+        'servers/c': json.dumps(server),
+    }
+    context.catalog = catalog = new_catalog()
+    for name, content in contents.items():
+        catalog.apply(model.StoredObject(name, 1, content))
+
+
+def new_catalog() -> relay.RelayCatalog:
+    """Return a catalog with the example configuration."""
+    return platform_steps.catalog_with(
+        json.dumps(platform_steps.CONFIGURATION)
+    )
+
+
+def odd_value(content: Any, value: str) -> str:
+    """Return JSON with a value of a table in its place."""
+    return json.dumps(content).replace(PLACE, number_text(value))
+
+
+@then('the others are known, and the entry has a problem in plain words')
+def check_odd_runner(context: Any) -> None:
+    """Compare the runners and the problems."""
+    catalog = context.catalog
+    assert list(catalog.fleet.runners) == ['servers/a', 'servers/c']
+    assert list(catalog.problems) == ['servers/b'], catalog.problems
+    assert 'unexpected' not in catalog.problems['servers/b']
+
+
+@when("a runner's remaining cold time is {value}")
+def read_cold_time(context: Any, value: str) -> None:
+    """Apply an entry with a cold time."""
+    context.catalog = catalog = new_catalog()
+    server = {**platform_steps.SERVER, 'coldRemainingMs': '@'}
+    content = odd_value(server, value)
+    catalog.apply(model.StoredObject('servers/a', 1, content))
+
+
+@then('the runner is known with the cold time {read}')
+def check_cold_time(context: Any, read: str) -> None:
+    """Compare the entry."""
+    catalog = context.catalog
+    assert not catalog.problems, catalog.problems
+    cold_s = catalog.fleet.runners['servers/a'].entry.cold_remaining_s
+    expected = None if read == 'none' else float(read)
+    assert cold_s == expected, cold_s
+
+
+@when('the configuration gets {value} at {place}')
+def change_configuration(context: Any, value: str, place: str) -> None:
+    """Apply a valid configuration, then one with an odd number."""
+    context.catalog = new_catalog()
+    content = json.loads(json.dumps(platform_steps.CONFIGURATION))
+    *path, last = (int(k) if k.isdigit() else k for k in place.split('/'))
+    holder = content
+    for key in path:
+        holder = holder[key]
+    holder[last] = '@'
+    item = model.StoredObject('config/main', 2, odd_value(content, value))
+    context.catalog.apply(item)
+    problem = context.catalog.problems.get('config/main', '')
+    assert 'unexpected' not in problem, problem
+
+
+@when('the engine of a service is {content}')
+def set_engine(context: Any, content: str) -> None:
+    """Apply a configuration with an engine object."""
+    text = re.sub('@([^@]+)@', lambda match: number_text(match[1]), content)
+    configuration = json.loads(json.dumps(platform_steps.CONFIGURATION))
+    configuration['services'][0]['engine'] = '@'
+    value = json.dumps(configuration).replace(PLACE, text)
+    context.catalog = platform_steps.catalog_with(value)
