--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -156,3 +156,30 @@
       | {"kvCacheTokens": 5, "slots": @400 digits@}  | 5      |
       | {"kvCacheTokens": 5, "slots": 1e400}         | 5      |
       | {"kvCacheTokens": 5, "slots": @5000 arrays@} | 5      |
+
+  # Guards against sound results of a call that are given up for an odd one,
+  # and against errors that end the call's bookkeeping.
+  Scenario Outline: a stage reply whose second item is <item> keeps the others
+    When a runner's answer for three pieces has <item> as the second
+    Then the first and the third have their handles, the second is <result>
+
+    Examples:
+      | item                        | result |
+      | {"handle": 400 digits}      | error  |
+      | {"handle": 5000 arrays}     | error  |
+      | {"handle": true}            | error  |
+      | 200000 arrays               | error  |
+      | null                        | error  |
+      | {"handle": "c/1", "x": 5000 arrays} | made |
+
+  Scenario Outline: a <message> with <value> raises the typed error
+    When a runner's <message> has <value>
+    Then the dialect raises the typed error
+
+    Examples:
+      | message     | value         |
+      | stage reply | 400 digits    |
+      | report      | 5000 arrays   |
+      | report      | 400 digits    |
+      | report      | 1e300         |
+      | report      | NaN           |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -11,6 +11,7 @@
 
 from features.steps import platform_steps
 from features.steps import platform_store_steps
+import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
 import ragwort_platform as platform
@@ -315,3 +316,57 @@
     configuration['services'][0]['engine'] = '@'
     value = json.dumps(configuration).replace(PLACE, text)
     context.catalog = platform_steps.catalog_with(value)
+
+
+@when("a runner's answer for three pieces has {item} as the second")
+def answer_odd_piece(context: Any, item: str) -> None:
+    """Read an answer."""
+    text = re.sub(
+        r'\d+ (digits|arrays)', lambda match: number_text(match[0]), item
+    )
+    items = [{'handle': 'a/1'}, '@', {'handle': 'b/1'}]
+    body = json.dumps({'items': items}).replace(PLACE, text)
+    response = edge.HttpResponse(200, (), body.encode())
+    dialect = platform.PlatformDialect()
+    context.pieces = dialect.read_stage_reply(response, 3)
+
+
+@then('the first and the third have their handles, the second is {result}')
+def check_odd_piece(context: Any, result: str) -> None:
+    """Compare the results."""
+    first, second, third = context.pieces
+    assert (first.handle, third.handle) == ('a/1', 'b/1')
+    assert second.result == edge.PieceResult[result.upper()], second
+    assert (second.handle is None) == (result == 'error'), second
+
+
+REPLY_FORMS = {
+    'stage reply': (
+        {'items': '@'},
+        lambda response: platform.PlatformDialect().read_stage_reply(
+            response, 1
+        ),
+    ),
+    'report': (
+        {'freeMb': '@'},
+        platform.PlatformDialect().read_free_storage,
+    ),
+}
+
+
+@when("a runner's {message} has {value}")
+def read_odd_reply(context: Any, message: str, value: str) -> None:
+    """Read an answer, letting the typed error pass."""
+    content, read = REPLY_FORMS[message]
+    body = odd_value(content, value).encode()
+    context.error = None
+    try:
+        read(edge.HttpResponse(200, (), body))
+    except model.WireError as error:
+        context.error = error
+
+
+@then('the dialect raises the typed error')
+def check_typed_error(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None
