Take only ASCII digits and whole texts as addresses

An entry whose address had a line end behind its port, or digits of another alphabet, named a runner. The address went to connections and into the Host header of requests as it was. A port of 5,000 digits gave Python's error on long integers instead of the one that says what to write.

Cause: \d takes the digits of all alphabets and $ also matches before a line end.

The pattern has ASCII digits, at most five for the port, and must match the whole text.

Durations and sizes in settings files are read as before.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -183,3 +183,18 @@
       | report      | 400 digits    |
       | report      | 1e300         |
       | report      | NaN           |
+
+  # Guards against addresses that can be read but not connected to.
+  Scenario Outline: the address <address> is refused
+    Then the address <address> is refused in plain words
+
+    Examples:
+      | address             |
+      | "10.0.1.1:80\n"     |
+      | "10.0.1.1:8\u0660"  |
+      | "10.0.1.\u0661:80"  |
+      | "\uff11.0.1.1:80"   |
+      | "10.0.1.1:80 "      |
+      | "10.0.1.1:65536"    |
+      | "10.0.1.1:0"        |
+      | @5000 digits@       |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -370,3 +370,20 @@
 def check_typed_error(context: Any) -> None:
     """Look for the error."""
     assert context.error is not None
+
+
+@then('the address {address} is refused in plain words')
+def check_address(context: Any, address: str) -> None:
+    """Parse an address; digits of the table stand for a port."""
+    if address.startswith('@'):
+        text = '10.0.1.1:' + number_text(address.strip('@'))
+    else:
+        text = json.loads(address)
+    sound = '10.0.1.1:65535'
+    assert model.parse_address(sound) == sound
+    problem = ''
+    try:
+        model.parse_address(text)
+    except ValueError as error:
+        problem = str(error)
+    assert problem.startswith(repr(text)), problem
--- a/libs/ragwort_model/ragwort_model/_units.py
+++ b/libs/ragwort_model/ragwort_model/_units.py
@@ -7,8 +7,9 @@
 _SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
 _SIZE_PATTERN = re.compile(r'^(\d+)(B|KiB|MiB)$')
 _BYTES_PER_UNIT = {'B': 1, 'KiB': 1024, 'MiB': 1024 * 1024}
+# For fullmatch, as $ lets a line end follow; \d takes digits of any alphabet.
 _ADDRESS_PATTERN = re.compile(
-    r'^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d+)$'
+    r'([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3})\.([0-9]{1,3}):([0-9]{1,5})'
 )
 MAX_PORT = 65535
 
@@ -30,7 +31,7 @@
 def parse_address(value: Any) -> str:
     """Return value if it is an IPv4 address with a port."""
     if not isinstance(value, str) or not (
-        match := _ADDRESS_PATTERN.match(value)
+        match := _ADDRESS_PATTERN.fullmatch(value)
     ):
         raise ValueError(
             f'{value!r} is not an IPv4 address with a port; '
