Raise the typed error for deep JSON and absurd numbers on nodes

A node, a runner or a caller's client that read a message of another process with 5,000 nested arrays got RecursionError, which nothing expected: the decoders of calls, results, orders, loads, events, writes and address lists trapped MsgspecError and ValueError alone. Numbers had no bounds: a load of 400 digits raised OverflowError where a runner was chosen, and a revision above 48 bits counted as a later era of the store.

The decoders trap RecursionError too, and their numbers have bounds: counts and times 10^12 either way, versions and fencing numbers 64 bits, revisions 48 bits and eras 15, as versions hold them.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -198,3 +198,51 @@
       | "10.0.1.1:65536"    |
       | "10.0.1.1:0"        |
       | @5000 digits@       |
+
+  # Guards against decoders of the product's own nodes that raise another
+  # error than their callers expect.
+  Scenario Outline: a <message> whose <field> is <value> raises the typed error
+    When a node reads a <message> whose <field> is <value>
+    Then it gets the typed error
+
+    Examples:
+      | message       | field         | value               |
+      | call          | extra         | 5000 arrays         |
+      | call          | deadline_ms   | 400 digits          |
+      | call          | priority      | 400 digits          |
+      | call          | resume_from   | 400 digits          |
+      | result        | extra         | 5000 arrays         |
+      | result        | seq           | 400 digits          |
+      | end of result | busy_s        | 1e300               |
+      | end of result | count         | 400 digits          |
+      | order         | extra         | 5000 arrays         |
+      | order         | fencing       | 9223372036854775808 |
+      | order         | expires_wall  | 1e300               |
+      | load          | extra         | 5000 arrays         |
+      | load          | slots         | 400 digits          |
+      | load          | running       | 400 digits          |
+      | load          | age_s         | 1e300               |
+      | load          | state_version | 9223372036854775808 |
+      | event         | extra         | 5000 arrays         |
+      | event         | seq           | 400 digits          |
+      | end           | retry_after_s | 1e300               |
+      | write         | extra         | 5000 arrays         |
+      | write         | expected_version | 400 digits       |
+      | write         | expected_era  | 400 digits          |
+      | address list  | extra         | 5000 arrays         |
+
+  Scenario Outline: a store result whose <field> is <value> is unavailable
+    When a node reads a store result whose <field> is <value>
+    Then it reads it as unavailable
+
+    Examples:
+      | field    | value           |
+      | extra    | 5000 arrays     |
+      | extra    | 200000 arrays   |
+      | revision | 281474976710656 |
+      | revision | -1              |
+      | revision | 400 digits      |
+      | era      | 32768           |
+      | era      | 400 digits      |
+      | version  | 400 digits      |
+      | version  | -1              |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -16,6 +16,7 @@
 import ragwort_model as model
 import ragwort_platform as platform
 import ragwort_relay as relay
+import ragwort_wire as wire
 
 # Stands for content that the JSON encoder can't write.
 PLACE = '"@"'
@@ -387,3 +388,105 @@
     except ValueError as error:
         problem = str(error)
     assert problem.startswith(repr(text)), problem
+
+
+LOAD = {
+    'running': 1,
+    'queued': 0,
+    'slots': 4,
+    'age_s': 0.0,
+    'draining': False,
+    'state_version': 1,
+}
+OBJECT = {'name': 'config/x', 'version': 1, 'value': '{}'}
+ADDRESS = {'host': 'h', 'address': '10.0.1.1:80', 'failure_domain': 'n'}
+# A sound content of each message of nodes, and its decoder.
+NODE_MESSAGES: dict[str, tuple[Any, Any]] = {
+    'call': (
+        {
+            'attempt': 'a',
+            'service': 's',
+            'input': 'x',
+            'deadline_ms': 4000,
+            'priority': 1,
+            'resume_from': 0,
+        },
+        wire.decode_call,
+    ),
+    'result': (
+        {'type': 'chunk', 'attempt': 'a', 'seq': 1, 'data': 'x'},
+        wire.decode_result,
+    ),
+    'end of result': (
+        {
+            'type': 'end',
+            'attempt': 'a',
+            'count': 1,
+            'digest': 'd',
+            'busy_s': 0.1,
+            'load': LOAD,
+        },
+        wire.decode_result,
+    ),
+    'order': (
+        {'fencing': 1, 'wanted': 'loaded', 'expires_wall': 1.7e9},
+        wire.decode_order,
+    ),
+    'load': (LOAD, wire.decode_load),
+    'event': ({'type': 'chunk', 'seq': 1, 'data': 'x'}, wire.decode_event),
+    'end': (
+        {
+            'type': 'end',
+            'key': 'k',
+            'outcome': 'completed',
+            'count': 1,
+            'digest': 'd',
+            'retry_after_s': 1.0,
+        },
+        wire.decode_event,
+    ),
+    'write': (
+        {'value': '{}', 'expected_version': 1, 'expected_era': 1},
+        wire.decode_write,
+    ),
+    'address list': (
+        {'addresses': [ADDRESS], 'ttl_s': 5.0, 'version': 1},
+        wire.decode_addresses,
+    ),
+    'store result': (
+        {'objects': [OBJECT], 'revision': 7, 'era': 1},
+        lambda body: wire.decode_store_result('op', 200, body),
+    ),
+}
+
+
+@when('a node reads a {message} whose {field} is {value}')
+def read_node_message(
+    context: Any, message: str, field: str, value: str
+) -> None:
+    """Decode a sound message, then the same with one odd field."""
+    content, decode = NODE_MESSAGES[message]
+    context.sound = decode(json.dumps(content).encode())
+    odd = json.loads(json.dumps(content))
+    holder = odd['objects'][0] if field == 'version' else odd
+    assert field == 'extra' or field in holder, field
+    holder[field] = '@'
+    context.error = context.decoded = None
+    try:
+        context.decoded = decode(odd_value(odd, value).encode())
+    except model.WireError as error:
+        context.error = error
+
+
+@then('it gets the typed error')
+def check_node_error(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None, context.decoded
+
+
+@then('it reads it as unavailable')
+def check_unavailable(context: Any) -> None:
+    """Compare the status."""
+    assert context.sound.status == model.StoreStatus.OK
+    found = context.decoded.status
+    assert found == model.StoreStatus.UNAVAILABLE, context.decoded
--- a/libs/ragwort_wire/ragwort_wire/_caller_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_caller_http.py
@@ -6,6 +6,7 @@
 import pydantic
 
 import ragwort_model as model
+from ragwort_wire import _decoding
 
 MAX_INPUT_CHARS = 512 * 1024
 MIN_DEADLINE_MS = 1
@@ -111,5 +112,5 @@
     """Decode an address response; raise WireError if it is damaged."""
     try:
         return msgspec.json.decode(body, type=AddressesRecord)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged address response: {error}') from None
--- a/libs/ragwort_wire/ragwort_wire/_platform_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_platform_http.py
@@ -3,13 +3,14 @@
 import msgspec
 
 import ragwort_model as model
+from ragwort_wire import _decoding
 
 
 class ObjectRecord(msgspec.Struct):
     """An object; value is null after deletion."""
 
     name: str
-    version: int
+    version: _decoding.Revision
     value: str | None = None
 
 
@@ -17,8 +18,8 @@
     """Body of PUT /v1/objects/NAME; the era is that of expected_version."""
 
     value: str
-    expected_version: int
-    expected_era: int = 0
+    expected_version: _decoding.Revision
+    expected_era: _decoding.Era = 0
 
 
 class ObjectsRecord(msgspec.Struct):
@@ -28,8 +29,8 @@
     """
 
     objects: list[ObjectRecord]
-    revision: int
-    era: int = 0
+    revision: _decoding.Revision
+    era: _decoding.Era = 0
 
 
 _STATUS_BY_HTTP_CODE = {
@@ -66,7 +67,7 @@
         return model.StoreResult(op, status)
     try:
         record = msgspec.json.decode(body, type=ObjectsRecord)
-    except (msgspec.MsgspecError, ValueError):
+    except _decoding.ERRORS:
         return model.StoreResult(op, model.StoreStatus.UNAVAILABLE)
     era = record.era
     objects = tuple(
@@ -92,5 +93,5 @@
     """Decode a conditional write; raise WireError if it is damaged."""
     try:
         return msgspec.json.decode(body, type=WriteRecord)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged write: {error}') from None
--- a/libs/ragwort_wire/ragwort_wire/_runner_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -3,6 +3,7 @@
 import msgspec
 
 import ragwort_model as model
+from ragwort_wire import _decoding
 
 
 class CallRecord(msgspec.Struct):
@@ -11,37 +12,37 @@
     attempt: str
     service: str
     input: str
-    deadline_ms: int
-    priority: int
-    resume_from: int = 0
+    deadline_ms: _decoding.Count
+    priority: _decoding.Count
+    resume_from: _decoding.Count = 0
     prior: str = ''
 
 
 class LoadRecord(msgspec.Struct):
     """Load report of a runner."""
 
-    running: int
-    queued: int
-    slots: int
-    age_s: float
+    running: _decoding.Count
+    queued: _decoding.Count
+    slots: _decoding.Count
+    age_s: _decoding.Number
     draining: bool
-    state_version: int
+    state_version: _decoding.Int64
     loaded: bool = True
 
 
 class OrderRecord(msgspec.Struct):
     """Body of POST /v1/orders."""
 
-    fencing: int
+    fencing: _decoding.Int64
     wanted: str
-    expires_wall: float
+    expires_wall: _decoding.Number
 
 
 class ResultChunk(msgspec.Struct, tag='chunk', tag_field='type'):
     """Chunk seq of a stage result."""
 
     attempt: str
-    seq: int
+    seq: _decoding.Count
     data: str
 
 
@@ -55,9 +56,9 @@
     """End of a stage result."""
 
     attempt: str
-    count: int
+    count: _decoding.Count
     digest: str
-    busy_s: float
+    busy_s: _decoding.Number
     load: LoadRecord
 
 
@@ -104,7 +105,7 @@
     """Decode a call; raise WireError if it is damaged."""
     try:
         return _CALLS.decode(body)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged call: {error}') from None
 
 
@@ -117,7 +118,7 @@
     """Decode one line of a result; raise WireError if it is damaged."""
     try:
         return _RESULTS.decode(line)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged result line: {error}') from None
 
 
@@ -133,7 +134,7 @@
     try:
         record = msgspec.json.decode(body, type=OrderRecord)
         desired = model.DesiredState(record.wanted)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged order: {error}') from None
     return model.RunnerOrder(record.fencing, desired, record.expires_wall)
 
@@ -142,7 +143,7 @@
     """Decode a load report; raise WireError if it is damaged."""
     try:
         return to_load_report(msgspec.json.decode(body, type=LoadRecord))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged load report: {error}') from None
 
 
--- a/libs/ragwort_wire/ragwort_wire/_stream.py
+++ b/libs/ragwort_wire/ragwort_wire/_stream.py
@@ -3,6 +3,7 @@
 import msgspec
 
 import ragwort_model as model
+from ragwort_wire import _decoding
 
 
 class AcceptedRecord(msgspec.Struct, tag='accepted', tag_field='type'):
@@ -15,7 +16,7 @@
 class ChunkRecord(msgspec.Struct, tag='chunk', tag_field='type'):
     """Chunk seq of the answer."""
 
-    seq: int
+    seq: _decoding.Count
     data: str
 
 
@@ -30,10 +31,10 @@
 
     key: str
     outcome: str
-    count: int
+    count: _decoding.Count
     digest: str
     reason: str = ''
-    retry_after_s: float | None = None
+    retry_after_s: _decoding.Number | None = None
 
 
 StreamRecord = AcceptedRecord | ChunkRecord | HeartbeatRecord | EndRecord
@@ -51,7 +52,7 @@
     """Decode one line; raise WireError if it is damaged."""
     try:
         return _to_event(_DECODER.decode(line))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _decoding.ERRORS as error:
         raise model.WireError(f'damaged stream record: {error}') from None
 
 
