Read the sound entries of hosts, parts, versions and streams beside odd ones

One odd entry kept a host from all others of its kind. An entry host or refused part nested 200,000 deep raised RecursionError as the list was handled, so that an isolated host found no peer and no refused part was known. Times of 400 digits among the versions or origins of streams raised OverflowError, a group of streams whose name had 5,000 digits ValueError. One odd stream cost its whole group, up to 8,000 streams.

Cause: these readers trapped other errors than json and msgspec raise, and their numbers had no bounds.

Leases and claim buckets that are nested too deep read as damaged, as others that can't be read.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -246,3 +246,36 @@
       | era      | 400 digits      |
       | version  | 400 digits      |
       | version  | -1              |
+
+  # Guards against one odd entry that keeps a host from the others of its kind:
+  # the results of these lists are handled as a whole.
+  Scenario Outline: an odd entry of <kind> hides no other: <entry>
+    When the store lists <kind> with the odd entry <entry> and a sound one
+    Then the sound entry of <kind> is read
+
+    Examples:
+      | kind            | entry                                      |
+      | hosts           | {"peers": @200000 arrays@}                 |
+      | hosts           | {"peers": @400 digits@}                    |
+      | refused parts   | {"service": "s", "part": @200000 arrays@}  |
+      | stream versions | {"era": 0, "sinceMs": 1, "versions": {"a": null}, "x": @200000 arrays@} |
+      | stream versions | {"era": 0, "sinceMs": @400 digits@, "versions": {"a": null}} |
+      | stream versions | {"era": 0, "sinceMs": 1, "versions": {"a": @400 digits@}} |
+      | streams         | [["a", "w", "s", "v", 1, @200000 arrays@]] |
+      | streams         | [["a", "w", "s", "v", @400 digits@]]       |
+
+  Scenario: an odd stream of a group hides no other of the group
+    When the store lists a group with an odd stream and a sound one
+    Then the sound entry of streams is read
+
+  Scenario: a group of streams with an odd name hides no other
+    When the store lists a group of streams whose name has 5000 digits
+    Then the sound entry of streams is read
+
+  Scenario Outline: a claim bucket or lease that is nested too deep is damaged
+    Then a <object> with 200000 nested arrays reads as damaged
+
+    Examples:
+      | object |
+      | bucket |
+      | lease  |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps of odd entries and numbers that other programs wrote."""
 
 import json
+import random
 import re
 import time
 from typing import Any
@@ -16,6 +17,7 @@
 import ragwort_model as model
 import ragwort_platform as platform
 import ragwort_relay as relay
+import ragwort_state as state
 import ragwort_wire as wire
 
 # Stands for content that the JSON encoder can't write.
@@ -312,7 +314,7 @@
 @when('the engine of a service is {content}')
 def set_engine(context: Any, content: str) -> None:
     """Apply a configuration with an engine object."""
-    text = re.sub('@([^@]+)@', lambda match: number_text(match[1]), content)
+    text = odd_text(content)
     configuration = json.loads(json.dumps(platform_steps.CONFIGURATION))
     configuration['services'][0]['engine'] = '@'
     value = json.dumps(configuration).replace(PLACE, text)
@@ -490,3 +492,144 @@
     assert context.sound.status == model.StoreStatus.OK
     found = context.decoded.status
     assert found == model.StoreStatus.UNAVAILABLE, context.decoded
+
+
+HOST = model.EntryHost('h', '10.0.0.1:81', '10.0.0.1:84', 'north', 'here')
+
+
+def list_hosts(objects: list[model.StoredObject]) -> Any:
+    """Return the peers that a registry reads."""
+    registry = state.HostRegistry(
+        HOST, state.StoreEra(), random.Random(1), 0.0, is_registered=True
+    )
+    (call,) = registry.tick(0.0, True, False, [])
+    return registry.on_store_result(listed(call, objects), 0.1)
+
+
+def list_suspects(objects: list[model.StoredObject]) -> Any:
+    """Return the refused parts that a register reads."""
+    register = state.SuspectRegister(state.StoreEra(), random.Random(1), 0.0)
+    (call,) = register.tick(0.0, [], False)
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def list_versions(objects: list[model.StoredObject]) -> Any:
+    """Return the versions of services that a register reads."""
+    register = state.VersionRegister(state.StoreEra(), random.Random(1), 0.0)
+    register.request_read()
+    (call,) = register.tick(0.0, 0.0, {}, False)
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def list_streams(objects: list[model.StoredObject]) -> Any:
+    """Return the streams that a register reads."""
+    register = state.StreamRegister(state.StoreEra(), random.Random(1), 0.0)
+    register.is_read_due = True
+    (call,) = register.tick(0.0, {})
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def listed(
+    call: model.StoreCall, objects: list[model.StoredObject]
+) -> model.StoreResult:
+    """Return the result of a list."""
+    assert call.verb == model.StoreVerb.LIST, call
+    return model.StoreResult(call.op, model.StoreStatus.OK, tuple(objects), 9)
+
+
+SOUND_STREAM = ['a', 'w', 's', 'v', 1700000000000]
+# Name and content of a sound entry, its reader and what it gives.
+STORED_KINDS: dict[str, tuple[str, Any, Any, Any]] = {
+    'hosts': (
+        'entry-hosts/h2',
+        {'peers': '10.0.0.2:84'},
+        list_hosts,
+        ['10.0.0.2:84'],
+    ),
+    'refused parts': (
+        'refused-parts/x',
+        {'service': 'main', 'part': 'b'},
+        list_suspects,
+        {('main', 'b')},
+    ),
+    'stream versions': (
+        'stream-versions/main',
+        {'era': 0, 'sinceMs': 5000, 'versions': {'v1': None}},
+        list_versions,
+        {'main': state.ServiceVersions(5.0, {'v1': None})},
+    ),
+    'streams': (
+        'stream-origins/2',
+        [SOUND_STREAM],
+        list_streams,
+        [state.StoredOrigin(*SOUND_STREAM)],
+    ),
+}
+
+
+def odd_text(text: str) -> str:
+    """Return JSON with the values that stand between two at signs."""
+    return re.sub('@([^@]+)@', lambda match: number_text(match[1]), text)
+
+
+def read_list(context: Any, kind: str, name: str, value: str) -> None:
+    """Let a reader handle a list of an odd and a sound entry."""
+    sound_name, content, read, _ = STORED_KINDS[kind]
+    context.found = read(
+        [
+            model.StoredObject(name, 3, value),
+            model.StoredObject(sound_name, 4, json.dumps(content)),
+        ]
+    )
+
+
+@when('the store lists {kind} with the odd entry {text} and a sound one')
+def list_odd_entry(context: Any, kind: str, text: str) -> None:
+    """Read a list."""
+    folder = STORED_KINDS[kind][0].partition('/')[0]
+    read_list(context, kind, f'{folder}/1', odd_text(text))
+
+
+@when('the store lists a group with an odd stream and a sound one')
+def list_odd_stream(context: Any) -> None:
+    """Read a list whose sound stream stands beside an odd one."""
+    odd = json.dumps(['a', 'w', 's', 'v', '@'])
+    odd = odd.replace(PLACE, number_text('400 digits'))
+    group = f'[{odd},{json.dumps(SOUND_STREAM)}]'
+    item = model.StoredObject('stream-origins/1', 3, group)
+    context.found = list_streams([item])
+
+
+@when('the store lists a group of streams whose name has {count:d} digits')
+def list_odd_name(context: Any, count: int) -> None:
+    """Read a list."""
+    read_list(context, 'streams', f'stream-origins/{"9" * count}', '[]')
+
+
+@then('the sound entry of {kind} is read')
+def check_sound_entry(context: Any, kind: str) -> None:
+    """Compare what was read."""
+    assert context.found == STORED_KINDS[kind][3], context.found
+
+
+@then('a bucket with {depth:d} nested arrays reads as damaged')
+def check_deep_bucket(context: Any, depth: int) -> None:
+    """Decode a bucket of claims."""
+    try:
+        state.decode_claims(f'[["k", "w", "d", "h", "n", {nested(depth)}]]')
+    except model.WireError:
+        return
+    raise AssertionError('a damaged bucket was read')
+
+
+@then('a lease with {depth:d} nested arrays reads as damaged')
+def check_deep_lease(context: Any, depth: int) -> None:
+    """Let a host read a lease; it waits until the lease is over."""
+    lease = state.Lease('placing', 'h', random.Random(1), state.StoreEra())
+    (call,) = lease.tick(0.0, True)
+    value = f'{{"holder": "other", "x": {nested(depth)}}}'
+    item = model.StoredObject(call.name, 5, value)
+    result = model.StoreResult(call.op, model.StoreStatus.OK, (item,), 5)
+    lease.on_store_result(result, 0.1)
+    assert lease.seen_version == 5, lease
+    assert lease.phase == state.LeasePhase.FOLLOWING, lease
--- a/libs/ragwort_state/ragwort_state/_lease.py
+++ b/libs/ragwort_state/ragwort_state/_lease.py
@@ -9,6 +9,7 @@
 
 import ragwort_model as model
 from ragwort_state import _era
+from ragwort_state import _stored_json
 
 LEASE_PREFIX = 'leases/'
 LEASE_OP = 'lease:'
@@ -29,7 +30,7 @@
 class _LeaseRecord(msgspec.Struct):
     holder: str
     nonce: str
-    fencing: int
+    fencing: _stored_json.Int64
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,7 +158,7 @@
     def _apply_record(self, stored: model.StoredObject, now: float) -> None:
         try:
             record = msgspec.json.decode(stored.value or '', type=_LeaseRecord)
-        except (msgspec.MsgspecError, ValueError):
+        except _stored_json.ERRORS:
             record = _LeaseRecord('', '', 0)
         if record.nonce and record.nonce == self.nonce:
             self._hold(record.fencing or stored.version, stored.version, now)
--- a/libs/ragwort_state/ragwort_state/_ledger.py
+++ b/libs/ragwort_state/ragwort_state/_ledger.py
@@ -18,6 +18,7 @@
 
 import ragwort_model as model
 from ragwort_state import _era
+from ragwort_state import _stored_json
 
 SHARD_COUNT = 32
 BUCKET_SPAN_S = 15
@@ -69,7 +70,7 @@
     """Return the claims of a stored bucket by key; raise WireError."""
     try:
         records = _DECODER.decode(value)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _stored_json.ERRORS as error:
         raise model.WireError(f'damaged claim bucket: {error}') from None
     return {
         r.key: model.Claim(r.key, r.workspace, r.body_digest, r.host, r.nonce)
--- a/libs/ragwort_state/ragwort_state/_registry.py
+++ b/libs/ragwort_state/ragwort_state/_registry.py
@@ -134,5 +134,5 @@
     """Return the address in an entry, None if it can't be parsed."""
     try:
         return model.parse_address(json.loads(item.value or '')['peers'])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
--- a/libs/ragwort_state/ragwort_state/_stream_register.py
+++ b/libs/ragwort_state/ragwort_state/_stream_register.py
@@ -10,11 +10,13 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import random
+import re
 
 import msgspec
 
 import ragwort_model as model
 from ragwort_state import _era
+from ragwort_state import _stored_json
 
 STREAMS_PREFIX = 'stream-origins/'
 STREAMS_OP = 'streams:'
@@ -23,6 +25,7 @@
 # Groups of streams, each an object of its own: 16 hold 8,000 streams a second
 # for 8 s, 60 bytes each, within the size of an object.
 GROUPS = 16
+GROUP_PATTERN = re.compile(r'[0-9]{1,9}')
 # Streams that began since the last write are lost with all hosts: at least
 # half of those taken up have to go on, and many last for a few seconds.
 MIN_INTERVAL_S = 0.5
@@ -41,7 +44,7 @@
     workspace: str
     service: str
     software_version: str
-    expires_ms: int
+    expires_ms: _stored_json.TimeMs
 
 
 Groups = Mapping[int, list[StoredOrigin]]
@@ -143,15 +146,30 @@
         found: list[StoredOrigin] = []
         for item in result.objects:
             name = item.name.removeprefix(STREAMS_PREFIX)
-            if item.value is not None and name.isdecimal():
+            if item.value is not None and GROUP_PATTERN.fullmatch(name):
                 self.stored[int(name)] = item.version
                 found += _decode(item.value)
         return found
 
 
 def _decode(value: str) -> list[StoredOrigin]:
-    """Return the streams of an object, none if it is damaged."""
+    """Return the streams of an object that can be read."""
     try:
         return msgspec.json.decode(value, type=list[StoredOrigin])
-    except (msgspec.DecodeError, UnicodeError):
-        return []
+    except _stored_json.ERRORS:
+        return _decode_each(value)
+
+
+def _decode_each(value: str) -> list[StoredOrigin]:
+    """Return the sound ones of an object's streams, none if it is no list."""
+    found: list[StoredOrigin] = []
+    try:
+        items = msgspec.json.decode(value, type=list[msgspec.Raw])
+    except _stored_json.ERRORS:
+        return found
+    for item in items:
+        try:
+            found.append(msgspec.json.decode(item, type=StoredOrigin))
+        except _stored_json.ERRORS:
+            continue
+    return found
--- a/libs/ragwort_state/ragwort_state/_suspect_register.py
+++ b/libs/ragwort_state/ragwort_state/_suspect_register.py
@@ -121,7 +121,7 @@
     try:
         fields = json.loads(item.value or '')
         service, part = fields['service'], fields['part']
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
     if isinstance(service, str) and isinstance(part, str) and part:
         return service, part
--- a/libs/ragwort_state/ragwort_state/_version_register.py
+++ b/libs/ragwort_state/ragwort_state/_version_register.py
@@ -16,6 +16,7 @@
 
 import ragwort_model as model
 from ragwort_state import _era
+from ragwort_state import _stored_json
 
 VERSIONS_PREFIX = 'stream-versions/'
 VERSIONS_OP = 'versions:'
@@ -44,9 +45,9 @@
 class _Entry(msgspec.Struct, frozen=True, rename='camel'):
     """The content of an object; era is that of the store it was written to."""
 
-    era: int
-    since_ms: int
-    versions: dict[str, int | None]
+    era: _stored_json.Int64
+    since_ms: _stored_json.TimeMs
+    versions: dict[str, _stored_json.TimeMs | None]
 
 
 class _Stored(msgspec.Struct):
@@ -253,7 +254,7 @@
     """Return an object's content, None if it is damaged."""
     try:
         entry = msgspec.json.decode(item.value or '', type=_Entry)
-    except (msgspec.DecodeError, UnicodeError):
+    except _stored_json.ERRORS:
         return None
     is_sound = bool(entry.versions) and entry.since_ms > 0
     return entry if is_sound else None
