--- /dev/null
+++ b/features/steps/odd_entry_steps.py
@@ -0,0 +1,635 @@
+"""Steps of odd entries and numbers that other programs wrote."""
+
+import json
+import random
+import re
+import time
+from typing import Any
+
+from behave import then
+from behave import when
+import structlog
+
+from features.steps import platform_steps
+from features.steps import platform_store_steps
+import ragwort_edge as edge
+import ragwort_lab as lab
+import ragwort_model as model
+import ragwort_platform as platform
+import ragwort_relay as relay
+import ragwort_state as state
+import ragwort_wire as wire
+
+# Stands for content that the JSON encoder can't write.
+PLACE = '"@"'
+BRACKETS = {'arrays': ('[', ']'), 'objects': ('{"a":', '}')}
+WRITE = model.StoreCall('op', model.StoreVerb.PUT, 'servers/a', '{}')
+EFFECTS = {
+    'list': platform_store_steps.LIST,
+    'watch': platform_store_steps.WATCH,
+}
+
+
+def nested(depth: int, kind: str = 'arrays') -> str:
+    """Return JSON that is nested some levels deep."""
+    opening, closing = BRACKETS[kind]
+    return f'{opening * depth}0{closing * depth}'
+
+
+def number_text(text: str) -> str:
+    """Return JSON for a value of a table, such as 400 digits."""
+    count, _, unit = text.partition(' ')
+    if unit == 'digits':
+        return '9' * int(count)
+    return nested(int(count)) if unit == 'arrays' else text
+
+
+def entry(name: str, revision: Any, specification: Any) -> dict[str, Any]:
+    """Return an entry as the store sends it."""
+    return {
+        'metadata': {'name': name, 'revision': revision, 'created': 1},
+        'specification': specification,
+    }
+
+
+def answer_with(call: str, entries: list[Any], revision: Any = 20) -> str:
+    """Return the store's answer that brings entries."""
+    if call == 'watch':
+        events = [{'object': item} for item in entries]
+        return json.dumps({'events': events, 'storeRevision': revision})
+    return json.dumps({'items': entries, 'storeRevision': revision})
+
+
+def call_store(
+    context: Any,
+    effect: model.StoreCall,
+    body: str,
+    headers: Any = (),
+) -> None:
+    """Make one store call and keep its results and log lines."""
+    world = lab.RelayWorld(hosts=1)
+    server = RawStore(world.clock, body.encode(), headers)
+    world.network.runners[platform_steps.STORE] = server
+    context.results = []
+    context.lines = []
+    network: Any = world.network
+    store = platform.ObjectStore(
+        network,
+        platform_steps.STORE,
+        recording_logger(context.lines),
+        context.results.append,
+    )
+    started_at = time.monotonic()
+    store.call(effect)
+    world.run(30.0)
+    context.taken_s = time.monotonic() - started_at
+
+
+class RawStore(platform_store_steps.StoreServer):
+    """Answers each call with the same bytes and headers."""
+
+    def __init__(self, clock: Any, body: bytes, headers: Any) -> None:
+        """Answer with a body."""
+        super().__init__(clock)
+        self.body = body
+        self.headers = headers
+
+    def serve(self, request: Any, open_call: Any) -> None:
+        """Answer one call."""
+        open_call.respond(200, self.headers, self.body)
+
+
+def recording_logger(lines: list[dict[str, Any]]) -> Any:
+    """Return a logger that adds its lines to a list."""
+
+    def record(_: Any, level: str, line: Any) -> Any:
+        lines.append({'level': level, **line})
+        raise structlog.DropEvent
+
+    return structlog.wrap_logger(structlog.ReturnLogger(), processors=[record])
+
+
+@when('a {call} brings an entry of {depth:d} nested {kind} between two others')
+def bring_deep_entry(context: Any, call: str, depth: int, kind: str) -> None:
+    """Answer a call with sound entries and a deep one."""
+    server = platform_steps.SERVER
+    entries = [
+        entry('a', 3, server),
+        entry('b', 4, {**server, 'extra': '@'}),
+        entry('c', 5, server),
+    ]
+    body = answer_with(call, entries).replace(PLACE, nested(depth, kind))
+    call_store(context, EFFECTS[call], body)
+
+
+@then('the call has one result with all three entries within 5 s')
+def check_entries(context: Any) -> None:
+    """Compare the result's entries."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result.status
+    assert result.revision == 20, result.revision
+    found = [(item.name, item.version) for item in result.objects]
+    assert found == [('servers/a', 3), ('servers/b', 4), ('servers/c', 5)]
+    assert context.taken_s < 5.0, context.taken_s
+
+
+@then('the entry can be read without its deep value')
+def check_deep_entry(context: Any) -> None:
+    """Decode all entries."""
+    dialect = platform.PlatformDialect()
+    for item in context.results[0].objects:
+        runner = dialect.decode_runner(item.name, item.value)
+        assert runner.slots == platform_steps.SERVER['slots'], runner
+
+
+@when('the store answers a write with {depth:d} nested arrays')
+def answer_write(context: Any, depth: int) -> None:
+    """Write an object."""
+    body = json.dumps(entry('a', 4, '@')).replace(PLACE, nested(depth))
+    call_store(context, WRITE, body)
+
+
+@then('the call has one result, ok with its revision')
+def check_write(context: Any) -> None:
+    """Compare the result of a write."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.revision == 4, result
+
+
+@when('a store call raises an unforeseen error')
+def raise_error(context: Any) -> None:
+    """Write text that can't be encoded."""
+    effect = model.StoreCall('op', model.StoreVerb.PUT, 'servers/a', '\ud800')
+    call_store(context, effect, '{}')
+
+
+@then('the call has one result, unavailable, and the error is logged')
+def check_error(context: Any) -> None:
+    """Look at the result and the log."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.UNAVAILABLE, result
+    errors = [line for line in context.lines if line['level'] == 'error']
+    assert len(errors) == 1, context.lines
+    assert 'UnicodeEncodeError' in errors[0]['detail'], errors
+
+
+@when('a {call} brings an entry of revision {revision} between two others')
+def bring_odd_revision(context: Any, call: str, revision: str) -> None:
+    """Answer a call with sound entries and one of an odd revision."""
+    entries = [
+        entry('a', 3, platform_steps.SERVER),
+        entry('b', '@', platform_steps.SERVER),
+        entry('c', 5, platform_steps.SERVER),
+    ]
+    body = answer_with(call, entries).replace(PLACE, number_text(revision))
+    call_store(context, EFFECTS[call], body)
+
+
+@then('the call has one result with the two others')
+def check_others(context: Any) -> None:
+    """Compare the result's entries and the log."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result.status
+    found = [(item.name, item.version) for item in result.objects]
+    assert found == [('servers/a', 3), ('servers/c', 5)], found
+    events = [line['event'] for line in context.lines]
+    assert events == ['invalid-stored-object'], context.lines
+
+
+@when('a {call} finds the store at revision {revision}')
+def find_store_revision(context: Any, call: str, revision: str) -> None:
+    """Answer a call with an odd revision of the store."""
+    entries = [entry('a', 3, platform_steps.SERVER)]
+    body = answer_with(call, entries, '@')
+    body = body.replace(PLACE, number_text(revision))
+    call_store(context, EFFECTS[call], body)
+    (context.result,) = context.results
+
+
+@when('a write is answered with revision {revision}')
+def answer_write_revision(context: Any, revision: str) -> None:
+    """Write an object."""
+    body = json.dumps(entry('a', '@', {}))
+    call_store(context, WRITE, body.replace(PLACE, number_text(revision)))
+
+
+@then('the call has one result, ok with revision {revision:d}')
+def check_written_revision(context: Any, revision: int) -> None:
+    """Compare the result of a write."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.revision == revision, result
+
+
+@when('a list comes from a store of era {era}')
+def list_era(context: Any, era: str) -> None:
+    """List entries of a store with an era."""
+    body = answer_with('list', [entry('a', 3, platform_steps.SERVER)])
+    headers = ((b'store-era', number_text(era).encode()),)
+    call_store(context, EFFECTS['list'], body, headers)
+
+
+@then('the call has one result, ok of era {era:d}')
+def check_era(context: Any, era: int) -> None:
+    """Compare the era of the result and of its entry."""
+    (result,) = context.results
+    assert result.status == model.StoreStatus.OK, result
+    assert result.era == era, result.era
+    (item,) = result.objects
+    assert model.era_of(item.version) == era, item
+    assert item.version < 1 << 63, item
+
+
+@when('the runners of a list are sound but for one whose {field} is {value}')
+def list_odd_runner(context: Any, field: str, value: str) -> None:
+    """Apply a list to a catalog."""
+    server = platform_steps.SERVER
+    contents = {
+        'servers/a': json.dumps(server),
+        'servers/b': odd_value({**server, field: '@'}, value),
+        'servers/c': json.dumps(server),
+    }
+    context.catalog = catalog = new_catalog()
+    for name, content in contents.items():
+        catalog.apply(model.StoredObject(name, 1, content))
+
+
+def new_catalog() -> relay.RelayCatalog:
+    """Return a catalog with the example configuration."""
+    return platform_steps.catalog_with(
+        json.dumps(platform_steps.CONFIGURATION)
+    )
+
+
+def odd_value(content: Any, value: str) -> str:
+    """Return JSON with a value of a table in its place."""
+    return json.dumps(content).replace(PLACE, number_text(value))
+
+
+@then('the others are known, and the entry has a problem in plain words')
+def check_odd_runner(context: Any) -> None:
+    """Compare the runners and the problems."""
+    catalog = context.catalog
+    assert list(catalog.fleet.runners) == ['servers/a', 'servers/c']
+    assert list(catalog.problems) == ['servers/b'], catalog.problems
+    assert 'unexpected' not in catalog.problems['servers/b']
+
+
+@when("a runner's remaining cold time is {value}")
+def read_cold_time(context: Any, value: str) -> None:
+    """Apply an entry with a cold time."""
+    context.catalog = catalog = new_catalog()
+    server = {**platform_steps.SERVER, 'coldRemainingMs': '@'}
+    content = odd_value(server, value)
+    catalog.apply(model.StoredObject('servers/a', 1, content))
+
+
+@then('the runner is known with the cold time {read}')
+def check_cold_time(context: Any, read: str) -> None:
+    """Compare the entry."""
+    catalog = context.catalog
+    assert not catalog.problems, catalog.problems
+    cold_s = catalog.fleet.runners['servers/a'].entry.cold_remaining_s
+    expected = None if read == 'none' else float(read)
+    assert cold_s == expected, cold_s
+
+
+@when('the configuration gets {value} at {place}')
+def change_configuration(context: Any, value: str, place: str) -> None:
+    """Apply a valid configuration, then one with an odd number."""
+    context.catalog = new_catalog()
+    content = json.loads(json.dumps(platform_steps.CONFIGURATION))
+    *path, last = (int(k) if k.isdigit() else k for k in place.split('/'))
+    holder = content
+    for key in path:
+        holder = holder[key]
+    holder[last] = '@'
+    item = model.StoredObject('config/main', 2, odd_value(content, value))
+    context.catalog.apply(item)
+    problem = context.catalog.problems.get('config/main', '')
+    assert 'unexpected' not in problem, problem
+
+
+@when('the engine of a service is {content}')
+def set_engine(context: Any, content: str) -> None:
+    """Apply a configuration with an engine object."""
+    text = odd_text(content)
+    configuration = json.loads(json.dumps(platform_steps.CONFIGURATION))
+    configuration['services'][0]['engine'] = '@'
+    value = json.dumps(configuration).replace(PLACE, text)
+    context.catalog = platform_steps.catalog_with(value)
+
+
+@when("a runner's answer for three pieces has {item} as the second")
+def answer_odd_piece(context: Any, item: str) -> None:
+    """Read an answer."""
+    text = re.sub(
+        r'\d+ (digits|arrays)', lambda match: number_text(match[0]), item
+    )
+    items = [{'handle': 'a/1'}, '@', {'handle': 'b/1'}]
+    body = json.dumps({'items': items}).replace(PLACE, text)
+    response = edge.HttpResponse(200, (), body.encode())
+    dialect = platform.PlatformDialect()
+    context.pieces = dialect.read_stage_reply(response, 3)
+
+
+@then('the first and the third have their handles, the second is {result}')
+def check_odd_piece(context: Any, result: str) -> None:
+    """Compare the results."""
+    first, second, third = context.pieces
+    assert (first.handle, third.handle) == ('a/1', 'b/1')
+    assert second.result == edge.PieceResult[result.upper()], second
+    assert (second.handle is None) == (result == 'error'), second
+
+
+REPLY_FORMS = {
+    'stage reply': (
+        {'items': '@'},
+        lambda response: platform.PlatformDialect().read_stage_reply(
+            response, 1
+        ),
+    ),
+    'report': (
+        {'freeMb': '@'},
+        platform.PlatformDialect().read_free_storage,
+    ),
+}
+
+
+@when("a runner's {message} has {value}")
+def read_odd_reply(context: Any, message: str, value: str) -> None:
+    """Read an answer, letting the typed error pass."""
+    content, read = REPLY_FORMS[message]
+    body = odd_value(content, value).encode()
+    context.error = None
+    try:
+        read(edge.HttpResponse(200, (), body))
+    except model.WireError as error:
+        context.error = error
+
+
+@then('the dialect raises the typed error')
+def check_typed_error(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None
+
+
+@then('the address {address} is refused in plain words')
+def check_address(context: Any, address: str) -> None:
+    """Parse an address; digits of the table stand for a port."""
+    if address.startswith('@'):
+        text = '10.0.1.1:' + number_text(address.strip('@'))
+    else:
+        text = json.loads(address)
+    sound = '10.0.1.1:65535'
+    assert model.parse_address(sound) == sound
+    problem = ''
+    try:
+        model.parse_address(text)
+    except ValueError as error:
+        problem = str(error)
+    assert problem.startswith(repr(text)), problem
+
+
+LOAD = {
+    'running': 1,
+    'queued': 0,
+    'slots': 4,
+    'age_s': 0.0,
+    'draining': False,
+    'state_version': 1,
+}
+OBJECT = {'name': 'config/x', 'version': 1, 'value': '{}'}
+ADDRESS = {'host': 'h', 'address': '10.0.1.1:80', 'failure_domain': 'n'}
+# A sound content of each message of nodes, and its decoder.
+NODE_MESSAGES: dict[str, tuple[Any, Any]] = {
+    'call': (
+        {
+            'attempt': 'a',
+            'service': 's',
+            'input': 'x',
+            'deadline_ms': 4000,
+            'priority': 1,
+            'resume_from': 0,
+        },
+        wire.decode_call,
+    ),
+    'result': (
+        {'type': 'chunk', 'attempt': 'a', 'seq': 1, 'data': 'x'},
+        wire.decode_result,
+    ),
+    'end of result': (
+        {
+            'type': 'end',
+            'attempt': 'a',
+            'count': 1,
+            'digest': 'd',
+            'busy_s': 0.1,
+            'load': LOAD,
+        },
+        wire.decode_result,
+    ),
+    'order': (
+        {'fencing': 1, 'wanted': 'loaded', 'expires_wall': 1.7e9},
+        wire.decode_order,
+    ),
+    'load': (LOAD, wire.decode_load),
+    'event': ({'type': 'chunk', 'seq': 1, 'data': 'x'}, wire.decode_event),
+    'end': (
+        {
+            'type': 'end',
+            'key': 'k',
+            'outcome': 'completed',
+            'count': 1,
+            'digest': 'd',
+            'retry_after_s': 1.0,
+        },
+        wire.decode_event,
+    ),
+    'write': (
+        {'value': '{}', 'expected_version': 1, 'expected_era': 1},
+        wire.decode_write,
+    ),
+    'address list': (
+        {'addresses': [ADDRESS], 'ttl_s': 5.0, 'version': 1},
+        wire.decode_addresses,
+    ),
+    'store result': (
+        {'objects': [OBJECT], 'revision': 7, 'era': 1},
+        lambda body: wire.decode_store_result('op', 200, body),
+    ),
+}
+
+
+@when('a node reads a {message} whose {field} is {value}')
+def read_node_message(
+    context: Any, message: str, field: str, value: str
+) -> None:
+    """Decode a sound message, then the same with one odd field."""
+    content, decode = NODE_MESSAGES[message]
+    context.sound = decode(json.dumps(content).encode())
+    odd = json.loads(json.dumps(content))
+    holder = odd['objects'][0] if field == 'version' else odd
+    assert field == 'extra' or field in holder, field
+    holder[field] = '@'
+    context.error = context.decoded = None
+    try:
+        context.decoded = decode(odd_value(odd, value).encode())
+    except model.WireError as error:
+        context.error = error
+
+
+@then('it gets the typed error')
+def check_node_error(context: Any) -> None:
+    """Look for the error."""
+    assert context.error is not None, context.decoded
+
+
+@then('it reads it as unavailable')
+def check_unavailable(context: Any) -> None:
+    """Compare the status."""
+    assert context.sound.status == model.StoreStatus.OK
+    found = context.decoded.status
+    assert found == model.StoreStatus.UNAVAILABLE, context.decoded
+
+
+HOST = model.EntryHost('h', '10.0.0.1:81', '10.0.0.1:84', 'north', 'here')
+
+
+def list_hosts(objects: list[model.StoredObject]) -> Any:
+    """Return the peers that a registry reads."""
+    registry = state.HostRegistry(
+        HOST, state.StoreEra(), random.Random(1), 0.0, is_registered=True
+    )
+    (call,) = registry.tick(0.0, True, False, [])
+    return registry.on_store_result(listed(call, objects), 0.1)
+
+
+def list_suspects(objects: list[model.StoredObject]) -> Any:
+    """Return the refused parts that a register reads."""
+    register = state.SuspectRegister(state.StoreEra(), random.Random(1), 0.0)
+    (call,) = register.tick(0.0, [], False)
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def list_versions(objects: list[model.StoredObject]) -> Any:
+    """Return the versions of services that a register reads."""
+    register = state.VersionRegister(state.StoreEra(), random.Random(1), 0.0)
+    register.request_read()
+    (call,) = register.tick(0.0, 0.0, {}, False)
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def list_streams(objects: list[model.StoredObject]) -> Any:
+    """Return the streams that a register reads."""
+    register = state.StreamRegister(state.StoreEra(), random.Random(1), 0.0)
+    register.is_read_due = True
+    (call,) = register.tick(0.0, {})
+    return register.on_store_result(listed(call, objects), 0.1)
+
+
+def listed(
+    call: model.StoreCall, objects: list[model.StoredObject]
+) -> model.StoreResult:
+    """Return the result of a list."""
+    assert call.verb == model.StoreVerb.LIST, call
+    return model.StoreResult(call.op, model.StoreStatus.OK, tuple(objects), 9)
+
+
+SOUND_STREAM = ['a', 'w', 's', 'v', 1700000000000]
+# Name and content of a sound entry, its reader and what it gives.
+STORED_KINDS: dict[str, tuple[str, Any, Any, Any]] = {
+    'hosts': (
+        'entry-hosts/h2',
+        {'peers': '10.0.0.2:84'},
+        list_hosts,
+        ['10.0.0.2:84'],
+    ),
+    'refused parts': (
+        'refused-parts/x',
+        {'service': 'main', 'part': 'b'},
+        list_suspects,
+        {('main', 'b')},
+    ),
+    'stream versions': (
+        'stream-versions/main',
+        {'era': 0, 'sinceMs': 5000, 'versions': {'v1': None}},
+        list_versions,
+        {'main': state.ServiceVersions(5.0, {'v1': None})},
+    ),
+    'streams': (
+        'stream-origins/2',
+        [SOUND_STREAM],
+        list_streams,
+        [state.StoredOrigin(*SOUND_STREAM)],
+    ),
+}
+
+
+def odd_text(text: str) -> str:
+    """Return JSON with the values that stand between two at signs."""
+    return re.sub('@([^@]+)@', lambda match: number_text(match[1]), text)
+
+
+def read_list(context: Any, kind: str, name: str, value: str) -> None:
+    """Let a reader handle a list of an odd and a sound entry."""
+    sound_name, content, read, _ = STORED_KINDS[kind]
+    context.found = read(
+        [
+            model.StoredObject(name, 3, value),
+            model.StoredObject(sound_name, 4, json.dumps(content)),
+        ]
+    )
+
+
+@when('the store lists {kind} with the odd entry {text} and a sound one')
+def list_odd_entry(context: Any, kind: str, text: str) -> None:
+    """Read a list."""
+    folder = STORED_KINDS[kind][0].partition('/')[0]
+    read_list(context, kind, f'{folder}/1', odd_text(text))
+
+
+@when('the store lists a group with an odd stream and a sound one')
+def list_odd_stream(context: Any) -> None:
+    """Read a list whose sound stream stands beside an odd one."""
+    odd = json.dumps(['a', 'w', 's', 'v', '@'])
+    odd = odd.replace(PLACE, number_text('400 digits'))
+    group = f'[{odd},{json.dumps(SOUND_STREAM)}]'
+    item = model.StoredObject('stream-origins/1', 3, group)
+    context.found = list_streams([item])
+
+
+@when('the store lists a group of streams whose name has {count:d} digits')
+def list_odd_name(context: Any, count: int) -> None:
+    """Read a list."""
+    read_list(context, 'streams', f'stream-origins/{"9" * count}', '[]')
+
+
+@then('the sound entry of {kind} is read')
+def check_sound_entry(context: Any, kind: str) -> None:
+    """Compare what was read."""
+    assert context.found == STORED_KINDS[kind][3], context.found
+
+
+@then('a bucket with {depth:d} nested arrays reads as damaged')
+def check_deep_bucket(context: Any, depth: int) -> None:
+    """Decode a bucket of claims."""
+    try:
+        state.decode_claims(f'[["k", "w", "d", "h", "n", {nested(depth)}]]')
+    except model.WireError:
+        return
+    raise AssertionError('a damaged bucket was read')
+
+
+@then('a lease with {depth:d} nested arrays reads as damaged')
+def check_deep_lease(context: Any, depth: int) -> None:
+    """Let a host read a lease; it waits until the lease is over."""
+    lease = state.Lease('placing', 'h', random.Random(1), state.StoreEra())
+    (call,) = lease.tick(0.0, True)
+    value = f'{{"holder": "other", "x": {nested(depth)}}}'
+    item = model.StoredObject(call.name, 5, value)
+    result = model.StoreResult(call.op, model.StoreStatus.OK, (item,), 5)
+    lease.on_store_result(result, 0.1)
+    assert lease.seen_version == 5, lease
+    assert lease.phase == state.LeasePhase.FOLLOWING, lease
