--- a/features/platform.feature
+++ b/features/platform.feature
@@ -150,6 +150,14 @@
       | a pause until a date   | no pause         |
       | a pause but status 200 | no pause         |
 
+  Scenario: an answer that names an id with an accent is known as its own
+    When a runner answers a request whose id has an accent
+    Then it is read as own
+
+  Scenario: a refusal that names an id with an accent is believed
+    When a runner refuses a request whose id has an accent
+    Then it is read as not run
+
   Scenario: a stage reply is read in order, a wrong number is an error
     When a runner answers for three pieces
     Then each has its handle or reason, and two answers for three are refused
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -507,6 +507,20 @@
     context.reply = dialect.read_reply(responses[what], 'abc')
 
 
+ACCENTED_ID = 'caf\xe9'
+
+
+@when('a runner {does} a request whose id has an accent')
+def answer_accented(context: Any, does: str) -> None:
+    """Read a response that returns the id's bytes as they were sent."""
+    named = (b'request-id', ACCENTED_ID.encode('latin-1'))
+    response = edge.HttpResponse(200, (named, (b'response-seal', b's')))
+    if does == 'refuses':
+        response = edge.HttpResponse(503, (named, (b'not-executed', b'1')))
+    dialect = platform.PlatformDialect()
+    context.reply = dialect.read_reply(response, ACCENTED_ID)
+
+
 @then('it is read as {meaning}')
 def check_reply(context: Any, meaning: str) -> None:
     """Compare the reading."""
