Believe no refusal that names another request

Callers were told 503, "not run, try again", for calls that had run, or a call that may run once ran at a second runner. A faulty runner had written an earlier refusal once more in place of the answer. The header not-executed and status 421 were believed without a look at the Request-Id. The refusal's notices took the runner out of use as well: a 421 until its next start, a pause, a limit or its leaving as long as those last.

Evidence: new step stale:STATUS of the scripted runner: the request ran and an earlier refusal of another one is sent, in place of the answer or as soon as the connection is there (,early).

A response that names another request, or two, is now read as one that says nothing: the send is lost, not refused, and nothing is recorded of the runner. A refusal without an id stays believed on the relay's connections, one of which serves a single call, and so do answers to calls without an id.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -29,6 +29,10 @@
       | job    | runners answer for another      | 502    | 1   |
       | safe   | runners answer for another      | 502    | 2   |
       | stream | runners answer for another      | 502    | 2   |
+      | job    | runners repeat a refusal        | 502    | 1   |
+      | safe   | runners repeat a refusal        | 502    | 2   |
+      | stream | runners repeat a refusal        | 502    | 2   |
+      | job    | runners repeat a 421            | 502    | 1   |
       | job    | runners are silent              | 504    | 1   |
       | safe   | runners are silent              | 504    | 2   |
       | job    | runners answer 503              | 502    | 1   |
--- /dev/null
+++ b/features/repeated_refusals.feature
@@ -0,0 +1,83 @@
+Feature: A refusal of another request is never taken for this one's
+  A faulty runner writes an earlier refusal once more on a kept connection.
+  Its request may have run: it is neither sent again as if it had not, nor
+  refused to its caller.
+
+  Scenario Outline: a <kind> call that ran and got "<script>" is not called not run
+    Given 2 runners, of which the first chosen does "<script>"
+    When a <kind> request is sent
+    Then the caller gets <status> after <runs> runs
+    And nothing of the earlier refusal is kept
+
+    Examples:
+      | kind       | script          | status | runs |
+      | once       | stale:503       | 502    | 1    |
+      | once       | stale:421       | 502    | 1    |
+      | once       | stale:409       | 502    | 1    |
+      | once       | stale:503,early | 502    | 1    |
+      | once       | stale:421,early | 502    | 1    |
+      | repeatable | stale:503       | 200    | 2    |
+      | repeatable | stale:421,early | 200    | 2    |
+
+  Scenario: a call that ran at each runner is not refused as never run
+    Given 4 runners that all do "stale:503"
+    When a repeatable request is sent
+    Then the caller gets 502 after 2 runs
+
+  Scenario Outline: a stream that ran and got "<script>" is not called not run
+    Given 2 stream runners of 6 events, the first chosen does "<script>"
+    When a stream request is sent
+    Then the caller gets 502 after 1 runs
+    And nothing of the earlier refusal is kept
+
+    Examples:
+      | script          |
+      | stale:503       |
+      | stale:421       |
+      | stale:503,early |
+
+  Scenario Outline: a resumable stream that got "<script>" is whole
+    Given 2 stream runners of 6 events, the first chosen does "<script>"
+    When a resumable request is sent
+    Then the caller gets events 1 to 6 once each and a whole answer
+    And nothing of the earlier refusal is kept
+
+    Examples:
+      | script          |
+      | stale:503       |
+      | stale:421,early |
+
+  Scenario Outline: a refusal with status <status> that names <named> is <meaning>
+    When a runner refuses with status <status> and names <named>
+    Then the platform's host reads it as <meaning>
+
+    Examples:
+      | status | named                    | meaning     |
+      | 503    | this request             | not run     |
+      | 503    | no request               | not run     |
+      | 421    | this request             | misdirected |
+      | 421    | no request               | misdirected |
+      | 409    | this request             | not run     |
+      | 503    | an empty id              | not run     |
+      | 503    | another request          | foreign     |
+      | 421    | another request          | foreign     |
+      | 409    | another request          | foreign     |
+      | 503    | another and this request | foreign     |
+      | 503    | this and another request | foreign     |
+
+  Scenario: a call that carries no request id believes any refusal
+    When a runner refuses a call without a request id
+    Then the platform's host reads it as not run
+
+  Scenario Outline: a refusal that waits on a new connection and names <named> is <meaning>
+    When a new connection brings a refusal that names <named>
+    Then the call ends with it and is read as <meaning>
+
+    Examples:
+      | named           | meaning |
+      | another request | foreign |
+      | no request      | not run |
+
+  Scenario: a refusal behind a complete answer is not read
+    When a connection brings an answer and an earlier refusal
+    Then the call ends with the answer alone
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -23,6 +23,8 @@
     'runners are silent': 'silent',
     'runners turn it away': 'full',
     'runners are others': 'refused',
+    'runners repeat a refusal': 'stale:503',
+    'runners repeat a 421': 'stale:421',
     'runners break off': f'cut:{EVENTS}',
 }
 CUT_OFF = 'host is cut off'
--- a/features/support/relay_promises.py
+++ b/features/support/relay_promises.py
@@ -33,6 +33,8 @@
     'pause:2',
     'brittle:3',
     'late:1',
+    'stale:421',
+    'stale:503',
 )
 NOTICES = ('leave', 'pause:2', 'brittle:3')
 RUNNERS = 3
--- a/libs/ragwort_edge/ragwort_edge/__init__.py
+++ b/libs/ragwort_edge/ragwort_edge/__init__.py
@@ -11,6 +11,7 @@
 from ragwort_edge._context import RelayContext
 from ragwort_edge._crash_watch import CrashWatch
 from ragwort_edge._dialect import Dialect
+from ragwort_edge._dialect import FOREIGN_REPLY
 from ragwort_edge._dialect import MainCall
 from ragwort_edge._dialect import PieceReply
 from ragwort_edge._dialect import PieceResult
@@ -45,6 +46,7 @@
     'Exchange',
     'fetch',
     'find_header',
+    'FOREIGN_REPLY',
     'Headers',
     'HeldBytes',
     'HostOptions',
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -59,6 +59,8 @@
     it may turn away in a second before it falls over, None if it is not
     brittle; is_full tells whether it turned this one away for want of room.
     cold_s is how long it will still be cold, None if it does not say.
+    is_foreign tells whether the response names another request than this
+    call's: a faulty runner sent it before, and nothing in it holds now.
     """
 
     is_authentic: bool
@@ -72,6 +74,12 @@
     rejects_per_s: float | None = None
     is_full: bool = False
     cold_s: float | None = None
+    is_foreign: bool = False
+
+
+# The reading of a response to another request: no word of it may be recorded,
+# and the request may have run.
+FOREIGN_REPLY = RunnerReply(False, False, False, False, None, is_foreign=True)
 
 
 class PieceResult(enum.StrEnum):
--- a/libs/ragwort_edge/ragwort_edge/_runner_replies.py
+++ b/libs/ragwort_edge/ragwort_edge/_runner_replies.py
@@ -23,10 +23,11 @@
     """Record what a runner's answer says of itself.
 
     Every reader of an answer calls this. An answer that another runner at
-    the same address gave says nothing but that runners are in reach.
+    the same address gave, or one to another request, says nothing but that
+    runners are in reach.
     """
     catalog.reach.on_answer(runner, now)
-    if reply.is_misdirected:
+    if reply.is_misdirected or reply.is_foreign:
         return
     if reply.is_leaving and catalog.departure_news.on_answer(runner, now):
         logger.info(
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -27,6 +27,16 @@
 HTTP_OK = 200
 HTTP_FULL = 503
 EVENT_STREAM: edge.Headers = ((b'content-type', b'text/event-stream'),)
+# What a runner said as it turned away another request; none of it still holds.
+STALE_REFUSAL: edge.Headers = (
+    (b'echo', b'an earlier request'),
+    (b'not-run', b'1'),
+    (b'leaving', b'1'),
+    (b'pause', b'60'),
+    (b'limit', b'0.01'),
+    (b'brittle', b'0.01'),
+    (b'cold', b'60'),
+)
 
 
 class LabDialect:
@@ -99,6 +109,8 @@
     ) -> edge.RunnerReply:
         """Return what a runner's response says."""
         echoed = (response.header(b'echo') or b'').decode()
+        if request_id and echoed not in ('', request_id):
+            return edge.FOREIGN_REPLY
         not_run = response.header(b'not-run') is not None
         limit = response.header(b'limit')
         pause = response.header(b'pause')
@@ -426,7 +438,10 @@
     lost), refused (not run, 421), silent, foreign (another's answer),
     gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
     (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
-    falls over if it turns away more than N a second), status:N (its own
+    falls over if it turns away more than N a second), stale:N (ran, and an
+    earlier refusal of another request, with status N, is sent in place of
+    the answer), stale:N,early (the same, as soon as the connection is
+    there), status:N (its own
     answer with this status, after it ran), late:S (ok, after S
     seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N), drip:S (a stream that sends
@@ -483,9 +498,8 @@
             self.turn_away(open_call)
             return
         self.calls.append(open_call)
-        self.clock.callLater(
-            self.work_s, self._answer, step, arrival, open_call
-        )
+        delay_s = 0.0 if step.endswith(',early') else self.work_s
+        self.clock.callLater(delay_s, self._answer, step, arrival, open_call)
 
     def _sound_step(self) -> str:
         return f'events:{self.events}' if self.events else 'ok'
@@ -539,6 +553,9 @@
             self.turn_away(call)
         elif kind == 'refused':
             call.respond(421, ((b'not-run', b'1'),))
+        elif kind == 'stale':
+            status = int(count.partition(',')[0])
+            call.respond(status, STALE_REFUSAL)
         elif kind == 'gone':
             call.respond(409, ((b'not-run', b'1'),))
         elif kind == 'reset':
