--- a/features/platform.feature
+++ b/features/platform.feature
@@ -139,6 +139,8 @@
       | a pace in words        | load, no pace    |
       | a pace of zero         | load, no pace    |
       | an absurd pace         | load, no pace    |
+      | a load of 5,000 digits | no load          |
+      | a limit of 5,000 digits | no limit         |
       | a load of five figures | no load          |
       | a limit of 1.5         | 1.5 a second     |
       | a limit in words       | no limit         |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -444,6 +444,8 @@
 def read_response(context: Any, what: str) -> None:
     """Read a response with one thing about it."""
     sealed = ((b'request-id', b'abc'), (b'response-seal', b's'))
+    # More digits than Python converts to a number.
+    long_number = b'9' * 5000
     responses = {
         'its seal and the id': edge.HttpResponse(200, sealed),
         'no seal': edge.HttpResponse(200, sealed[:1]),
@@ -496,6 +498,12 @@
         'a pace of zero': edge.HttpResponse(
             200, (*sealed, (b'server-load', b'3,1,8,0'))
         ),
+        'a load of 5,000 digits': edge.HttpResponse(
+            200, (*sealed, (b'server-load', b'3,1,' + long_number))
+        ),
+        'a limit of 5,000 digits': edge.HttpResponse(
+            200, (*sealed, (b'server-limit', long_number))
+        ),
         'an absurd pace': edge.HttpResponse(
             200, (*sealed, (b'server-load', b'3,1,8,999999999'))
         ),
