Use no kept connection on which unasked bytes came

A node's or a caller's request could be sent on a connection of the pool on which the answer to it had come before: a faulty server had repeated an earlier response. What followed an answer in the same segment was dropped by Twisted and the connection kept; bytes on an idle connection raised inside of Twisted, and the connection could be handed out until its close was seen. Each later answer on it belonged to the request before.

Connections are now checked: bytes beyond a response, or without a request, close it at once, and the pool passes over spoiled and closing ones. Bytes that the kernel still holds as the next request is sent can't be seen this way; the readers of answers must compare the names in them. Twisted has no public way to see what follows a response, so that _finishResponse is wrapped; the scenarios notice if that name goes.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -81,3 +81,18 @@
   Scenario: a refusal behind a complete answer is not read
     When a connection brings an answer and an earlier refusal
     Then the call ends with the answer alone
+
+  Scenario Outline: a kept connection that brought <what> is not used again
+    When a node's connection brings its answer and <what>
+    Then the node's next call opens a new connection
+
+    Examples:
+      | what                                 |
+      | an earlier refusal in one segment    |
+      | a byte more in one segment           |
+      | an earlier refusal while it is idle  |
+      | a byte more while it is idle         |
+
+  Scenario: a kept connection that brought its answer alone is used again
+    When a node's connection brings its answer and nothing more
+    Then the node's next call is sent on it
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -1,14 +1,20 @@
 """Steps of refusals that runners repeat."""
 
 from typing import Any
+from unittest import mock
 
 from behave import then
 from behave import when
 from twisted.internet import task
+from twisted.internet import testing
 
 from features.support import transports
 import ragwort_edge as edge
+import ragwort_http as http
+import ragwort_model as model
+from ragwort_node import _runner_client
 import ragwort_platform as platform
+import ragwort_wire as wire
 
 REQUEST_ID = 'abc'
 MARK: edge.Headers = ((b'not-executed', b'1'),)
@@ -166,3 +172,116 @@
     assert head.status == 200
     assert context.reader.body == b'abc'
     assert context.reader.ends == ['whole']
+
+
+LOAD = wire.LoadRecord(1, 0, 4, 0.0, False, 1)
+EARLIER = 'earlier/0/1/a'
+
+
+class NodeCalls:
+    """A node's calls to one runner, on transports in memory."""
+
+    def __init__(self) -> None:
+        """Open no call."""
+        self.reactor = testing.MemoryReactorClock()
+        self.client = http.HttpClient(self.reactor)
+        self.events: list[Any] = []
+        self.runner_client = _runner_client.RunnerClient(
+            self.reactor, self.client, self.events.append, lambda _: None
+        )
+        self.connections: list[Any] = []
+
+    def call(self, number: int) -> str:
+        """Send a call; return the name of its attempt."""
+        attempt = model.AttemptId('key', 0, number, 'nonce')
+        stage_call = model.StageCall(attempt, 'main', 'x', 4.0, 5, 0, '')
+        runner = model.Runner('r', 'main', '10.0.0.1:80', 'north')
+        # Bodies are written by the cooperator of the reactor in use.
+        cooperator = task.Cooperator(
+            scheduler=lambda work: self.reactor.callLater(0.0, work)
+        )
+        with mock.patch.object(task, '_theCooperator', cooperator):
+            self.runner_client.call(
+                model.CallRunner(runner, stage_call, False)
+            )
+            while len(self.reactor.tcpClients) > len(self.connections):
+                factory = self.reactor.tcpClients[-1][2]
+                connection = factory.buildProtocol(None)
+                connection.makeConnection(transports.QuietTransport())
+                self.connections.append(connection)
+            self.reactor.pump([0.01] * 5)
+        return str(attempt)
+
+
+def _response(status: int, body: bytes) -> bytes:
+    head = b'HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n'
+    return head % (status, len(body)) + body
+
+
+def _refusal(attempt: str) -> bytes:
+    return wire.encode_result(wire.ResultRefused(attempt, 'full', LOAD))
+
+
+@when("a node's call gets {what} in place of its answer")
+def answer_wrongly(context: Any, what: str) -> None:
+    """Answer a call with what does not answer it."""
+    context.node = NodeCalls()
+    attempt = context.node.call(1)
+    error_line = wire.encode_result(wire.ResultError(EARLIER, 'failed'))
+    responses = {
+        'an earlier refusal': _response(200, _refusal(EARLIER)),
+        'an earlier error': _response(200, error_line),
+        'status 503 without a record': _response(503, b'no room'),
+        'status 503 with its own refusal': _response(503, _refusal(attempt)),
+        'a line that is no record': _response(200, b'no record\n'),
+    }
+    context.node.connections[0].dataReceived(responses[what])
+
+
+@then('it counts as a breach of protocol, and its connection closes')
+def check_protocol(context: Any) -> None:
+    """Look at the only event; the answer could still come."""
+    (event,) = context.node.events
+    assert event.failure == model.CallFailure.PROTOCOL, event
+    transport = context.node.connections[0].transport
+    assert transport.disconnecting or transport.disconnected
+    context.node.call(2)
+    assert len(context.node.connections) == 2
+
+
+@when("a node's connection brings its answer and {what}")
+def answer_and_more(context: Any, what: str) -> None:
+    """Answer a call, and let more bytes come on its connection."""
+    context.node = NodeCalls()
+    answer = _response(200, _refusal(context.node.call(1)))
+    more = b''
+    if what.startswith('an earlier refusal'):
+        more = _response(200, _refusal(EARLIER))
+    elif what.startswith('a byte'):
+        more = b'\n'
+    (connection,) = context.node.connections
+    if what.endswith('in one segment'):
+        connection.dataReceived(answer + more)
+    else:
+        connection.dataReceived(answer)
+        if more:
+            connection.dataReceived(more)
+    (event,) = context.node.events
+    assert event.failure == model.CallFailure.OVERLOADED, event
+
+
+@then("the node's next call opens a new connection")
+def check_new(context: Any) -> None:
+    """Count the connections; the first must be closing."""
+    context.node.call(2)
+    assert len(context.node.connections) == 2
+    transport = context.node.connections[0].transport
+    assert transport.disconnecting or transport.disconnected
+
+
+@then("the node's next call is sent on it")
+def check_kept(context: Any) -> None:
+    """Count the connections and the requests on the first."""
+    context.node.call(2)
+    (connection,) = context.node.connections
+    assert connection.transport.value().count(b'POST /v1/calls') == 2
--- a/libs/ragwort_http/ragwort_http/_client.py
+++ b/libs/ragwort_http/ragwort_http/_client.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
 from twisted.web import client
@@ -31,6 +32,84 @@
 )
 
 
+def _check(connection: Any) -> None:
+    """Close a connection on which more comes than what was asked for.
+
+    A faulty server repeats an earlier response. Twisted drops what follows a
+    response in its last segment, and would read what comes later as the
+    answer to the next request.
+    """
+    connection.is_spoiled = False
+    receive, finish = connection.dataReceived, connection._finishResponse
+
+    def spoil() -> None:
+        connection.is_spoiled = True
+        connection.transport.abortConnection()
+
+    def receive_checked(data: bytes) -> None:
+        if connection.is_spoiled:
+            return
+        if connection.state == 'QUIESCENT':
+            spoil()
+        else:
+            receive(data)
+
+    def finish_checked(rest: bytes) -> None:
+        connection.is_spoiled = bool(rest)
+        finish(rest)
+        if rest:
+            spoil()
+
+    connection.dataReceived = receive_checked
+    connection._finishResponse = finish_checked
+
+
+class _CheckedFactory(protocol.ClientFactory):
+    """Check the connections that another factory builds."""
+
+    noisy = False
+
+    def __init__(self, factory: Any) -> None:
+        self.factory = factory
+
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
+        connection = self.factory.buildProtocol(addr)
+        _check(connection)
+        return connection
+
+
+@implementer(interfaces.IStreamClientEndpoint)
+class _CheckedEndpoint:
+    """Connect by another endpoint and check the connections."""
+
+    def __init__(self, endpoint: Any) -> None:
+        self.endpoint = endpoint
+
+    def connect(self, factory: Any) -> 'defer.Deferred[Any]':
+        connected: defer.Deferred[Any] = self.endpoint.connect(
+            _CheckedFactory(factory)
+        )
+        return connected
+
+
+class _CheckedPool(client.HTTPConnectionPool):
+    """Hand out no connection that is spoiled or about to close."""
+
+    def getConnection(  # noqa: N802
+        self, key: Any, endpoint: Any
+    ) -> 'defer.Deferred[Any]':
+        """Return a connection that is fit for a request."""
+
+        def take(connection: Any) -> Any:
+            transport = connection.transport
+            if connection.is_spoiled or transport.disconnecting:
+                return self.getConnection(key, endpoint)
+            return connection
+
+        found: defer.Deferred[Any] = super().getConnection(key, endpoint)
+        return found.addCallback(take)
+
+
 @implementer(iweb.IAgentEndpointFactory)
 class _IpEndpointFactory:
     """Connect directly to an IPv4 address.
@@ -43,11 +122,13 @@
         self.reactor = reactor
 
     def endpointForURI(self, uri: client.URI) -> Any:  # noqa: N802
-        return endpoints.TCP4ClientEndpoint(
-            self.reactor,
-            uri.host.decode(),
-            uri.port,
-            timeout=CONNECT_TIMEOUT_S,
+        return _CheckedEndpoint(
+            endpoints.TCP4ClientEndpoint(
+                self.reactor,
+                uri.host.decode(),
+                uri.port,
+                timeout=CONNECT_TIMEOUT_S,
+            )
         )
 
 
@@ -56,7 +137,7 @@
 
     def __init__(self, reactor: Any) -> None:
         """Create a pool for the reactor."""
-        self.pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self.pool = _CheckedPool(reactor, persistent=True)
         self.pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         self.pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
         # The core decides on retries of a request whose connection failed.
