Close a node's connection after an answer that is not its call's

A node's call that was answered by an earlier refusal, a status other than 200 or a line that is no record counted as a breach of protocol (it may have run, rightly), but its connection went back to the pool with the real answer still to come. The next call on it got that answer.

Evidence: the four scenarios "a node's call that got ... may have run" failed before, as the connection was not closed. That none of them is taken for "not run" held before: a refusal has to name the attempt, and status 503 with a record is not read. Calls with effects have connections of their own.

The call's connection is closed with the breach, which also cancels the call at its runner.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -82,6 +82,17 @@
     When a connection brings an answer and an earlier refusal
     Then the call ends with the answer alone
 
+  Scenario Outline: a node's call that got <what> may have run
+    When a node's call gets <what> in place of its answer
+    Then it counts as a breach of protocol, and its connection closes
+
+    Examples:
+      | what                             |
+      | an earlier refusal               |
+      | status 503 without a record      |
+      | status 503 with its own refusal  |
+      | a line that is no record         |
+
   Scenario Outline: a kept connection that brought <what> is not used again
     When a node's connection brings its answer and <what>
     Then the node's next call opens a new connection
--- a/libs/ragwort_node/ragwort_node/_runner_client.py
+++ b/libs/ragwort_node/ragwort_node/_runner_client.py
@@ -44,6 +44,8 @@
             self.fail(kind, f'status {response.code}')
         self.reader = http.LineReader(self.on_line, self.on_body_end)
         response.deliverBody(self.reader)
+        if self.ended:
+            self.close()
 
     def on_line(self, line: bytes) -> None:
         if self.ended:
@@ -52,6 +54,7 @@
             record = wire.decode_result(line)
         except model.WireError as error:
             self.fail(model.CallFailure.PROTOCOL, str(error))
+            self.close()
             return
         event = wire.to_stage_event(self.attempt, record)
         self.ended = isinstance(event, model.StageFailed) or (
@@ -59,6 +62,16 @@
             and event.echoed_attempt == str(self.attempt)
         )
         self.on_event(event)
+        if (
+            isinstance(event, model.StageFailed)
+            and event.failure == model.CallFailure.PROTOCOL
+        ):
+            self.close()
+
+    def close(self) -> None:
+        """Close a connection on which the answer may still come."""
+        if self.reader is not None:
+            self.reader.stop()
 
     def on_body_end(self) -> None:
         self.fail(model.CallFailure.LOST, 'the reply broke off')
