Take no error of another call for a call's own

A call that a runner was still running counted as run and failed if an earlier error line was repeated on its kept connection: the attempt in the line was only compared for refusals, chunks and ends.

Evidence: the row "an earlier error" of "a node's call that got ... may have run" failed before with failure=failed. Result: repeated_refusals, node_streams and bad_input pass.

An error that names another attempt is now a breach of protocol, as such a refusal is. Heartbeats are not compared yet.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -89,6 +89,7 @@
     Examples:
       | what                             |
       | an earlier refusal               |
+      | an earlier error                 |
       | status 503 without a record      |
       | status 503 with its own refusal  |
       | a line that is no record         |
--- a/libs/ragwort_wire/ragwort_wire/_runner_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -187,9 +187,18 @@
         case ResultRefused():
             return _to_refusal_event(attempt, record)
         case ResultError():
-            return model.StageFailed(
-                attempt, model.CallFailure.FAILED, record.reason
-            )
+            return _to_error_event(attempt, record)
+
+
+def _to_error_event(
+    attempt: model.AttemptId, record: ResultError
+) -> model.StageFailed:
+    # Only an error that names the call tells that it ran and failed.
+    if record.attempt != str(attempt):
+        return model.StageFailed(
+            attempt, model.CallFailure.PROTOCOL, 'error of another call'
+        )
+    return model.StageFailed(attempt, model.CallFailure.FAILED, record.reason)
 
 
 def _to_refusal_event(
