--- /dev/null
+++ b/features/steps/repeated_refusal_steps.py
@@ -0,0 +1,287 @@
+"""Steps of refusals that runners repeat."""
+
+from typing import Any
+from unittest import mock
+
+from behave import then
+from behave import when
+from twisted.internet import task
+from twisted.internet import testing
+
+from features.support import transports
+import ragwort_edge as edge
+import ragwort_http as http
+import ragwort_model as model
+from ragwort_node import _runner_client
+import ragwort_platform as platform
+import ragwort_wire as wire
+
+REQUEST_ID = 'abc'
+MARK: edge.Headers = ((b'not-executed', b'1'),)
+# What a refusal may say of its runner beside the refusal itself.
+NOTICES: edge.Headers = (
+    (b'server-load', b'3,1,8'),
+    (b'server-limit', b'0.1'),
+    (b'server-leaving', b'1'),
+    (b'retry-after', b'60'),
+    (b'server-brittle', b'1'),
+    (b'cold-milliseconds', b'9000'),
+)
+NAMED: dict[str, edge.Headers] = {
+    'no request': (),
+    'an empty id': ((b'request-id', b''),),
+    'this request': ((b'request-id', b'abc'),),
+    'another request': ((b'request-id', b'xyz'),),
+    'another and this request': (
+        (b'request-id', b'xyz'),
+        (b'request-id', b'abc'),
+    ),
+    'this and another request': (
+        (b'request-id', b'abc'),
+        (b'request-id', b'xyz'),
+    ),
+}
+WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
+
+
+@then('nothing of the earlier refusal is kept')
+def check_nothing_kept(context: Any) -> None:
+    """Look at what the host knows of the runner that repeated it."""
+    world = context.world
+    catalog, now = world.hosts[0].catalog, world.clock.seconds()
+    name = f'runner/{context.runners[0].name}'
+    runner = catalog.fleet.runners[name]
+    assert not runner.is_misdirected
+    assert runner.is_live_of('main')
+    assert catalog.pauses.left_s(runner, now) == 0.0
+    assert not catalog.rate_limits.is_limited(runner, now)
+    assert not catalog.brittle.is_brittle(runner)
+    assert not catalog.cold.is_cold(runner, now)
+
+
+def _read(
+    status: int, headers: edge.Headers, request_id: str
+) -> edge.RunnerReply:
+    response = edge.HttpResponse(status, headers)
+    return platform.PlatformDialect().read_reply(response, request_id)
+
+
+@when('a runner refuses with status {status:d} and names {named}')
+def refuse(context: Any, status: int, named: str) -> None:
+    """Read a refusal that says all that a refusal may say."""
+    headers = MARK + NOTICES + NAMED[named]
+    context.reply = _read(status, headers, REQUEST_ID)
+
+
+@when('a runner refuses a call without a request id')
+def refuse_unnamed(context: Any) -> None:
+    """Read the refusal of a stage call."""
+    headers = MARK + NAMED['another request']
+    context.reply = _read(503, headers, '')
+
+
+@then('the platform\'s host reads it as {meaning}')
+def check_meaning(context: Any, meaning: str) -> None:
+    """Compare the reading; a foreign one says nothing at all."""
+    reply = context.reply
+    if meaning == 'foreign':
+        assert reply == edge.FOREIGN_REPLY, reply
+        return
+    assert reply.is_not_run
+    assert not reply.is_foreign
+    assert reply.is_misdirected == (meaning == 'misdirected')
+
+
+class Reader(edge.ResponseReader):
+    """Keeps what a call heard, in order."""
+
+    def __init__(self) -> None:
+        """Start with nothing heard."""
+        self.heads: list[edge.HttpResponse] = []
+        self.body = b''
+        self.ends: list[str] = []
+
+    def on_head(self, response: edge.HttpResponse) -> None:
+        """Take status and headers."""
+        self.heads.append(response)
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
+    def on_end(self) -> None:
+        """Take the end."""
+        self.ends.append('whole')
+
+    def on_error(self, call_error: edge.CallError) -> None:
+        """Take a problem."""
+        self.ends.append(str(call_error.kind))
+
+
+def _refusal_bytes(named: str) -> bytes:
+    lines = [b'HTTP/1.1 503 Unavailable', b'Content-Length: 0']
+    headers = MARK + NAMED[named]
+    lines += [name + b': ' + value for name, value in headers]
+    return b'\r\n'.join([*lines, b'', b''])
+
+
+def _receive(context: Any, data: bytes) -> None:
+    """Let a new connection bring bytes as soon as it is there."""
+    opened: list[Any] = []
+
+    class Reactor(task.Clock):
+        def connectTCP(  # noqa: N802
+            self, host: str, port: int, factory: Any, timeout_s: float
+        ) -> None:
+            opened.append(factory.buildProtocol(None))
+
+    context.reader = Reader()
+    client = edge.HttpClient(Reactor())
+    request = edge.HttpRequest(b'POST', b'/', ((b'host', b'a'),), b'body')
+    client.open('10.0.0.1:80', request, context.reader)
+    (connection,) = opened
+    connection.makeConnection(transports.QuietTransport())
+    connection.dataReceived(data)
+
+
+@when('a new connection brings a refusal that names {named}')
+def connect_to_refusal(context: Any, named: str) -> None:
+    """Bring only the refusal."""
+    _receive(context, _refusal_bytes(named))
+
+
+@then('the call ends with it and is read as {meaning}')
+def check_new_connection(context: Any, meaning: str) -> None:
+    """Read what the call got."""
+    assert context.reader.ends == ['whole'], context.reader.ends
+    (head,) = context.reader.heads
+    context.reply = _read(head.status, head.headers, REQUEST_ID)
+    check_meaning(context, meaning)
+
+
+@when('a connection brings an answer and an earlier refusal')
+def bring_both(context: Any) -> None:
+    """Bring both in one segment."""
+    _receive(context, WHOLE + _refusal_bytes('another request'))
+
+
+@then('the call ends with the answer alone')
+def check_answer_alone(context: Any) -> None:
+    """Look for a second head."""
+    (head,) = context.reader.heads
+    assert head.status == 200
+    assert context.reader.body == b'abc'
+    assert context.reader.ends == ['whole']
+
+
+LOAD = wire.LoadRecord(1, 0, 4, 0.0, False, 1)
+EARLIER = 'earlier/0/1/a'
+
+
+class NodeCalls:
+    """A node's calls to one runner, on transports in memory."""
+
+    def __init__(self) -> None:
+        """Open no call."""
+        self.reactor = testing.MemoryReactorClock()
+        self.client = http.HttpClient(self.reactor)
+        self.events: list[Any] = []
+        self.runner_client = _runner_client.RunnerClient(
+            self.reactor, self.client, self.events.append, lambda _: None
+        )
+        self.connections: list[Any] = []
+
+    def call(self, number: int) -> str:
+        """Send a call; return the name of its attempt."""
+        attempt = model.AttemptId('key', 0, number, 'nonce')
+        stage_call = model.StageCall(attempt, 'main', 'x', 4.0, 5, 0, '')
+        runner = model.Runner('r', 'main', '10.0.0.1:80', 'north')
+        # Bodies are written by the cooperator of the reactor in use.
+        cooperator = task.Cooperator(
+            scheduler=lambda work: self.reactor.callLater(0.0, work)
+        )
+        with mock.patch.object(task, '_theCooperator', cooperator):
+            self.runner_client.call(
+                model.CallRunner(runner, stage_call, False)
+            )
+            while len(self.reactor.tcpClients) > len(self.connections):
+                factory = self.reactor.tcpClients[-1][2]
+                connection = factory.buildProtocol(None)
+                connection.makeConnection(transports.QuietTransport())
+                self.connections.append(connection)
+            self.reactor.pump([0.01] * 5)
+        return str(attempt)
+
+
+def _response(status: int, body: bytes) -> bytes:
+    head = b'HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n'
+    return head % (status, len(body)) + body
+
+
+def _refusal(attempt: str) -> bytes:
+    return wire.encode_result(wire.ResultRefused(attempt, 'full', LOAD))
+
+
+@when("a node's call gets {what} in place of its answer")
+def answer_wrongly(context: Any, what: str) -> None:
+    """Answer a call with what does not answer it."""
+    context.node = NodeCalls()
+    attempt = context.node.call(1)
+    error_line = wire.encode_result(wire.ResultError(EARLIER, 'failed'))
+    responses = {
+        'an earlier refusal': _response(200, _refusal(EARLIER)),
+        'an earlier error': _response(200, error_line),
+        'status 503 without a record': _response(503, b'no room'),
+        'status 503 with its own refusal': _response(503, _refusal(attempt)),
+        'a line that is no record': _response(200, b'no record\n'),
+    }
+    context.node.connections[0].dataReceived(responses[what])
+
+
+@then('it counts as a breach of protocol, and its connection closes')
+def check_protocol(context: Any) -> None:
+    """Look at the only event; the answer could still come."""
+    (event,) = context.node.events
+    assert event.failure == model.CallFailure.PROTOCOL, event
+    transport = context.node.connections[0].transport
+    assert transport.disconnecting or transport.disconnected
+    context.node.call(2)
+    assert len(context.node.connections) == 2
+
+
+@when("a node's connection brings its answer and {what}")
+def answer_and_more(context: Any, what: str) -> None:
+    """Answer a call, and let more bytes come on its connection."""
+    context.node = NodeCalls()
+    answer = _response(200, _refusal(context.node.call(1)))
+    more = b''
+    if what.startswith('an earlier refusal'):
+        more = _response(200, _refusal(EARLIER))
+    elif what.startswith('a byte'):
+        more = b'\n'
+    (connection,) = context.node.connections
+    if what.endswith('in one segment'):
+        connection.dataReceived(answer + more)
+    else:
+        connection.dataReceived(answer)
+        if more:
+            connection.dataReceived(more)
+    (event,) = context.node.events
+    assert event.failure == model.CallFailure.OVERLOADED, event
+
+
+@then("the node's next call opens a new connection")
+def check_new(context: Any) -> None:
+    """Count the connections; the first must be closing."""
+    context.node.call(2)
+    assert len(context.node.connections) == 2
+    transport = context.node.connections[0].transport
+    assert transport.disconnecting or transport.disconnected
+
+
+@then("the node's next call is sent on it")
+def check_kept(context: Any) -> None:
+    """Count the connections and the requests on the first."""
+    context.node.call(2)
+    (connection,) = context.node.connections
+    assert connection.transport.value().count(b'POST /v1/calls') == 2
