Forward the events in front of a damage before the stream goes on

Callers missed events in the middle of a stream, or got none at all, where a runner's event with the wrong number arrived in one read with sound events. The events in front of it were counted as forwarded, and the error dropped them. Another runner was asked to go on behind them, so that the caller's stream had a gap and looked whole. The bound on the events of a stream had the same effect (by reading, not measured).

StreamReader now forwards the accepted events first, then ends the send. The progress and what the caller holds agree again.

--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -143,25 +143,39 @@
         if self.stream_bytes > MAX_STREAM_BYTES:
             self._on_damaged(f'stream of over {MAX_STREAM_BYTES} bytes')
             return
+        events, damage = self._next_events(data)
+        if events:
+            self._pass_on(events)
+        if self.event_count > MAX_STREAM_EVENTS:
+            damage = f'stream of over {MAX_STREAM_EVENTS} events'
+        if damage:
+            self._on_damaged(damage)
+
+    def _next_events(self, data: bytes) -> tuple[list[relay.StreamEvent], str]:
+        """Return the events to forward, and what is wrong behind them.
+
+        Those before a damage count as forwarded: another runner is asked to
+        go on behind them.
+        """
+        events: list[relay.StreamEvent] = []
         try:
-            events = [
-                event
-                for event in self.event_parser.feed(data)
-                if self.progress.accept(event)
-            ]
+            for event in self.event_parser.feed(data):
+                if self.progress.accept(event):
+                    events.append(event)
         except ValueError as error:
-            self._on_damaged(str(error))
-            return
+            return events, str(error)
+        return events, ''
+
+    def _pass_on(self, events: list[relay.StreamEvent]) -> None:
+        """Forward events, which may be the first ones."""
+        is_first = not self.event_count
         self.event_count += len(events)
-        if self.event_count > MAX_STREAM_EVENTS:
-            self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
-        elif events:
-            self.heard_at = self.context.reactor.seconds()
-            self.owner.on_answer(self)
-            self.handler.on_event_from(self.called)
-            if self.event_count == len(events):
-                self._on_first_event()
-            self._forward(b''.join(event.data for event in events))
+        self.heard_at = self.context.reactor.seconds()
+        self.owner.on_answer(self)
+        self.handler.on_event_from(self.called)
+        if is_first:
+            self._on_first_event()
+        self._forward(b''.join(event.data for event in events))
 
     def _on_first_event(self) -> None:
         """Let the host learn from the time that the first event took."""
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -427,7 +427,9 @@
     gone (not run, its inputs are gone), leave (ok, and it leaves), pause:S
     (not run, and nothing is wanted for S seconds), brittle:N (not run, and it
     falls over if it turns away more than N a second), status:N (its own
-    answer with this status, after it ran), late:S (ok, after S
+    answer with this status, after it ran), unsealed:N (the same without an
+    echo), unrun:N (not run, with this status), bytes:NAME (an event stream of
+    bodies[NAME] behind the caller's last event), late:S (ok, after S
     seconds of silence), events:N (a stream of N
     events), cut:N (a stream reset behind event N), drip:S (a stream that sends
     a byte of its first event each S seconds), stall:N,S (a stream that is
@@ -447,6 +449,9 @@
         self.version = ''
         # Further headers of answers with a status of their own.
         self.extra_headers: edge.Headers = ()
+        # Bodies of event streams by name; each returns the bytes behind an
+        # event.
+        self.bodies: dict[str, Callable[[int], bytes]] = {}
         self.calls: list[LabCall] = []
         # Parts of a prompt, and requests by target, on which it crashes as it
         # begins its answer.
@@ -471,6 +476,7 @@
             'gone',
             'pause',
             'brittle',
+            'unrun',
         )
 
         def close() -> None:
@@ -535,6 +541,14 @@
             call.respond(500, echo, b'own failure')
         elif kind == 'status':
             call.respond(int(count), echo + self.extra_headers, b'own answer')
+        elif kind == 'unsealed':
+            call.respond(int(count), self.extra_headers, b'own answer')
+        elif kind == 'unrun':
+            call.respond(int(count), ((b'not-run', b'1'),), b'own answer')
+        elif kind == 'bytes':
+            headers = EVENT_STREAM + echo + self.extra_headers
+            body = self.bodies[count](told['last_event'] or 0)
+            call.respond(HTTP_OK, headers, body)
         elif kind == 'full':
             self.turn_away(call)
         elif kind == 'refused':
