Take nothing for an event but what runners send as one

Callers found the head and the text of another answer in their stream: any block of lines that ends with a blank line passed as an event, whether or not it had an id. A head's lines behind a cut event passed as a part of it. The stream then ended as if it were complete, as nothing was left over.

EventSplitter now reads the lines of an event. It knows id, data, event, retry and comments; other names come only in front of the id, where runners put them, and never look like a status line. An event has one id of at most 18 ASCII digits unless it has only comments. Anything else is damage: the stream counts as broken behind its last sound event, and may be resumed there.

What this can't tell: text behind a cut line of data that is followed by a blank line and nothing else looks like the data.

The endless stream of events in features/endless_answers.feature had no ids and would now end at its first one. It has ids now and reaches the bound on events as before; streams of comments and of events without ids are added.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -3,6 +3,10 @@
   that are no event. On whole hosts in virtual time. A stream breaks off
   behind event 3 of 6; routes allow two attempts.
 
+  # Guards against taking sound events for damage.
+  Scenario: events pass in all forms that runners send
+    Then events pass in all forms that runners send
+
   # Guards against the head or the text of another answer, or an event that is
   # none of the stream, as a part of the caller's answer.
   Scenario Outline: a stream that <way> and brings <what>, <line ends>, <ends>
@@ -13,12 +17,102 @@
 
     Examples:
       | way                       | line ends | what                                        | ends     |
+      | begins                    | LF        | a whole head                                | is whole |
+      | begins                    | CRLF      | a whole head                                | is whole |
+      | begins                    | LF        | a whole head and a blank line               | is whole |
+      | begins                    | CRLF      | a whole head and a blank line               | is whole |
+      | begins                    | LF        | a whole head behind half an id              | is whole |
+      | begins                    | CRLF      | a whole head behind half an id              | is whole |
+      | begins                    | LF        | a whole head behind an id                   | is whole |
+      | begins                    | CRLF      | a whole head behind an id                   | is whole |
+      | begins                    | LF        | a whole head behind half a line of data     | is whole |
+      | begins                    | CRLF      | a whole head behind half a line of data     | is whole |
+      | begins                    | LF        | a whole head and events of its own          | is whole |
+      | begins                    | CRLF      | a whole head and events of its own          | is whole |
+      | begins                    | LF        | an error text                               | is whole |
+      | begins                    | LF        | an error text and a blank line              | is whole |
+      | begins                    | LF        | an event without an id                      | is whole |
+      | begins                    | LF        | an id that is no number                     | is whole |
+      | begins                    | LF        | an id of 5000 digits                        | is whole |
+      | begins                    | LF        | two ids in one event                        | is whole |
       | begins                    | LF        | an event that is not the next               | is whole |
       | begins                    | LF        | the next event and one that is not the next | is whole |
+      | goes on                   | LF        | a whole head                                | is reset |
+      | goes on                   | CRLF      | a whole head                                | is reset |
+      | goes on                   | LF        | a whole head and a blank line               | is reset |
+      | goes on                   | CRLF      | a whole head and a blank line               | is reset |
+      | goes on                   | LF        | a whole head behind half an id              | is reset |
+      | goes on                   | CRLF      | a whole head behind half an id              | is reset |
+      | goes on                   | LF        | a whole head behind an id                   | is reset |
+      | goes on                   | CRLF      | a whole head behind an id                   | is reset |
+      | goes on                   | LF        | a whole head behind half a line of data     | is reset |
+      | goes on                   | CRLF      | a whole head behind half a line of data     | is reset |
+      | goes on                   | LF        | a whole head and events of its own          | is reset |
+      | goes on                   | CRLF      | a whole head and events of its own          | is reset |
+      | goes on                   | LF        | an error text                               | is reset |
+      | goes on                   | LF        | an error text and a blank line              | is reset |
+      | goes on                   | LF        | an event without an id                      | is reset |
+      | goes on                   | LF        | an id that is no number                     | is reset |
+      | goes on                   | LF        | an id of 5000 digits                        | is reset |
+      | goes on                   | LF        | two ids in one event                        | is reset |
       | goes on                   | LF        | an event that is not the next               | is reset |
       | goes on                   | LF        | the next event and one that is not the next | is reset |
+      | begins at another host    | LF        | a whole head                                | is whole |
+      | begins at another host    | CRLF      | a whole head                                | is whole |
+      | begins at another host    | LF        | a whole head and a blank line               | is whole |
+      | begins at another host    | CRLF      | a whole head and a blank line               | is whole |
+      | begins at another host    | LF        | a whole head behind half an id              | is whole |
+      | begins at another host    | CRLF      | a whole head behind half an id              | is whole |
+      | begins at another host    | LF        | a whole head behind an id                   | is whole |
+      | begins at another host    | CRLF      | a whole head behind an id                   | is whole |
+      | begins at another host    | LF        | a whole head behind half a line of data     | is whole |
+      | begins at another host    | CRLF      | a whole head behind half a line of data     | is whole |
+      | begins at another host    | LF        | a whole head and events of its own          | is whole |
+      | begins at another host    | CRLF      | a whole head and events of its own          | is whole |
+      | begins at another host    | LF        | an error text                               | is whole |
+      | begins at another host    | LF        | an error text and a blank line              | is whole |
+      | begins at another host    | LF        | an event without an id                      | is whole |
+      | begins at another host    | LF        | an id that is no number                     | is whole |
+      | begins at another host    | LF        | an id of 5000 digits                        | is whole |
+      | begins at another host    | LF        | two ids in one event                        | is whole |
       | begins at another host    | LF        | an event that is not the next               | is whole |
       | begins at another host    | LF        | the next event and one that is not the next | is whole |
+      | goes on at another host   | LF        | a whole head                                | is reset |
+      | goes on at another host   | CRLF      | a whole head                                | is reset |
+      | goes on at another host   | LF        | a whole head and a blank line               | is reset |
+      | goes on at another host   | CRLF      | a whole head and a blank line               | is reset |
+      | goes on at another host   | LF        | a whole head behind half an id              | is reset |
+      | goes on at another host   | CRLF      | a whole head behind half an id              | is reset |
+      | goes on at another host   | LF        | a whole head behind an id                   | is reset |
+      | goes on at another host   | CRLF      | a whole head behind an id                   | is reset |
+      | goes on at another host   | LF        | a whole head behind half a line of data     | is reset |
+      | goes on at another host   | CRLF      | a whole head behind half a line of data     | is reset |
+      | goes on at another host   | LF        | a whole head and events of its own          | is reset |
+      | goes on at another host   | CRLF      | a whole head and events of its own          | is reset |
+      | goes on at another host   | LF        | an error text                               | is reset |
+      | goes on at another host   | LF        | an error text and a blank line              | is reset |
+      | goes on at another host   | LF        | an event without an id                      | is reset |
+      | goes on at another host   | LF        | an id that is no number                     | is reset |
+      | goes on at another host   | LF        | an id of 5000 digits                        | is reset |
+      | goes on at another host   | LF        | two ids in one event                        | is reset |
       | goes on at another host   | LF        | an event that is not the next               | is reset |
       | goes on at another host   | LF        | the next event and one that is not the next | is reset |
+      | is taken up by its caller | LF        | a whole head                                | is whole |
+      | is taken up by its caller | CRLF      | a whole head                                | is whole |
+      | is taken up by its caller | LF        | a whole head and a blank line               | is whole |
+      | is taken up by its caller | CRLF      | a whole head and a blank line               | is whole |
+      | is taken up by its caller | LF        | a whole head behind half an id              | is whole |
+      | is taken up by its caller | CRLF      | a whole head behind half an id              | is whole |
+      | is taken up by its caller | LF        | a whole head behind an id                   | is whole |
+      | is taken up by its caller | CRLF      | a whole head behind an id                   | is whole |
+      | is taken up by its caller | LF        | a whole head behind half a line of data     | is whole |
+      | is taken up by its caller | CRLF      | a whole head behind half a line of data     | is whole |
+      | is taken up by its caller | LF        | a whole head and events of its own          | is whole |
+      | is taken up by its caller | CRLF      | a whole head and events of its own          | is whole |
+      | is taken up by its caller | LF        | an error text                               | is whole |
+      | is taken up by its caller | LF        | an error text and a blank line              | is whole |
+      | is taken up by its caller | LF        | an event without an id                      | is whole |
+      | is taken up by its caller | LF        | an id that is no number                     | is whole |
+      | is taken up by its caller | LF        | an id of 5000 digits                        | is whole |
+      | is taken up by its caller | LF        | two ids in one event                        | is whole |
       | is taken up by its caller | LF        | the next event and one that is not the next | is whole |
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -24,6 +24,8 @@
       | an event           | 2     | 1       |
       | an event in bits   | 2     | 2       |
       | events             | 17    | 4       |
+      | comments           | 17    | 4       |
+      | events without an id | 17  | 4       |
       | a plain body       | 9     | 1       |
 
   Scenario: many answers without end stay within the memory of a host
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -10,6 +10,7 @@
 from features.support import relay_hosts
 import ragwort_edge as edge
 import ragwort_lab as lab
+import ragwort_relay as relay
 
 EVENTS = 6
 # The last event before the stream breaks off.
@@ -159,6 +160,27 @@
     return b''.join(event(n, end) for n in range(1, BEGUN + 1))
 
 
+SOUND = (
+    b'id: 1\ndata: a\n\n',
+    b'id:2\ndata:b\n\n',
+    b'id: 3\r\nevent: word\r\ndata: c\r\n\r\n',
+    b'part: 7\nid: 4\ndata: d\n\n',
+    b'data: e\nid: 5\nretry: 10\ndata\n\n',
+    b': a comment\nid: 6\ndata: HTTP/1.1 500\n: another\n\n',
+)
+
+
+@then('events pass in all forms that runners send')
+def check_sound(context: Any) -> None:
+    """Read sound events, and comments among them."""
+    splitter = relay.EventSplitter()
+    note = b': a comment\n\n'
+    found = list(splitter.feed(note.join(SOUND)))
+    assert b''.join(e.data for e in found) == note.join(SOUND), found
+    ids = [e.event_id for e in found]
+    assert ids == [1, None, 2, None, 3, None, 4, None, 5, None, 6], ids
+
+
 @given('whole hosts whose runners stream {count:d} events')
 def start(context: Any, count: int) -> None:
     """Start two hosts and two runners; all runners share one script."""
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -111,7 +111,13 @@
 STREAMED = {
     'an event': [b'data: ' + b'x' * PIECE],
     'an event in bits': [b'x' * BIT],
-    'events': [b'data: x\n\n' * 1000],
+    # More than a stream may have.
+    'events': [
+        b''.join(b'id: %d\ndata: x\n\n' % n for n in range(at, at + 1000))
+        for at in range(1, 150_001, 1000)
+    ],
+    'comments': [b':\n\n' * 1000],
+    'events without an id': [b'data: x\n\n' * 1000],
     'a plain body': [b'x' * PIECE],
 }
 
--- a/libs/ragwort_relay/ragwort_relay/_events.py
+++ b/libs/ragwort_relay/ragwort_relay/_events.py
@@ -1,5 +1,11 @@
-"""Splitting a stream of server-sent events into complete events."""
+"""Splitting a stream of server-sent events into complete events.
 
+Behind a stream that broke off there may be bytes of another answer: a head, an
+error's text. They must not pass for events, so that an event is taken only in
+the form in which runners send it.
+"""
+
+from collections.abc import Iterator
 import re
 
 import msgspec
@@ -7,10 +13,15 @@
 MAX_EVENT_BYTES = 1024 * 1024
 _LONGEST_TERMINATOR = b'\r\n\r\n'
 _TERMINATOR = re.compile(rb'\n\n|\r\n\r\n')
+# Longer numbers come from no counter; int() refuses those of over 4300 digits.
+_ID_LINE = re.compile(rb'id:[ \t]*([0-9]{1,18})[ \t]*')
+_FIELDS = frozenset({b'data', b'event', b'retry'})
+_STATUS_LINE = re.compile(rb'HTTP/[0-9]')
+_MAX_SHOWN_BYTES = 40
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """The bytes of one complete event; event_id is None if it has no id."""
+    """The bytes of one complete event; event_id is None for comments."""
 
     data: bytes
     event_id: int | None
@@ -27,32 +38,53 @@
         """Start with an empty buffer."""
         self.buffer = bytearray()
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events completed by data.
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Yield the events completed by data; iterate to the end.
 
-        Raise ValueError if an event is too large.
+        Raise ValueError at the first that is damaged or too large.
         """
         # A terminator may have begun in what came before.
         search_from = max(len(self.buffer) - len(_LONGEST_TERMINATOR) + 1, 0)
         self.buffer += data
-        events: list[StreamEvent] = []
         start = 0
         for match in _TERMINATOR.finditer(self.buffer, search_from):
             chunk = bytes(self.buffer[start : match.end()])
-            events.append(StreamEvent(chunk, _event_id(chunk)))
             start = match.end()
+            yield StreamEvent(chunk, _read_id(chunk))
         del self.buffer[:start]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise ValueError(f'event of over {MAX_EVENT_BYTES} bytes')
-        return events
 
 
-def _event_id(event: bytes) -> int | None:
-    for line in event.splitlines():
-        if line.startswith(b'id:'):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
-    return None
+def _read_id(event: bytes) -> int | None:
+    """Return the number of an event, None if it has only comments.
+
+    Raise ValueError if it has a line that runners don't send. Fields of other
+    names may come before the number.
+    """
+    event_id: int | None = None
+    has_fields = False
+    for line in event.strip(b'\r\n').splitlines():
+        if line.startswith(b':'):
+            continue
+        has_fields = True
+        name = line.partition(b':')[0]
+        if name == b'id':
+            found = _ID_LINE.fullmatch(line)
+            if found is None or event_id is not None:
+                raise _unknown_line(line)
+            event_id = int(found[1])
+        elif name not in _FIELDS and (
+            not line or event_id is not None or _STATUS_LINE.match(line)
+        ):
+            raise _unknown_line(line)
+    if has_fields and event_id is None:
+        raise ValueError('event without an id')
+    return event_id
+
+
+def _unknown_line(line: bytes) -> ValueError:
+    return ValueError(f'not a line of an event: {line[:_MAX_SHOWN_BYTES]!r}')
 
 
 class StreamProgress:
