Count a resumed stream that ends with its connection before an event as broken

Callers got the end of a stream as if it were complete where its next runner ended before it brought an event. An answer with neither a length nor chunks ends with its connection, so that the end of a runner can't be told from the end of a stream. That was judged so for fresh streams, but not for resumed ones; and a comment, or events that the caller has already, counted as events.

Now such an answer counts as broken unless an event has come that the caller did not have. A length or a last chunk is still an end, as the caller may have all events already.

A caller that holds the last event and takes up a stream whose runner frames nothing gets an error now, as its end can't be known.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -116,3 +116,29 @@
       | is taken up by its caller | LF        | an id of 5000 digits                        | is whole |
       | is taken up by its caller | LF        | two ids in one event                        | is whole |
       | is taken up by its caller | LF        | the next event and one that is not the next | is whole |
+
+  # Guards against an answer that ends with its connection before it brings an
+  # event: it passed for the end of the stream.
+  Scenario Outline: a stream that <way> with <what>, ended by <frame>, <ends>
+    Given whole hosts whose runners stream 6 events
+    And runners' answers end with <frame>
+    When a stream <way> and its runner sends <what> behind event 3
+    Then for its caller the stream <ends>
+
+    Examples:
+      | way                       | what                           | frame          | ends                     |
+      | goes on                   | nothing                        | its connection | is reset                 |
+      | goes on                   | a comment alone                | its connection | is reset                 |
+      | goes on                   | the events that the caller has | its connection | is reset                 |
+      | goes on                   | nothing                        | a length       | ends where its caller is |
+      | goes on                   | nothing                        | chunks         | ends where its caller is |
+      | goes on at another host   | nothing                        | its connection | is reset                 |
+      | goes on at another host   | a comment alone                | its connection | is reset                 |
+      | goes on at another host   | the events that the caller has | its connection | is reset                 |
+      | goes on at another host   | nothing                        | a length       | ends where its caller is |
+      | goes on at another host   | nothing                        | chunks         | ends where its caller is |
+      | is taken up by its caller | nothing                        | its connection | is whole                 |
+      | is taken up by its caller | a comment alone                | its connection | is whole                 |
+      | is taken up by its caller | the events that the caller has | its connection | is whole                 |
+      | is taken up by its caller | nothing                        | a length       | ends where its caller is |
+      | is taken up by its caller | nothing                        | chunks         | ends where its caller is |
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -52,6 +52,8 @@
         )
         self.stream_bytes = 0
         self.event_count = 0
+        # Set once an event has come that is more than comments.
+        self.has_numbered = False
         self.is_event_stream = False
         self.open_call: _client.OpenCall | None = None
         self.pressure = _back_pressure.BackPressure(
@@ -162,6 +164,7 @@
             for event in self.event_parser.feed(data):
                 if self.progress.accept(event):
                     events.append(event)
+                    self.has_numbered |= event.event_id is not None
         except ValueError as error:
             return events, str(error)
         return events, ''
@@ -233,9 +236,9 @@
                 relay.SendResult.BROKEN, 'ends within an event', is_closed=True
             )
             return
-        is_empty = not self.event_count and self.progress.last_event_id is None
-        if is_empty and _ends_with_connection(self.head):
-            # The runner may have ended before it began.
+        if not self.has_numbered and _ends_with_connection(self.head):
+            # The runner may have ended before it began. An explicit end is
+            # taken for one, as the caller may have all events already.
             self._finish(
                 relay.SendResult.BROKEN,
                 'ends without an event',
