--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -53,6 +53,8 @@
         )
         self.stream_bytes = 0
         self.event_count = 0
+        # Set once an event has come that is more than comments.
+        self.has_numbered = False
         self.is_event_stream = False
         self.open_call: _client.OpenCall | None = None
         self.pressure = _back_pressure.BackPressure(
@@ -150,25 +152,40 @@
         if self.stream_bytes > MAX_STREAM_BYTES:
             self._on_damaged(f'stream of over {MAX_STREAM_BYTES} bytes')
             return
+        events, damage = self._next_events(data)
+        if events:
+            self._pass_on(events)
+        if self.event_count > MAX_STREAM_EVENTS:
+            damage = f'stream of over {MAX_STREAM_EVENTS} events'
+        if damage:
+            self._on_damaged(damage)
+
+    def _next_events(self, data: bytes) -> tuple[list[relay.StreamEvent], str]:
+        """Return the events to forward, and what is wrong behind them.
+
+        Those before a damage count as forwarded: another runner is asked to
+        go on behind them.
+        """
+        events: list[relay.StreamEvent] = []
         try:
-            events = [
-                event
-                for event in self.event_parser.feed(data)
-                if self.progress.accept(event)
-            ]
+            for event in self.event_parser.feed(data):
+                if self.progress.accept(event):
+                    events.append(event)
+                    self.has_numbered |= event.event_id is not None
         except ValueError as error:
-            self._on_damaged(str(error))
-            return
+            return events, str(error)
+        return events, ''
+
+    def _pass_on(self, events: list[relay.StreamEvent]) -> None:
+        """Forward events, which may be the first ones."""
+        is_first = not self.event_count
         self.event_count += len(events)
-        if self.event_count > MAX_STREAM_EVENTS:
-            self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
-        elif events:
-            self.heard_at = self.context.reactor.seconds()
-            self.owner.on_answer(self)
-            self.handler.on_event_from(self.called)
-            if self.event_count == len(events):
-                self._on_first_event()
-            self._forward(b''.join(event.data for event in events))
+        self.heard_at = self.context.reactor.seconds()
+        self.owner.on_answer(self)
+        self.handler.on_event_from(self.called)
+        if is_first:
+            self._on_first_event()
+        self._forward(b''.join(event.data for event in events))
 
     def _on_first_event(self) -> None:
         """Let the host learn from the time that the first event took."""
@@ -226,9 +243,9 @@
                 relay.SendResult.BROKEN, 'ends within an event', is_closed=True
             )
             return
-        is_empty = not self.event_count and self.progress.last_event_id is None
-        if is_empty and _ends_with_connection(self.head):
-            # The runner may have ended before it began.
+        if not self.has_numbered and _ends_with_connection(self.head):
+            # The runner may have ended before it began. An explicit end is
+            # taken for one, as the caller may have all events already.
             self._finish(
                 relay.SendResult.BROKEN,
                 'ends without an event',
