Let sound runners of the soak fall silent and go on

No fault of the soak let a sound runner pause its answers, so nothing real showed whether hosts give such requests up.

The promise silence wants a whole answer or a refusal of something that has not run for each request at a silent runner, unless another fault concerned its host or runners. A request that met more than 1.8 s of silence may end at its deadline. The soak prints how many requests it looked at.

Three defects in the records of a sound run are caught.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -74,6 +74,9 @@
       | same-request | a request that goes on crashing runners |
       | brittle      | brittle runners that fall over again and again |
       | stranded     | a host without runners that serves nobody |
+      | silence      | a cut answer of a runner that was silent |
+      | silence      | a 502 for a request at a runner that was silent |
+      | silence      | a request that one silence kept until its deadline |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
@@ -86,6 +89,13 @@
     When the host that reaches runners was cut off from the others
     Then no promise is broken
 
+  Scenario: a silent runner that also fails may cut its answer
+    Given the records of a sound run
+    When a cut answer of a runner that was silent is in the records
+    Then only the promise "silence" is broken
+    When another fault concerned its runner
+    Then no promise is broken
+
   Scenario: a host that starts may answer a key that was taken with 503
     Given the records of a sound run
     When a refusal of a key that was taken is in the records
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -20,6 +20,7 @@
     stranded: bool = False,
     brittle: bool = False,
     evacuation: bool = False,
+    silences: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -37,6 +38,7 @@
         stranded,
         brittle,
         evacuation,
+        silences,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -137,7 +137,12 @@
 @fault('host-term')
 def end_host(whole: system.SoakSystem, rng: random.Random) -> Begun:
     """Tell a host to leave; it starts again once it has gone."""
-    host = _host(whole, rng)
+    leave(whole, _host(whole, rng))
+    return Begun('none', lambda: None)
+
+
+def leave(whole: system.SoakSystem, host: hosts.HostProcess) -> None:
+    """Tell a host to leave, note its end and start it again."""
     host.is_leaving = True
     gone = ledger.HostExit(host.name, whole.reactor.seconds(), None, None)
     host.send(signal.SIGTERM)
@@ -157,7 +162,6 @@
         host.start()
 
     look()
-    return Begun('none', lambda: None)
 
 
 @fault('host-reload')
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -12,6 +12,7 @@
     path: str
     at: float
     ran: bool
+    runner: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +24,15 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentCall:
+    """A request that a runner had while it was silent, and that time."""
+
+    request_id: str
+    at: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True)
 class NoticedArrivals:
     """Main calls from a host that a runner had told of a pause or leaving.
@@ -126,6 +136,9 @@
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     handles: set[str] = dataclasses.field(default_factory=set)
+    silent_calls: list[SilentCall] = dataclasses.field(default_factory=list)
+    # Times at which a runner was not sound, by its address and its service.
+    unsound: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     quiet_at: float = 0.0
     recovered_at: float | None = None
     unserved: list[tuple[str, str]] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -36,12 +36,21 @@
 STRANDED_BOUND_S = 3.0
 MOST_STRANDED = 10
 MOST_STRANDED_SHARE = 50
+# Slack around a request in which a runner's other faults concern it.
+UNSOUND_BEFORE_S = 0.5
+UNSOUND_AFTER_S = 0.2
+# Silence that a request must survive: that of one runner at its longest. The
+# deadline may end one that met more.
+ENDURED_S = 1.8
+# Time before the deadline at which hosts end a request for it.
+DEADLINE_MARGIN_S = 0.1
 # Time after the last fault within which every kind is served again.
 RECOVERY_S = 15.0
 # Streams of two software versions that may be, in a whole run.
 MAX_MIXED_STREAMS = 2
 NOT_RUN = (408, 421, 429, 503)
 ATTEMPTS = {'safe': 2, 'unsafe': 1, 'stream': 2, 'staged': 2}
+STAGED_SERVICES = ('engine', 'stage-a', 'stage-b')
 SERVICES = {'/safe/': 'plain', '/once/': 'plain', '/stream/': 'engine'}
 
 Check = Callable[[ledger.Ledger], Iterator[str]]
@@ -387,6 +396,78 @@
     return sum(_is_served(one) for one in found) / max(len(found), 1)
 
 
+@promise('silence')
+def silence(records: ledger.Ledger) -> Iterator[str]:
+    """A request at a sound runner is not given up for its silence."""
+    ran = _runs(records)
+    for one, silent_s in at_silent_runners(records):
+        is_refused = one.status in NOT_RUN and one.request_id not in ran
+        if _is_served(one) or is_refused:
+            continue
+        took_s = one.ended_at - one.asked_at
+        is_late = took_s >= clients.DEADLINE_S - DEADLINE_MARGIN_S
+        if not is_late or silent_s <= ENDURED_S:
+            yield (
+                f'{one.request_id} ({one.kind}) at {one.host} ended with '
+                f'{one.status}, {one.problem} after {took_s:.1f} s, '
+                f'its runners were silent for {silent_s:.1f} s'
+            )
+
+
+def at_silent_runners(
+    records: ledger.Ledger,
+) -> list[tuple[ledger.Outcome, float]]:
+    """Return requests that silence alone concerned, and its length."""
+    calls: dict[str, list[ledger.SilentCall]] = collections.defaultdict(list)
+    for call in records.silent_calls:
+        calls[call.request_id].append(call)
+    runners_of: dict[str, set[str]] = collections.defaultdict(set)
+    for arrival in records.arrivals:
+        runners_of[arrival.request_id].add(arrival.runner)
+    found = []
+    for one in records.outcomes:
+        silent_s = sum(
+            min(call.until, one.ended_at) - call.at
+            for call in calls.get(one.request_id, ())
+            if call.at < one.ended_at
+        )
+        if silent_s and not _is_concerned(records, one, runners_of):
+            found.append((one, silent_s))
+    return found
+
+
+def _is_concerned(
+    records: ledger.Ledger,
+    one: ledger.Outcome,
+    runners_of: dict[str, set[str]],
+) -> bool:
+    """Tell whether a fault concerned a request's host or its runners.
+
+    Any host and any runner of a stage may have run stages of a request.
+    """
+    hosts_of = {one.host, 'all'}
+    used = runners_of.get(one.request_id, set())
+    if one.kind == 'staged':
+        used = {*STAGED_SERVICES}
+        hosts_of |= {fault.target for fault in records.disturbances}
+    since = one.asked_at - UNSOUND_BEFORE_S
+    until = one.ended_at + UNSOUND_AFTER_S
+    return any(
+        fault.target in hosts_of
+        and fault.at <= until
+        and fault.until + SLACK_S >= since
+        for fault in [
+            *records.disturbances,
+            *records.cuts,
+            *records.strandings,
+        ]
+    ) or any(
+        since <= at <= until
+        for name in used
+        for at in records.unsound.get(name, ())
+    )
+
+
 @promise('leaving')
 def leaving(records: ledger.Ledger) -> Iterator[str]:
     """A host that is told to leave ends what it took in, in time."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -14,6 +14,7 @@
 from features.soak import faults
 from features.soak import ledger
 from features.soak import promises
+from features.soak import silences
 from features.soak import system
 import ragwort_peers as peers
 
@@ -39,7 +40,8 @@
     prompt crashes runners, with has_same a request that comes again and again
     does. With has_stranded hosts lose all runners for a while, with
     has_brittle runners fall over when they turn many requests away, with
-    has_evacuation a failure domain is evacuated.
+    has_evacuation a failure domain is evacuated. With has_silences sound
+    runners fall silent for a while.
     """
 
     seed: int
@@ -56,6 +58,7 @@
     has_stranded: bool = False
     has_brittle: bool = False
     has_evacuation: bool = False
+    has_silences: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -80,7 +83,9 @@
         return (
             f'seed {self.seed}: {verdict}, {self.faults.total()} faults, '
             f'{self.statuses.total()} requests ({statuses}), '
-            f'recovery {recovery} s; {" ".join(sorted(self.faults))}'
+            f'{len(promises.at_silent_runners(self.records))} at silent '
+            f'runners alone, recovery {recovery} s; '
+            f'{" ".join(sorted(self.faults))}'
         )
 
 
@@ -125,6 +130,10 @@
             self.plan += faults.draw_strandings(
                 self.extra_rng, options.faults_s
             )
+        if options.has_silences:
+            self.plan += silences.draw_silences(
+                self.extra_rng, options.faults_s
+            )
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -100,6 +100,9 @@
         self.brittle_per_s: int | None = None
         self.turned_away_at: list[float] = []
         self.places = SLOTS
+        # No answer leaves the runner before that time.
+        self.silent_until = 0.0
+        self.open_calls: set[str] = set()
         # Each start takes the next one.
         self.versions = itertools.cycle(versions)
         self.version = ''
@@ -123,6 +126,23 @@
         """Return the address in the runner's entry."""
         return self.proxy.address
 
+    @property
+    def is_sound(self) -> bool:
+        """Tell whether nothing but silence concerns the runner."""
+        return (
+            self.is_up
+            and not self.is_draining
+            and self.mode == RunnerMode.OK
+            and self.brittle_per_s is None
+            and self.proxy.mode == proxy.ProxyMode.PASS
+        )
+
+    def note_unsound(self) -> None:
+        """Note that another fault concerns the runner now."""
+        now = self.reactor.seconds()
+        for name in (self.address, self.service):
+            self.records.unsound.setdefault(name, []).append(now)
+
     # Its life.
 
     def start(self) -> None:
@@ -160,6 +180,29 @@
         self.limit_per_s = rate_per_s
         self.limited_at = self.reactor.seconds()
 
+    def fall_silent(self, for_s: float) -> None:
+        """Hold all answers back for a while, then go on."""
+        self.silent_until = self.reactor.seconds() + for_s
+        for request_id in self.open_calls:
+            self._note_silent(request_id)
+
+    @property
+    def silent_s(self) -> float:
+        """Return how long the runner will still be silent."""
+        return max(self.silent_until - float(self.reactor.seconds()), 0.0)
+
+    def _open_call(self, request_id: str) -> None:
+        """Count a request among those that the runner has."""
+        self.open_calls.add(request_id)
+        if self.silent_s:
+            self._note_silent(request_id)
+
+    def _note_silent(self, request_id: str) -> None:
+        now = self.reactor.seconds()
+        self.records.silent_calls.append(
+            ledger.SilentCall(request_id, now, self.silent_until)
+        )
+
     def set_brittle(self, rejects_per_s: int | None, places: int) -> None:
         """Say in all answers that it is brittle, and take so many calls."""
         self.brittle_per_s = rejects_per_s
@@ -233,6 +276,8 @@
         for connection in list(self.site.connections):
             connection.abort()
         self.running = 0
+        self.open_calls.clear()
+        self.note_unsound()
         self._forget(set(self.handles))
 
     def _forget(self, handles: set[str]) -> None:
@@ -294,7 +339,13 @@
         extra: edge.Headers = (),
         body: bytes = b'',
     ) -> None:
+        if self.silent_s:
+            self.reactor.callLater(
+                self.silent_s, self._reply, exchange, status, extra, body
+            )
+            return
         request_id = exchange.request.header(b'request-id') or b''
+        self.open_calls.discard(request_id.decode())
         if self.mode == RunnerMode.FOREIGN:
             request_id = b'another'
         headers = (
@@ -332,6 +383,7 @@
                     request.path,
                     self.reactor.seconds(),
                     ran,
+                    self.address,
                 )
             )
 
@@ -352,8 +404,10 @@
             self._die(self.records.same_arrivals, self.records.same_crashes)
             return
         self.running += 1
+        request_id = exchange.request.header(b'request-id') or b''
+        self._open_call(request_id.decode())
         if exchange.request.path.startswith('/stream/'):
-            self._begin_stream(exchange)
+            self._begin_stream(exchange, self.born)
         else:
             self.reactor.callLater(
                 self._work_s(WORK_S), self._finish_plain, exchange, self.born
@@ -376,7 +430,14 @@
             return
         self._reply(exchange, 200, (), body)
 
-    def _begin_stream(self, exchange: edge.Exchange) -> None:
+    def _begin_stream(self, exchange: edge.Exchange, born: int) -> None:
+        if born != self.born or not self.is_up:
+            return
+        if self.silent_s:
+            self.reactor.callLater(
+                self.silent_s, self._begin_stream, exchange, born
+            )
+            return
         if self.mode == RunnerMode.ERRORS:
             self.running -= 1
             self._reply(exchange, 500)
@@ -407,8 +468,19 @@
     ) -> None:
         if born != self.born or not self.is_up:
             return
+        if self.silent_s and not exchange.is_over:
+            self.reactor.callLater(
+                self.silent_s,
+                self._next_event,
+                exchange,
+                request_id,
+                number,
+                born,
+            )
+            return
         if exchange.is_over or number > EVENTS:
             self.running = max(self.running - 1, 0)
+            self.open_calls.discard(request_id)
             exchange.finish()
             return
         text = event_text(request_id, number, self.version)
@@ -435,6 +507,8 @@
             return
         self.running += 1
         items = json.loads(exchange.request.body)['items']
+        for item in items:
+            self._open_call(item['identifier'])
         self.reactor.callLater(
             self._work_s(CALL_S + PIECE_S * len(items)),
             self._finish_stage,
@@ -449,6 +523,8 @@
         if born != self.born or not self.is_up:
             return
         self.running = max(self.running - 1, 0)
+        if not self.silent_s:
+            self.open_calls -= {item['identifier'] for item in items}
         if self.mode == RunnerMode.ERRORS:
             self._reply(exchange, 500)
             return
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -24,6 +24,7 @@
     'stranded',
     'brittle',
     'evacuation',
+    'silences',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -73,6 +74,7 @@
     stranded: bool = typer.Option(False, help='Hosts lose all runners.'),
     brittle: bool = typer.Option(False, help='Runners that fall over.'),
     evacuation: bool = typer.Option(False, help='Evacuate a domain.'),
+    silences: bool = typer.Option(False, help='Runners that fall silent.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -89,6 +91,7 @@
             stranded,
             brittle,
             evacuation,
+            silences,
         ),
         strict=True,
     )
--- /dev/null
+++ b/features/soak/silences.py
@@ -0,0 +1,113 @@
+"""Sound runners that fall silent for a while and go on where they were."""
+
+from collections.abc import Callable
+import random
+import signal
+
+from features.soak import faults
+from features.soak import hosts
+from features.soak import system
+
+SILENCE = 'silent-runners'
+SILENT_S = (0.5, 1.8)
+# Moments at which runners fall silent, for each second of a run.
+PER_S = 0.8
+# Runners that fall silent at a moment; the first of them at once, the others
+# up to this time later, so that silences overlap and come in series.
+MOST_SILENT = 5
+LATER_S = 1.0
+
+Beside = Callable[[system.SoakSystem, random.Random], None]
+# What may happen in the middle of a silence, by name.
+BESIDE: dict[str, Beside] = {}
+BESIDE_S = 0.3
+
+
+def beside(name: str) -> Callable[[Beside], Beside]:
+    """Register what may happen in the middle of a silence."""
+
+    def register(change: Beside) -> Beside:
+        BESIDE[name] = change
+        return change
+
+    return register
+
+
+def _settled(
+    whole: system.SoakSystem, rng: random.Random
+) -> list[hosts.HostProcess]:
+    """Return one host that has been up for a while, if there is one.
+
+    A signal ends an interpreter that has not run the first line of its script.
+    """
+    since = whole.reactor.seconds() - faults.START_S
+    found = [
+        host
+        for host in whole.hosts
+        if host.is_running
+        and not host.is_paused
+        and not host.is_leaving
+        and host.starts[-1] < since
+    ]
+    return [rng.choice(found)] if found else []
+
+
+@beside('reload')
+def _reload(whole: system.SoakSystem, rng: random.Random) -> None:
+    for host in _settled(whole, rng):
+        host.send(signal.SIGHUP)
+
+
+@beside('leave')
+def _leave(whole: system.SoakSystem, rng: random.Random) -> None:
+    for host in _settled(whole, rng):
+        faults.leave(whole, host)
+
+
+@beside('configuration')
+def _configure(whole: system.SoakSystem, rng: random.Random) -> None:
+    whole.write_configuration()
+
+
+def _silence(whole: system.SoakSystem, rng: random.Random) -> faults.Begun:
+    """Let some sound runners fall silent, or all of a service."""
+    sound = [r for r in whole.runners if r.is_sound and not r.silent_s]
+    service = rng.choice(sorted(system.SERVICES))
+    if rng.random() < 0.3:
+        chosen = [r for r in sound if r.service == service]
+    else:
+        count = min(rng.randint(1, MOST_SILENT), len(sound))
+        chosen = rng.sample(sound, count)
+    for index, runner in enumerate(chosen):
+        for_s = rng.uniform(*SILENT_S)
+        later_s = rng.uniform(0.0, LATER_S) if index else 0.0
+        whole.reactor.callLater(later_s, runner.fall_silent, for_s)
+    return faults.Begun(
+        'none', lambda: None, LATER_S + max(SILENT_S) - BESIDE_S
+    )
+
+
+def _silence_beside(change: Beside) -> faults.Begin:
+    """Return silences in the middle of which something else happens."""
+
+    def begin(whole: system.SoakSystem, rng: random.Random) -> faults.Begun:
+        begun = _silence(whole, rng)
+        whole.reactor.callLater(BESIDE_S, change, whole, rng)
+        return begun
+
+    return begin
+
+
+faults.EXTRA_FAULTS[SILENCE] = _silence
+for _name, _change in BESIDE.items():
+    faults.EXTRA_FAULTS[f'{SILENCE}-{_name}'] = _silence_beside(_change)
+
+
+def draw_silences(rng: random.Random, length_s: float) -> list[faults.Planned]:
+    """Return moments of silence, some of them beside other changes."""
+    names = [f'{SILENCE}-{name}' for name in BESIDE]
+    names += [SILENCE] * max(round(length_s * PER_S) - len(names), 0)
+    return [
+        faults.Planned(name, rng.uniform(0.0, length_s - 1.0), BESIDE_S)
+        for name in names
+    ]
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -25,6 +25,7 @@
 # Time that callers pass over a host that failed them.
 AVOID_S = 1.0
 KEY_CHANGE_S = (2.0, 4.0)
+LOOK_S = 0.1
 PIECES = {
     'batch': runners.BATCH,
     'callMs': runners.CALL_S * 1000,
@@ -255,6 +256,15 @@
             ]
             return
 
+    def _look_at_runners(self) -> None:
+        """Note which runners are not sound."""
+        if self.is_stopped:
+            return
+        for runner in self.runners:
+            if not runner.is_sound:
+                runner.note_unsound()
+        self.reactor.callLater(LOOK_S, self._look_at_runners)
+
     def _poll_addresses(self) -> None:
         if self.is_stopped:
             return
@@ -272,6 +282,7 @@
         for host in self.hosts:
             host.start()
         self._poll_addresses()
+        self._look_at_runners()
         for caller in self.callers:
             caller.start()
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,6 +19,7 @@
 RUN_TIMEOUT_S = 120.0
 # The sound run's only fault was over by then.
 QUIET_AT = 60.0
+RUNNER = '127.0.0.1:9'
 
 
 @when(
@@ -163,6 +164,7 @@
             prefix + one.request_id,
             one.asked_at + 0.1,
             True,
+            RUNNER,
         )
     )
 
@@ -410,6 +412,45 @@
     context.records.cuts.append(cut)
 
 
+@defect('a cut answer of a runner that was silent')
+def cut_silent(records: ledger.Ledger) -> None:
+    """Cut a request 1.5 s after its runner fell silent."""
+    end_silent(find(records, 'stream-3'), records, 1.5, 1.8).body = b''
+
+
+@defect('a 502 for a request at a runner that was silent')
+def fail_silent(records: ledger.Ledger) -> None:
+    """Answer 502 though the runner goes on 0.3 s later."""
+    one = end_silent(find(records, 'unsafe-3'), records, 1.5, 1.8)
+    one.status, one.body, one.problem = 502, b'', None
+
+
+@defect('a request that one silence kept until its deadline')
+def lose_silent(records: ledger.Ledger) -> None:
+    """Let the deadline end a stream long after its runner went on."""
+    end_silent(find(records, 'stream-3'), records, 4.0, 1.7).body = b''
+
+
+def end_silent(
+    one: ledger.Outcome, records: ledger.Ledger, took_s: float, silent_s: float
+) -> ledger.Outcome:
+    """End a request early whose runner was silent from 0.1 s on."""
+    at = one.asked_at + 0.1
+    records.silent_calls.append(
+        ledger.SilentCall(one.request_id, at, at + silent_s)
+    )
+    one.ended_at = one.asked_at + took_s
+    one.problem = 'closed'
+    return one
+
+
+@when('another fault concerned its runner')
+def spoil_runner(context: Any) -> None:
+    """Note that its runner was not sound for a moment."""
+    one = find(context.records, 'stream-3')
+    context.records.unsound[RUNNER] = [one.ended_at]
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
