Write odd entries and answer with others' refusals and errors in the soak

No fault of the soak put an entry of another writer among those of the runners, sent a refusal twice, or answered the resumption of a stream wrongly, though other operators report all three.

All are drawn behind the other faults.

New promise: alive, no host ends by itself. The callers note bytes behind a whole answer, which break own-answer. Four defects in records are caught.

The fixes are not in this tree.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,12 @@
     When the soak plays seed 12 with 4 hosts, an evacuation and 14 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes with silent and strange runners and odd entries
+    Guards against sound answers given up for silence, hosts that an odd entry
+    ends or blinds, and refusals and errors that get into other answers.
+    When the soak plays seed 13 with 4 hosts, silent and strange runners and 12 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -74,6 +80,10 @@
       | same-request | a request that goes on crashing runners |
       | brittle      | brittle runners that fall over again and again |
       | stranded     | a host without runners that serves nobody |
+      | own-answer   | a stream that ends early as if it were whole |
+      | own-answer   | an earlier refusal behind a whole answer |
+      | event-order  | the head of an error in a stream that broke off |
+      | alive        | a host that ends by itself              |
       | silence      | a cut answer of a runner that was silent |
       | silence      | a 502 for a request at a runner that was silent |
       | silence      | a request that one silence kept until its deadline |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -21,6 +21,9 @@
     brittle: bool = False,
     evacuation: bool = False,
     silences: bool = False,
+    odd: bool = False,
+    repeats: bool = False,
+    errors: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -39,6 +42,9 @@
         brittle,
         evacuation,
         silences,
+        odd,
+        repeats,
+        errors,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -44,6 +44,7 @@
         self.caller.on_open(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self.caller.on_surplus(data)
         try:
             self.parser.receive_data(data)
             self._read()
@@ -114,6 +115,8 @@
         self.connection: _Connection | None = None
         self.host: hosts.HostProcess | None = None
         self.outcome: ledger.Outcome | None = None
+        # The one that ended last.
+        self.last: ledger.Outcome | None = None
         self.timer: Any = None
         self.is_stopped = False
 
@@ -227,6 +230,7 @@
         elif isinstance(event, h11.Data):
             outcome.body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
+            outcome.surplus = connection.parser.trailing_data[0]
             self._end(None)
             may_go_on = (
                 connection.parser.our_state is h11.DONE
@@ -239,6 +243,11 @@
             else:
                 connection.parser.start_next_cycle()
 
+    def on_surplus(self, data: bytes) -> None:
+        """Note bytes that come while nothing is asked."""
+        if self.outcome is None and self.last is not None:
+            self.last.surplus += data
+
     def on_lost(self, connection: _Connection, problem: str) -> None:
         """Note that a connection is gone."""
         if self.connection is not connection:
@@ -257,6 +266,7 @@
     def _end(self, problem: str | None) -> None:
         outcome, self.outcome = self.outcome, None
         assert outcome is not None
+        self.last = outcome
         outcome.problem = problem
         outcome.ended_at = self.reactor.seconds()
         self.records.outcomes.append(outcome)
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -70,6 +70,8 @@
     is_probe: bool = False
     first_attempt: str = ''
     last_event: int = 0
+    # What came on the connection behind the whole answer.
+    surplus: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +134,8 @@
     # Runners of an evacuated domain, and what was sent to them.
     evacuated: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     exits: list[HostExit] = dataclasses.field(default_factory=list)
+    # Hosts that ended though nobody told them to, and when that was seen.
+    crashes: list[HostExit] = dataclasses.field(default_factory=list)
     deadly_crashes: list[float] = dataclasses.field(default_factory=list)
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -87,8 +87,10 @@
 
 @promise('own-answer')
 def own_answer(records: ledger.Ledger) -> Iterator[str]:
-    """A whole answer is that of the caller's own request."""
+    """A whole answer is that of the caller's own request, and the end."""
     for one in records.outcomes:
+        if one.surplus:
+            yield f'{one.request_id} ({one.kind}) got {one.surplus[:60]!r} too'
         if one.status == 200 and one.problem is None:
             body = clients.body_without_versions(one)
             if body != clients.expected_body(one):
@@ -484,6 +486,13 @@
                     yield f'{one.request_id} was cut by {gone.host} leaving'
 
 
+@promise('alive')
+def alive(records: ledger.Ledger) -> Iterator[str]:
+    """No host ends by itself."""
+    for gone in records.crashes:
+        yield f'{gone.host} ended by itself with {gone.code}'
+
+
 @promise('recovery')
 def recovery(records: ledger.Ledger) -> Iterator[str]:
     """All kinds are served by all hosts soon after the last fault."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -13,8 +13,10 @@
 from features.soak import evacuations
 from features.soak import faults
 from features.soak import ledger
+from features.soak import odd_entries
 from features.soak import promises
 from features.soak import silences
+from features.soak import strange_faults
 from features.soak import system
 import ragwort_peers as peers
 
@@ -41,7 +43,10 @@
     does. With has_stranded hosts lose all runners for a while, with
     has_brittle runners fall over when they turn many requests away, with
     has_evacuation a failure domain is evacuated. With has_silences sound
-    runners fall silent for a while.
+    runners fall silent for a while, with has_odd another writer puts odd
+    entries among those of the runners, with has_repeats runners send earlier
+    refusals once more, with has_errors runners answer resumptions of broken
+    streams with something else.
     """
 
     seed: int
@@ -59,6 +64,9 @@
     has_brittle: bool = False
     has_evacuation: bool = False
     has_silences: bool = False
+    has_odd: bool = False
+    has_repeats: bool = False
+    has_errors: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,6 +142,18 @@
             self.plan += silences.draw_silences(
                 self.extra_rng, options.faults_s
             )
+        if options.has_odd:
+            self.plan += odd_entries.draw_odd_entries(
+                self.extra_rng, options.faults_s
+            )
+        for is_wanted, name in (
+            (options.has_repeats, strange_faults.REPEATED_REFUSALS),
+            (options.has_errors, strange_faults.BROKEN_RESUMPTIONS),
+        ):
+            if is_wanted:
+                self.plan += strange_faults.draw_strange(
+                    name, self.extra_rng, options.faults_s
+                )
         self.open_faults = 0
         self.begun: collections.Counter[str] = collections.Counter()
         self.give_up_at = 0.0
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -13,6 +13,7 @@
 from features.soak import notices
 from features.soak import proxy
 from features.soak import store
+from features.soak import strange_answers
 import ragwort_edge as edge
 import ragwort_relay as relay
 
@@ -41,6 +42,10 @@
 DEADLY_PATH = '/safe/same-again'
 SEAL = (b'response-seal', b'soak')
 NOT_RUN = (b'not-executed', b'1')
+# Refusals that a faulty runner gives first, to send them again later.
+REFUSAL_STATUSES = (503, 421)
+# The event within which a faulty runner cuts a stream.
+CUT_EVENT = 4
 
 
 class RunnerMode(enum.StrEnum):
@@ -100,6 +105,11 @@
         self.brittle_per_s: int | None = None
         self.turned_away_at: list[float] = []
         self.places = SLOTS
+        # Faulty answers to requests that it runs, and to streams taken up.
+        self.repeats = strange_answers.Repeats.NEVER
+        self.resumed = ''
+        self.refused: list[tuple[int, bytes]] = []
+        self.turns = itertools.count()
         # No answer leaves the runner before that time.
         self.silent_until = 0.0
         self.open_calls: set[str] = set()
@@ -133,6 +143,8 @@
             self.is_up
             and not self.is_draining
             and self.mode == RunnerMode.OK
+            and self.repeats == strange_answers.Repeats.NEVER
+            and not self.resumed
             and self.brittle_per_s is None
             and self.proxy.mode == proxy.ProxyMode.PASS
         )
@@ -218,7 +230,7 @@
         if len(self.turned_away_at) > self.brittle_per_s:
             self.records.falls.append(now)
             self.crash()
-            self.reactor.callLater(DEADLY_DOWN_S, self._start_if_down)
+            self.reactor.callLater(DEADLY_DOWN_S, self.start_if_down)
 
     def crash(self) -> None:
         """End without a word; the entry lapses later."""
@@ -235,9 +247,10 @@
         arrivals.append(now)
         crashes.append(now)
         self.crash()
-        self.reactor.callLater(DEADLY_DOWN_S, self._start_if_down)
+        self.reactor.callLater(DEADLY_DOWN_S, self.start_if_down)
 
-    def _start_if_down(self) -> None:
+    def start_if_down(self) -> None:
+        """Begin as a new incarnation unless the runner is up."""
         if not self.is_up:
             self.start()
 
@@ -313,14 +326,14 @@
             return
         if is_other:
             self._note_main(exchange, False)
-            self._reply(exchange, 421, (NOT_RUN,))
+            self.reply(exchange, 421, (NOT_RUN,))
             return
         now = self.reactor.seconds()
         request_id = exchange.request.header(b'request-id') or b''
         self.notices.on_arrival(self, request_id.decode(), now)
         if now < self.notices.pause_until:
             self._note_main(exchange, False)
-            self._reply(exchange, 503, (NOT_RUN,))
+            self.reply(exchange, 503, (NOT_RUN,))
             return
         handler = self._handlers().get(exchange.request.path, self._main)
         handler(exchange)
@@ -332,16 +345,17 @@
             '/api/report': self._report,
         }
 
-    def _reply(
+    def reply(
         self,
         exchange: edge.Exchange,
         status: int,
         extra: edge.Headers = (),
         body: bytes = b'',
     ) -> None:
+        """Answer a request, at the end of a silence."""
         if self.silent_s:
             self.reactor.callLater(
-                self.silent_s, self._reply, exchange, status, extra, body
+                self.silent_s, self.reply, exchange, status, extra, body
             )
             return
         request_id = exchange.request.header(b'request-id') or b''
@@ -393,10 +407,15 @@
     def _main(self, exchange: edge.Exchange) -> None:
         is_full = self.running >= self.places or self.mode == RunnerMode.SHED
         inputs = (exchange.request.header(b'inputs') or b'').decode()
+        if self.repeats != strange_answers.Repeats.NEVER:
+            status = REFUSAL_STATUSES[len(self.refused) :]
+            if status:
+                self._refuse_for_later(exchange, status[0])
+                return
         missing = {i for i in inputs.split(',') if i} - self.records.handles
         self._note_main(exchange, not (is_full or missing))
         if is_full or missing:
-            self._reply(exchange, 503 if is_full else 409, (NOT_RUN,))
+            self.reply(exchange, 503 if is_full else 409, (NOT_RUN,))
             if is_full and self.mode != RunnerMode.SHED:
                 self._note_rejected()
             return
@@ -413,13 +432,34 @@
                 self._work_s(WORK_S), self._finish_plain, exchange, self.born
             )
 
+    def _refuse_for_later(self, exchange: edge.Exchange, status: int) -> None:
+        """Refuse a request, and keep the refusal to send it once more."""
+        request_id = exchange.request.header(b'request-id') or b''
+        self._note_main(exchange, False)
+        self.refused.append((status, request_id))
+        self.reply(exchange, status, (NOT_RUN,))
+
+    def _repeats_now(self, repeats: strange_answers.Repeats) -> bool:
+        """Tell whether an earlier refusal goes out again, in turns."""
+        is_wanted = self.repeats == repeats and bool(self.refused)
+        return is_wanted and next(self.turns) % 2 == 0
+
+    def _repeat_refusal(self, exchange: edge.Exchange) -> None:
+        """Send an earlier refusal behind whatever was sent."""
+        status, request_id = self.refused.pop(0)
+        self.refused.append((status, request_id))
+        headers = ((b'request-id', request_id), SEAL, self._load(), NOT_RUN)
+        strange_answers.write_raw(
+            exchange, strange_answers.refusal(status, headers)
+        )
+
     def _finish_plain(self, exchange: edge.Exchange, born: int) -> None:
         if born != self.born or not self.is_up:
             return
         self.running = max(self.running - 1, 0)
         request = exchange.request
         if self.mode == RunnerMode.ERRORS:
-            self._reply(exchange, 500)
+            self.reply(exchange, 500)
             return
         request_id = (request.header(b'request-id') or b'').decode()
         body = answer_body(request_id, request.path, request.body)
@@ -428,7 +468,13 @@
             exchange.write(body[: len(body) // 2])
             exchange.abort()
             return
-        self._reply(exchange, 200, (), body)
+        if self._repeats_now(strange_answers.Repeats.INSTEAD):
+            self._repeat_refusal(exchange)
+            return
+        repeats_after = self._repeats_now(strange_answers.Repeats.AFTER)
+        self.reply(exchange, 200, (), body)
+        if repeats_after and not self.silent_s:
+            self._repeat_refusal(exchange)
 
     def _begin_stream(self, exchange: edge.Exchange, born: int) -> None:
         if born != self.born or not self.is_up:
@@ -440,12 +486,21 @@
             return
         if self.mode == RunnerMode.ERRORS:
             self.running -= 1
-            self._reply(exchange, 500)
+            self.reply(exchange, 500)
             return
         request = exchange.request
         request_id = (request.header(b'request-id') or b'').decode()
         echoed = 'another' if self.mode == RunnerMode.FOREIGN else request_id
         last = int(request.header(b'last-event-id') or b'0')
+        if self._repeats_now(strange_answers.Repeats.INSTEAD):
+            self.running -= 1
+            self._repeat_refusal(exchange)
+            return
+        if self.resumed and last:
+            self.running -= 1
+            answer = strange_answers.RESUMED[self.resumed]
+            answer(self, exchange, event_text(request_id, last + 1))
+            return
         headers = (
             (b'request-id', echoed.encode()),
             (b'content-type', b'text/event-stream'),
@@ -481,9 +536,17 @@
         if exchange.is_over or number > EVENTS:
             self.running = max(self.running - 1, 0)
             self.open_calls.discard(request_id)
+            is_whole = not exchange.is_over
             exchange.finish()
+            if is_whole and self._repeats_now(strange_answers.Repeats.AFTER):
+                self._repeat_refusal(exchange)
             return
         text = event_text(request_id, number, self.version)
+        if self.resumed and number == CUT_EVENT and next(self.turns) % 2:
+            self.running = max(self.running - 1, 0)
+            exchange.write(text[: len(text) // 2])
+            strange_answers.close(exchange)
+            return
         if self.mode == RunnerMode.CUT and number > EVENTS // 2:
             self.running = max(self.running - 1, 0)
             exchange.write(text[: len(text) // 2])
@@ -503,7 +566,7 @@
 
     def _stage_run(self, exchange: edge.Exchange) -> None:
         if self.running >= 1 or self.mode == RunnerMode.SHED:
-            self._reply(exchange, 503, (NOT_RUN,))
+            self.reply(exchange, 503, (NOT_RUN,))
             return
         self.running += 1
         items = json.loads(exchange.request.body)['items']
@@ -526,7 +589,7 @@
         if not self.silent_s:
             self.open_calls -= {item['identifier'] for item in items}
         if self.mode == RunnerMode.ERRORS:
-            self._reply(exchange, 500)
+            self.reply(exchange, 500)
             return
         results = [self._make(item) for item in items]
         body = json.dumps({'items': results}).encode()
@@ -535,7 +598,7 @@
             exchange.write(body[: len(body) // 2])
             exchange.abort()
             return
-        self._reply(exchange, 200, (), body)
+        self.reply(exchange, 200, (), body)
 
     def _make(self, item: Any) -> dict[str, str]:
         if set(item.get('inputs') or ()) - self.records.handles:
@@ -548,10 +611,10 @@
     def _stage_free(self, exchange: edge.Exchange) -> None:
         named = json.loads(exchange.request.body)['handles']
         self._forget(set(named))
-        self._reply(exchange, 200)
+        self.reply(exchange, 200)
 
     def _report(self, exchange: edge.Exchange) -> None:
-        self._reply(exchange, 200, (), b'{"freeMb": 100}')
+        self.reply(exchange, 200, (), b'{"freeMb": 100}')
 
 
 def _sized(request_id: str, body: bytes) -> edge.Headers:
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -25,6 +25,9 @@
     'brittle',
     'evacuation',
     'silences',
+    'odd',
+    'repeats',
+    'errors',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -75,6 +78,9 @@
     brittle: bool = typer.Option(False, help='Runners that fall over.'),
     evacuation: bool = typer.Option(False, help='Evacuate a domain.'),
     silences: bool = typer.Option(False, help='Runners that fall silent.'),
+    odd: bool = typer.Option(False, help='Odd entries of runners.'),
+    repeats: bool = typer.Option(False, help='Refusals sent once more.'),
+    errors: bool = typer.Option(False, help='Errors behind broken streams.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -92,6 +98,9 @@
             brittle,
             evacuation,
             silences,
+            odd,
+            repeats,
+            errors,
         ),
         strict=True,
     )
--- a/features/soak/store.py
+++ b/features/soak/store.py
@@ -7,6 +7,8 @@
 from typing import Any
 import urllib.parse
 
+import msgspec
+
 import ragwort_edge as edge
 import ragwort_relay as relay
 
@@ -98,7 +100,10 @@
     # What the operator and the runners write.
 
     def put(self, kind: str, name: str, specification: Any) -> None:
-        """Write an object and tell the watches."""
+        """Write an object and tell the watches.
+
+        A msgspec.Raw is stored as the bytes that it holds.
+        """
         self.revision += 1
         self.objects[kind, name] = (self.revision, specification)
         self._note(kind, name, specification)
@@ -231,7 +236,7 @@
             (b'store-era', b'%d' % self.era),
         )
         exchange.respond(
-            edge.HttpResponse(status, headers, json.dumps(body).encode())
+            edge.HttpResponse(status, headers, msgspec.json.encode(body))
         )
 
 
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import random
+import signal
 from typing import Any
 
 from twisted.internet import defer
@@ -143,6 +144,8 @@
             for index in range(caller_count)
         ]
         self.is_stopped = False
+        # Processes that are known to have ended.
+        self.ended: set[int] = set()
         # Domains that the operator evacuates.
         self.evacuated: set[str] = set()
 
@@ -256,14 +259,27 @@
             ]
             return
 
-    def _look_at_runners(self) -> None:
-        """Note which runners are not sound."""
+    def _look(self) -> None:
+        """Note which runners are not sound and which hosts have ended."""
         if self.is_stopped:
             return
         for runner in self.runners:
             if not runner.is_sound:
                 runner.note_unsound()
-        self.reactor.callLater(LOOK_S, self._look_at_runners)
+        for host in self.hosts:
+            self._look_at(host)
+        self.reactor.callLater(LOOK_S, self._look)
+
+    def _look_at(self, host: hosts.HostProcess) -> None:
+        if host.process is None or host.is_leaving or host.is_running:
+            return
+        code = host.process.returncode
+        now = self.reactor.seconds()
+        if code == -signal.SIGKILL or host.process.pid in self.ended:
+            return
+        self.ended.add(host.process.pid)
+        gone = ledger.HostExit(host.name, now, now, code)
+        self.records.crashes.append(gone)
 
     def _poll_addresses(self) -> None:
         if self.is_stopped:
@@ -282,7 +298,7 @@
         for host in self.hosts:
             host.start()
         self._poll_addresses()
-        self._look_at_runners()
+        self._look()
         for caller in self.callers:
             caller.start()
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 from features.soak import ledger
 from features.soak import promises
 from features.soak import runners
+from features.soak import strange_answers
 from features.support import limit_windows
 
 RUN_TIMEOUT_S = 120.0
@@ -105,6 +106,16 @@
     run_soak(context, seed, count, faults_s, '--stranded')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, silent and strange '
+    'runners and {faults_s:d} s of faults'
+)
+def play_strange(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with silences, odd entries and others' answers."""
+    options = ('--silences', '--odd', '--repeats', '--errors')
+    run_soak(context, seed, count, faults_s, *options)
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -225,6 +236,29 @@
     one.body = one.body.replace(text, text + text)
 
 
+@defect('a stream that ends early as if it were whole')
+def end_early(records: ledger.Ledger) -> None:
+    """End a stream with its second event, without a sign of a fault."""
+    one = find(records, 'stream-1')
+    one.body = stream_body(one, '', 1, 2)
+
+
+@defect('the head of an error in a stream that broke off')
+def add_head(records: ledger.Ledger) -> None:
+    """Put an answer to the resumption behind the second event."""
+    one = find(records, 'stream-1')
+    one.problem = 'closed'
+    head = strange_answers.head('500 Internal Server Error', ())
+    one.body = stream_body(one, '', 1, 2) + head
+
+
+@defect('an earlier refusal behind a whole answer')
+def add_refusal(records: ledger.Ledger) -> None:
+    """Send a caller more than its answer."""
+    headers = ((b'request-id', b'safe-1'),)
+    find(records, 'safe-2').surplus = strange_answers.refusal(503, headers)
+
+
 @defect('an unsafe request that ran twice')
 def run_twice(records: ledger.Ledger) -> None:
     """Add a second run."""
@@ -451,6 +485,12 @@
     context.records.unsound[RUNNER] = [one.ended_at]
 
 
+@defect('a host that ends by itself')
+def end_host(records: ledger.Ledger) -> None:
+    """End a host with a failure that nobody told to leave."""
+    records.crashes.append(ledger.HostExit('host-2', 10.0, 10.0, 1))
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
