--- a/features/soak.feature
+++ b/features/soak.feature
@@ -41,6 +41,12 @@
     When the soak plays seed 12 with 4 hosts, an evacuation and 14 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes with silent and strange runners and odd entries
+    Guards against sound answers given up for silence, hosts that an odd entry
+    ends or blinds, and refusals and errors that get into other answers.
+    When the soak plays seed 13 with 4 hosts, silent and strange runners and 12 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -74,6 +80,13 @@
       | same-request | a request that goes on crashing runners |
       | brittle      | brittle runners that fall over again and again |
       | stranded     | a host without runners that serves nobody |
+      | own-answer   | a stream that ends early as if it were whole |
+      | own-answer   | an earlier refusal behind a whole answer |
+      | event-order  | the head of an error in a stream that broke off |
+      | alive        | a host that ends by itself              |
+      | silence      | a cut answer of a runner that was silent |
+      | silence      | a 502 for a request at a runner that was silent |
+      | silence      | a request that one silence kept until its deadline |
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
@@ -86,6 +99,13 @@
     When the host that reaches runners was cut off from the others
     Then no promise is broken
 
+  Scenario: a silent runner that also fails may cut its answer
+    Given the records of a sound run
+    When a cut answer of a runner that was silent is in the records
+    Then only the promise "silence" is broken
+    When another fault concerned its runner
+    Then no promise is broken
+
   Scenario: a host that starts may answer a key that was taken with 503
     Given the records of a sound run
     When a refusal of a key that was taken is in the records
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -20,6 +20,10 @@
     stranded: bool = False,
     brittle: bool = False,
     evacuation: bool = False,
+    silences: bool = False,
+    odd: bool = False,
+    repeats: bool = False,
+    errors: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -37,6 +41,10 @@
         stranded,
         brittle,
         evacuation,
+        silences,
+        odd,
+        repeats,
+        errors,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -24,6 +24,10 @@
     'stranded',
     'brittle',
     'evacuation',
+    'silences',
+    'odd',
+    'repeats',
+    'errors',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -73,6 +77,10 @@
     stranded: bool = typer.Option(False, help='Hosts lose all runners.'),
     brittle: bool = typer.Option(False, help='Runners that fall over.'),
     evacuation: bool = typer.Option(False, help='Evacuate a domain.'),
+    silences: bool = typer.Option(False, help='Runners that fall silent.'),
+    odd: bool = typer.Option(False, help='Odd entries of runners.'),
+    repeats: bool = typer.Option(False, help='Refusals sent once more.'),
+    errors: bool = typer.Option(False, help='Errors behind broken streams.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -89,6 +97,10 @@
             stranded,
             brittle,
             evacuation,
+            silences,
+            odd,
+            repeats,
+            errors,
         ),
         strict=True,
     )
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,11 +14,13 @@
 from features.soak import ledger
 from features.soak import promises
 from features.soak import runners
+from features.soak import strange_answers
 from features.support import limit_windows
 
 RUN_TIMEOUT_S = 120.0
 # The sound run's only fault was over by then.
 QUIET_AT = 60.0
+RUNNER = '127.0.0.1:9'
 
 
 @when(
@@ -104,6 +106,16 @@
     run_soak(context, seed, count, faults_s, '--stranded')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, silent and strange '
+    'runners and {faults_s:d} s of faults'
+)
+def play_strange(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with silences, odd entries and others' answers."""
+    options = ('--silences', '--odd', '--repeats', '--errors')
+    run_soak(context, seed, count, faults_s, *options)
+
+
 @when(
     'the soak plays seed {seed:d} with {count:d} hosts, versions '
     'and {faults_s:d} s of faults'
@@ -163,6 +175,7 @@
             prefix + one.request_id,
             one.asked_at + 0.1,
             True,
+            RUNNER,
         )
     )
 
@@ -223,6 +236,29 @@
     one.body = one.body.replace(text, text + text)
 
 
+@defect('a stream that ends early as if it were whole')
+def end_early(records: ledger.Ledger) -> None:
+    """End a stream with its second event, without a sign of a fault."""
+    one = find(records, 'stream-1')
+    one.body = stream_body(one, '', 1, 2)
+
+
+@defect('the head of an error in a stream that broke off')
+def add_head(records: ledger.Ledger) -> None:
+    """Put an answer to the resumption behind the second event."""
+    one = find(records, 'stream-1')
+    one.problem = 'closed'
+    head = strange_answers.head('500 Internal Server Error', ())
+    one.body = stream_body(one, '', 1, 2) + head
+
+
+@defect('an earlier refusal behind a whole answer')
+def add_refusal(records: ledger.Ledger) -> None:
+    """Send a caller more than its answer."""
+    headers = ((b'request-id', b'safe-1'),)
+    find(records, 'safe-2').surplus = strange_answers.refusal(503, headers)
+
+
 @defect('an unsafe request that ran twice')
 def run_twice(records: ledger.Ledger) -> None:
     """Add a second run."""
@@ -410,6 +446,51 @@
     context.records.cuts.append(cut)
 
 
+@defect('a cut answer of a runner that was silent')
+def cut_silent(records: ledger.Ledger) -> None:
+    """Cut a request 1.5 s after its runner fell silent."""
+    end_silent(find(records, 'stream-3'), records, 1.5, 1.8).body = b''
+
+
+@defect('a 502 for a request at a runner that was silent')
+def fail_silent(records: ledger.Ledger) -> None:
+    """Answer 502 though the runner goes on 0.3 s later."""
+    one = end_silent(find(records, 'unsafe-3'), records, 1.5, 1.8)
+    one.status, one.body, one.problem = 502, b'', None
+
+
+@defect('a request that one silence kept until its deadline')
+def lose_silent(records: ledger.Ledger) -> None:
+    """Let the deadline end a stream long after its runner went on."""
+    end_silent(find(records, 'stream-3'), records, 4.0, 1.7).body = b''
+
+
+def end_silent(
+    one: ledger.Outcome, records: ledger.Ledger, took_s: float, silent_s: float
+) -> ledger.Outcome:
+    """End a request early whose runner was silent from 0.1 s on."""
+    at = one.asked_at + 0.1
+    records.silent_calls.append(
+        ledger.SilentCall(one.request_id, at, at + silent_s)
+    )
+    one.ended_at = one.asked_at + took_s
+    one.problem = 'closed'
+    return one
+
+
+@when('another fault concerned its runner')
+def spoil_runner(context: Any) -> None:
+    """Note that its runner was not sound for a moment."""
+    one = find(context.records, 'stream-3')
+    context.records.unsound[RUNNER] = [one.ended_at]
+
+
+@defect('a host that ends by itself')
+def end_host(records: ledger.Ledger) -> None:
+    """End a host with a failure that nobody told to leave."""
+    records.crashes.append(ledger.HostExit('host-2', 10.0, 10.0, 1))
+
+
 @defect('a host that does not leave')
 def stay(records: ledger.Ledger) -> None:
     """Keep a host beyond its grace."""
