Read no more from a caller who is far ahead, in place of a reset

A caller who sent its next requests before it had the answer to the first got a reset once 64 KB of them waited: the request in progress lost its answer, and its runner worked on, as the handler was not told.

The connection now reads nothing more until the answer has ended. What is buffered stays bounded by the limit and one read.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -108,6 +108,8 @@
     'runners break off': 'cut:3',
 }
 KEPT_LIMITS = relay.CallerLimits(1000, 4096, 2.0, 5.0)
+# Bytes that a server reads at once.
+READ = 64 * 1024
 # Bytes that come at a time.
 STEP = 100
 # Longer than the time limit of any route.
@@ -528,3 +530,38 @@
     assert last.startswith(b'HTTP/1.1 %d ' % status), written
     answers = written.count(b'HTTP/1.1')
     assert answers == context.sent_count, written
+
+
+@when('it sends a request and {count:d} more of {size:d} bytes behind it')
+def pipeline(context: Any, count: int, size: int) -> None:
+    """Send all at once, as far as the server reads."""
+    context.limits = msgspec.structs.replace(KEPT_LIMITS, body_bytes=size)
+    body = b'x' * size
+    context.unread = padded(0) + padded(0, body) * count
+    context.pipelined = count + 1
+    context.most_waiting = 0
+    read_on(context)
+
+
+def read_on(context: Any) -> None:
+    """Let the server read until it pauses."""
+    transport = context.transport
+    while context.unread and transport.producerState == 'producing':
+        part, context.unread = context.unread[:READ], context.unread[READ:]
+        context.served.dataReceived(part)
+        waiting = context.served.pipelined_bytes
+        context.most_waiting = max(context.most_waiting, waiting)
+
+
+@then('each of them is answered in turn, and at most {held:d} bytes waited')
+def check_pipelined(context: Any, held: int) -> None:
+    """Answer one after the other."""
+    for _ in range(context.pipelined):
+        assert len(context.exchanges) == 1, len(context.exchanges)
+        context.exchanges.pop().respond(edge.HttpResponse(200))
+        read_on(context)
+    assert not context.exchanges
+    assert not context.unread
+    answers = context.transport.value().count(b'HTTP/1.1 200')
+    assert answers == context.pipelined, answers
+    assert context.most_waiting <= held, context.most_waiting
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -177,3 +177,15 @@
       | what                  |
       | smaller headers       |
       | smaller bodies        |
+
+  # Guards against an accepted request cut as its caller sent the next one.
+  Scenario Outline: a request is answered though <count> more of <size> bytes come behind it
+    Given a connection of a caller that has had an answer
+    When it sends a request and <count> more of <size> bytes behind it
+    Then each of them is answered in turn, and at most <held> bytes waited
+
+    Examples:
+      | count | size   | held   |
+      | 1     | 900    | 70000  |
+      | 1     | 110000 | 140000 |
+      | 4     | 110000 | 140000 |
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -16,7 +16,8 @@
 import ragwort_peers as peers
 import ragwort_relay as relay
 
-# Pipelined bytes that are buffered while a request is being served.
+# Pipelined bytes that are buffered while a request is being served; nothing
+# more is read until its answer has ended.
 MAX_PIPELINED_BYTES = 64 * 1024
 HTTP_INTERNAL_ERROR = 500
 REASON_PHRASES = {
@@ -128,6 +129,7 @@
         self.queue: _caller_queue.CallerQueue | None = None
         self.timer: Any = None
         self.pipelined_bytes = 0
+        self.is_reading_paused = False
 
     def _new_parser(self) -> h11.Connection:
         limit = self.limits.header_bytes
@@ -194,10 +196,20 @@
         if self.state == _State.RESPONDING:
             self.pipelined_bytes += len(data)
             if self.pipelined_bytes > MAX_PIPELINED_BYTES:
-                self.abort()
+                # The request in progress still gets its answer.
+                self._pause_reading(True)
             return
         self._read()
 
+    def _pause_reading(self, is_paused: bool) -> None:
+        if is_paused == self.is_reading_paused:
+            return
+        self.is_reading_paused = is_paused
+        if is_paused:
+            self.transport.pauseProducing()
+        else:
+            self.transport.resumeProducing()
+
     def _guarded(self, read: Callable[[], None]) -> None:
         """Read; whatever raises, the caller gets an answer."""
         try:
@@ -359,6 +371,7 @@
             self.state = _State.IDLE
 
     def _read_next(self) -> None:
+        self._pause_reading(False)
         data, _ = self.connection.trailing_data
         self._begin_request(data)
         self._set_timer(self.limits.idle_timeout_s)
