Stop a leaving host only once its answers have gone out

A caller that reads slowly, or whose link is full, lost the end of an answer if its host was told to leave: the host ended as soon as no request was open, and what waited in the connection's queue or buffer went with it.

A leaving host now ends when all connections of callers and of hosts that hand requests over are closed, which happens after what was written to them has gone out; its time to leave bounds the wait as before.

--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -67,3 +67,16 @@
       | 200    | 30000000 |
       | 160    | 24000000 |
       | none   | 24000000 |
+
+  # Guards against an answer that is lost as its host ends before it is out.
+  Scenario: a leaving host stops once the answer to a slow caller has gone out
+    Given 2 relay hosts whose store answers
+    When a caller that reads nothing asks host 0, which is told to leave
+    Then host 0 has not stopped 5 s later
+    When the caller reads
+    Then it has a whole answer, and host 0 has stopped 0.5 s later
+
+  Scenario: a leaving host waits no longer than it may for a caller that reads nothing
+    Given 2 relay hosts whose store answers
+    When a caller that reads nothing asks host 0, which is told to leave
+    Then host 0 has stopped within its time to leave
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -1,5 +1,6 @@
 """Steps of callers and runners that read slowly."""
 
+import json
 from typing import Any
 
 from behave import given
@@ -321,3 +322,51 @@
     """Compare the limit."""
     memory_mb = None if memory == 'none' else float(memory)
     assert _body.held_limit(memory_mb) == limit
+
+
+@when('a caller that reads nothing asks host 0, which is told to leave')
+def ask_and_leave(context: Any) -> None:
+    """Let the host answer and leave while its answer can't go out."""
+    world = context.world
+    host = world.hosts[0]
+    protocol = host.caller_site.buildProtocol(None)
+    context.transport = slow_transports.SlowTransport(protocol)
+    protocol.makeConnection(context.transport)
+    facts = json.dumps({'request_id': 'once', 'access_key': 'k1'}).encode()
+    head = b'POST /job/1 HTTP/1.1\r\nhost: one.example\r\n'
+    protocol.dataReceived(head + b'facts: ' + facts + b'\r\n\r\n')
+    host.leave()
+
+
+@then('host 0 has not stopped {seconds:g} s later')
+def check_waits(context: Any, seconds: float) -> None:
+    """Give the host time to see that its requests are answered."""
+    context.world.run(seconds)
+    host = context.world.hosts[0]
+    assert not host.open_requests
+    assert not host.is_stopped
+
+
+@when('the caller reads')
+def read_all(context: Any) -> None:
+    """Let the answer out; the connection then closes."""
+    transport = context.transport
+    transport.read(len(transport.pending))
+    assert transport.disconnecting
+    transport.end.connectionLost()
+
+
+@then('it has a whole answer, and host 0 has stopped {seconds:g} s later')
+def check_read(context: Any, seconds: float) -> None:
+    """Look at the answer and the host."""
+    assert context.transport.received.endswith(b'whole')
+    context.world.run(seconds)
+    assert context.world.hosts[0].is_stopped
+
+
+@then('host 0 has stopped within its time to leave')
+def check_gone(context: Any) -> None:
+    """Wait for as long as it may take."""
+    host = context.world.hosts[0]
+    context.world.run(host.options.grace_s)
+    assert host.is_stopped
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -291,7 +291,16 @@
             self._on_invalid_request,
             self.held,
         )
-        self.caller_site.on_slow_reader = self._on_slow_reader
+        self.hop_site = _server.Site(
+            reactor,
+            self._hop_limits,
+            self._on_handed,
+            self._on_invalid_request,
+            self.held,
+        )
+        for site in (self.caller_site, self.hop_site):
+            site.on_slow_reader = self._on_slow_reader
+            site.on_error = self._on_http_error
         self.caller_site.on_error = self._on_http_error
         self.ports: list[Any] = []
         self.caller_port: Any = None
@@ -326,16 +335,7 @@
             site.on_error = self._on_http_error
             self._listen(address, site)
         if options.host.hand_over_address:
-            site = _server.Site(
-                self.reactor,
-                self._hop_limits,
-                self._on_handed,
-                self._on_invalid_request,
-                self.held,
-            )
-            site.on_slow_reader = self._on_slow_reader
-            site.on_error = self._on_http_error
-            self._listen(options.host.hand_over_address, site)
+            self._listen(options.host.hand_over_address, self.hop_site)
         factory = peers.IncomingPeerFactory(
             self._on_frame, self._on_invalid_frame
         )
@@ -381,7 +381,7 @@
             return
         now = self.reactor.seconds()
         self.leaving_at = now
-        self.caller_site.is_closing = True
+        self.caller_site.is_closing = self.hop_site.is_closing = True
         self.logger.info('leaving', open=len(self.open_requests))
         self.members.set_accepting(False, now)
         for message in self.members.announce(time.time()):
@@ -397,11 +397,21 @@
         if self.caller_port is not None:
             self.caller_port.stopListening()
             self.caller_port = None
-        self.caller_site.close_idle()
-        idle = not self.open_requests and self.stages.is_idle
-        if idle or age_s >= self.options.grace_s - 2 * TICK_S:
+        if self._has_finished or age_s >= self.options.grace_s - 2 * TICK_S:
             self._stop(now)
 
+    @property
+    def _has_finished(self) -> bool:
+        """Tell whether all requests are answered and the answers are out.
+
+        A connection is closed once all that was written to it has gone out.
+        """
+        for site in (self.caller_site, self.hop_site):
+            site.close_idle()
+            if site.connections:
+                return False
+        return not self.open_requests and self.stages.is_idle
+
     def _stop(self, now: float) -> None:
         self.is_stopped = True
         self.logger.info('stop', open=len(self.open_requests))
