End calls whose reader raises, and lose no event over it

Callers of a stream waited until their deadline, and then got a reset, if the host failed to handle the end of a runner's answer. If it failed to handle the first events of a stream that may be resumed, the caller got a whole 200 without these events.

Cause: what a reader's on_head, on_data or on_end raised left the protocol's dataReceived. After the end of an answer the call already counts as over, so on_error was never called and nobody ended the send. Before it, the connection closed and the stream was resumed behind events that counted as forwarded but were not. A request that h11 refuses to send left connectionMade: the connection stayed open with nothing on it.

The protocol now logs and counts the error (part `http`), closes the connection and calls on_error, which the readers take once only. A stream whose events could not be handled is not resumed: the caller gets a 502, or a reset if the answer has begun.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -10,12 +10,16 @@
 import h11
 import msgspec
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python import failure
 
 from features.support import relay_hosts
 from features.support import transports
 import ragwort_edge as edge
 from ragwort_edge import _hand_over
+from ragwort_edge import _placement
 from ragwort_edge import _request_handler
 from ragwort_edge import _request_stages
 from ragwort_edge import _server
@@ -77,6 +81,14 @@
     'release': lambda host: mock.patch.object(
         _request_stages.RequestStages, 'release_all', fail
     ),
+    'reply reader': lambda host: mock.patch.object(
+        host.dialect, 'read_reply', fail
+    ),
+    'first event': lambda host: _in_handler('on_event_from'),
+    'end of a stream': lambda host: mock.patch.object(
+        _placement.Placement, 'on_call_end', fail
+    ),
+    'judge of calls': lambda host: _in_handler('classify_response'),
     'ready': lambda host: mock.patch.object(
         edge.RelayHost, 'is_ready', property(fail)
     ),
@@ -107,6 +119,13 @@
     'runners turn it away': 'full',
     'runners break off': 'cut:3',
 }
+PLAIN_ANSWER = b'HTTP/1.1 200 OK\r\necho: once\r\nContent-Length: 2\r\n\r\nok'
+STREAM_ANSWER = (
+    b'HTTP/1.1 200 OK\r\necho: once\r\nContent-Type: text/event-stream\r\n'
+    b'Content-Length: 16\r\n\r\nid: 1\ndata: e1\n\n'
+)
+# Far less than the time limit of any route.
+PROMPT_S = 1.0
 KEPT_LIMITS = relay.CallerLimits(1000, 4096, 2.0, 5.0)
 # Bytes that come at a time.
 STEP = 100
@@ -528,3 +547,121 @@
     assert last.startswith(b'HTTP/1.1 %d ' % status), written
     answers = written.count(b'HTTP/1.1')
     assert answers == context.sent_count, written
+
+
+class RaisingReader(edge.ResponseReader):
+    """Raises at one part of an answer, and notes how the call ends."""
+
+    def __init__(self, part: str) -> None:
+        """Raise at a part, '' for none."""
+        self.errors: list[edge.CallError] = []
+        if part:
+            setattr(self, f'on_{part}', fail)
+
+    def on_error(self, call_error: edge.CallError) -> None:
+        """Note a failed call."""
+        self.errors.append(call_error)
+
+
+def open_call(context: Any, part: str, request: edge.HttpRequest) -> None:
+    """Open a call whose connection is there at once."""
+    reactor = MemoryReactorClock()
+    client = edge.HttpClient(reactor)
+    context.reports = []
+    client.report = lambda: context.reports.append(True)
+    context.reader = RaisingReader(part)
+    client.open('10.0.0.1:80', request, context.reader)
+    factory = reactor.tcpClients[0][2]
+    context.called = factory.buildProtocol(None)
+    context.transport = transports.QuietTransport()
+    context.called.makeConnection(context.transport)
+
+
+@given('a call whose reader raises at the "{part}" of an answer')
+def open_raising(context: Any, part: str) -> None:
+    """Open a call."""
+    request = edge.HttpRequest(b'GET', b'/', ((b'host', b'a'),))
+    open_call(context, part, request)
+
+
+@when('the runner answers it whole')
+def answer_whole(context: Any) -> None:
+    """Send an answer, then close the connection."""
+    context.called.dataReceived(PLAIN_ANSWER)
+    lost = failure.Failure(error.ConnectionDone())
+    context.called.connectionLost(lost)
+
+
+@given('a call of a request that {what}')
+def open_damaged(context: Any, what: str) -> None:
+    """Open a call whose request can't be sent."""
+    target, value = {
+        'has a null in a header': (b'/', b'a\x00'),
+        'has a line break in a header': (b'/', b'a\r\nb: c'),
+        'has a space in its target': (b'/ x', b'a'),
+    }[what]
+    headers = ((b'host', b'a'), (b'x', value))
+    open_call(context, '', edge.HttpRequest(b'GET', target, headers))
+
+
+@then('the reader hears once that the call has failed')
+def check_failed(context: Any) -> None:
+    """Look at what the reader heard."""
+    [call_error] = context.reader.errors
+    assert call_error.kind == edge.CallErrorKind.DAMAGED
+
+
+@then('the error is reported and the connection is closed')
+def check_reported(context: Any) -> None:
+    """Look at the reports."""
+    assert len(context.reports) == 1
+    assert context.transport.disconnected
+
+
+@when(
+    'the host gets a "{route}" request and its runner answers with {kind} on '
+    'a connection'
+)
+def send_connected(context: Any, route: str, kind: str) -> None:
+    """Answer all connections that the host opens to runners."""
+    world, host = context.world, context.host
+    host.context.client = client = edge.HttpClient(world.clock)
+    client.report = host._on_http_error
+    make_request = host.dialect.main_request
+
+    def with_host(call: Any) -> edge.HttpRequest:
+        made = make_request(call)
+        headers = ((b'host', b'a'), *made.headers)
+        return msgspec.structs.replace(made, headers=headers)
+
+    host.dialect.main_request = with_host
+    is_stream = route == 'stream' and kind == 'events'
+    answer = STREAM_ANSWER if is_stream else PLAIN_ANSWER
+    facts = {'request_id': 'once', 'access_key': 'k1'}
+    context.asked = world.submit(1, f'/{route}/1', facts)
+    answered = 0
+    until = world.clock.seconds() + LONG_S
+    while not context.asked.is_over and world.clock.seconds() < until:
+        for _, _, factory, _, _ in world.clock.tcpClients[answered:]:
+            answered += 1
+            deliver(factory.buildProtocol(None), answer)
+        world.run(0.01)
+
+
+def deliver(called: Any, answer: bytes) -> None:
+    """Deliver an answer; close the connection on an error, as a reactor."""
+    called.makeConnection(transports.QuietTransport())
+    try:
+        called.dataReceived(answer)
+    except ZeroDivisionError:
+        called.connectionLost(failure.Failure())
+
+
+@then('it is {end} long before its deadline')
+def check_prompt(context: Any, end: str) -> None:
+    """Look at the answer and when it came."""
+    asked = context.asked
+    is_cut = end == 'cut'
+    assert asked.status == (200 if is_cut else 502), asked.status
+    assert asked.is_whole != is_cut
+    assert asked.ended_at - asked.started_at < PROMPT_S, asked.ended_at
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -177,3 +177,41 @@
       | what                  |
       | smaller headers       |
       | smaller bodies        |
+
+  Scenario Outline: a call ends though its reader raises at the <part> of an answer
+    Given a call whose reader raises at the "<part>" of an answer
+    When the runner answers it whole
+    Then the reader hears once that the call has failed
+    And the error is reported and the connection is closed
+
+    Examples:
+      | part |
+      | head |
+      | data |
+      | end  |
+
+  Scenario Outline: a request that <what> fails at once
+    Given a call of a request that <what>
+    Then the reader hears once that the call has failed
+    And the error is reported and the connection is closed
+
+    Examples:
+      | what                        |
+      | has a null in a header      |
+      | has a line break in a header |
+      | has a space in its target   |
+
+  Scenario Outline: a <route> request is <end> at once though its <part> raises
+    Given a host whose "<part>" raises as a request comes
+    When the host gets a "<route>" request and its runner answers with <kind> on a connection
+    Then it is <end> long before its deadline
+    And the host has no request open
+
+    Examples:
+      | route  | kind   | part            | end          |
+      | job    | a body | reply reader    | answered 502 |
+      | stream | events | reply reader    | answered 502 |
+      | stream | events | first event     | answered 502 |
+      | stream | events | end of a stream | cut          |
+      | job    | a body | judge of calls  | answered 502 |
+      | stream | a body | judge of calls  | answered 502 |
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -4,6 +4,7 @@
 closing it cancels the call.
 """
 
+from collections.abc import Callable
 import enum
 from typing import Any
 
@@ -12,6 +13,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 from twisted.python import failure
+from twisted.python import log
 
 from ragwort_edge import _body
 from ragwort_edge import _messages
@@ -109,8 +111,10 @@
         request: _messages.HttpRequest,
         reader: ResponseReader,
         held: _body.HeldBytes,
+        report: Callable[[], None],
     ) -> None:
         self.held = held
+        self.report = report
         self.size = 0
         self.request = request
         self.reader = reader
@@ -124,6 +128,14 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the whole request."""
+        try:
+            self._send()
+        # The reader would wait for ever for an answer to nothing.
+        except Exception:
+            self.report()
+            self._fail(CallErrorKind.DAMAGED, 'request can\'t be sent')
+
+    def _send(self) -> None:
         peers.set_socket_options(self.transport)
         request = self.request
         headers = list(request.headers)
@@ -178,6 +190,10 @@
             is_closed = not data
             kind = CallErrorKind.CLOSED if is_closed else CallErrorKind.DAMAGED
             self._fail(kind, str(protocol_error))
+        # A reader that fails still has to hear that the call is over.
+        except Exception:
+            self.report()
+            self._fail(CallErrorKind.DAMAGED, 'answer can\'t be handled')
 
     def _next_event(self) -> bool:
         event = self.connection.next_event()
@@ -225,7 +241,10 @@
         self.is_over = True
         if self.transport is not None:
             self.transport.abortConnection()
-        self.reader.on_error(CallError(kind, detail))
+        try:
+            self.reader.on_error(CallError(kind, detail))
+        except Exception:
+            self.report()
 
 
 class _CallFactory(protocol.ClientFactory):
@@ -236,10 +255,12 @@
         request: _messages.HttpRequest,
         reader: ResponseReader,
         held: _body.HeldBytes,
+        report: Callable[[], None],
     ) -> None:
         self.request = request
         self.reader = reader
         self.held = held
+        self.report = report
         self.call_protocol: _CallProtocol | None = None
         self.is_cancelled = False
 
@@ -250,7 +271,7 @@
             # The call counts as not sent; None closes the connection.
             return None
         self.call_protocol = _CallProtocol(
-            self.request, self.reader, self.held
+            self.request, self.reader, self.held, self.report
         )
         return self.call_protocol
 
@@ -315,6 +336,8 @@
         """Connect through a reactor; count what is held in an account."""
         self.reactor = reactor
         self.held = held or _body.HeldBytes()
+        # Called while an unexpected error is handled.
+        self.report: Callable[[], None] = log.err
 
     def open(
         self,
@@ -324,7 +347,7 @@
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> OpenCall:
         """Send a request to an IP number and port."""
-        factory = _CallFactory(request, reader, self.held)
+        factory = _CallFactory(request, reader, self.held, self.report)
         host, port = model.split_address(address)
         connector = self.reactor.connectTCP(
             host, port, factory, connect_timeout_s
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -188,6 +188,7 @@
         )
         self.held = _body.HeldBytes(_body.held_limit(options.memory_mb))
         self.client = _client.HttpClient(reactor, self.held)
+        self.client.report = self._on_http_error
         self.budget = relay.RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_s
         )
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -124,6 +124,8 @@
             self._likely_domain,
             self.homes,
         )
+        # Cleared if it is unknown which events the caller of a stream holds.
+        self.may_resume = True
         # What the caller of a stream holds.
         self.progress = relay.StreamProgress(metadata.last_event)
         self.hops = _request_hops.RequestHops(self)
@@ -628,7 +630,7 @@
         """Return the next step after a send; spend the budget for another."""
         may_resend = self.attempts.may_send_again(send.result, self.left_s())
         now = self.context.reactor.seconds()
-        if send.result == relay.SendResult.DONE:
+        if send.result == relay.SendResult.DONE or not self.may_resume:
             may_resend = False
         if self.origin is not None and not self.context.catalog.usable(
             service, now, self.origin, self.homes
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -143,6 +143,14 @@
 
     def on_data(self, data: bytes) -> None:
         """Forward the events that are complete."""
+        try:
+            self._read_events(data)
+        except Exception:
+            # Events count as forwarded that the caller may lack.
+            self.handler.may_resume = False
+            raise
+
+    def _read_events(self, data: bytes) -> None:
         if not self.is_event_stream:
             self.body.add(data)
             return
