Answer with a problem document if a node's handling raises

Callers of a node got an HTML page in place of a problem document, or had one written into their stream of records, which then ended as a whole one. A node that drained never came to its end.

Cause: Twisted's own answer to errors of a resource. The stream that the resource had registered stayed among those whose end a draining node waits for, as nothing closed it.

CallerRequest.processingFailed now logs and counts the error (caller.unexpected_error), answers 500 with the outcome `unknown`, as some of the work may go on, and resets a stream that has begun. The resource forgets the stream of a request whose admission raises.

Evidence: features/unanswered_requests.feature, 9 new scenarios on the node's site with a stand-in for its daemon.

--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -215,3 +215,26 @@
       | stream | events | end of a stream | cut          |
       | job    | a body | judge of calls  | answered 502 |
       | stream | a body | judge of calls  | answered 502 |
+
+  Scenario Outline: a node answers with a problem document though its <part> raises
+    Given a node whose "<part>" raises
+    When the node is asked to <what> over a connection
+    Then it answers 500 with a problem document that is no promise
+    And the node has counted the error and waits for no answer
+
+    Examples:
+      | part               | what                |
+      | admission          | serve a request     |
+      | effects            | serve a request     |
+      | detaching          | serve a request     |
+      | taking up          | take up an answer   |
+      | explanation        | explain a request   |
+      | addresses          | list its addresses  |
+      | status             | tell its status     |
+      | directory          | tell its status     |
+
+  Scenario: a node breaks an answer off that has begun if the rest raises
+    Given a node whose "effects" raise after the first event
+    When the node is asked to serve a request over a connection
+    Then the connection is closed without the end of the answer
+    And the node has counted the error and waits for no answer
--- a/libs/ragwort_node/ragwort_node/_caller_http.py
+++ b/libs/ragwort_node/ragwort_node/_caller_http.py
@@ -1,5 +1,6 @@
 """HTTP interface for callers and operators."""
 
+from collections.abc import Callable
 import itertools
 from typing import Any
 from typing import Protocol
@@ -67,6 +68,9 @@
     def count(self, name: str) -> None:
         """Add one to a counter."""
 
+    def on_error(self, trace: str) -> None:
+        """Log and count an error that nobody expected."""
+
 
 def problem_body(
     code: int,
@@ -97,10 +101,31 @@
 
 
 class CallerRequest(server.Request):
-    """A request whose body size is checked while it arrives."""
+    """A request whose body size is checked while it arrives.
+
+    If its handling raises, it is answered with a problem document.
+    """
 
     max_body = 1024 * 1024
     received = 0
+    on_error: Callable[[str], None]
+
+    def processingFailed(  # noqa: N802
+        self, reason: failure.Failure
+    ) -> failure.Failure:
+        """Answer with a problem, or break off an answer that has begun."""
+        type(self).on_error(reason.getTraceback())
+        if self.channel is None or self.finished:
+            return reason
+        if self.startedWriting:
+            self.channel.transport.abortConnection()
+            return reason
+        # Some of the work may go on: no promise that nothing has run.
+        body = problem_body(500, 'unexpected error', model.Outcome.UNKNOWN)
+        self.setHeader(b'content-length', str(len(body)).encode())
+        self.write(send_problem(self, 500, body))
+        self.finish()
+        return reason
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Refuse a body whose content-length exceeds the limit."""
@@ -209,6 +234,11 @@
         )
         return wire.encode_json(answer)
 
+    def abandon(self) -> None:
+        """Send nothing more, as an error ends the answer."""
+        self.ended = True
+        self.service.close_stream(self.subscriber)
+
     def refuse(self, effect: _effects.RefuseCaller) -> None:
         """Answer with a problem document instead of a stream."""
         if self.ended:
@@ -298,13 +328,26 @@
             body = problem_body(400, str(problem), model.Outcome.NOT_RUN)
             return send_problem(request, 400, body)
         service = self.service
-        stream = CallerStream(service, request, _wants_document(request))
-        service.open_stream(stream)
-        service.perform(
-            service.core.submit(
-                parsed, stream.subscriber, service.now(), service.wall()
-            )
+        return self._open(
+            CallerStream(service, request, _wants_document(request)),
+            lambda subscriber: service.core.submit(
+                parsed, subscriber, service.now(), service.wall()
+            ),
         )
+
+    def _open(
+        self,
+        stream: CallerStream,
+        ask: Callable[[str], list[_effects.Effect]],
+    ) -> Any:
+        """Let the core serve a stream; forget it if that raises."""
+        self.service.open_stream(stream)
+        try:
+            self.service.perform(ask(stream.subscriber))
+        except Exception:
+            # A node that drains would wait for its end for ever.
+            stream.abandon()
+            raise
         return server.NOT_DONE_YET
 
     def render_GET(self, request: server.Request) -> Any:  # noqa: N802
@@ -323,15 +366,13 @@
             detail = 'from_seq: write a number from 0 up'
             return send_problem(request, 400, problem_body(400, detail))
         service = self.service
-        stream = CallerStream(service, request, False)
-        service.open_stream(stream)
         host = _query_argument(request, 'host', service.core.name)
-        service.perform(
-            service.core.follow(
-                parts[0], host, from_seq, stream.subscriber, service.now()
-            )
+        return self._open(
+            CallerStream(service, request, False),
+            lambda subscriber: service.core.follow(
+                parts[0], host, from_seq, subscriber, service.now()
+            ),
         )
-        return server.NOT_DONE_YET
 
     def _explain(self, request: server.Request, key: str) -> bytes:
         decisions = self.service.core.explain(key)
@@ -388,7 +429,12 @@
     site.noisy = False
     site.displayTracebacks = False
     request_class = type(
-        'LimitedRequest', (CallerRequest,), {'max_body': service.max_body}
+        'LimitedRequest',
+        (CallerRequest,),
+        {
+            'max_body': service.max_body,
+            'on_error': staticmethod(service.on_error),
+        },
     )
     site.requestFactory = request_class
     site.log = _no_access_log
--- a/libs/ragwort_node/ragwort_node/_daemon.py
+++ b/libs/ragwort_node/ragwort_node/_daemon.py
@@ -26,6 +26,7 @@
 METRICS_INTERVAL_S = 1.0
 MIN_TICK_DELAY_S = 0.001
 LEAVE_FLUSH_S = 0.2
+MAX_TRACE_CHARACTERS = 1500
 
 
 class NodeDaemon:
@@ -203,6 +204,12 @@
         """Add one to a counter."""
         self.metrics.count(name)
 
+    def on_error(self, trace: str) -> None:
+        """Log and count an error that nobody expected."""
+        self.metrics.count('caller.unexpected_error')
+        detail = trace[-MAX_TRACE_CHARACTERS:]
+        self.logger.error('unexpected-error', part='http', detail=detail)
+
     def _on_runner(self, event: _runner_client.RunnerEvent) -> None:
         self.perform(self.core.on_runner(event, self.now()))
 
