Keep the sound items of a peer's frame beside an odd one

A host that told its peers of several leaving or cold runners, limits, crashes or streams sent none of them if one had a start beyond 64 bits or a name that is no Unicode: thrift refused the whole frame. A received frame with one name that was not UTF-8, or with one member of an unknown status, was refused as a whole too and its connection closed; probes of members are such frames.

Cause: a message was written and converted as one.

The items of these lists say nothing of each other. If a frame can't be written, its items are tried one by one and those that thrift refuses are left out; on reading, an item that is not valid is passed over. Other messages are refused as before, and a frame that is malformed as thrift is still refused.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -279,3 +279,34 @@
       | object |
       | bucket |
       | lease  |
+
+  # Guards against one item that keeps a frame's sound ones from being sent, or
+  # from being read and the connection from staying open.
+  Scenario Outline: an item of <message> with an odd <what> costs no other
+    When a host sends <message> with an item of odd <what> between two others
+    Then its peer reads the two others
+
+    Examples:
+      | message         | what          |
+      | leaving runners | start         |
+      | leaving runners | name          |
+      | cold runners    | start         |
+      | cold runners    | name          |
+      | limits          | start         |
+      | crashes         | start         |
+      | streams         | name          |
+      | members         | incarnation   |
+
+  Scenario Outline: a peer's frame of <message> with <defect> has the others
+    When a peer's frame of <message> has an item with <defect> between others
+    Then its peer reads the two others
+
+    Examples:
+      | message         | defect            |
+      | leaving runners | a name in Latin-1 |
+      | cold runners    | a name in Latin-1 |
+      | limits          | a name in Latin-1 |
+      | crashes         | a name in Latin-1 |
+      | streams         | a name in Latin-1 |
+      | members         | a name in Latin-1 |
+      | members         | an odd status     |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -8,6 +8,7 @@
 
 from behave import then
 from behave import when
+import msgspec
 import structlog
 
 from features.steps import platform_steps
@@ -633,3 +634,92 @@
     lease.on_store_result(result, 0.1)
     assert lease.seen_version == 5, lease
     assert lease.phase == state.LeasePhase.FOLLOWING, lease
+
+
+PLACE_NAME = 'odd-item'
+BIG = 2**63
+
+
+def member(name: str, **changes: Any) -> model.MemberUpdate:
+    """Return what a peer says of a host."""
+    update = model.MemberUpdate(
+        name,
+        1,
+        model.MemberStatus.ALIVE,
+        '10.0.0.2:81',
+        '10.0.0.2:84',
+        'north',
+        'here',
+        True,
+    )
+    return msgspec.structs.replace(update, **changes)
+
+
+# A message with items, and an item with a name and a start.
+PEER_MESSAGES: dict[str, tuple[Any, Any]] = {
+    'leaving runners': (
+        model.RunnersLeaving,
+        lambda name, start: model.LeavingRunner(name, start, 0.1),
+    ),
+    'cold runners': (
+        model.ColdRunners,
+        lambda name, start: model.ColdRunner(name, start, 1.0, 0.1),
+    ),
+    'limits': (
+        model.RunnerLimits,
+        lambda name, start: model.RunnerLimit(name, start, 2.0, 0.1),
+    ),
+    'crashes': (
+        lambda items: model.CrashNews(items, []),
+        lambda name, start: model.SuspectCrash(
+            'main', 'part', False, name, start, 0.1, 0.2
+        ),
+    ),
+    'streams': (
+        model.StreamsBegan,
+        lambda name, _: model.StreamBegan(name, 'w', 'main', 'v1', 8.0),
+    ),
+    'members': (
+        lambda items: model.MemberSync(items, False),
+        lambda name, start: member(name, incarnation=start),
+    ),
+}
+
+
+def frame_with(context: Any, message: str, name: str, start: int) -> bytes:
+    """Return a frame with an odd item, and keep what its peer should read."""
+    new_message, new_item = PEER_MESSAGES[message]
+    sound = [new_item('a', 1), new_item('b', 2)]
+    context.expected = new_message(sound)
+    odd = new_item(name, start)
+    items = [sound[0], odd, sound[1]]
+    return wire.encode_peer('10.0.0.1:84', new_message(items))
+
+
+@when('a host sends {message} with an item of odd {what} between two others')
+def send_odd_item(context: Any, message: str, what: str) -> None:
+    """Encode and decode a message."""
+    name, start = ('\ud800', 1) if what == 'name' else ('odd', BIG)
+    data = frame_with(context, message, name, start)
+    context.read = wire.decode_peer(data)
+
+
+@when("a peer's frame of {message} has an item with {defect} between others")
+def read_odd_item(context: Any, message: str, defect: str) -> None:
+    """Spoil one item of a frame and decode it."""
+    data = frame_with(context, message, PLACE_NAME, 1)
+    place = data.index(PLACE_NAME.encode())
+    if defect == 'an odd status':
+        # The status follows the name and the incarnation.
+        before = b'\x08\x00\x03\x00\x00\x00'
+        place = data.index(before, place) + len(before)
+        spoiled = data[:place] + b'\x09' + data[place + 1 :]
+    else:
+        spoiled = data[:place] + b'\xe9' + data[place + 1 :]
+    context.read = wire.decode_peer(spoiled)
+
+
+@then('its peer reads the two others')
+def check_peer_items(context: Any) -> None:
+    """Compare the message."""
+    assert context.read.message == context.expected, context.read
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -26,6 +26,20 @@
 # No envelope begins so: its first byte is the type of a thrift field.
 ZLIB_FIRST_BYTE = b'\x78'
 
+# Items of lists that say nothing of each other: one that can't be written or
+# read costs none of the others.
+INDEPENDENT_TYPES = frozenset(
+    {
+        model.ClearedSuspect,
+        model.ColdRunner,
+        model.LeavingRunner,
+        model.MemberUpdate,
+        model.RunnerLimit,
+        model.StreamBegan,
+        model.SuspectCrash,
+    }
+)
+
 _RECEIPT = struct.Struct('>q')
 RECEIPT_BYTES = _RECEIPT.size
 
@@ -64,19 +78,52 @@
     """Encode a message as one frame, without the length prefix.
 
     Only peers that say so can read a compressed frame. A frame with a number
-    asks for a receipt.
+    asks for a receipt. Independent items that the frame can't hold are left
+    out.
     """
     value_type = typing.cast(type, type(message))
     envelope = _peer_structs.Envelope(
         version=WIRE_VERSION, sender=sender, number=number
     )
-    setattr(envelope, _field_name(value_type), _to_thrift(value_type)(message))
-    buffer = cymemory.TCyMemoryBuffer()
-    _new_protocol(buffer).write_struct(envelope)
-    data = bytes(buffer.getvalue())
+    record = _to_thrift(value_type)(message)
+    setattr(envelope, _field_name(value_type), record)
+    try:
+        data = _write(envelope)
+    except Exception:
+        _remove_unwritable_items(value_type, record)
+        data = _write(envelope)
     return zlib.compress(data, COMPRESSION_LEVEL) if is_compressed else data
 
 
+def _write(record: Any) -> bytes:
+    buffer = cymemory.TCyMemoryBuffer()
+    _new_protocol(buffer).write_struct(record)
+    return bytes(buffer.getvalue())
+
+
+def _remove_unwritable_items(value_type: type, record: Any) -> None:
+    for name, hint in typing.get_type_hints(value_type).items():
+        if _is_independent_list(hint):
+            items = getattr(record, name)
+            setattr(record, name, [i for i in items if _is_writable(i)])
+
+
+def _is_independent_list(hint: Any) -> bool:
+    if typing.get_origin(hint) is not list:
+        return False
+    return typing.get_args(hint)[0] in INDEPENDENT_TYPES
+
+
+def _is_writable(record: Any) -> bool:
+    try:
+        _write(record)
+    # The library raises unrelated exception types for numbers that are too
+    # large and for texts that are not Unicode.
+    except Exception:
+        return False
+    return True
+
+
 def decode_peer(data: bytes) -> PeerFrame:
     """Decode one frame; raise WireError if it is damaged."""
     if len(data) > MAX_FRAME_BYTES:
@@ -186,6 +233,8 @@
         return _optional(_from_thrift(typing.get_args(value_type)[0]))
     if origin is list:
         convert_inner = _from_thrift(typing.get_args(value_type)[0])
+        if _is_independent_list(value_type):
+            return _independent_reader(convert_inner)
         return lambda value: [convert_inner(item) for item in _require(value)]
     if isinstance(value_type, msgspec.StructMeta):
         return _struct_reader(typing.cast(type, value_type))
@@ -194,6 +243,21 @@
     return _scalar_reader(value_type)
 
 
+def _independent_reader(convert_inner: Converter) -> Converter:
+    """Return the function that converts the valid items of a list."""
+
+    def convert(value: Any) -> Any:
+        found = []
+        for item in _require(value):
+            try:
+                found.append(convert_inner(item))
+            except (model.WireError, ValueError):
+                continue
+        return found
+
+    return convert
+
+
 def _require(value: Any) -> Any:
     if value is None:
         raise model.WireError('a required field is missing')
