Keep the sound items of crash news beside an odd one

A host that was told of several crashes dropped all of them if one had an odd age, run time or start or no name, so that it learned later which requests end runners. on_told checked the news as a whole.

It takes the sound items now and logs the news as before if any was left out.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -310,3 +310,15 @@
       | streams         | a name in Latin-1 |
       | members         | a name in Latin-1 |
       | members         | an odd status     |
+
+  # Guards against sound evidence of crashes that is lost with an odd item.
+  Scenario Outline: crash news with an odd <field> keep the sound items
+    When a peer tells of three crashes, the second with an odd <field>
+    Then the host has evidence of the two others
+
+    Examples:
+      | field      |
+      | age_s      |
+      | ran_s      |
+      | started_ms |
+      | runner     |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps of odd entries and numbers that other programs wrote."""
 
 import json
+import math
 import random
 import re
 import time
@@ -723,3 +724,24 @@
 def check_peer_items(context: Any) -> None:
     """Compare the message."""
     assert context.read.message == context.expected, context.read
+
+
+ODD_CRASH = {'age_s': math.nan, 'ran_s': 1e300, 'started_ms': -1, 'runner': ''}
+
+
+@when('a peer tells of three crashes, the second with an odd {field}')
+def tell_odd_crash(context: Any, field: str) -> None:
+    """Let a host hear of crashes under one part."""
+    crash = model.SuspectCrash('main', 'part', False, 'a', 1, 0.1, 0.2)
+    odd = msgspec.structs.replace(crash, **{field: ODD_CRASH[field]})
+    last = msgspec.structs.replace(crash, runner='b')
+    context.host = lab.RelayWorld(hosts=1).hosts[0]
+    news = model.CrashNews([crash, odd, last], [])
+    context.host.context.crashes.on_told(news)
+
+
+@then('the host has evidence of the two others')
+def check_evidence(context: Any) -> None:
+    """Look at the evidence."""
+    (record,) = context.host.catalog.crash_evidence.records.values()
+    assert set(record.crashes) == {('a', 1), ('b', 1)}, record
--- a/libs/ragwort_edge/ragwort_edge/_crash_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_crash_watch.py
@@ -144,11 +144,11 @@
         ]
 
     def on_told(self, told: model.CrashNews) -> None:
-        """Take over what another host knows, unless it is damaged."""
-        if not relay.is_sound_news(told):
+        """Take over what another host knows; skip damaged items."""
+        sound = relay.sound_news(told)
+        if sound != told:
             self.logger.warning('invalid-crash-news', told=repr(told)[:500])
-            return
-        self._log(self.evidence.merge(told, self.reactor.seconds()), None)
+        self._log(self.evidence.merge(sound, self.reactor.seconds()), None)
 
     def store_calls(
         self, members: membership.Membership, now: float
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -23,7 +23,7 @@
 from ragwort_relay._cold import ColdRunners
 from ragwort_relay._crash_evidence import BREAK_TTL_S
 from ragwort_relay._crash_evidence import CrashEvidence
-from ragwort_relay._crash_evidence import is_sound_news
+from ragwort_relay._crash_evidence import sound_news
 from ragwort_relay._departures import DepartureNews
 from ragwort_relay._evacuations import Evacuation
 from ragwort_relay._evacuations import EVACUATION_PREFIX
@@ -120,7 +120,6 @@
     'Home',
     'Homes',
     'homes_of',
-    'is_sound_news',
     'next_step',
     'NextStep',
     'ObjectDecoder',
@@ -151,6 +150,7 @@
     'ServiceShare',
     'ServiceSpec',
     'SLACK_PER_RANK_S',
+    'sound_news',
     'SPREAD_FANOUT',
     'StageRun',
     'StageSpec',
--- a/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
+++ b/libs/ragwort_relay/ragwort_relay/_crash_evidence.py
@@ -421,13 +421,17 @@
         known.popitem(last=False)
 
 
-def is_sound_news(told: model.CrashNews) -> bool:
-    """Tell whether news from another host has the form of evidence."""
-    return all(
-        item.suspect
-        and item.runner
-        and item.started_ms >= 0
-        and 0.0 <= item.age_s < EVIDENCE_TTL_S
-        and 0.0 <= item.ran_s < EVIDENCE_TTL_S
-        for item in told.crashes
-    ) and all(0.0 <= item.age_s < EVIDENCE_TTL_S for item in told.cleared)
+def sound_news(told: model.CrashNews) -> model.CrashNews:
+    """Return the items of another host's news that may be evidence."""
+    return model.CrashNews(
+        [
+            item
+            for item in told.crashes
+            if item.suspect
+            and item.runner
+            and item.started_ms >= 0
+            and 0.0 <= item.age_s < EVIDENCE_TTL_S
+            and 0.0 <= item.ran_s < EVIDENCE_TTL_S
+        ],
+        [i for i in told.cleared if 0.0 <= i.age_s < EVIDENCE_TTL_S],
+    )
