Pass over groups and queueing times that are no numbers

A host that owns a stage service and was asked for a group whose deadline was NaN or infinite raised ValueError or OverflowError as it wrote the next call, with the pieces of all requests in it; callers of those waited until their deadlines. Queueing times with an age of NaN were kept for good: no later report compares as newer, so that a host admitted and placed by them ever after.

Cause: the numbers were taken from the frame as they were.

A group with times or sizes that are not finite or above 10^12 is logged as invalid-stage-ask and left to the host that asks, queueing times that are NaN or of no finite age are logged as invalid-queue-wait. An infinite wait stays valid.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -322,3 +322,30 @@
       | ran_s      |
       | started_ms |
       | runner     |
+
+  # Guards against one group that ends the calls of all groups at its owner.
+  Scenario Outline: a group whose <field> is <value> costs its owner no other
+    Given a host that owns a stage service
+    When it is asked for a group whose <field> is <value>, then for another
+    Then the other group is made
+
+    Examples:
+      | field        | value |
+      | deadline_s   | nan   |
+      | deadline_s   | inf   |
+      | deadline_s   | 1e308 |
+      | target_s     | nan   |
+      | result_bytes | nan   |
+      | result_bytes | inf   |
+
+  # Guards against queueing times that no later ones replace.
+  Scenario Outline: queueing times whose <field> is nan are passed over
+    Given a host that owns a stage service
+    When it is told of queueing times whose <field> is nan, then of others
+    Then the other queueing times are known
+
+    Examples:
+      | field       |
+      | age_s       |
+      | late_wait_s |
+      | call_s      |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -7,6 +7,7 @@
 import time
 from typing import Any
 
+from behave import given
 from behave import then
 from behave import when
 import msgspec
@@ -14,6 +15,7 @@
 
 from features.steps import platform_steps
 from features.steps import platform_store_steps
+from features.steps import relay_decision_steps
 import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
@@ -745,3 +747,77 @@
     """Look at the evidence."""
     (record,) = context.host.catalog.crash_evidence.records.values()
     assert set(record.crashes) == {('a', 1), ('b', 1)}, record
+
+
+STAGE_LIMITS = relay.BatchLimits(8, 0.15, 0.016, 1e9, 4.0)
+OTHER_HOST = 'host-1'
+
+
+@given('a host that owns a stage service')
+def own_stage(context: Any) -> None:
+    """Create two hosts, the first of which owns the service."""
+    context.world = world = lab.RelayWorld(hosts=2)
+    world.add_stage_runners('first', STAGE_LIMITS, 2)
+    route = relay_decision_steps.make_route(
+        stages=(relay.StageSpec('first', (), 1000.0),)
+    )
+    world.configure(
+        relay_decision_steps.make_configuration([route], first=STAGE_LIMITS)
+    )
+    # The lab's runners read another form; the platform's is written as well.
+    dialect: Any = world.hosts[0].context.dialect
+    write_lab_request = dialect.stage_request
+
+    def write_request(batch: relay.BatchCall, now: float) -> Any:
+        platform.PlatformDialect().stage_request(batch, now)
+        return write_lab_request(batch, now)
+
+    dialect.stage_request = write_request
+
+
+@when('it is asked for a group whose {field} is {value}, then for another')
+def ask_odd_group(context: Any, field: str, value: str) -> None:
+    """Send an odd and a sound group at once, as they share calls."""
+    world = context.world
+    for name, changes in (('odd', {field: float(value)}), ('sound', {})):
+        work = [model.StageWork(f'request-{name}', 0, 0, 'key', [])]
+        ask = model.StageAsk(name, 'first', work, 1.0, 3.0, 0, 1000.0, '', [])
+        ask = msgspec.structs.replace(ask, **changes)
+        data = wire.encode_peer(OTHER_HOST, ask)
+        frame = wire.decode_peer(data)
+        world.hosts[0].stages.on_peer(OTHER_HOST, frame.message)
+    world.run(2.0)
+
+
+@then('the other group is made')
+def check_other_group(context: Any) -> None:
+    """Look for its outcomes."""
+    outcomes = [
+        outcome
+        for message in context.world.messages
+        if isinstance(message, model.StageReply) and message.group == 'sound'
+        for outcome in message.outcomes
+    ]
+    assert outcomes, context.world.messages
+    assert all(outcome.handle for outcome in outcomes), outcomes
+
+
+@when('it is told of queueing times whose {field} is nan, then of others')
+def tell_odd_waits(context: Any, field: str) -> None:
+    """Send replies with queueing times of a service."""
+    sound = model.ServiceWait('first', [0.1], 0.2, 0.0, 0.1)
+    odd = msgspec.structs.replace(sound, **{field: math.nan})
+    service = context.world.hosts[0].stages
+    for wait in (odd, sound):
+        reply = model.StageReply('g', 'first', [], [wait])
+        service.on_peer(OTHER_HOST, reply)
+        if wait is odd:
+            assert 'first' not in service.waits.by_service
+
+
+@then('the other queueing times are known')
+def check_waits(context: Any) -> None:
+    """Compare the queueing times."""
+    wait = context.world.hosts[0].stages.waits.by_service['first']
+    expected = ((0.1,), 0.2, 0.1)
+    assert (wait.waits_s, wait.late_wait_s, wait.call_s) == expected, wait
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -29,6 +29,9 @@
 AVOID_RUNNER_S = 0.15
 # Interval of dispatches while pieces stay queued.
 DISPATCH_INTERVAL_S = 0.05
+# Above any real time or size that another host tells; calls round them to
+# integers.
+MAX_TOLD_NUMBER = 1e12
 
 OnGivenBack = Callable[[str], bool]
 OnOutcomes = Callable[[str, list[model.PieceOutcome]], None]
@@ -119,8 +122,14 @@
         ]
 
     def on_ask(self, sender: str, message: model.StageAsk) -> None:
-        """Acknowledge another host's group; queue it if it is new."""
+        """Acknowledge another host's group; queue it if it is new.
+
+        A group with damaged times is left to the host that asks.
+        """
         now = self.reactor.seconds()
+        if not _is_sound_ask(message):
+            self.logger.warning('invalid-stage-ask', group=message.group)
+            return
         if message.group not in self.owned and (
             self.catalog.is_lost(message.service_name)
         ):
@@ -654,3 +663,9 @@
             batcher.storage.release(handles)
             if batcher.queue:
                 self.schedule_dispatch(service, 0.0)
+
+
+def _is_sound_ask(message: model.StageAsk) -> bool:
+    """Tell whether the numbers of a group can be used for calls."""
+    numbers = (message.target_s, message.deadline_s, message.result_bytes)
+    return all(abs(number) <= MAX_TOLD_NUMBER for number in numbers)
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import itertools
+import math
 import time
 from typing import Any
 
@@ -184,6 +185,9 @@
     def _update_waits(self, waits: Iterable[model.ServiceWait]) -> None:
         now = self.reactor.seconds()
         for wait in waits:
+            if not _is_sound_wait(wait):
+                self.logger.warning('invalid-queue-wait', wait=repr(wait))
+                continue
             queue_wait = relay.QueueWait(
                 tuple(wait.waits_s),
                 wait.late_wait_s,
@@ -386,3 +390,12 @@
                 self.local_owner.on_release(message)
             else:
                 self.send_peer(model.SendPeerMessage(owner, message))
+
+
+def _is_sound_wait(wait: model.ServiceWait) -> bool:
+    """Tell whether an owner's queueing times are numbers of a known age.
+
+    Without a number for its age, no later ones would replace them.
+    """
+    times_s = (*wait.waits_s, wait.late_wait_s, wait.call_s)
+    return math.isfinite(wait.age_s) and not any(map(math.isnan, times_s))
