--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -279,3 +279,73 @@
       | object |
       | bucket |
       | lease  |
+
+  # Guards against one item that keeps a frame's sound ones from being sent, or
+  # from being read and the connection from staying open.
+  Scenario Outline: an item of <message> with an odd <what> costs no other
+    When a host sends <message> with an item of odd <what> between two others
+    Then its peer reads the two others
+
+    Examples:
+      | message         | what          |
+      | leaving runners | start         |
+      | leaving runners | name          |
+      | cold runners    | start         |
+      | cold runners    | name          |
+      | limits          | start         |
+      | crashes         | start         |
+      | streams         | name          |
+      | members         | incarnation   |
+
+  Scenario Outline: a peer's frame of <message> with <defect> has the others
+    When a peer's frame of <message> has an item with <defect> between others
+    Then its peer reads the two others
+
+    Examples:
+      | message         | defect            |
+      | leaving runners | a name in Latin-1 |
+      | cold runners    | a name in Latin-1 |
+      | limits          | a name in Latin-1 |
+      | crashes         | a name in Latin-1 |
+      | streams         | a name in Latin-1 |
+      | members         | a name in Latin-1 |
+      | members         | an odd status     |
+
+  # Guards against sound evidence of crashes that is lost with an odd item.
+  Scenario Outline: crash news with an odd <field> keep the sound items
+    When a peer tells of three crashes, the second with an odd <field>
+    Then the host has evidence of the two others
+
+    Examples:
+      | field      |
+      | age_s      |
+      | ran_s      |
+      | started_ms |
+      | runner     |
+
+  # Guards against one group that ends the calls of all groups at its owner.
+  Scenario Outline: a group whose <field> is <value> costs its owner no other
+    Given a host that owns a stage service
+    When it is asked for a group whose <field> is <value>, then for another
+    Then the other group is made
+
+    Examples:
+      | field        | value |
+      | deadline_s   | nan   |
+      | deadline_s   | inf   |
+      | deadline_s   | 1e308 |
+      | target_s     | nan   |
+      | result_bytes | nan   |
+      | result_bytes | inf   |
+
+  # Guards against queueing times that no later ones replace.
+  Scenario Outline: queueing times whose <field> is nan are passed over
+    Given a host that owns a stage service
+    When it is told of queueing times whose <field> is nan, then of others
+    Then the other queueing times are known
+
+    Examples:
+      | field       |
+      | age_s       |
+      | late_wait_s |
+      | call_s      |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -1,17 +1,21 @@
 """Steps of odd entries and numbers that other programs wrote."""
 
 import json
+import math
 import random
 import re
 import time
 from typing import Any
 
+from behave import given
 from behave import then
 from behave import when
+import msgspec
 import structlog
 
 from features.steps import platform_steps
 from features.steps import platform_store_steps
+from features.steps import relay_decision_steps
 import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
@@ -633,3 +637,187 @@
     lease.on_store_result(result, 0.1)
     assert lease.seen_version == 5, lease
     assert lease.phase == state.LeasePhase.FOLLOWING, lease
+
+
+PLACE_NAME = 'odd-item'
+BIG = 2**63
+
+
+def member(name: str, **changes: Any) -> model.MemberUpdate:
+    """Return what a peer says of a host."""
+    update = model.MemberUpdate(
+        name,
+        1,
+        model.MemberStatus.ALIVE,
+        '10.0.0.2:81',
+        '10.0.0.2:84',
+        'north',
+        'here',
+        True,
+    )
+    return msgspec.structs.replace(update, **changes)
+
+
+# A message with items, and an item with a name and a start.
+PEER_MESSAGES: dict[str, tuple[Any, Any]] = {
+    'leaving runners': (
+        model.RunnersLeaving,
+        lambda name, start: model.LeavingRunner(name, start, 0.1),
+    ),
+    'cold runners': (
+        model.ColdRunners,
+        lambda name, start: model.ColdRunner(name, start, 1.0, 0.1),
+    ),
+    'limits': (
+        model.RunnerLimits,
+        lambda name, start: model.RunnerLimit(name, start, 2.0, 0.1),
+    ),
+    'crashes': (
+        lambda items: model.CrashNews(items, []),
+        lambda name, start: model.SuspectCrash(
+            'main', 'part', False, name, start, 0.1, 0.2
+        ),
+    ),
+    'streams': (
+        model.StreamsBegan,
+        lambda name, _: model.StreamBegan(name, 'w', 'main', 'v1', 8.0),
+    ),
+    'members': (
+        lambda items: model.MemberSync(items, False),
+        lambda name, start: member(name, incarnation=start),
+    ),
+}
+
+
+def frame_with(context: Any, message: str, name: str, start: int) -> bytes:
+    """Return a frame with an odd item, and keep what its peer should read."""
+    new_message, new_item = PEER_MESSAGES[message]
+    sound = [new_item('a', 1), new_item('b', 2)]
+    context.expected = new_message(sound)
+    odd = new_item(name, start)
+    items = [sound[0], odd, sound[1]]
+    return wire.encode_peer('10.0.0.1:84', new_message(items))
+
+
+@when('a host sends {message} with an item of odd {what} between two others')
+def send_odd_item(context: Any, message: str, what: str) -> None:
+    """Encode and decode a message."""
+    name, start = ('\ud800', 1) if what == 'name' else ('odd', BIG)
+    data = frame_with(context, message, name, start)
+    context.read = wire.decode_peer(data)
+
+
+@when("a peer's frame of {message} has an item with {defect} between others")
+def read_odd_item(context: Any, message: str, defect: str) -> None:
+    """Spoil one item of a frame and decode it."""
+    data = frame_with(context, message, PLACE_NAME, 1)
+    place = data.index(PLACE_NAME.encode())
+    if defect == 'an odd status':
+        # The status follows the name and the incarnation.
+        before = b'\x08\x00\x03\x00\x00\x00'
+        place = data.index(before, place) + len(before)
+        spoiled = data[:place] + b'\x09' + data[place + 1 :]
+    else:
+        spoiled = data[:place] + b'\xe9' + data[place + 1 :]
+    context.read = wire.decode_peer(spoiled)
+
+
+@then('its peer reads the two others')
+def check_peer_items(context: Any) -> None:
+    """Compare the message."""
+    assert context.read.message == context.expected, context.read
+
+
+ODD_CRASH = {'age_s': math.nan, 'ran_s': 1e300, 'started_ms': -1, 'runner': ''}
+
+
+@when('a peer tells of three crashes, the second with an odd {field}')
+def tell_odd_crash(context: Any, field: str) -> None:
+    """Let a host hear of crashes under one part."""
+    crash = model.SuspectCrash('main', 'part', False, 'a', 1, 0.1, 0.2)
+    odd = msgspec.structs.replace(crash, **{field: ODD_CRASH[field]})
+    last = msgspec.structs.replace(crash, runner='b')
+    context.host = lab.RelayWorld(hosts=1).hosts[0]
+    news = model.CrashNews([crash, odd, last], [])
+    context.host.context.crashes.on_told(news)
+
+
+@then('the host has evidence of the two others')
+def check_evidence(context: Any) -> None:
+    """Look at the evidence."""
+    (record,) = context.host.catalog.crash_evidence.records.values()
+    assert set(record.crashes) == {('a', 1), ('b', 1)}, record
+
+
+STAGE_LIMITS = relay.BatchLimits(8, 0.15, 0.016, 1e9, 4.0)
+OTHER_HOST = 'host-1'
+
+
+@given('a host that owns a stage service')
+def own_stage(context: Any) -> None:
+    """Create two hosts, the first of which owns the service."""
+    context.world = world = lab.RelayWorld(hosts=2)
+    world.add_stage_runners('first', STAGE_LIMITS, 2)
+    route = relay_decision_steps.make_route(
+        stages=(relay.StageSpec('first', (), 1000.0),)
+    )
+    world.configure(
+        relay_decision_steps.make_configuration([route], first=STAGE_LIMITS)
+    )
+    # The lab's runners read another form; the platform's is written as well.
+    dialect: Any = world.hosts[0].context.dialect
+    write_lab_request = dialect.stage_request
+
+    def write_request(batch: relay.BatchCall, now: float) -> Any:
+        platform.PlatformDialect().stage_request(batch, now)
+        return write_lab_request(batch, now)
+
+    dialect.stage_request = write_request
+
+
+@when('it is asked for a group whose {field} is {value}, then for another')
+def ask_odd_group(context: Any, field: str, value: str) -> None:
+    """Send an odd and a sound group at once, as they share calls."""
+    world = context.world
+    for name, changes in (('odd', {field: float(value)}), ('sound', {})):
+        work = [model.StageWork(f'request-{name}', 0, 0, 'key', [])]
+        ask = model.StageAsk(name, 'first', work, 1.0, 3.0, 0, 1000.0, '', [])
+        ask = msgspec.structs.replace(ask, **changes)
+        data = wire.encode_peer(OTHER_HOST, ask)
+        frame = wire.decode_peer(data)
+        world.hosts[0].stages.on_peer(OTHER_HOST, frame.message)
+    world.run(2.0)
+
+
+@then('the other group is made')
+def check_other_group(context: Any) -> None:
+    """Look for its outcomes."""
+    outcomes = [
+        outcome
+        for message in context.world.messages
+        if isinstance(message, model.StageReply) and message.group == 'sound'
+        for outcome in message.outcomes
+    ]
+    assert outcomes, context.world.messages
+    assert all(outcome.handle for outcome in outcomes), outcomes
+
+
+@when('it is told of queueing times whose {field} is nan, then of others')
+def tell_odd_waits(context: Any, field: str) -> None:
+    """Send replies with queueing times of a service."""
+    sound = model.ServiceWait('first', [0.1], 0.2, 0.0, 0.1)
+    odd = msgspec.structs.replace(sound, **{field: math.nan})
+    service = context.world.hosts[0].stages
+    for wait in (odd, sound):
+        reply = model.StageReply('g', 'first', [], [wait])
+        service.on_peer(OTHER_HOST, reply)
+        if wait is odd:
+            assert 'first' not in service.waits.by_service
+
+
+@then('the other queueing times are known')
+def check_waits(context: Any) -> None:
+    """Compare the queueing times."""
+    wait = context.world.hosts[0].stages.waits.by_service['first']
+    expected = ((0.1,), 0.2, 0.1)
+    assert (wait.waits_s, wait.late_wait_s, wait.call_s) == expected, wait
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -32,6 +32,9 @@
 LOOK_AGAIN_S = 0.25
 # Interval of dispatches while pieces stay queued.
 DISPATCH_INTERVAL_S = 0.05
+# Above any real time or size that another host tells; calls round them to
+# integers.
+MAX_TOLD_NUMBER = 1e12
 
 OnGivenBack = Callable[[str], bool]
 OnOutcomes = Callable[[str, list[model.PieceOutcome]], None]
@@ -122,8 +125,14 @@
         ]
 
     def on_ask(self, sender: str, message: model.StageAsk) -> None:
-        """Acknowledge another host's group; queue it if it is new."""
+        """Acknowledge another host's group; queue it if it is new.
+
+        A group with damaged times is left to the host that asks.
+        """
         now = self.reactor.seconds()
+        if not _is_sound_ask(message):
+            self.logger.warning('invalid-stage-ask', group=message.group)
+            return
         if message.group not in self.owned and (
             self.catalog.is_lost(message.service_name)
         ):
@@ -701,3 +710,9 @@
             batcher.storage.release(handles)
             if batcher.queue:
                 self.schedule_dispatch(service, 0.0)
+
+
+def _is_sound_ask(message: model.StageAsk) -> bool:
+    """Tell whether the numbers of a group can be used for calls."""
+    numbers = (message.target_s, message.deadline_s, message.result_bytes)
+    return all(abs(number) <= MAX_TOLD_NUMBER for number in numbers)
