Name the request's key in every problem document that can

A caller could not tell whose a problem document was: those for an invalid body, a wrong from_seq and the explanation of an unknown key named no key. Refusals by the core named it already.

Evidence: the four scenarios "a host's refusal of ... names the request" failed before, the documents had no key.

The key is read from a body that fails the check of its fields, if it is JSON with a key of at most 64 characters. A body that is no JSON, is too large, or a path of its own gets a document without a key as before.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -108,3 +108,14 @@
   Scenario: a kept connection that brought its answer alone is used again
     When a node's connection brings its answer and nothing more
     Then the node's next call is sent on it
+
+  Scenario Outline: a host's refusal of <what> names the request
+    When a host is sent <what>
+    Then its problem document names the key that was sent
+
+    Examples:
+      | what                            |
+      | a request with an unknown field |
+      | a request without a deadline    |
+      | a resumption from a wrong chunk |
+      | a question for an unknown key   |
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -5,13 +5,19 @@
 
 from behave import then
 from behave import when
+import msgspec
+from twisted.internet import address
+from twisted.internet import error
 from twisted.internet import task
 from twisted.internet import testing
+from twisted.python import failure
 
 from features.support import transports
+import ragwort_client as caller
 import ragwort_edge as edge
 import ragwort_http as http
 import ragwort_model as model
+from ragwort_node import _caller_http
 from ragwort_node import _runner_client
 import ragwort_platform as platform
 import ragwort_wire as wire
@@ -285,3 +291,193 @@
     context.node.call(2)
     (connection,) = context.node.connections
     assert connection.transport.value().count(b'POST /v1/calls') == 2
+
+
+EARLIER_KEY = 'earlier'
+CHUNKS = ('own answer',)
+
+
+def _stream(key: str, *chunks: str, outcome: str = 'completed') -> bytes:
+    end = model.End(
+        key,
+        model.Outcome(outcome),
+        len(chunks),
+        model.content_digest(chunks),
+        'a reason',
+    )
+    events = [
+        model.Accepted(key, 'host-1'),
+        *(model.Chunk(seq, data) for seq, data in enumerate(chunks)),
+        end,
+    ]
+    return b''.join(wire.encode_event(event) + b'\n' for event in events)
+
+
+def _problem(status: int, key: str) -> bytes:
+    problem = wire.Problem('t', status, 'd', outcome='not_run', key=key)
+    return _response(status, wire.encode_json(problem))
+
+
+def _first_answer(what: str, key: str) -> bytes:
+    end = model.End(EARLIER_KEY, model.Outcome.NOT_RUN, 0, '', 'refused')
+    chunk = model.Chunk(0, 'another answer')
+    answers = {
+        'a 409 of another key': _problem(409, EARLIER_KEY),
+        'a 409 without a key': _problem(409, ''),
+        'a 409 of its own key': _problem(409, key),
+        'a 409 of nested arrays': _response(409, b'[' * 5000),
+        'a 503 of another key': _problem(503, EARLIER_KEY),
+        'a stream of another key': _response(
+            200, _stream(EARLIER_KEY, 'another answer')
+        ),
+        'a not_run end of another key': _response(
+            200, wire.encode_event(end) + b'\n'
+        ),
+        'a chunk of a stream without a key': _response(
+            200, wire.encode_event(chunk) + b'\n'
+        ),
+    }
+    return answers[what]
+
+
+class CallerWorld:
+    """A caller's client and a host that answers from a script."""
+
+    def __init__(self, keeps: bool) -> None:
+        """Answer nothing yet; keep connections open if keeps is set."""
+        self.keeps = keeps
+        self.reactor = testing.MemoryReactorClock()
+        self.client = caller.Client(self.reactor, ['10.0.0.1:80'])
+        self.key = model.new_request_key()
+        self.connections: list[Any] = []
+        self.chunks: list[str] = []
+        self.answers: list[caller.Answer] = []
+
+    def play(self, script: list[bytes]) -> None:
+        """Send a request; its n-th try gets the n-th answer."""
+        cooperator = task.Cooperator(
+            scheduler=lambda work: self.reactor.callLater(0.0, work)
+        )
+        with mock.patch.object(task, '_theCooperator', cooperator):
+            sent = self.client.send(
+                'class', 'w', 'x', 4.0, self.key, self._on_chunk
+            )
+            sent.addCallback(self.answers.append)
+            for _ in range(100):
+                self.reactor.advance(0.02)
+                self._connect()
+                for connection in self.connections:
+                    self._serve(connection, script)
+
+    def _on_chunk(self, seq: int, data: str) -> None:
+        if not seq:
+            self.chunks.clear()
+        self.chunks.append(data)
+
+    def _connect(self) -> None:
+        while len(self.reactor.tcpClients) > len(self.connections):
+            factory = self.reactor.tcpClients[len(self.connections)][2]
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(transports.QuietTransport())
+            self.connections.append(connection)
+
+    def _serve(self, connection: Any, script: list[bytes]) -> None:
+        transport = connection.transport
+        if transport.disconnecting or transport.disconnected:
+            if not transport.producerState == 'lost':
+                transport.producerState = 'lost'
+                done = failure.Failure(error.ConnectionDone())
+                connection.connectionLost(done)
+            return
+        head, _, body = transport.value().partition(b'\r\n\r\n')
+        if head.startswith(b'GET /v1/addresses'):
+            transport.clear()
+            connection.dataReceived(self._addresses())
+        elif head.startswith(b'GET') or body.endswith(b'}'):
+            transport.clear()
+            connection.dataReceived(script.pop(0))
+
+    def _addresses(self) -> bytes:
+        entry = wire.EntryAddressRecord('host-1', '10.0.0.1:80', 'north')
+        record = wire.AddressesRecord([entry], 5.0, 1)
+        answer = _response(200, wire.encode_json(record))
+        if self.keeps:
+            return answer
+        return answer.replace(b'\r\n', b'\r\nConnection: close\r\n', 1)
+
+
+@when("a caller's request first gets {what} on a {state} connection")
+def ask_first(context: Any, what: str, state: str) -> None:
+    """Answer the first try wrongly and later ones well."""
+    world = context.caller = CallerWorld(state == 'kept')
+    whole = _response(200, _stream(world.key, *CHUNKS))
+    world.play([_first_answer(what, world.key), *[whole] * 5])
+
+
+@when("a caller's request gets {what} at each try")
+def ask_always(context: Any, what: str) -> None:
+    """Answer each try wrongly."""
+    world = context.caller = CallerWorld(True)
+    world.play([_first_answer(what, world.key)] * 6)
+
+
+@then('the caller is told {outcome} after {tries:d} tries')
+def check_told(context: Any, outcome: str, tries: int) -> None:
+    """Look at the answer; a completed one is this request's alone."""
+    (answer,) = context.caller.answers
+    assert answer.outcome == outcome, answer
+    assert answer.attempts == tries, answer
+    if outcome == 'completed':
+        assert answer.chunks == CHUNKS, answer
+        assert context.caller.chunks == list(CHUNKS), context.caller.chunks
+
+
+class SmallService:
+    """What the resources of a host need to refuse a request."""
+
+    max_body = 1000
+
+    def __init__(self) -> None:
+        """Know no key."""
+        self.core = mock.Mock()
+        self.core.control.members.version = 1
+        self.core.explain.return_value = None
+
+    def count(self, name: str) -> None:
+        """Count nothing."""
+
+
+@when('a host is sent {what}')
+def send_to_host(context: Any, what: str) -> None:
+    """Feed a request to the site of a host."""
+    context.key = model.new_request_key()
+    body = {'key': context.key, 'class_of_work': 'c', 'workspace': 'w'}
+    if what == 'a request with an unknown field':
+        body |= {'deadline_ms': 4000, 'input': 'x', 'odd': 1}
+    data = msgspec.json.encode(body)
+    lines = {
+        'a resumption from a wrong chunk': b'?from_seq=x',
+        'a question for an unknown key': b'/explain',
+    }
+    site = _caller_http.caller_site(SmallService(), 5.0)
+    channel = site.buildProtocol(address.IPv4Address('TCP', '10.0.0.2', 9))
+    transport = transports.QuietTransport()
+    channel.makeConnection(transport)
+    if what in lines:
+        target = b'/v1/requests/' + context.key.encode() + lines[what]
+        channel.dataReceived(b'GET %s HTTP/1.1\r\nHost: a\r\n\r\n' % target)
+    else:
+        head = b'POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: %d'
+        channel.dataReceived(head % len(data) + b'\r\n\r\n' + data)
+    context.written = transport.value()
+    channel.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+@then('its problem document names the key that was sent')
+def check_key(context: Any) -> None:
+    """Read the document, which may be a chunk of the response."""
+    text = context.written
+    document = text[text.index(b'{') : text.rindex(b'}') + 1]
+    status = int(text.split()[1])
+    assert status >= 400, text
+    assert msgspec.json.decode(document).get('key') == context.key, text
--- a/libs/ragwort_node/ragwort_node/_caller_http.py
+++ b/libs/ragwort_node/ragwort_node/_caller_http.py
@@ -291,11 +291,13 @@
 
     def render_POST(self, request: server.Request) -> Any:  # noqa: N802
         """Submit a request and send its answer."""
+        content = request.content.read()
         try:
-            parsed = wire.parse_request(request.content.read())
+            parsed = wire.parse_request(content)
         except model.InvalidInputError as problem:
             self.service.count('refused.invalid')
-            body = problem_body(400, str(problem), model.Outcome.NOT_RUN)
+            key = wire.find_request_key(content)
+            body = problem_body(400, str(problem), model.Outcome.NOT_RUN, key)
             return send_problem(request, 400, body)
         service = self.service
         stream = CallerStream(service, request, _wants_document(request))
@@ -321,7 +323,8 @@
             from_seq = -1
         if from_seq < 0:
             detail = 'from_seq: write a number from 0 up'
-            return send_problem(request, 400, problem_body(400, detail))
+            body = problem_body(400, detail, key=parts[0])
+            return send_problem(request, 400, body)
         service = self.service
         stream = CallerStream(service, request, False)
         service.open_stream(stream)
@@ -337,7 +340,8 @@
         decisions = self.service.core.explain(key)
         if decisions is None:
             detail = f'this node does not know the key {key!r}'
-            return send_problem(request, 404, problem_body(404, detail))
+            body = problem_body(404, detail, key=key)
+            return send_problem(request, 404, body)
         request.setHeader(b'content-type', b'application/json')
         return msgspec.json.encode(decisions)
 
--- a/libs/ragwort_wire/ragwort_wire/__init__.py
+++ b/libs/ragwort_wire/ragwort_wire/__init__.py
@@ -16,8 +16,10 @@
     from ragwort_wire._caller_http import AddressesRecord
     from ragwort_wire._caller_http import AnswerRecord
     from ragwort_wire._caller_http import decode_addresses
+    from ragwort_wire._caller_http import decode_problem
     from ragwort_wire._caller_http import encode_json
     from ragwort_wire._caller_http import EntryAddressRecord
+    from ragwort_wire._caller_http import find_request_key
     from ragwort_wire._caller_http import parse_request
     from ragwort_wire._caller_http import Problem
     from ragwort_wire._caller_http import PROBLEM_TYPE
@@ -61,6 +63,7 @@
     'decode_load',
     'decode_order',
     'decode_peer',
+    'decode_problem',
     'decode_receipt',
     'decode_result',
     'decode_store_result',
@@ -75,6 +78,7 @@
     'encode_store_result',
     'encode_write',
     'EntryAddressRecord',
+    'find_request_key',
     'HTTP_CODE_BY_STATUS',
     'HTTP_SERVICE_UNAVAILABLE',
     'LoadRecord',
--- a/libs/ragwort_wire/ragwort_wire/_caller_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_caller_http.py
@@ -8,6 +8,7 @@
 import ragwort_model as model
 
 MAX_INPUT_CHARS = 512 * 1024
+MAX_KEY_CHARS = 64
 MIN_DEADLINE_MS = 1
 MAX_DEADLINE_MS = int(model.MAX_DEADLINE_S * 1000)
 PROBLEM_TYPE = 'application/problem+json'
@@ -21,7 +22,7 @@
 
     class_of_work: model.Name
     workspace: model.Name
-    key: str = pydantic.Field(max_length=64)
+    key: str = pydantic.Field(max_length=MAX_KEY_CHARS)
     deadline_ms: Annotated[
         int, pydantic.Field(ge=MIN_DEADLINE_MS, le=MAX_DEADLINE_MS)
     ]
@@ -50,6 +51,21 @@
     retry_after_s: float | None = None
 
 
+class _KeyField(msgspec.Struct):
+    """The key of a request whose other fields may be wrong."""
+
+    key: str = ''
+
+
+class _ProblemFields(msgspec.Struct):
+    """What callers read of a problem document; older hosts send no key."""
+
+    title: str = ''
+    detail: str = ''
+    outcome: str = ''
+    key: str = ''
+
+
 class EntryAddressRecord(msgspec.Struct):
     """Address of one entry host."""
 
@@ -102,6 +118,30 @@
     )
 
 
+def find_request_key(body: bytes) -> str:
+    """Return the key in a body that may be no valid request, or ''."""
+    try:
+        key = msgspec.json.decode(body, type=_KeyField).key
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return ''
+    return key if len(key) <= MAX_KEY_CHARS else ''
+
+
+def decode_problem(status: int, body: bytes) -> Problem:
+    """Decode a problem document; other bodies become its detail."""
+    try:
+        fields = msgspec.json.decode(body, type=_ProblemFields)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return Problem('Problem', status, body[:200].decode('latin-1'))
+    return Problem(
+        fields.title,
+        status,
+        fields.detail,
+        outcome=fields.outcome,
+        key=fields.key,
+    )
+
+
 def encode_json(value: msgspec.Struct) -> bytes:
     """Encode a message as JSON."""
     return msgspec.json.encode(value)
