Tell no caller not_run for another request's refusal

The callers' library reported not_run for a request that a host was running if an earlier problem document was repeated on its kept connection: any document was taken for the answer. A document of nested arrays ended send() with a RecursionError.

Evidence: of "a caller whose request first gets ..." the rows "a 409 of another key" (kept and new connection) and "a 409 without a key on a kept connection" got not_run after 1 try before, "a caller that only gets refusals of another request" got not_run after 6 and the row of nested arrays raised RecursionError.

A document is believed if it names the request, or names none and is the first answer on its connection, so that older hosts are understood. Otherwise the request is sent again with the same key, which is safe, on a new connection; if no host gives another answer the outcome is unknown.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -109,6 +109,24 @@
     When a node's connection brings its answer and nothing more
     Then the node's next call is sent on it
 
+  Scenario Outline: a caller whose request first gets <what> <where> is told <outcome>
+    When a caller's request first gets <what> <where>
+    Then the caller is told <outcome> after <tries> tries
+
+    Examples:
+      | what                              | where                | outcome   | tries |
+      | a 409 of another key              | on a kept connection | completed | 2     |
+      | a 409 of another key              | on a new connection  | completed | 2     |
+      | a 409 without a key               | on a kept connection | completed | 2     |
+      | a 409 without a key               | on a new connection  | not_run   | 1     |
+      | a 409 of its own key              | on a kept connection | not_run   | 1     |
+      | a 409 of nested arrays            | on a kept connection | completed | 2     |
+      | a 503 of another key              | on a kept connection | completed | 2     |
+
+  Scenario: a caller that only gets refusals of another request is told unknown
+    When a caller's request gets a 503 of another key at each try
+    Then the caller is told unknown after 6 tries
+
   Scenario Outline: a host's refusal of <what> names the request
     When a host is sent <what>
     Then its problem document names the key that was sent
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
-import json
 import time
 from typing import Any
 
@@ -59,6 +58,9 @@
     end: model.End | None = None
     refusal: wire.Problem | None = None
     attempts: int = 0
+    # Set once a refusal could belong to an earlier request on a kept
+    # connection.
+    needs_fresh: bool = False
 
     def restart(self) -> None:
         """Discard the answer, since the host that ran the request is gone.
@@ -109,12 +111,12 @@
             self._on_line(line)
 
     def _on_line(self, line: bytes) -> None:
-        progress = self.progress
         try:
             event = wire.decode_event(line)
         except model.WireError:
             self._close()
             return
+        progress = self.progress
         match event:
             case model.Accepted():
                 progress.host = event.host
@@ -202,8 +204,10 @@
             addresses = ', '.join(known)
             raise model.RequestError(f'no entry host responded at {addresses}')
 
-    def _get(self, url: str) -> 'defer.Deferred[iweb.IResponse]':
-        sent = self.http_client.request(b'GET', url)
+    def _get(
+        self, url: str, fresh: bool = False
+    ) -> 'defer.Deferred[iweb.IResponse]':
+        sent = self.http_client.request(b'GET', url, fresh=fresh)
         sent.addTimeout(INACTIVITY_TIMEOUT_S, self.reactor)
         return sent
 
@@ -271,8 +275,14 @@
             return
         if response.code != 200:
             content = yield http.read_body(response)
-            progress.refusal = _parse_problem(response.code, content)
+            problem = wire.decode_problem(response.code, content)
             self.expires_at = 0.0
+            is_first = http.is_first_answer(response)
+            if problem.key != progress.key and (problem.key or not is_first):
+                # It may be an earlier request's, and this one may run.
+                progress.needs_fresh = True
+                return
+            progress.refusal = problem
             if response.code == 404 and progress.host:
                 progress.restart()
             return
@@ -293,27 +303,17 @@
         if progress.host:
             return self._get(
                 f'http://{address}/v1/requests/{progress.key}'
-                f'?from_seq={len(progress.chunks)}&host={progress.host}'
+                f'?from_seq={len(progress.chunks)}&host={progress.host}',
+                progress.needs_fresh,
             )
         url = f'http://{address}/v1/requests'
-        sent = self.http_client.request(b'POST', url, body)
+        sent = self.http_client.request(
+            b'POST', url, body, progress.needs_fresh
+        )
         sent.addTimeout(INACTIVITY_TIMEOUT_S, self.reactor)
         return sent
 
 
-def _parse_problem(code: int, content: bytes) -> wire.Problem:
-    try:
-        data = json.loads(content)
-        return wire.Problem(
-            str(data.get('title', '')),
-            code,
-            str(data.get('detail', '')),
-            outcome=str(data.get('outcome', '')),
-        )
-    except ValueError:
-        return wire.Problem('Problem', code, content[:200].decode('latin-1'))
-
-
 def _is_final_refusal(refusal: wire.Problem | None) -> bool:
     """Return whether every other node would refuse the request too."""
     if refusal is None:
--- a/libs/ragwort_http/ragwort_http/__init__.py
+++ b/libs/ragwort_http/ragwort_http/__init__.py
@@ -3,6 +3,7 @@
 from ragwort_http._client import BodyTooLargeError
 from ragwort_http._client import CONNECT_ERRORS
 from ragwort_http._client import HttpClient
+from ragwort_http._client import is_first_answer
 from ragwort_http._client import LineReader
 from ragwort_http._client import MAX_REPORT_BYTES
 from ragwort_http._client import read_body
@@ -11,6 +12,7 @@
     'BodyTooLargeError',
     'CONNECT_ERRORS',
     'HttpClient',
+    'is_first_answer',
     'LineReader',
     'MAX_REPORT_BYTES',
     'read_body',
--- a/libs/ragwort_http/ragwort_http/_client.py
+++ b/libs/ragwort_http/ragwort_http/_client.py
@@ -40,7 +40,20 @@
     answer to the next request.
     """
     connection.is_spoiled = False
+    connection.request_count = 0
     receive, finish = connection.dataReceived, connection._finishResponse
+    send = connection.request
+
+    def send_counted(request: Any) -> 'defer.Deferred[Any]':
+        connection.request_count += 1
+        is_first = connection.request_count == 1
+
+        def mark(response: Any) -> Any:
+            response.is_first = is_first
+            return response
+
+        sent: defer.Deferred[Any] = send(request)
+        return sent.addCallback(mark)
 
     def spoil() -> None:
         connection.is_spoiled = True
@@ -60,6 +73,7 @@
         if rest:
             spoil()
 
+    connection.request = send_counted
     connection.dataReceived = receive_checked
     connection._finishResponse = finish_checked
 
@@ -176,6 +190,14 @@
         return closed
 
 
+def is_first_answer(response: iweb.IResponse) -> bool:
+    """Tell whether a response is the first one on its connection.
+
+    It can't be a repetition of an earlier one then.
+    """
+    return bool(getattr(response, 'is_first', False))
+
+
 class BodyTooLargeError(ValueError):
     """Raise when the body of an answer exceeds its bound."""
 
