Take no stream of another request for a caller's answer

The callers' library handed on chunks of an earlier request's stream that a faulty host had repeated, took its host for the request's own, and reported the outcome of its end unless that was completed: not_run for a request that was running. Only a completed end was compared with the key.

Accepted and end must name the request, and chunks, which name none, must follow an accepted that does; hosts send it first on each connection. Otherwise the connection is closed, nothing is kept, and the request is sent again with its key on a new connection.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -122,6 +122,9 @@
       | a 409 of its own key              | on a kept connection | not_run   | 1     |
       | a 409 of nested arrays            | on a kept connection | completed | 2     |
       | a 503 of another key              | on a kept connection | completed | 2     |
+      | a stream of another key           | on a kept connection | completed | 2     |
+      | a not_run end of another key      | on a kept connection | completed | 2     |
+      | a chunk of a stream without a key | on a kept connection | completed | 2     |
 
   Scenario: a caller that only gets refusals of another request is told unknown
     When a caller's request gets a 503 of another key at each try
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -87,6 +87,8 @@
         self.progress = progress
         self.on_chunk = on_chunk
         self.buffer = b''
+        # Set once the stream has named this request; chunks don't.
+        self.is_named = False
         self.done: defer.Deferred[None] = defer.Deferred()
         self.inactivity_timer = reactor.callLater(
             INACTIVITY_TIMEOUT_S, self._close
@@ -108,6 +110,8 @@
         self.inactivity_timer.reset(INACTIVITY_TIMEOUT_S)
         *lines, self.buffer = (self.buffer + data).split(b'\n')
         for line in lines:
+            if self.done.called:
+                return
             self._on_line(line)
 
     def _on_line(self, line: bytes) -> None:
@@ -116,15 +120,28 @@
         except model.WireError:
             self._close()
             return
-        progress = self.progress
+        if self._is_foreign(event):
+            # A faulty host repeats the stream of an earlier request.
+            self.progress.needs_fresh = True
+            self._close()
+            return
         match event:
             case model.Accepted():
-                progress.host = event.host
+                self.is_named = True
+                self.progress.host = event.host
             case model.Chunk():
                 self._on_chunk(event)
             case model.End():
                 self._on_end(event)
 
+    def _is_foreign(self, event: model.CallerEvent) -> bool:
+        """Tell whether a record may be of another request's stream."""
+        if isinstance(event, model.Chunk):
+            return not self.is_named
+        if isinstance(event, model.Accepted | model.End):
+            return event.key != self.progress.key
+        return False
+
     def _on_chunk(self, event: model.Chunk) -> None:
         progress = self.progress
         if event.seq > len(progress.chunks):
@@ -141,10 +158,10 @@
     def _on_end(self, event: model.End) -> None:
         progress = self.progress
         completed = event.outcome == model.Outcome.COMPLETED
-        is_complete = (
-            event.key == progress.key
-            and event.count == len(progress.chunks)
-            and event.digest == model.content_digest(progress.chunks)
+        digest = model.content_digest(progress.chunks)
+        is_complete = (event.count, event.digest) == (
+            len(progress.chunks),
+            digest,
         )
         if is_complete or not completed:
             progress.end = event
