Report a request as unknown that an earlier try may have begun

The callers' library reported not_run if the last host refused, though an earlier try of the same request had lost its connection, its stream or its answer after the request was sent, so that a host may have run it. A refusal was taken for all tries.

A try that ends without a refusal of this request, and not for want of a connection, is now kept; a later refusal then ends as unknown, with the refusal's reason.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -130,6 +130,19 @@
     When a caller's request gets a 503 of another key at each try
     Then the caller is told unknown after 6 tries
 
+  Scenario Outline: a caller whose try <ends> before all hosts refuse is told <outcome>
+    When a caller's first try <ends> and each later one is refused with <status>
+    Then the caller is told <outcome> after <tries> tries
+
+    Examples:
+      | ends                       | status | outcome | tries |
+      | loses its connection       | 503    | unknown | 6     |
+      | loses its connection       | 410    | unknown | 2     |
+      | breaks off its stream      | 503    | unknown | 6     |
+      | gets an earlier refusal    | 503    | unknown | 6     |
+      | is refused                 | 503    | not_run | 6     |
+      | finds no host              | 503    | not_run | 6     |
+
   Scenario Outline: a host's refusal of <what> names the request
     When a host is sent <what>
     Then its problem document names the key that was sent
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -350,6 +350,9 @@
         self.client = caller.Client(self.reactor, ['10.0.0.1:80'])
         self.key = model.new_request_key()
         self.connections: list[Any] = []
+        self.opened = 0
+        # The number of a connection that is refused.
+        self.refused = 0
         self.chunks: list[str] = []
         self.answers: list[caller.Answer] = []
 
@@ -375,8 +378,13 @@
         self.chunks.append(data)
 
     def _connect(self) -> None:
-        while len(self.reactor.tcpClients) > len(self.connections):
-            factory = self.reactor.tcpClients[len(self.connections)][2]
+        while len(self.reactor.tcpClients) > self.opened:
+            factory = self.reactor.tcpClients[self.opened][2]
+            self.opened += 1
+            if self.opened == self.refused:
+                refused = failure.Failure(error.ConnectionRefusedError())
+                factory.clientConnectionFailed(None, refused)
+                continue
             connection = factory.buildProtocol(None)
             connection.makeConnection(transports.QuietTransport())
             self.connections.append(connection)
@@ -395,7 +403,11 @@
             connection.dataReceived(self._addresses())
         elif head.startswith(b'GET') or body.endswith(b'}'):
             transport.clear()
-            connection.dataReceived(script.pop(0))
+            answer = script.pop(0)
+            if answer:
+                connection.dataReceived(answer)
+            else:
+                transport.loseConnection()
 
     def _addresses(self) -> bytes:
         entry = wire.EntryAddressRecord('host-1', '10.0.0.1:80', 'north')
@@ -414,6 +426,26 @@
     world.play([_first_answer(what, world.key), *[whole] * 5])
 
 
+@when(
+    "a caller's first try {ends} and each later one is refused with {status:d}"
+)
+def refuse_later(context: Any, ends: str, status: int) -> None:
+    """Let the first try end in some way."""
+    is_alone = ends == 'finds no host'
+    world = context.caller = CallerWorld(not is_alone)
+    # The first connection asks for addresses.
+    world.refused = 2 if is_alone else 0
+    begun = model.Accepted(world.key, 'host-1')
+    first = {
+        'loses its connection': b'',
+        'breaks off its stream': _response(200, wire.encode_event(begun)),
+        'gets an earlier refusal': _problem(503, EARLIER_KEY),
+        'is refused': _problem(503, world.key),
+        'finds no host': _problem(503, world.key),
+    }
+    world.play([first[ends], *[_problem(status, world.key)] * 5])
+
+
 @when("a caller's request gets {what} at each try")
 def ask_always(context: Any, what: str) -> None:
     """Answer each try wrongly."""
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -61,6 +61,9 @@
     # Set once a refusal could belong to an earlier request on a kept
     # connection.
     needs_fresh: bool = False
+    # Set once a try may have been accepted; a later refusal by another host
+    # says nothing of it.
+    may_run: bool = False
 
     def restart(self) -> None:
         """Discard the answer, since the host that ran the request is gone.
@@ -287,7 +290,11 @@
         progress.refusal = None
         try:
             response = yield self._send_or_resume(address, progress, body)
+        except http.CONNECT_ERRORS:
+            self.expires_at = 0.0
+            return
         except Exception:  # noqa: B902
+            progress.may_run = True
             self.expires_at = 0.0
             return
         if response.code != 200:
@@ -298,11 +305,13 @@
             if problem.key != progress.key and (problem.key or not is_first):
                 # It may be an earlier request's, and this one may run.
                 progress.needs_fresh = True
+                progress.may_run = True
                 return
             progress.refusal = problem
             if response.code == 404 and progress.host:
                 progress.restart()
             return
+        progress.may_run = True
         resumed = bool(progress.host)
         reader = _StreamReader(self.reactor, progress, on_chunk)
         response.deliverBody(reader)
@@ -344,7 +353,8 @@
     if progress.end is not None:
         outcome, reason = progress.end.outcome, progress.end.reason
     elif progress.refusal is not None:
-        outcome = model.Outcome.NOT_RUN
+        if not progress.may_run:
+            outcome = model.Outcome.NOT_RUN
         reason = progress.refusal.detail
     return Answer(
         progress.key,
