--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
-import json
 import time
 from typing import Any
 
@@ -59,6 +58,12 @@
     end: model.End | None = None
     refusal: wire.Problem | None = None
     attempts: int = 0
+    # Set once a refusal could belong to an earlier request on a kept
+    # connection.
+    needs_fresh: bool = False
+    # Set once a try may have been accepted; a later refusal by another host
+    # says nothing of it.
+    may_run: bool = False
 
     def restart(self) -> None:
         """Discard the answer, since the host that ran the request is gone.
@@ -85,6 +90,8 @@
         self.progress = progress
         self.on_chunk = on_chunk
         self.buffer = b''
+        # Set once the stream has named this request; chunks don't.
+        self.is_named = False
         self.done: defer.Deferred[None] = defer.Deferred()
         self.inactivity_timer = reactor.callLater(
             INACTIVITY_TIMEOUT_S, self._close
@@ -106,23 +113,38 @@
         self.inactivity_timer.reset(INACTIVITY_TIMEOUT_S)
         *lines, self.buffer = (self.buffer + data).split(b'\n')
         for line in lines:
+            if self.done.called:
+                return
             self._on_line(line)
 
     def _on_line(self, line: bytes) -> None:
-        progress = self.progress
         try:
             event = wire.decode_event(line)
         except model.WireError:
             self._close()
             return
+        if self._is_foreign(event):
+            # A faulty host repeats the stream of an earlier request.
+            self.progress.needs_fresh = True
+            self._close()
+            return
         match event:
             case model.Accepted():
-                progress.host = event.host
+                self.is_named = True
+                self.progress.host = event.host
             case model.Chunk():
                 self._on_chunk(event)
             case model.End():
                 self._on_end(event)
 
+    def _is_foreign(self, event: model.CallerEvent) -> bool:
+        """Tell whether a record may be of another request's stream."""
+        if isinstance(event, model.Chunk):
+            return not self.is_named
+        if isinstance(event, model.Accepted | model.End):
+            return event.key != self.progress.key
+        return False
+
     def _on_chunk(self, event: model.Chunk) -> None:
         progress = self.progress
         if event.seq > len(progress.chunks):
@@ -139,10 +161,10 @@
     def _on_end(self, event: model.End) -> None:
         progress = self.progress
         completed = event.outcome == model.Outcome.COMPLETED
-        is_complete = (
-            event.key == progress.key
-            and event.count == len(progress.chunks)
-            and event.digest == model.content_digest(progress.chunks)
+        digest = model.content_digest(progress.chunks)
+        is_complete = (event.count, event.digest) == (
+            len(progress.chunks),
+            digest,
         )
         if is_complete or not completed:
             progress.end = event
@@ -202,8 +224,10 @@
             addresses = ', '.join(known)
             raise model.RequestError(f'no entry host responded at {addresses}')
 
-    def _get(self, url: str) -> 'defer.Deferred[iweb.IResponse]':
-        sent = self.http_client.request(b'GET', url)
+    def _get(
+        self, url: str, fresh: bool = False
+    ) -> 'defer.Deferred[iweb.IResponse]':
+        sent = self.http_client.request(b'GET', url, fresh=fresh)
         sent.addTimeout(INACTIVITY_TIMEOUT_S, self.reactor)
         return sent
 
@@ -266,16 +290,28 @@
         progress.refusal = None
         try:
             response = yield self._send_or_resume(address, progress, body)
+        except http.CONNECT_ERRORS:
+            self.expires_at = 0.0
+            return
         except Exception:  # noqa: B902
+            progress.may_run = True
             self.expires_at = 0.0
             return
         if response.code != 200:
             content = yield http.read_body(response)
-            progress.refusal = _parse_problem(response.code, content)
+            problem = wire.decode_problem(response.code, content)
             self.expires_at = 0.0
+            is_first = http.is_first_answer(response)
+            if problem.key != progress.key and (problem.key or not is_first):
+                # It may be an earlier request's, and this one may run.
+                progress.needs_fresh = True
+                progress.may_run = True
+                return
+            progress.refusal = problem
             if response.code == 404 and progress.host:
                 progress.restart()
             return
+        progress.may_run = True
         resumed = bool(progress.host)
         reader = _StreamReader(self.reactor, progress, on_chunk)
         response.deliverBody(reader)
@@ -293,27 +329,17 @@
         if progress.host:
             return self._get(
                 f'http://{address}/v1/requests/{progress.key}'
-                f'?from_seq={len(progress.chunks)}&host={progress.host}'
+                f'?from_seq={len(progress.chunks)}&host={progress.host}',
+                progress.needs_fresh,
             )
         url = f'http://{address}/v1/requests'
-        sent = self.http_client.request(b'POST', url, body)
+        sent = self.http_client.request(
+            b'POST', url, body, progress.needs_fresh
+        )
         sent.addTimeout(INACTIVITY_TIMEOUT_S, self.reactor)
         return sent
 
 
-def _parse_problem(code: int, content: bytes) -> wire.Problem:
-    try:
-        data = json.loads(content)
-        return wire.Problem(
-            str(data.get('title', '')),
-            code,
-            str(data.get('detail', '')),
-            outcome=str(data.get('outcome', '')),
-        )
-    except ValueError:
-        return wire.Problem('Problem', code, content[:200].decode('latin-1'))
-
-
 def _is_final_refusal(refusal: wire.Problem | None) -> bool:
     """Return whether every other node would refuse the request too."""
     if refusal is None:
@@ -327,7 +353,8 @@
     if progress.end is not None:
         outcome, reason = progress.end.outcome, progress.end.reason
     elif progress.refusal is not None:
-        outcome = model.Outcome.NOT_RUN
+        if not progress.may_run:
+            outcome = model.Outcome.NOT_RUN
         reason = progress.refusal.detail
     return Answer(
         progress.key,
