Let no event be missing behind the one that a caller names

Callers that took a stream up missed events where the runner's first event was not the next one: a gap was an error only behind an event that this request had forwarded, not behind the caller's Last-Event-Id.

StreamProgress now refuses a gap wherever the last event is known. The first event of a fresh stream may still have any number.

Evidence: features/broken_streams.feature. 3 of its scenarios fail before the change and pass after it.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -7,6 +7,9 @@
   Scenario: events pass in all forms that runners send
     Then events pass in all forms that runners send
 
+  Scenario: the first event of a fresh stream may have any number
+    Then events 7 and 8 begin a fresh stream
+
   # Guards against the head or the text of another answer, or an event that is
   # none of the stream, as a part of the caller's answer.
   Scenario Outline: a stream that <way> and brings <what>, <line ends>, <ends>
@@ -115,6 +118,7 @@
       | is taken up by its caller | LF        | an id that is no number                     | is whole |
       | is taken up by its caller | LF        | an id of 5000 digits                        | is whole |
       | is taken up by its caller | LF        | two ids in one event                        | is whole |
+      | is taken up by its caller | LF        | an event that is not the next               | is whole |
       | is taken up by its caller | LF        | the next event and one that is not the next | is whole |
 
   # Guards against an answer that ends with its connection before it brings an
@@ -142,3 +146,14 @@
       | is taken up by its caller | the events that the caller has | its connection | is whole                 |
       | is taken up by its caller | nothing                        | a length       | ends where its caller is |
       | is taken up by its caller | nothing                        | chunks         | ends where its caller is |
+
+  # Guards against an answer that is no rest of the stream and looks like one
+  # to the caller that takes it up.
+  Scenario Outline: a stream that is taken up and meets only <answer> <ends>
+    Given whole hosts whose runners stream 6 events
+    When a stream is taken up by its caller and all runners answer <answer>
+    Then for its caller the stream <ends>
+
+    Examples:
+      | answer                              | ends            |
+      | bytes:an event that is not the next | is answered 502 |
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -181,6 +181,19 @@
     assert ids == [1, None, 2, None, 3, None, 4, None, 5, None, 6], ids
 
 
+@then('events 7 and 8 begin a fresh stream')
+def check_any_number(context: Any) -> None:
+    """Offer them where nothing is known, and where they leave a gap."""
+    offered = [relay.StreamEvent(b'', number) for number in (7, 8)]
+    fresh = relay.StreamProgress(None)
+    assert all(fresh.accept(event) for event in offered)
+    try:
+        relay.StreamProgress(5).accept(offered[0])
+    except ValueError:
+        return
+    raise AssertionError('a gap passed')
+
+
 @given('whole hosts whose runners stream {count:d} events')
 def start(context: Any, count: int) -> None:
     """Start two hosts and two runners; all runners share one script."""
--- a/libs/ragwort_relay/ragwort_relay/_events.py
+++ b/libs/ragwort_relay/ragwort_relay/_events.py
@@ -91,7 +91,10 @@
     """Track the last event forwarded to the caller; drop repeated ones."""
 
     def __init__(self, last_event_id: int | None) -> None:
-        """Start after the last event that the caller has, if any."""
+        """Start after the last event that the caller has, if any.
+
+        Without one, the first event may have any number.
+        """
         self.last_event_id = last_event_id
         self.forwarded = 0
 
@@ -105,7 +108,7 @@
         if self.last_event_id is not None:
             if event.event_id <= self.last_event_id:
                 return False
-            if event.event_id > self.last_event_id + 1 and self.forwarded:
+            if event.event_id > self.last_event_id + 1:
                 raise ValueError(
                     f'event {event.event_id} follows {self.last_event_id}'
                 )
