Pass no other answer on as the rest of a stream

A caller that took a stream up got a runner's 200 with a plain body as the whole answer to it, and would take that for the rest of its stream. On a request whose caller holds events, a success that is no event stream now counts as lost: another runner may be asked, else the caller gets 502. Fresh requests still get it.

Evidence: features/broken_streams.feature, "meets only status:200", fails before the change and passes after it. The other new scenarios are guards that passed before: a next runner that answers 500, 503, 429, 408, 409, 421, 404 or 200, with and without its echo, with and without word that the request has not run, with a length, with chunks and with neither. In one host and through another one, the caller's stream is reset, or goes on where the request has not run; a caller that takes a stream up gets the error as its answer.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -147,6 +147,63 @@
       | is taken up by its caller | nothing                        | a length       | ends where its caller is |
       | is taken up by its caller | nothing                        | chunks         | ends where its caller is |
 
+  # Guards against the next runner's error as a part of a stream that has
+  # begun, and against an end that looks complete.
+  Scenario Outline: a stream that <way> and meets <answer>, ended by <frame>, <ends>
+    Given whole hosts whose runners stream 6 events
+    And runners' answers end with <frame>
+    When a stream <way> and its next runner answers <answer>
+    Then for its caller the stream <ends>
+
+    Examples:
+      | way                     | answer       | frame          | ends     |
+      | goes on                 | status:500   | a length       | is reset |
+      | goes on                 | status:500   | chunks         | is reset |
+      | goes on                 | status:500   | its connection | is reset |
+      | goes on                 | unsealed:500 | a length       | is reset |
+      | goes on                 | unsealed:500 | chunks         | is reset |
+      | goes on                 | unsealed:500 | its connection | is reset |
+      | goes on                 | status:503   | its connection | is reset |
+      | goes on                 | status:429   | its connection | is reset |
+      | goes on                 | status:408   | its connection | is reset |
+      | goes on                 | unsealed:503 | its connection | is reset |
+      | goes on                 | unrun:503    | its connection | is whole |
+      | goes on                 | unrun:429    | its connection | is whole |
+      | goes on                 | unrun:408    | its connection | is whole |
+      | goes on                 | status:409   | its connection | is reset |
+      | goes on                 | status:421   | its connection | is reset |
+      | goes on                 | unrun:409    | its connection | is whole |
+      | goes on                 | unrun:421    | its connection | is whole |
+      | goes on                 | status:404   | its connection | is reset |
+      | goes on                 | status:200   | a length       | is reset |
+      | goes on                 | status:200   | chunks         | is reset |
+      | goes on                 | status:200   | its connection | is reset |
+      | goes on                 | unsealed:200 | its connection | is reset |
+      | goes on                 | foreign      | its connection | is reset |
+      | goes on at another host | status:500   | a length       | is reset |
+      | goes on at another host | status:500   | chunks         | is reset |
+      | goes on at another host | status:500   | its connection | is reset |
+      | goes on at another host | unsealed:500 | a length       | is reset |
+      | goes on at another host | unsealed:500 | chunks         | is reset |
+      | goes on at another host | unsealed:500 | its connection | is reset |
+      | goes on at another host | status:503   | its connection | is reset |
+      | goes on at another host | status:429   | its connection | is reset |
+      | goes on at another host | status:408   | its connection | is reset |
+      | goes on at another host | unsealed:503 | its connection | is reset |
+      | goes on at another host | unrun:503    | its connection | is whole |
+      | goes on at another host | unrun:429    | its connection | is whole |
+      | goes on at another host | unrun:408    | its connection | is whole |
+      | goes on at another host | status:409   | its connection | is reset |
+      | goes on at another host | status:421   | its connection | is reset |
+      | goes on at another host | unrun:409    | its connection | is whole |
+      | goes on at another host | unrun:421    | its connection | is whole |
+      | goes on at another host | status:404   | its connection | is reset |
+      | goes on at another host | status:200   | a length       | is reset |
+      | goes on at another host | status:200   | chunks         | is reset |
+      | goes on at another host | status:200   | its connection | is reset |
+      | goes on at another host | unsealed:200 | its connection | is reset |
+      | goes on at another host | foreign      | its connection | is reset |
+
   # Guards against an answer that is no rest of the stream and looks like one
   # to the caller that takes it up.
   Scenario Outline: a stream that is taken up and meets only <answer> <ends>
@@ -156,4 +213,21 @@
 
     Examples:
       | answer                              | ends            |
+      | status:500                          | is answered 500 |
+      | unsealed:500                        | is answered 502 |
+      | status:503                          | is answered 502 |
+      | status:429                          | is answered 502 |
+      | unsealed:503                        | is answered 502 |
+      | unrun:503                           | is answered 503 |
+      | unrun:429                           | is answered 503 |
+      | unrun:421                           | is answered 503 |
+      | unrun:409                           | is answered 503 |
+      | status:409                          | is answered 409 |
+      | status:421                          | is answered 502 |
+      | status:404                          | is answered 404 |
+      | status:200                          | is answered 502 |
+      | unsealed:200                        | is answered 502 |
+      | foreign                             | is answered 502 |
+      | bytes:nothing                       | is answered 502 |
+      | bytes:an error text                 | is answered 502 |
       | bytes:an event that is not the next | is answered 502 |
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -37,6 +37,7 @@
 # has one each 0.15 s at 17 requests a second, and each 0.33 s at 7.4.
 COLD_WAIT_SHARE = 1.0
 MAX_LOGGED_PARTS = 8
+HTTP_REDIRECT = 300
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
 HTTP_BAD_GATEWAY = 502
@@ -626,11 +627,22 @@
                 response,
                 detail=f'status {response.status}',
             )
+        if self._is_resumed and response.status < HTTP_REDIRECT:
+            # Its caller would take it for the rest of the stream.
+            return _sends.SendOutcome(
+                relay.SendResult.LOST, detail='no event stream'
+            )
         runner.state.on_result(took_s, took_s, now)
         self.placement.on_answer(runner, took_s, now)
         self._clear_suspects()
         return _sends.SendOutcome(relay.SendResult.DONE, response)
 
+    @property
+    def _is_resumed(self) -> bool:
+        """Tell whether the caller holds events of a stream."""
+        is_stream = self.route.kind == relay.CallKind.STREAM
+        return is_stream and self.progress.last_event_id is not None
+
     def _clear_suspects(self) -> None:
         self.context.crashes.on_began(self.service, self.suspects)
 
