Keep records behind a damage or an end out of a caller's answer

Callers of the nodes could get chunks of another answer in theirs. The library closed the connection at a damaged record, such as the head of an error, but went on with the records of the same read: chunks behind it, and behind the end, were added. It did not compare the key of the first record, and took an end that was not completed from any key.

It now reads nothing behind a damage or an end, and closes a connection whose records name another key. The answer is then resumed behind its last chunk.

--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,29 @@
+Feature: A caller's answer from nodes holds its own chunks and nothing else
+  The callers' library, on connections in memory. A stream breaks off behind
+  its second chunk of three.
+
+  # Guards against another answer's head, text, chunks or end as a part of a
+  # caller's answer.
+  Scenario Outline: an answer that breaks off with <what> is whole in the end
+    Given a caller whose stream breaks off with <what>
+    And whose next host sends the rest
+    When it sends its request
+    Then its answer is completed and holds all chunks once
+
+    Examples:
+      | what                               |
+      | nothing                            |
+      | half a chunk                       |
+      | a whole head                       |
+      | a problem document                 |
+      | a whole head and a foreign chunk   |
+      | another key's records              |
+      | another key's end                  |
+      | an end that counts too few chunks  |
+
+  # Guards against chunks behind the end of an answer as a part of it.
+  Scenario: chunks behind the end belong to no answer
+    Given a caller whose stream breaks off with nothing
+    And whose next host sends the rest and a foreign chunk
+    When it sends its request
+    Then its answer is completed and holds all chunks once
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -106,6 +106,9 @@
         self.inactivity_timer.reset(INACTIVITY_TIMEOUT_S)
         *lines, self.buffer = (self.buffer + data).split(b'\n')
         for line in lines:
+            if self.done.called:
+                # What follows a damage or the end belongs to no answer.
+                return
             self._on_line(line)
 
     def _on_line(self, line: bytes) -> None:
@@ -116,6 +119,8 @@
             self._close()
             return
         match event:
+            case model.Accepted() | model.End() if event.key != progress.key:
+                self._close()
             case model.Accepted():
                 progress.host = event.host
             case model.Chunk():
@@ -139,11 +144,9 @@
     def _on_end(self, event: model.End) -> None:
         progress = self.progress
         completed = event.outcome == model.Outcome.COMPLETED
-        is_complete = (
-            event.key == progress.key
-            and event.count == len(progress.chunks)
-            and event.digest == model.content_digest(progress.chunks)
-        )
+        is_complete = event.count == len(
+            progress.chunks
+        ) and event.digest == model.content_digest(progress.chunks)
         if is_complete or not completed:
             progress.end = event
         self._finish()
