Promise of no request that it has not run once a host has accepted it

Callers of the nodes were told that a request has not run although its stream had begun: it broke off, the next host answered with an error, and the library took any refusal as word that nothing has run. The error's text was the reason.

The library now keeps whether a host has accepted the request. If one has, a refusal leaves the outcome unknown.

Evidence: features/broken_answers.feature.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -27,3 +27,18 @@
     And whose next host sends the rest and a foreign chunk
     When it sends its request
     Then its answer is completed and holds all chunks once
+
+  # Guards against the promise that a request has not run whose stream had
+  # begun, made of the next host's error.
+  Scenario Outline: an answer that breaks off and then meets only <status>
+    Given a caller whose stream breaks off with nothing
+    And whose next hosts answer <status>
+    When it sends its request
+    Then its answer's outcome is unknown and it holds the first chunks
+
+    Examples:
+      | status |
+      | 500    |
+      | 503    |
+      | 429    |
+      | 409    |
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -59,6 +59,8 @@
     end: model.End | None = None
     refusal: wire.Problem | None = None
     attempts: int = 0
+    # Set once a host has accepted the request: it may have run.
+    was_accepted: bool = False
 
     def restart(self) -> None:
         """Discard the answer, since the host that ran the request is gone.
@@ -123,6 +125,7 @@
                 self._close()
             case model.Accepted():
                 progress.host = event.host
+                progress.was_accepted = True
             case model.Chunk():
                 self._on_chunk(event)
             case model.End():
@@ -330,7 +333,8 @@
     if progress.end is not None:
         outcome, reason = progress.end.outcome, progress.end.reason
     elif progress.refusal is not None:
-        outcome = model.Outcome.NOT_RUN
+        if not progress.was_accepted:
+            outcome = model.Outcome.NOT_RUN
         reason = progress.refusal.detail
     return Answer(
         progress.key,
