--- /dev/null
+++ b/features/broken_answers.feature
@@ -0,0 +1,44 @@
+Feature: A caller's answer from nodes holds its own chunks and nothing else
+  The callers' library, on connections in memory. A stream breaks off behind
+  its second chunk of three.
+
+  # Guards against another answer's head, text, chunks or end as a part of a
+  # caller's answer.
+  Scenario Outline: an answer that breaks off with <what> is whole in the end
+    Given a caller whose stream breaks off with <what>
+    And whose next host sends the rest
+    When it sends its request
+    Then its answer is completed and holds all chunks once
+
+    Examples:
+      | what                               |
+      | nothing                            |
+      | half a chunk                       |
+      | a whole head                       |
+      | a problem document                 |
+      | a whole head and a foreign chunk   |
+      | another key's records              |
+      | another key's end                  |
+      | an end that counts too few chunks  |
+
+  # Guards against chunks behind the end of an answer as a part of it.
+  Scenario: chunks behind the end belong to no answer
+    Given a caller whose stream breaks off with nothing
+    And whose next host sends the rest and a foreign chunk
+    When it sends its request
+    Then its answer is completed and holds all chunks once
+
+  # Guards against the promise that a request has not run whose stream had
+  # begun, made of the next host's error.
+  Scenario Outline: an answer that breaks off and then meets only <status>
+    Given a caller whose stream breaks off with nothing
+    And whose next hosts answer <status>
+    When it sends its request
+    Then its answer's outcome is unknown and it holds the first chunks
+
+    Examples:
+      | status |
+      | 500    |
+      | 503    |
+      | 429    |
+      | 409    |
