Let silences of a service's runners follow each other

A request that such a host sent again rarely met a second silence.

At six moments in ten the runners of one service, mostly the engine, now fall silent in turn, 0.5 to 1.1 s apart. Between two silences a runner goes on for 0.5 s, so that a request meets one silence of a runner; only a staged request, whose stages run one after the other, may end at its deadline.

--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -39,8 +39,8 @@
 # Slack around a request in which a runner's other faults concern it.
 UNSOUND_BEFORE_S = 0.5
 UNSOUND_AFTER_S = 0.2
-# Silence that a request must survive: that of one runner at its longest. The
-# deadline may end one that met more.
+# Silence that a staged request must survive: that of one runner at its
+# longest. The deadline may end one that met more, as its stages run in turn.
 ENDURED_S = 1.8
 # Time before the deadline at which hosts end a request for it.
 DEADLINE_MARGIN_S = 0.1
@@ -126,7 +126,8 @@
     for request_id, found in _runs(records).items():
         most = ATTEMPTS.get(kinds.get(request_id, ''), 2)
         if len(found) > most:
-            yield f'{request_id} ({kinds[request_id]}) ran {len(found)} times'
+            name = kinds.get(request_id, found[0].path)
+            yield f'{request_id} ({name}) ran {len(found)} times'
 
 
 @promise('refusal')
@@ -408,7 +409,8 @@
             continue
         took_s = one.ended_at - one.asked_at
         is_late = took_s >= clients.DEADLINE_S - DEADLINE_MARGIN_S
-        if not is_late or silent_s <= ENDURED_S:
+        is_long = one.kind == 'staged' and silent_s > ENDURED_S
+        if not (is_late and is_long):
             yield (
                 f'{one.request_id} ({one.kind}) at {one.host} ended with '
                 f'{one.status}, {one.problem} after {took_s:.1f} s, '
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -42,8 +42,11 @@
 DEADLY_PATH = '/safe/same-again'
 SEAL = (b'response-seal', b'soak')
 NOT_RUN = (b'not-executed', b'1')
-# Refusals that a faulty runner gives first, to send them again later.
-REFUSAL_STATUSES = (503, 421)
+# Refusals that a faulty runner gives first, to send them again later, and
+# their status then. A host that gets 421 for its own request leaves the runner
+# alone until its entry changes, so the first ones are 503.
+KEPT_REFUSALS = 2
+REPEATED_STATUSES = (503, 421)
 # The event within which a faulty runner cuts a stream.
 CUT_EVENT = 4
 
@@ -108,7 +111,8 @@
         # Faulty answers to requests that it runs, and to streams taken up.
         self.repeats = strange_answers.Repeats.NEVER
         self.resumed = ''
-        self.refused: list[tuple[int, bytes]] = []
+        self.refused: list[bytes] = []
+        self.statuses = itertools.cycle(REPEATED_STATUSES)
         self.turns = itertools.count()
         # No answer leaves the runner before that time.
         self.silent_until = 0.0
@@ -408,9 +412,8 @@
         is_full = self.running >= self.places or self.mode == RunnerMode.SHED
         inputs = (exchange.request.header(b'inputs') or b'').decode()
         if self.repeats != strange_answers.Repeats.NEVER:
-            status = REFUSAL_STATUSES[len(self.refused) :]
-            if status:
-                self._refuse_for_later(exchange, status[0])
+            if len(self.refused) < KEPT_REFUSALS:
+                self._refuse_for_later(exchange)
                 return
         missing = {i for i in inputs.split(',') if i} - self.records.handles
         self._note_main(exchange, not (is_full or missing))
@@ -432,12 +435,12 @@
                 self._work_s(WORK_S), self._finish_plain, exchange, self.born
             )
 
-    def _refuse_for_later(self, exchange: edge.Exchange, status: int) -> None:
+    def _refuse_for_later(self, exchange: edge.Exchange) -> None:
         """Refuse a request, and keep the refusal to send it once more."""
         request_id = exchange.request.header(b'request-id') or b''
         self._note_main(exchange, False)
-        self.refused.append((status, request_id))
-        self.reply(exchange, status, (NOT_RUN,))
+        self.refused.append(request_id)
+        self.reply(exchange, 503, (NOT_RUN,))
 
     def _repeats_now(self, repeats: strange_answers.Repeats) -> bool:
         """Tell whether an earlier refusal goes out again, in turns."""
@@ -446,8 +449,9 @@
 
     def _repeat_refusal(self, exchange: edge.Exchange) -> None:
         """Send an earlier refusal behind whatever was sent."""
-        status, request_id = self.refused.pop(0)
-        self.refused.append((status, request_id))
+        self.refused.reverse()
+        request_id = self.refused[0]
+        status = next(self.statuses)
         headers = ((b'request-id', request_id), SEAL, self._load(), NOT_RUN)
         strange_answers.write_raw(
             exchange, strange_answers.refusal(status, headers)
--- a/features/soak/silences.py
+++ b/features/soak/silences.py
@@ -6,16 +6,27 @@
 
 from features.soak import faults
 from features.soak import hosts
+from features.soak import runners
 from features.soak import system
 
 SILENCE = 'silent-runners'
 SILENT_S = (0.5, 1.8)
+# Time between two silences of a runner, in which it ends what it has. So one
+# request meets one silence of a runner.
+GO_ON_S = 0.5
 # Moments at which runners fall silent, for each second of a run.
-PER_S = 0.8
+PER_S = 1.0
 # Runners that fall silent at a moment; the first of them at once, the others
 # up to this time later, so that silences overlap and come in series.
 MOST_SILENT = 5
 LATER_S = 1.0
+# Share of the moments at which all runners of a service fall silent one after
+# the other, so that a request that is sent again meets the next silence.
+WAVE_SHARE = 0.6
+WAVE_SERVICES = ('engine', 'engine', 'plain', 'stage-a', 'stage-b')
+WAVE_SILENT_S = (1.1, 1.8)
+WAVE_INTERVAL_S = (0.5, 1.1)
+MOST_IN_WAVE = 3
 
 Beside = Callable[[system.SoakSystem, random.Random], None]
 # What may happen in the middle of a silence, by name.
@@ -70,21 +81,40 @@
 
 
 def _silence(whole: system.SoakSystem, rng: random.Random) -> faults.Begun:
-    """Let some sound runners fall silent, or all of a service."""
-    sound = [r for r in whole.runners if r.is_sound and not r.silent_s]
-    service = rng.choice(sorted(system.SERVICES))
-    if rng.random() < 0.3:
+    """Let some sound runners fall silent, or all of a service in turn."""
+    sound = [r for r in whole.runners if r.is_sound and _may_be_silent(r)]
+    later_s = 0.0
+    if rng.random() < WAVE_SHARE:
+        service = rng.choice(WAVE_SERVICES)
         chosen = [r for r in sound if r.service == service]
+        rng.shuffle(chosen)
+        for runner in chosen[:MOST_IN_WAVE]:
+            _silence_later(runner, later_s, rng.uniform(*WAVE_SILENT_S))
+            later_s += rng.uniform(*WAVE_INTERVAL_S)
     else:
         count = min(rng.randint(1, MOST_SILENT), len(sound))
-        chosen = rng.sample(sound, count)
-    for index, runner in enumerate(chosen):
-        for_s = rng.uniform(*SILENT_S)
-        later_s = rng.uniform(0.0, LATER_S) if index else 0.0
-        whole.reactor.callLater(later_s, runner.fall_silent, for_s)
-    return faults.Begun(
-        'none', lambda: None, LATER_S + max(SILENT_S) - BESIDE_S
-    )
+        for runner in rng.sample(sound, count):
+            _silence_later(runner, later_s, rng.uniform(*SILENT_S))
+            later_s = rng.uniform(0.0, LATER_S)
+    longest_s = MOST_IN_WAVE * max(WAVE_INTERVAL_S) + max(SILENT_S)
+    return faults.Begun('none', lambda: None, longest_s)
+
+
+def _may_be_silent(runner: runners.RunnerStandIn) -> bool:
+    now: float = runner.reactor.seconds()
+    return now >= runner.silent_until + GO_ON_S
+
+
+def _silence_later(
+    runner: runners.RunnerStandIn, later_s: float, for_s: float
+) -> None:
+    """Let a runner fall silent then unless it has just been."""
+
+    def fall_silent() -> None:
+        if _may_be_silent(runner):
+            runner.fall_silent(for_s)
+
+    runner.reactor.callLater(later_s, fall_silent)
 
 
 def _silence_beside(change: Beside) -> faults.Begin:
