--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -104,7 +104,7 @@
         self.responses = responses
 
     def request(
-        self, method: bytes, url: str, body: bytes = b''
+        self, method: bytes, url: str, body: bytes = b'', fresh: bool = False
     ) -> 'defer.Deferred[Any]':
         """Answer a request."""
         if '/v1/addresses' in url:
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -478,6 +478,10 @@
     def count(self, name: str) -> None:
         """Count nothing."""
 
+    def on_error(self, trace: str) -> None:
+        """Expect no error."""
+        raise AssertionError(trace)
+
 
 @when('a host is sent {what}')
 def send_to_host(context: Any, what: str) -> None:
