Send no rest of a request that was refused meanwhile

A refusal that came before a large request had been sent whole (an earlier one, without an id, that waited on the new connection) made the host send the request to a second runner, and send the rest to the first one as well, which could then run it: Twisted sends all that was written before it closes.

The transport asks the call to pause while over 64 KB are unsent; if the response is complete by then, the connection is reset, so that the runner never gets the request whole and the refusal holds. Up to 64 KB the request counts as sent at once: there a refusal without an id that a runner repeats on a new connection can't be told from its own.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -82,6 +82,16 @@
     When a connection brings an answer and an earlier refusal
     Then the call ends with the answer alone
 
+  Scenario Outline: a runner that refuses a request of <bytes> bytes sent <part> <gets>
+    When a runner refuses a request of <bytes> bytes that was sent <part>
+    Then so early or late, the runner <gets>
+
+    Examples:
+      | bytes   | part    | gets                          |
+      | 1000000 | in part | gets no more of the request   |
+      | 1000000 | whole   | sees its connection closed    |
+      | 4       | whole   | sees its connection closed    |
+
   Scenario Outline: a node's call that got <what> may have run
     When a node's call gets <what> in place of its answer
     Then it counts as a breach of protocol, and its connection closes
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -47,6 +47,8 @@
         (b'request-id', b'xyz'),
     ),
 }
+# What a transport of Twisted takes before it asks its producer to pause.
+MAX_UNSENT_BYTES = 65536
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
 
 
@@ -131,8 +133,8 @@
     return b'\r\n'.join([*lines, b'', b''])
 
 
-def _receive(context: Any, data: bytes) -> None:
-    """Let a new connection bring bytes as soon as it is there."""
+def _open(context: Any, transport: Any, body: bytes) -> Any:
+    """Send a call of the relay; return its connection."""
     opened: list[Any] = []
 
     class Reactor(task.Clock):
@@ -143,11 +145,16 @@
 
     context.reader = Reader()
     client = edge.HttpClient(Reactor())
-    request = edge.HttpRequest(b'POST', b'/', ((b'host', b'a'),), b'body')
+    request = edge.HttpRequest(b'POST', b'/', ((b'host', b'a'),), body)
     client.open('10.0.0.1:80', request, context.reader)
     (connection,) = opened
-    connection.makeConnection(transports.QuietTransport())
-    connection.dataReceived(data)
+    connection.makeConnection(transport)
+    return connection
+
+
+def _receive(context: Any, data: bytes) -> None:
+    """Let a new connection bring bytes as soon as it is there."""
+    _open(context, transports.QuietTransport(), b'body').dataReceived(data)
 
 
 @when('a new connection brings a refusal that names {named}')
@@ -156,6 +163,35 @@
     _receive(context, _refusal_bytes(named))
 
 
+class SlowTransport(transports.QuietTransport):
+    """A transport that can't send much at once, as a socket's."""
+
+    def write(self, data: bytes) -> None:
+        """Ask the sender to pause while much is unsent."""
+        super().write(data)
+        if self.producer is not None and len(data) > MAX_UNSENT_BYTES:
+            self.producer.pauseProducing()
+
+
+@when('a runner refuses a request of {size:d} bytes that was sent {part}')
+def refuse_large(context: Any, size: int, part: str) -> None:
+    """Bring the refusal before or after the request has been sent."""
+    context.transport = SlowTransport()
+    connection = _open(context, context.transport, b'x' * size)
+    if part == 'whole' and size > MAX_UNSENT_BYTES:
+        context.transport.producer.resumeProducing()
+    connection.dataReceived(_refusal_bytes('no request'))
+    assert context.reader.ends == ['whole'], context.reader.ends
+
+
+@then('so early or late, the runner {gets}')
+def check_runner_side(context: Any, gets: str) -> None:
+    """Tell a reset, which drops unsent bytes, from a close."""
+    is_reset = gets == 'gets no more of the request'
+    assert context.transport.disconnected == is_reset
+    assert is_reset or context.transport.disconnecting
+
+
 @then('the call ends with it and is read as {meaning}')
 def check_new_connection(context: Any, meaning: str) -> None:
     """Read what the call got."""
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -10,8 +10,10 @@
 import h11
 from twisted.internet import defer
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
+from zope.interface import implementer
 
 from ragwort_edge import _body
 from ragwort_edge import _messages
@@ -97,11 +99,13 @@
         """Handle a failed call; no callback follows."""
 
 
+@implementer(interfaces.IPushProducer)
 class _CallProtocol(protocol.Protocol):
     """One request and its response.
 
     The request counts towards the host's account until an answer begins: its
-    reader may read slowly.
+    reader may read slowly. Its transport asks it to pause while much of the
+    request is unsent.
     """
 
     def __init__(
@@ -121,6 +125,7 @@
         self.interim_heads = 0
         self.part_count = 0
         self.body_bytes = 0
+        self.is_unsent = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the whole request."""
@@ -138,10 +143,22 @@
         if request.body:
             data += self.connection.send(h11.Data(data=request.body))
         data += self.connection.send(h11.EndOfMessage())
+        self.transport.registerProducer(self, True)
         self.transport.write(data)
         self.size = len(data)
         self.held.add(self, self.size)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Note that a part of the request is yet to be sent."""
+        self.is_unsent = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Note that the request has been sent whole."""
+        self.is_unsent = False
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: connectionLost follows."""
+
     def give_up(self, reason: str) -> None:
         """Break the call off, for want of room for its request."""
         self._let_go()
@@ -218,7 +235,14 @@
 
     def _finish(self) -> None:
         self.is_over = True
-        if self.transport is not None:
+        if self.transport is None:
+            return
+        if self.is_unsent:
+            # The runner must not get the rest of a request that it has
+            # refused: it may be sent to another one now.
+            self.transport.abortConnection()
+        else:
+            self.transport.unregisterProducer()
             self.transport.loseConnection()
 
     def _fail(self, kind: CallErrorKind, detail: str) -> None:
