Take no heartbeat of another call for a sign of life

A node waited for a runner that had fallen silent as long as heartbeats of another call came on the connection: their attempt was not compared.

The event carries the attempt that the record names; one of another call is counted as crossed, as chunks and ends are, and does not count as progress.

--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -104,6 +104,15 @@
       | status 503 with its own refusal  |
       | a line that is no record         |
 
+  Scenario Outline: a call that gets heartbeats of <whose> call <effect>
+    When a node's call only gets heartbeats of <whose> call
+    Then so many of them mean that it <effect>
+
+    Examples:
+      | whose   | effect           |
+      | its own | waits            |
+      | another | counts as silent |
+
   Scenario Outline: a kept connection that brought <what> is not used again
     When a node's connection brings its answer and <what>
     Then the node's next call opens a new connection
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -1,5 +1,6 @@
 """Steps of refusals that runners repeat."""
 
+import random
 from typing import Any
 from unittest import mock
 
@@ -17,7 +18,9 @@
 import ragwort_edge as edge
 import ragwort_http as http
 import ragwort_model as model
+import ragwort_node as node
 from ragwort_node import _caller_http
+from ragwort_node import _effects
 from ragwort_node import _runner_client
 import ragwort_platform as platform
 import ragwort_wire as wire
@@ -291,6 +294,67 @@
     assert len(context.node.connections) == 2
 
 
+OBJECTS = {
+    'workspace/w': {'name': 'w'},
+    'service/s': {'name': 's', 'kind': 'encoder'},
+    'pipeline/p': {'name': 'p', 'stages': ['s']},
+    'class/c': {
+        'name': 'c',
+        'pipeline': 'p',
+        'target': {'attainment': 0.9, 'deadline_s': 30, 'cost': 1},
+    },
+    'runner/r-1': {
+        'name': 'r-1',
+        'service': 's',
+        'address': '10.0.0.9:80',
+        'failure_domain': 'fd-1',
+    },
+}
+WALL = 1.8e9
+HEARTBEAT_S = 0.25
+# Far longer than a runner may be silent, and shorter than the deadline.
+HEARTBEATS = 40
+
+
+@when("a node's call only gets heartbeats of {whose} call")
+def beat(context: Any, whose: str) -> None:
+    """Send heartbeats to a node that has one call open."""
+    host = model.EntryHost('n-1', '10.0.0.1:80', '10.0.0.1:90', 'fd-1', 'r-1')
+    rng = random.Random(1)
+    core = node.NodeCore(node.NodeOptions(host), rng, 0.0, WALL)
+    objects = [
+        model.StoredObject(
+            f'config/{name}', revision, msgspec.json.encode(value).decode()
+        )
+        for revision, (name, value) in enumerate(OBJECTS.items(), 1)
+    ]
+    core.on_peer('10.0.0.2:90', model.StatePush(objects, True), 0.1, WALL)
+    core.tick(0.2, WALL)
+    key = model.request_key_at(WALL, rng)
+    request = model.Request(key, 'c', 'w', 30.0, 'hello', 'digest')
+    effects = core.submit(request, 'caller-1', 0.3, WALL)
+    call = next(e for e in effects if isinstance(e, model.CallRunner))
+    attempt = call.call.attempt
+    echoed = str(attempt) if whose == 'its own' else EARLIER
+    context.counted = []
+    for number in range(HEARTBEATS):
+        now = 0.3 + number * HEARTBEAT_S
+        found = list(
+            core.on_runner(model.StageHeartbeat(attempt, echoed), now)
+        )
+        found += core.tick(now, WALL + now)
+        context.counted += [
+            e.name for e in found if isinstance(e, _effects.Count)
+        ]
+
+
+@then('so many of them mean that it {effect}')
+def check_silence(context: Any, effect: str) -> None:
+    """Look for the failure of the attempt."""
+    is_silent = 'failure.s.silent' in context.counted
+    assert is_silent == (effect == 'counts as silent'), context.counted
+
+
 @when("a node's connection brings its answer and {what}")
 def answer_and_more(context: Any, what: str) -> None:
     """Answer a call, and let more bytes come on its connection."""
--- a/libs/ragwort_model/ragwort_model/_stage.py
+++ b/libs/ragwort_model/ragwort_model/_stage.py
@@ -135,9 +135,10 @@
 
 
 class StageHeartbeat(msgspec.Struct, frozen=True):
-    """Event: a heartbeat for a call that has not ended yet."""
+    """Event: a heartbeat from a runner, echoed attempt not yet checked."""
 
     attempt: _ids.AttemptId
+    echoed_attempt: str
 
 
 class StageFailed(msgspec.Struct, frozen=True):
--- a/libs/ragwort_node/ragwort_node/_engine.py
+++ b/libs/ragwort_node/ragwort_node/_engine.py
@@ -292,6 +292,9 @@
 
     def on_heartbeat(self, event: model.StageHeartbeat, now: float) -> None:
         """Note that a runner still works on an attempt."""
+        if event.echoed_attempt != str(event.attempt):
+            self.effects.append(_effects.Count('reply.crossed'))
+            return
         found = self._find_attempt(event.attempt)
         if found is not None:
             found[1].last_progress_at = now
--- a/libs/ragwort_wire/ragwort_wire/_runner_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -174,7 +174,7 @@
                 attempt, record.attempt, record.seq, record.data
             )
         case ResultHeartbeat():
-            return model.StageHeartbeat(attempt)
+            return model.StageHeartbeat(attempt, record.attempt)
         case ResultEnd():
             return model.StageEnd(
                 attempt,
