--- a/features/repeated_refusals.feature
+++ b/features/repeated_refusals.feature
@@ -82,6 +82,16 @@
     When a connection brings an answer and an earlier refusal
     Then the call ends with the answer alone
 
+  Scenario Outline: a runner that refuses a request of <bytes> bytes sent <part> <gets>
+    When a runner refuses a request of <bytes> bytes that was sent <part>
+    Then so early or late, the runner <gets>
+
+    Examples:
+      | bytes   | part    | gets                          |
+      | 1000000 | in part | gets no more of the request   |
+      | 1000000 | whole   | sees its connection closed    |
+      | 4       | whole   | sees its connection closed    |
+
   Scenario Outline: a node's call that got <what> may have run
     When a node's call gets <what> in place of its answer
     Then it counts as a breach of protocol, and its connection closes
@@ -94,6 +104,15 @@
       | status 503 with its own refusal  |
       | a line that is no record         |
 
+  Scenario Outline: a call that gets heartbeats of <whose> call <effect>
+    When a node's call only gets heartbeats of <whose> call
+    Then so many of them mean that it <effect>
+
+    Examples:
+      | whose   | effect           |
+      | its own | waits            |
+      | another | counts as silent |
+
   Scenario Outline: a kept connection that brought <what> is not used again
     When a node's connection brings its answer and <what>
     Then the node's next call opens a new connection
--- a/features/steps/repeated_refusal_steps.py
+++ b/features/steps/repeated_refusal_steps.py
@@ -1,5 +1,6 @@
 """Steps of refusals that runners repeat."""
 
+import random
 from typing import Any
 from unittest import mock
 
@@ -17,7 +18,9 @@
 import ragwort_edge as edge
 import ragwort_http as http
 import ragwort_model as model
+import ragwort_node as node
 from ragwort_node import _caller_http
+from ragwort_node import _effects
 from ragwort_node import _runner_client
 import ragwort_platform as platform
 import ragwort_wire as wire
@@ -47,6 +50,8 @@
         (b'request-id', b'xyz'),
     ),
 }
+# What a transport of Twisted takes before it asks its producer to pause.
+MAX_UNSENT_BYTES = 65536
 WHOLE = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
 
 
@@ -131,8 +136,8 @@
     return b'\r\n'.join([*lines, b'', b''])
 
 
-def _receive(context: Any, data: bytes) -> None:
-    """Let a new connection bring bytes as soon as it is there."""
+def _open(context: Any, transport: Any, body: bytes) -> Any:
+    """Send a call of the relay; return its connection."""
     opened: list[Any] = []
 
     class Reactor(task.Clock):
@@ -143,11 +148,16 @@
 
     context.reader = Reader()
     client = edge.HttpClient(Reactor())
-    request = edge.HttpRequest(b'POST', b'/', ((b'host', b'a'),), b'body')
+    request = edge.HttpRequest(b'POST', b'/', ((b'host', b'a'),), body)
     client.open('10.0.0.1:80', request, context.reader)
     (connection,) = opened
-    connection.makeConnection(transports.QuietTransport())
-    connection.dataReceived(data)
+    connection.makeConnection(transport)
+    return connection
+
+
+def _receive(context: Any, data: bytes) -> None:
+    """Let a new connection bring bytes as soon as it is there."""
+    _open(context, transports.QuietTransport(), b'body').dataReceived(data)
 
 
 @when('a new connection brings a refusal that names {named}')
@@ -156,6 +166,35 @@
     _receive(context, _refusal_bytes(named))
 
 
+class SlowTransport(transports.QuietTransport):
+    """A transport that can't send much at once, as a socket's."""
+
+    def write(self, data: bytes) -> None:
+        """Ask the sender to pause while much is unsent."""
+        super().write(data)
+        if self.producer is not None and len(data) > MAX_UNSENT_BYTES:
+            self.producer.pauseProducing()
+
+
+@when('a runner refuses a request of {size:d} bytes that was sent {part}')
+def refuse_large(context: Any, size: int, part: str) -> None:
+    """Bring the refusal before or after the request has been sent."""
+    context.transport = SlowTransport()
+    connection = _open(context, context.transport, b'x' * size)
+    if part == 'whole' and size > MAX_UNSENT_BYTES:
+        context.transport.producer.resumeProducing()
+    connection.dataReceived(_refusal_bytes('no request'))
+    assert context.reader.ends == ['whole'], context.reader.ends
+
+
+@then('so early or late, the runner {gets}')
+def check_runner_side(context: Any, gets: str) -> None:
+    """Tell a reset, which drops unsent bytes, from a close."""
+    is_reset = gets == 'gets no more of the request'
+    assert context.transport.disconnected == is_reset
+    assert is_reset or context.transport.disconnecting
+
+
 @then('the call ends with it and is read as {meaning}')
 def check_new_connection(context: Any, meaning: str) -> None:
     """Read what the call got."""
@@ -255,6 +294,67 @@
     assert len(context.node.connections) == 2
 
 
+OBJECTS = {
+    'workspace/w': {'name': 'w'},
+    'service/s': {'name': 's', 'kind': 'encoder'},
+    'pipeline/p': {'name': 'p', 'stages': ['s']},
+    'class/c': {
+        'name': 'c',
+        'pipeline': 'p',
+        'target': {'attainment': 0.9, 'deadline_s': 30, 'cost': 1},
+    },
+    'runner/r-1': {
+        'name': 'r-1',
+        'service': 's',
+        'address': '10.0.0.9:80',
+        'failure_domain': 'fd-1',
+    },
+}
+WALL = 1.8e9
+HEARTBEAT_S = 0.25
+# Far longer than a runner may be silent, and shorter than the deadline.
+HEARTBEATS = 40
+
+
+@when("a node's call only gets heartbeats of {whose} call")
+def beat(context: Any, whose: str) -> None:
+    """Send heartbeats to a node that has one call open."""
+    host = model.EntryHost('n-1', '10.0.0.1:80', '10.0.0.1:90', 'fd-1', 'r-1')
+    rng = random.Random(1)
+    core = node.NodeCore(node.NodeOptions(host), rng, 0.0, WALL)
+    objects = [
+        model.StoredObject(
+            f'config/{name}', revision, msgspec.json.encode(value).decode()
+        )
+        for revision, (name, value) in enumerate(OBJECTS.items(), 1)
+    ]
+    core.on_peer('10.0.0.2:90', model.StatePush(objects, True), 0.1, WALL)
+    core.tick(0.2, WALL)
+    key = model.request_key_at(WALL, rng)
+    request = model.Request(key, 'c', 'w', 30.0, 'hello', 'digest')
+    effects = core.submit(request, 'caller-1', 0.3, WALL)
+    call = next(e for e in effects if isinstance(e, model.CallRunner))
+    attempt = call.call.attempt
+    echoed = str(attempt) if whose == 'its own' else EARLIER
+    context.counted = []
+    for number in range(HEARTBEATS):
+        now = 0.3 + number * HEARTBEAT_S
+        found = list(
+            core.on_runner(model.StageHeartbeat(attempt, echoed), now)
+        )
+        found += core.tick(now, WALL + now)
+        context.counted += [
+            e.name for e in found if isinstance(e, _effects.Count)
+        ]
+
+
+@then('so many of them mean that it {effect}')
+def check_silence(context: Any, effect: str) -> None:
+    """Look for the failure of the attempt."""
+    is_silent = 'failure.s.silent' in context.counted
+    assert is_silent == (effect == 'counts as silent'), context.counted
+
+
 @when("a node's connection brings its answer and {what}")
 def answer_and_more(context: Any, what: str) -> None:
     """Answer a call, and let more bytes come on its connection."""
