Let a caller's client pass over odd addresses and odd refusals

A caller's client whose address list had one item without an address, or with a number as one, kept its old list or had none. An item with text that is no address was taken over, and each try there cost one of six attempts. A refusal whose body was JSON but no object ended the request with AttributeError in place of an answer, one nested too deep with RecursionError.

Cause: the list was decoded as a whole and its addresses were not parsed; the refusal's body was taken for an object.

Items are decoded one by one, and those without an IPv4 address and a port are left out. A refusal that can't be read as an object gives its first 200 bytes as the reason, as one that is no JSON did.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -349,3 +349,30 @@
       | age_s       |
       | late_wait_s |
       | call_s      |
+
+  # Guards against a caller that goes by no address list, or tries addresses
+  # that can't be connected to, for one odd item.
+  Scenario Outline: a caller's address list with <item> has the other addresses
+    When a caller's client reads an address list with <item>
+    Then it goes by the two other addresses
+
+    Examples:
+      | item                                        |
+      | {"host": "x", "address": @400 digits@, "failure_domain": "n"} |
+      | {"host": "x", "address": "a:b", "failure_domain": "n"} |
+      | {"host": "x", "address": "10.0.0.3:80\n", "failure_domain": "n"} |
+      | {"host": "x"}                               |
+      | null                                        |
+
+  # Guards against a request of a caller that ends with an error of the
+  # library instead of an answer.
+  Scenario Outline: a caller's request refused with <body> ends as not run
+    When a caller's request is refused with <body>
+    Then the caller's answer is not run
+
+    Examples:
+      | body                         |
+      | [1]                          |
+      | 5                            |
+      | {"title": @200000 arrays@}   |
+      | not JSON                     |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -12,10 +12,16 @@
 from behave import when
 import msgspec
 import structlog
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.internet import testing as proto_helpers
+from twisted.python import failure
+from twisted.web import client
 
 from features.steps import platform_steps
 from features.steps import platform_store_steps
 from features.steps import relay_decision_steps
+import ragwort_client as caller
 import ragwort_edge as edge
 import ragwort_lab as lab
 import ragwort_model as model
@@ -821,3 +827,82 @@
     wait = context.world.hosts[0].stages.waits.by_service['first']
     expected = ((0.1,), 0.2, 0.1)
     assert (wait.waits_s, wait.late_wait_s, wait.call_s) == expected, wait
+
+
+class StubResponse:
+    """A response whose body comes at once."""
+
+    def __init__(self, code: int, body: bytes) -> None:
+        """Answer with a status code and a body."""
+        self.code = code
+        self.length = len(body)
+        self.body = body
+
+    def deliverBody(self, reader: Any) -> None:  # noqa: N802
+        """Deliver the body and its end."""
+        reader.makeConnection(proto_helpers.StringTransport())
+        reader.dataReceived(self.body)
+        reader.connectionLost(failure.Failure(client.ResponseDone()))
+
+
+class StubHttpClient:
+    """Answers requests for addresses with a list, others with a refusal."""
+
+    def __init__(self, addresses: str, refusal: str = '') -> None:
+        """Answer with two texts."""
+        self.addresses = addresses
+        self.refusal = refusal
+
+    def request(self, method: bytes, url: str, body: bytes = b'') -> Any:
+        """Answer a request."""
+        if '/v1/addresses' in url:
+            response = StubResponse(200, self.addresses.encode())
+        else:
+            response = StubResponse(400, self.refusal.encode())
+        return defer.succeed(response)
+
+
+def new_caller(items: list[Any], odd: str, refusal: str = '') -> Any:
+    """Return a caller's client that reads a list with an odd item."""
+    content = {'addresses': items, 'ttl_s': 5.0, 'version': 1}
+    body = json.dumps(content).replace(PLACE, odd_text(odd))
+    found = caller.Client(task.Clock(), ['10.0.0.9:80'])
+    stub: Any = StubHttpClient(body, refusal)
+    found.http_client = stub
+    return found
+
+
+def entry_host(number: int) -> dict[str, str]:
+    """Return an item of an address list."""
+    return {**ADDRESS, 'address': f'10.0.1.{number}:80'}
+
+
+@when("a caller's client reads an address list with {item}")
+def read_address_list(context: Any, item: str) -> None:
+    """Let a client read a list."""
+    items = [entry_host(1), '@', entry_host(2)]
+    context.caller = new_caller(items, item)
+    context.caller.refresh()
+
+
+@then('it goes by the two other addresses')
+def check_address_list(context: Any) -> None:
+    """Compare the addresses."""
+    found = context.caller.addresses
+    assert found == ['10.0.1.1:80', '10.0.1.2:80'], found
+
+
+@when("a caller's request is refused with {body}")
+def refuse_request(context: Any, body: str) -> None:
+    """Send a request."""
+    found = new_caller([entry_host(1)], '', odd_text(body))
+    done = found.send('tide-question', 'school', 'x', 4.0)
+    context.ends = []
+    done.addBoth(context.ends.append)
+
+
+@then("the caller's answer is not run")
+def check_refused(context: Any) -> None:
+    """Compare the answer."""
+    (answer,) = context.ends
+    assert getattr(answer, 'outcome', None) == model.Outcome.NOT_RUN, answer
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -304,14 +304,16 @@
 def _parse_problem(code: int, content: bytes) -> wire.Problem:
     try:
         data = json.loads(content)
-        return wire.Problem(
-            str(data.get('title', '')),
-            code,
-            str(data.get('detail', '')),
-            outcome=str(data.get('outcome', '')),
-        )
-    except ValueError:
+    except (ValueError, RecursionError):
+        data = None
+    if not isinstance(data, dict):
         return wire.Problem('Problem', code, content[:200].decode('latin-1'))
+    return wire.Problem(
+        str(data.get('title', '')),
+        code,
+        str(data.get('detail', '')),
+        outcome=str(data.get('outcome', '')),
+    )
 
 
 def _is_final_refusal(refusal: wire.Problem | None) -> bool:
--- a/libs/ragwort_wire/ragwort_wire/_caller_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_caller_http.py
@@ -67,6 +67,14 @@
     version: int
 
 
+class _AddressListRecord(msgspec.Struct):
+    """An address response whose items are decoded one by one."""
+
+    addresses: list[msgspec.Raw]
+    ttl_s: _decoding.Number
+    version: _decoding.Int64
+
+
 class AnswerRecord(msgspec.Struct, omit_defaults=True):
     """Complete answer for callers that do not stream."""
 
@@ -109,8 +117,25 @@
 
 
 def decode_addresses(body: bytes) -> AddressesRecord:
-    """Decode an address response; raise WireError if it is damaged."""
+    """Decode an address response; raise WireError if it is damaged.
+
+    Items without an address that can be connected to are left out.
+    """
     try:
-        return msgspec.json.decode(body, type=AddressesRecord)
+        record = msgspec.json.decode(body, type=_AddressListRecord)
     except _decoding.ERRORS as error:
         raise model.WireError(f'damaged address response: {error}') from None
+    return AddressesRecord(
+        [e for e in map(_parse_entry, record.addresses) if e is not None],
+        record.ttl_s,
+        record.version,
+    )
+
+
+def _parse_entry(item: msgspec.Raw) -> EntryAddressRecord | None:
+    try:
+        entry = msgspec.json.decode(item, type=EntryAddressRecord)
+        model.parse_address(entry.address)
+    except _decoding.ERRORS:
+        return None
+    return entry
