Pass over records of hosts with odd capacities or incarnations

A host that was told of another with a capacity of NaN, infinity or 0 raised ValueError or ZeroDivisionError whenever it drew a host to hand a request to, and each of the addresses that callers get is a share of such a sum. A record of the host itself with the incarnation 2^63 - 1 made it take 2^63, which no frame holds: its own record could be told to nobody.

Cause: the numbers of a member's record were taken over as they were told.

merge passes over records whose incarnation is negative or above 2^62, or whose capacity is not above 0 and at most 10^12.

Evidence: 7 new scenarios in features/odd_entries.feature, all failed before and none does now; unequal_hosts, departed_hosts, model_checks, peer_connections and hosts_without_runners pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -376,3 +376,24 @@
       | 5                            |
       | {"title": @200000 arrays@}   |
       | not JSON                     |
+
+  # Guards against choices among hosts that raise an error at each request, and
+  # against a host whose own record no longer fits into a frame.
+  Scenario Outline: a record of a host with <field> <value> is passed over
+    Given a host that knows no other
+    When a peer tells it of two hosts, the first with <field> <value>
+    Then it knows the second one alone
+
+    Examples:
+      | field       | value |
+      | capacity    | nan   |
+      | capacity    | inf   |
+      | capacity    | 0     |
+      | capacity    | -1    |
+      | capacity    | 1e308 |
+      | incarnation | 9223372036854775807 |
+
+  Scenario: a record of a host itself from the far future is passed over
+    Given a host that knows no other
+    When a peer tells it of itself with incarnation 9223372036854775807
+    Then its own record can still be told to others
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -24,6 +24,7 @@
 import ragwort_client as caller
 import ragwort_edge as edge
 import ragwort_lab as lab
+import ragwort_membership as membership
 import ragwort_model as model
 import ragwort_platform as platform
 import ragwort_relay as relay
@@ -906,3 +907,41 @@
     """Compare the answer."""
     (answer,) = context.ends
     assert getattr(answer, 'outcome', None) == model.Outcome.NOT_RUN, answer
+
+
+@given('a host that knows no other')
+def start_member(context: Any) -> None:
+    """Create the members that a host knows."""
+    context.members = membership.Membership(
+        HOST, (), random.Random(1), 0.0, 0.0
+    )
+
+
+@when('a peer tells it of two hosts, the first with {field} {value}')
+def tell_odd_member(context: Any, field: str, value: str) -> None:
+    """Merge an odd and a sound record."""
+    number = int(value) if field == 'incarnation' else float(value)
+    odd = member('odd', peer_address='10.0.0.3:84', **{field: number})
+    context.members.merge([odd, member('sound')], 0.1)
+
+
+@then('it knows the second one alone')
+def check_members(context: Any) -> None:
+    """Compare the members."""
+    assert set(context.members.members) == {'h', 'sound'}
+
+
+@when('a peer tells it of itself with incarnation {incarnation:d}')
+def tell_of_itself(context: Any, incarnation: int) -> None:
+    """Merge a record of the host itself."""
+    own = context.members.own
+    update = msgspec.structs.replace(own, incarnation=incarnation)
+    context.members.merge([update], 0.1)
+
+
+@then('its own record can still be told to others')
+def check_own_record(context: Any) -> None:
+    """Encode the own record."""
+    sync = model.MemberSync([context.members.own], False)
+    frame = wire.decode_peer(wire.encode_peer('10.0.0.1:84', sync))
+    assert frame.message == sync, frame.message
--- a/libs/ragwort_membership/ragwort_membership/_membership.py
+++ b/libs/ragwort_membership/ragwort_membership/_membership.py
@@ -37,6 +37,11 @@
 ASK_SPREAD_STEPS = 1000
 FORGET_AFTER_S = 3600.0
 MAX_CLOCK_SAMPLES = 16
+# Incarnations begin at the time of day in seconds and are sent in 64 bits; a
+# node that refutes a record needs room for the next one.
+MAX_INCARNATION = 2**62
+# Above any host's; sums and quotients of such capacities are finite.
+MAX_CAPACITY = 1e12
 
 
 class Member(msgspec.Struct):
@@ -600,8 +605,13 @@
             del self.clock_offsets[next(iter(self.clock_offsets))]
 
     def merge(self, updates: list[model.MemberUpdate], now: float) -> None:
-        """Adopt newer records, and refute false ones about this node."""
+        """Adopt newer records, and refute false ones about this node.
+
+        Records with damaged numbers are passed over.
+        """
         for update in updates:
+            if not _is_sound(update):
+                continue
             if update.name == self.self_name:
                 self._refute(update, now)
                 continue
@@ -626,6 +636,14 @@
         return changes
 
 
+def _is_sound(update: model.MemberUpdate) -> bool:
+    """Tell whether a record's numbers can be used and told to others."""
+    return (
+        0 <= update.incarnation <= MAX_INCARNATION
+        and 0.0 < update.capacity <= MAX_CAPACITY
+    )
+
+
 def _is_newer(update: model.MemberUpdate, known: model.MemberUpdate) -> bool:
     if update.incarnation != known.incarnation:
         return update.incarnation > known.incarnation
