--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -132,6 +132,8 @@
       | 1e308               | routes/0/split/0/weight          |
       | 1e308               | routes/0/stages/0/bytes          |
       | 400 digits          | routes/0/stages/2/after/0        |
+      | 3                   | routes/0/stages/2/after/0        |
+      | -1                  | routes/0/stages/2/after/0        |
       | 400 digits          | services/1/pieces/batch          |
       | 1e308               | services/1/pieces/callMs         |
       | 1e308               | services/1/pieces/itemMs         |
