Send each peer message apart, so that an odd address stops no other

A host whose member list held a peer address that can't be connected to raised ValueError as it sent there, and sent none of the messages behind it in the same turn: probes, their answers, digests, what it knows of runners.

Cause: _send_all went through the messages in one part of the guard.

Each message is a part of its own, named send; what it raises is logged and counted as other errors of parts are.

Evidence: a new scenario in features/odd_entries.feature, failed before and passes now; unexpected_errors and peer_connections pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -399,3 +399,10 @@
     Given a host that knows no other
     When a peer tells it of itself with incarnation 9223372036854775807
     Then its own record can still be told to others
+
+  # Guards against a host that no longer probes others, as one of them told an
+  # address that can't be connected to.
+  Scenario: a message to an odd address keeps no other from being sent
+    Given 5 relay hosts whose store answers
+    When host 0 sends to a peer of an odd address, then to host 1
+    Then host 1 gets the message and host 0 has counted the error
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -945,3 +945,36 @@
     sync = model.MemberSync([context.members.own], False)
     frame = wire.decode_peer(wire.encode_peer('10.0.0.1:84', sync))
     assert frame.message == sync, frame.message
+
+
+@when('host 0 sends to a peer of an odd address, then to host 1')
+def send_to_odd_address(context: Any) -> None:
+    """Send two messages at once, over connections as hosts have them."""
+    first, second = context.world.hosts[:2]
+    carried = first.peers
+
+    class Peers:
+        """Splits each address as real connections do."""
+
+        def send(self, effect: model.SendPeerMessage, now: float) -> int:
+            model.split_address(effect.address)
+            return int(carried.send(effect, now))
+
+        def close_idle(self, now: float) -> None:
+            carried.close_idle(now)
+
+    first.peers = Peers()
+    context.got = []
+    second.crashes.on_told = context.got.append
+    news = model.CrashNews([], [model.ClearedSuspect('main', 'part', 0.1)])
+    addresses = ('odd', second.members.own.peer_address)
+    first._send_all(model.SendPeerMessage(a, news) for a in addresses)
+    context.world.run(1.0)
+
+
+@then('host 1 gets the message and host 0 has counted the error')
+def check_sent(context: Any) -> None:
+    """Look at the message and the counter."""
+    assert context.got, context.got
+    text = context.world.hosts[0].metrics.text().decode()
+    assert 'ragwort_unexpected_errors_total{part="send"}' in text
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import random
 import time
 from typing import Any
@@ -605,7 +606,8 @@
 
     def _send_all(self, messages: Iterable[model.SendPeerMessage]) -> None:
         for message in messages:
-            self._send_peer(message)
+            # One that can't be sent, as to an odd address, stops no other.
+            self.guard.run('send', functools.partial(self._send_peer, message))
 
     def _send_peer(self, effect: model.SendPeerMessage) -> None:
         sent_bytes = self.peers.send(effect, self.reactor.seconds())
