--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -132,6 +132,8 @@
       | 1e308               | routes/0/split/0/weight          |
       | 1e308               | routes/0/stages/0/bytes          |
       | 400 digits          | routes/0/stages/2/after/0        |
+      | 3                   | routes/0/stages/2/after/0        |
+      | -1                  | routes/0/stages/2/after/0        |
       | 400 digits          | services/1/pieces/batch          |
       | 1e308               | services/1/pieces/callMs         |
       | 1e308               | services/1/pieces/itemMs         |
@@ -349,3 +351,58 @@
       | age_s       |
       | late_wait_s |
       | call_s      |
+
+  # Guards against a caller that goes by no address list, or tries addresses
+  # that can't be connected to, for one odd item.
+  Scenario Outline: a caller's address list with <item> has the other addresses
+    When a caller's client reads an address list with <item>
+    Then it goes by the two other addresses
+
+    Examples:
+      | item                                        |
+      | {"host": "x", "address": @400 digits@, "failure_domain": "n"} |
+      | {"host": "x", "address": "a:b", "failure_domain": "n"} |
+      | {"host": "x", "address": "10.0.0.3:80\n", "failure_domain": "n"} |
+      | {"host": "x"}                               |
+      | null                                        |
+
+  # Guards against a request of a caller that ends with an error of the
+  # library instead of an answer.
+  Scenario Outline: a caller's request refused with <body> ends as not run
+    When a caller's request is refused with <body>
+    Then the caller's answer is not run
+
+    Examples:
+      | body                         |
+      | [1]                          |
+      | 5                            |
+      | {"title": @200000 arrays@}   |
+      | not JSON                     |
+
+  # Guards against choices among hosts that raise an error at each request, and
+  # against a host whose own record no longer fits into a frame.
+  Scenario Outline: a record of a host with <field> <value> is passed over
+    Given a host that knows no other
+    When a peer tells it of two hosts, the first with <field> <value>
+    Then it knows the second one alone
+
+    Examples:
+      | field       | value |
+      | capacity    | nan   |
+      | capacity    | inf   |
+      | capacity    | 0     |
+      | capacity    | -1    |
+      | capacity    | 1e308 |
+      | incarnation | 9223372036854775807 |
+
+  Scenario: a record of a host itself from the far future is passed over
+    Given a host that knows no other
+    When a peer tells it of itself with incarnation 9223372036854775807
+    Then its own record can still be told to others
+
+  # Guards against a host that no longer probes others, as one of them told an
+  # address that can't be connected to.
+  Scenario: a message to an odd address keeps no other from being sent
+    Given 5 relay hosts whose store answers
+    When host 0 sends to a peer of an odd address, then to host 1
+    Then host 1 gets the message and host 0 has counted the error
