Serve requests while the log can't be written

Once the reader of a host's log had ended, or its disk was full, callers got no answer to any request any more: refusals and answers alike.

Cause: RateLimitedOutput passed every OSError on but that of a full pipe, so that each line of the log raised, the line of a request before its answer is sent. The report of the error to the log then raised as well.

Such lines now count as dropped like those over the rate, and `log-dropped` tells of them once the log can be written again. Guard.report counts an error first and goes on if it can't be logged.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -1,6 +1,7 @@
 """Steps of requests whose handling raises what nobody expected."""
 
 import json
+import os
 from typing import Any
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from behave import when
 import h11
 import msgspec
+import structlog
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import task
@@ -19,6 +21,7 @@
 from features.support import transports
 import ragwort_edge as edge
 from ragwort_edge import _hand_over
+from ragwort_edge import _logs
 from ragwort_edge import _placement
 from ragwort_edge import _request_handler
 from ragwort_edge import _request_stages
@@ -44,6 +47,13 @@
     return mock.patch.object(_request_handler.RequestHandler, name, function)
 
 
+def _silence(host: Any) -> Any:
+    """Let all lines of requests and errors fail."""
+    logger = mock.Mock(info=fail, warning=fail, error=fail)
+    host.guard.logger = logger
+    return mock.patch.object(host.context, 'logger', logger)
+
+
 BREAKERS: dict[str, Any] = {
     'configuration': lambda host: mock.patch.object(
         relay.RelayConfiguration, 'find_route', fail
@@ -75,6 +85,7 @@
     'conclusion': lambda host: _in_handler('_conclude'),
     'request log': lambda host: _in_handler('log_end'),
     'steps, cancelled': lambda host: _in_handler('_run', go_on),
+    'whole log': lambda host: _silence(host),
     'error answer': lambda host: mock.patch.object(
         host.dialect, 'error_response', fail
     ),
@@ -665,3 +676,20 @@
     assert asked.status == (200 if is_cut else 502), asked.status
     assert asked.is_whole != is_cut
     assert asked.ended_at - asked.started_at < PROMPT_S, asked.ended_at
+
+
+@given('a host whose log {problem}')
+def break_log(context: Any, problem: str) -> None:
+    """Let each write of the log fail."""
+    host = start_world(context)
+    if problem == 'has lost its reader':
+        reading, descriptor = os.pipe()
+        os.close(reading)
+    else:
+        descriptor = os.open('/dev/full', os.O_WRONLY)
+    context.add_cleanup(os.close, descriptor)
+    renderer = structlog.processors.JSONRenderer()
+    logger = structlog.wrap_logger(
+        _logs.RateLimitedOutput(descriptor), [renderer]
+    )
+    host.logger = host.context.logger = host.guard.logger = logger
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -238,3 +238,22 @@
     When the node is asked to serve a request over a connection
     Then the connection is closed without the end of the answer
     And the node has counted the error and waits for no answer
+
+  Scenario Outline: a request is answered though the log <problem>
+    Given a host whose log <problem>
+    When the host gets a "job" request whose <cause>
+    Then it is answered <status> with the promise of that status
+    And the host has no request open
+
+    Examples:
+      | problem                       | cause            | status |
+      | has lost its reader           | runner answers   | 200    |
+      | has lost its reader           | runners are gone | 503    |
+      | is a full device              | runner answers   | 200    |
+      | is a full device              | runners are gone | 503    |
+
+  Scenario: a request is answered though the whole log raises
+    Given a host whose "whole log" raises as a request comes
+    When the host gets a "job" request whose runners are gone
+    Then it is answered 503 with the promise of that status
+    And the host has no request open
--- a/libs/ragwort_edge/ragwort_edge/_guard.py
+++ b/libs/ragwort_edge/ragwort_edge/_guard.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import math
 import traceback
 from typing import Any
@@ -50,4 +51,6 @@
             return
         self.logged_at[part] = now
         detail = trace[-MAX_TRACE_CHARACTERS:]
-        self.logger.error('unexpected-error', part=part, detail=detail)
+        # The error may be that of the log.
+        with contextlib.suppress(Exception):
+            self.logger.error('unexpected-error', part=part, detail=detail)
--- a/libs/ragwort_edge/ragwort_edge/_logs.py
+++ b/libs/ragwort_edge/ragwort_edge/_logs.py
@@ -43,7 +43,9 @@
         try:
             os.write(self.descriptor, line)
             self.dropped = 0
-        except BlockingIOError:
+        except OSError:
+            # The pipe is full or has no reader, or the disk is full. Requests
+            # go on without a log.
             self.dropped += 1
 
     debug = info = warning = error = critical = msg
