--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -111,7 +111,7 @@
         request: _messages.HttpRequest,
         reader: ResponseReader,
         held: _body.HeldBytes,
-        report: Callable[[], None],
+        report: Callable[[], None] = log.err,
     ) -> None:
         self.held = held
         self.report = report
