Forward the events before a damaged one, and go on behind them

Callers of a resumable stream got a whole 200 that lacked events: a runner that sent events 1, 2 and 4 in one piece lost them 1 and 2.

Cause: each event counts as forwarded as it is checked, but the error of a later one of the same piece ended the piece before anything of it was written. The next runner was asked for the events behind the last one that counted.

The events before the damaged one are now forwarded first, and the send is given up behind them.

Evidence: features/unanswered_requests.feature, one new scenario: events 3 to 5 of 1 to 5 on the code before, all five now. relay_streams.feature and relay_faults.feature pass.

--- a/features/steps/unanswered_request_steps.py
+++ b/features/steps/unanswered_request_steps.py
@@ -693,3 +693,38 @@
         _logs.RateLimitedOutput(descriptor), [renderer]
     )
     host.logger = host.context.logger = host.guard.logger = logger
+
+
+@when(
+    'a runner sends events 1, 2 and 4 of a stream at once, and the next one '
+    'the rest to 5'
+)
+def send_gap(context: Any) -> None:
+    """Let the first send bring a stream that lacks an event."""
+    headers = ((b'echo', b'once'), (b'content-type', b'text/event-stream'))
+    told: list[int] = []
+
+    def serve(request: edge.HttpRequest, call: Any) -> None:
+        facts = json.loads(request.header(b'call') or b'{}')
+        told.append(facts['last_event'] or 0)
+        numbers = range(told[-1] + 1, 6) if len(told) > 1 else (1, 2, 4)
+        events = [b'id: %d\ndata: e\n\n' % number for number in numbers]
+        call.respond(200, headers, b''.join(events))
+
+    for runner in context.world.runners:
+        runner.serve = serve
+    facts = {'request_id': 'once', 'access_key': 'k1'}
+    context.asked = context.world.submit(1, '/stream/1', facts)
+    context.world.run(LONG_S)
+
+
+@then('the caller gets events 1 to 5, each once')
+def check_events(context: Any) -> None:
+    """Look at the stream."""
+    assert context.asked.is_whole
+    found = [
+        int(line.removeprefix(b'id: '))
+        for line in context.asked.body.splitlines()
+        if line.startswith(b'id: ')
+    ]
+    assert found == [1, 2, 3, 4, 5], found
--- a/features/unanswered_requests.feature
+++ b/features/unanswered_requests.feature
@@ -257,3 +257,8 @@
     When the host gets a "job" request whose runners are gone
     Then it is answered 503 with the promise of that status
     And the host has no request open
+
+  Scenario: events before a damaged one reach the caller before another runner goes on
+    Given a host with callers on connections
+    When a runner sends events 1, 2 and 4 of a stream at once, and the next one the rest to 5
+    Then the caller gets events 1 to 5, each once
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -158,15 +158,14 @@
         if self.stream_bytes > MAX_STREAM_BYTES:
             self._on_damaged(f'stream of over {MAX_STREAM_BYTES} bytes')
             return
+        events: list[relay.StreamEvent] = []
+        problem: str | None = None
         try:
-            events = [
-                event
-                for event in self.event_parser.feed(data)
-                if self.progress.accept(event)
-            ]
+            for event in self.event_parser.feed(data):
+                if self.progress.accept(event):
+                    events.append(event)
         except ValueError as error:
-            self._on_damaged(str(error))
-            return
+            problem = str(error)
         self.event_count += len(events)
         if self.event_count > MAX_STREAM_EVENTS:
             self._on_damaged(f'stream of over {MAX_STREAM_EVENTS} events')
@@ -177,6 +176,9 @@
             if self.event_count == len(events):
                 self._on_first_event()
             self._forward(b''.join(event.data for event in events))
+        # The stream goes on elsewhere behind the events before the damage.
+        if problem is not None and self.ended is None:
+            self._on_damaged(problem)
 
     def _on_first_event(self) -> None:
         """Let the host learn from the time that the first event took."""
