Show over HTTP that no answer runs into a stream that has begun

Guards for the way from bytes to events: streams that break off short of a length, between chunks and within one, with a head inside a length, a chunk or a body of no length, or between chunks; the next runner sends the rest, an error with and without its echo, or a plain body, framed in each way.

Evidence: 19 scenarios in features/broken_streams.feature, the real client on connections in memory.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -231,3 +231,33 @@
       | bytes:nothing                       | is answered 502 |
       | bytes:an error text                 | is answered 502 |
       | bytes:an event that is not the next | is answered 502 |
+
+  # Guards against a parser of HTTP that takes the bytes of one answer for
+  # those of another.
+  Scenario Outline: a stream over HTTP that breaks off <where> and meets <what>, framed by <frame>, <ends>
+    Given a runner whose stream breaks off <where>
+    And the next runner answers <what>, framed by <frame>
+    When its caller reads the stream over HTTP
+    Then for its caller the stream <ends>
+
+    Examples:
+      | where                              | what                     | frame          | ends     |
+      | short of its length                | the rest                 | chunks         | is whole |
+      | between chunks                     | the rest                 | chunks         | is whole |
+      | within a chunk                     | the rest                 | chunks         | is whole |
+      | with a head within its length      | the rest                 | chunks         | is whole |
+      | with a head between chunks         | the rest                 | chunks         | is whole |
+      | with a head within a chunk         | the rest                 | chunks         | is whole |
+      | with a head in a chunk of its own  | the rest                 | chunks         | is whole |
+      | with a head in a body of no length | the rest                 | chunks         | is whole |
+      | between chunks                     | the rest                 | a length       | is whole |
+      | between chunks                     | the rest                 | its connection | is whole |
+      | between chunks                     | an error                 | a length       | is reset |
+      | between chunks                     | an error                 | chunks         | is reset |
+      | between chunks                     | an error                 | its connection | is reset |
+      | between chunks                     | an error without an echo | a length       | is reset |
+      | between chunks                     | an error without an echo | chunks         | is reset |
+      | between chunks                     | an error without an echo | its connection | is reset |
+      | between chunks                     | a plain body             | a length       | is reset |
+      | between chunks                     | a plain body             | chunks         | is reset |
+      | between chunks                     | a plain body             | its connection | is reset |
