Show that a node's stage call takes no records of other answers

Guards for the nodes' runner client: replies that break off, go on with a whole head, a problem document, a head and more chunks, another call's chunks and end, or with records behind their end, and errors of status 500 whose body holds chunks.

Evidence: 10 scenarios in features/broken_answers.feature.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -42,3 +42,22 @@
       | 503    |
       | 429    |
       | 409    |
+
+  # Guards against a chunk of another answer in a node's stage result, and
+  # against an end that another call's record makes.
+  Scenario Outline: a stage call whose reply <reply>
+    When a node's stage call gets a reply that <reply>
+    Then the node takes <chunks> chunks of it and the call ends as <end>
+
+    Examples:
+      | reply                                     | chunks | end      |
+      | is whole                                  | 2      | done     |
+      | is an error of status 500                 | 0      | protocol |
+      | is a problem document                     | 0      | protocol |
+      | breaks off                                | 2      | lost     |
+      | breaks off within a chunk                 | 2      | lost     |
+      | goes on with a whole head                 | 2      | protocol |
+      | goes on with a problem document           | 2      | protocol |
+      | goes on with a head and more chunks       | 2      | protocol |
+      | goes on with another call's records       | 2      | lost     |
+      | goes on behind its end                    | 2      | done     |
