Take no error of another call for a stage call's own

A node ended a stage call as failed, with the reason of another call, where an error record behind a broken reply named that call. Refusals of other calls were already told apart; errors were not. The call now ends as a violation of the protocol, as for refusals.

Evidence: features/broken_answers.feature, "goes on with another call's error", fails before the change and passes after it. Three more scenarios guard the refusals of another call; they passed before.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -50,14 +50,18 @@
     Then the node takes <chunks> chunks of it and the call ends as <end>
 
     Examples:
-      | reply                                     | chunks | end      |
-      | is whole                                  | 2      | done     |
-      | is an error of status 500                 | 0      | protocol |
-      | is a problem document                     | 0      | protocol |
-      | breaks off                                | 2      | lost     |
-      | breaks off within a chunk                 | 2      | lost     |
-      | goes on with a whole head                 | 2      | protocol |
-      | goes on with a problem document           | 2      | protocol |
-      | goes on with a head and more chunks       | 2      | protocol |
-      | goes on with another call's records       | 2      | lost     |
-      | goes on behind its end                    | 2      | done     |
+      | reply                                            | chunks | end      |
+      | is whole                                         | 2      | done     |
+      | is an error of status 500                        | 0      | protocol |
+      | is a problem document                            | 0      | protocol |
+      | breaks off                                       | 2      | lost     |
+      | breaks off within a chunk                        | 2      | lost     |
+      | goes on with a whole head                        | 2      | protocol |
+      | goes on with a problem document                  | 2      | protocol |
+      | goes on with a head and more chunks              | 2      | protocol |
+      | goes on with another call's records              | 2      | lost     |
+      | goes on behind its end                           | 2      | done     |
+      | is another call's refusal                        | 0      | protocol |
+      | goes on with another call's refusal              | 2      | protocol |
+      | goes on with another call's error                | 2      | protocol |
+      | goes on with another call's refusal and its rest | 1      | protocol |
--- a/features/steps/stage_reply_steps.py
+++ b/features/steps/stage_reply_steps.py
@@ -43,6 +43,26 @@
         200,
         BEGUN + chunk(2, OTHER) + end(OTHER),
     ),
+    "is another call's refusal": (
+        200,
+        wire.encode_result(wire.ResultRefused(OTHER, 'overloaded', LOAD)),
+    ),
+    "goes on with another call's refusal": (
+        200,
+        BEGUN
+        + wire.encode_result(wire.ResultRefused(OTHER, 'overloaded', LOAD)),
+    ),
+    "goes on with another call's error": (
+        200,
+        BEGUN + wire.encode_result(wire.ResultError(OTHER, 'failed')),
+    ),
+    "goes on with another call's refusal and its rest": (
+        200,
+        chunk(0)
+        + wire.encode_result(wire.ResultRefused(OTHER, 'overloaded', LOAD))
+        + chunk(1)
+        + end(),
+    ),
     'goes on behind its end': (200, BEGUN + end() + chunk(2)),
 }
 
--- a/libs/ragwort_wire/ragwort_wire/_runner_http.py
+++ b/libs/ragwort_wire/ragwort_wire/_runner_http.py
@@ -187,9 +187,17 @@
         case ResultRefused():
             return _to_refusal_event(attempt, record)
         case ResultError():
-            return model.StageFailed(
-                attempt, model.CallFailure.FAILED, record.reason
-            )
+            return _to_error_event(attempt, record)
+
+
+def _to_error_event(
+    attempt: model.AttemptId, record: ResultError
+) -> model.StageFailed:
+    if record.attempt != str(attempt):
+        return model.StageFailed(
+            attempt, model.CallFailure.PROTOCOL, 'error of another call'
+        )
+    return model.StageFailed(attempt, model.CallFailure.FAILED, record.reason)
 
 
 def _to_refusal_event(
