Count a handed-over answer that ends with its connection as broken

A caller got the end of a stream as if it were complete where the answer of another host had neither a length nor chunks and its connection closed. Hosts frame all answers to each other, so that such an end is never one of a sound host. HopCall now counts it as broken, and the caller's answer is reset.

Not seen from a host of this build, whose server names a length or chunks; this is a guard against what else may answer at such an address.

Evidence: the last scenario of features/broken_streams.feature fails before the change and passes after it. The stand-in for the port between hosts frames its answers now, as the server does.

--- a/features/broken_streams.feature
+++ b/features/broken_streams.feature
@@ -261,3 +261,10 @@
       | between chunks                     | a plain body             | a length       | is reset |
       | between chunks                     | a plain body             | chunks         | is reset |
       | between chunks                     | a plain body             | its connection | is reset |
+
+  # Guards against taking a closed connection for the end of another host's
+  # answer, which hosts always frame.
+  Scenario: a stream from another host that ends with its connection is reset
+    Given whole hosts whose runners stream 6 events
+    When a stream is handed over and ends with its connection behind event 3
+    Then for its caller the stream is reset
--- a/features/steps/broken_stream_steps.py
+++ b/features/steps/broken_stream_steps.py
@@ -7,9 +7,11 @@
 from behave import then
 from behave import when
 
+from features.support import host_hops
 from features.support import relay_hosts
 import ragwort_edge as edge
 import ragwort_lab as lab
+from ragwort_lab import _relay_fakes as fakes
 import ragwort_relay as relay
 
 EVENTS = 6
@@ -325,6 +327,23 @@
     context.asked = _taken_up(context, *[step] * 9)
 
 
+@when('a stream is handed over and ends with its connection behind event 3')
+def end_hop(context: Any) -> None:
+    """Let the other host's process end in the middle of a stream."""
+    _cut_off(context)
+    data = b''.join(event(n) for n in range(1, BEGUN + 1))
+
+    def serve(exchange: host_hops.HopExchange) -> None:
+        head = edge.HttpResponse(200, fakes.EVENT_STREAM)
+        exchange.call.send('on_head', head)
+        exchange.call.send('on_data', data)
+        exchange.call.send('on_end', ends=True)
+
+    for port in context.world.network.hosts.values():
+        port.serve_exchange = serve
+    context.asked = [_ask(context, {'request_id': 'r1'})]
+
+
 def _held(context: Any) -> bytes:
     """Return what the caller took for its stream, without comments."""
     held = b''.join(
--- a/features/support/host_hops.py
+++ b/features/support/host_hops.py
@@ -27,7 +27,9 @@
     def start(self, status: int, headers: edge.Headers) -> None:
         """Send status and headers."""
         super().start(status, headers)
-        self.call.send('on_head', edge.HttpResponse(status, headers))
+        # As the hosts' server does.
+        framed = (*headers, (b'transfer-encoding', b'chunked'))
+        self.call.send('on_head', edge.HttpResponse(status, framed))
 
     def write(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/libs/ragwort_edge/ragwort_edge/_hand_over.py
+++ b/libs/ragwort_edge/ragwort_edge/_hand_over.py
@@ -118,6 +118,7 @@
         self.declined: str | None = None
         self.is_helper_cut_off = False
         self.has_head = False
+        self.has_frame = False
 
     def open(
         self,
@@ -170,6 +171,7 @@
         """Pass on status and headers, unless the host declines."""
         self._stop_timer()
         self.has_head = True
+        self.has_frame = _messages.is_framed(response)
         declined = response.header(DECLINED_HEADER)
         if declined is not None:
             self.declined = declined.decode('latin-1')
@@ -194,6 +196,10 @@
         if self.declined is not None:
             self._end(HopResult.DECLINED, self.declined)
             return
+        if not self.has_frame:
+            # Hosts frame their answers, so that no end of one is a close.
+            self._end(HopResult.BROKEN, 'ends with its connection')
+            return
         self.exchange.finish()
         self._end(HopResult.ANSWERED, '')
 
--- a/libs/ragwort_edge/ragwort_edge/_messages.py
+++ b/libs/ragwort_edge/ragwort_edge/_messages.py
@@ -63,6 +63,17 @@
     return None
 
 
+def is_framed(response: HttpResponse) -> bool:
+    """Tell whether a response has a length or chunks.
+
+    One without ends with its connection, for whatever reason that closes.
+    """
+    return (
+        response.header(b'content-length') is not None
+        or response.header(b'transfer-encoding') is not None
+    )
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers without the hop-by-hop ones."""
     connection_options = {
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -236,7 +236,7 @@
                 relay.SendResult.BROKEN, 'ends within an event', is_closed=True
             )
             return
-        if not self.has_numbered and _ends_with_connection(self.head):
+        if not self.has_numbered and not _messages.is_framed(self.head):
             # The runner may have ended before it began. An explicit end is
             # taken for one, as the caller may have all events already.
             self._finish(
@@ -280,11 +280,3 @@
                 is_closed_early=is_closed and not self.has_begun,
             )
         )
-
-
-def _ends_with_connection(head: _messages.HttpResponse) -> bool:
-    """Tell whether a response has neither a length nor chunks."""
-    return (
-        head.header(b'content-length') is None
-        and head.header(b'transfer-encoding') is None
-    )
