--- a/features/soak/odd_entries.py
+++ b/features/soak/odd_entries.py
@@ -56,6 +56,15 @@
     'null': 'null',
 }
 KINDS = (*ODD_FIELDS, *ODD_BODIES)
+# At least one of them is among the entries of each moment.
+NESTED = (
+    'nested arrays',
+    'nested objects',
+    'nested zone',
+    'nested cold time',
+    'arrays alone',
+    'objects alone',
+)
 
 
 def odd_entry(kind: str, service: str) -> msgspec.Raw:
@@ -75,7 +84,7 @@
 
     Hosts that follow the list no more lose all runners of the service.
     """
-    kinds = rng.sample(KINDS, rng.randint(*COUNT))
+    kinds = [rng.choice(NESTED), *rng.sample(KINDS, rng.randint(*COUNT))]
     names = [f'odd-{rng.randrange(1000):03}' for _ in kinds]
     service = rng.choice(sorted(system.SERVICES))
 
