Send a request again whose refusal breaks off

A caller's send() raised if the body of a refusal was cut short, and its request ended without an answer. The refusal can't be read, so that the request may have run: it is sent again under its key.

--- a/features/broken_answers.feature
+++ b/features/broken_answers.feature
@@ -43,6 +43,13 @@
       | 429    |
       | 409    |
 
+  # Guards against a request that ends with an exception.
+  Scenario: a request whose refusal breaks off is sent again
+    Given a caller whose first refusal breaks off
+    And whose next host sends a whole answer
+    When it sends its request
+    Then its answer is completed and holds all chunks once
+
   # Guards against a chunk of another answer in a node's stage result, and
   # against an end that another call's record makes.
   Scenario Outline: a stage call whose reply <reply>
--- a/features/steps/broken_answer_steps.py
+++ b/features/steps/broken_answer_steps.py
@@ -7,6 +7,7 @@
 from behave import then
 from behave import when
 from twisted.internet import defer
+from twisted.internet import error
 from twisted.internet import task
 from twisted.python import failure
 from twisted.web import client as web_client
@@ -21,6 +22,7 @@
 BEGUN = 2
 HEAD = b'HTTP/1.1 500 Internal Server Error\ncontent-length: 2\n\n'
 PROBLEM = json.dumps({'title': 'Problem', 'detail': 'no room'}).encode()
+CUT_PROBLEM = PROBLEM[:-4]
 ADDRESSES = json.dumps(
     {
         'addresses': [
@@ -83,17 +85,22 @@
 class BodyResponse:
     """A response whose body comes at once and whose connection then ends."""
 
-    def __init__(self, code: int, body: bytes) -> None:
-        """Answer with a status and a body."""
+    def __init__(
+        self,
+        code: int,
+        body: bytes,
+        reason: type[Exception] = web_client.ResponseDone,
+    ) -> None:
+        """Answer with a status and a body; reason says how it ends."""
         self.code = code
         self.body = body
+        self.reason = reason
 
     def deliverBody(self, reader: Any) -> None:  # noqa: N802
         """Hand the body to a reader."""
         reader.makeConnection(transports.QuietTransport())
         reader.dataReceived(self.body)
-        ended = failure.Failure(web_client.ResponseDone())
-        reader.connectionLost(ended)
+        reader.connectionLost(failure.Failure(self.reason()))
 
 
 class ScriptedHosts:
@@ -108,11 +115,15 @@
     ) -> 'defer.Deferred[Any]':
         """Answer a request."""
         if '/v1/addresses' in url:
-            return defer.succeed(BodyResponse(200, ADDRESSES))
+            whole = BodyResponse(200, ADDRESSES, web_client.ResponseDone)
+            return defer.succeed(whole)
         code, content = self.responses[0]
+        reason = web_client.ResponseDone
+        if content == CUT_PROBLEM:
+            reason = error.ConnectionLost
         if len(self.responses) > 1:
             self.responses.pop(0)
-        return defer.succeed(BodyResponse(code, content))
+        return defer.succeed(BodyResponse(code, content, reason))
 
 
 @given('a caller whose stream breaks off with {what}')
@@ -121,6 +132,18 @@
     context.responses = [(200, BEGINNING + BROKEN[what])]
 
 
+@given('a caller whose first refusal breaks off')
+def cut_refusal(context: Any) -> None:
+    """Let the first answer be a refusal that is not whole."""
+    context.responses = [(503, CUT_PROBLEM)]
+
+
+@given('whose next host sends a whole answer')
+def send_whole(context: Any) -> None:
+    """Let the next answer bring everything."""
+    context.responses.append((200, BEGINNING + REST))
+
+
 @given('whose next host sends the rest')
 def send_rest(context: Any) -> None:
     """Let the next answer bring the rest."""
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -833,6 +833,9 @@
 class StubResponse:
     """A response whose body comes at once."""
 
+    # A refusal without a key counts on a connection of its own alone.
+    is_first = True
+
     def __init__(self, code: int, body: bytes) -> None:
         """Answer with a status code and a body."""
         self.code = code
@@ -854,7 +857,9 @@
         self.addresses = addresses
         self.refusal = refusal
 
-    def request(self, method: bytes, url: str, body: bytes = b'') -> Any:
+    def request(
+        self, method: bytes, url: str, body: bytes = b'', fresh: bool = False
+    ) -> Any:
         """Answer a request."""
         if '/v1/addresses' in url:
             response = StubResponse(200, self.addresses.encode())
--- a/libs/ragwort_client/ragwort_client/_client.py
+++ b/libs/ragwort_client/ragwort_client/_client.py
@@ -298,9 +298,13 @@
             self.expires_at = 0.0
             return
         if response.code != 200:
-            content = yield http.read_body(response)
-            problem = wire.decode_problem(response.code, content)
             self.expires_at = 0.0
+            try:
+                content = yield http.read_body(response)
+            except Exception:  # noqa: B902
+                progress.may_run = True
+                return
+            problem = wire.decode_problem(response.code, content)
             is_first = http.is_first_answer(response)
             if problem.key != progress.key and (problem.key or not is_first):
                 # It may be an earlier request's, and this one may run.
