Free the other results if a handle names no address

A stage runner whose handle did not begin with an IPv4 address and a port kept other results from being freed: the release raised ValueError as it split the address, and the calls to the runners behind it in the same turn were not made. Their results filled the runners' storage until they expired.

Cause: a handle's address went to the connection as it was.

A handle without an address is logged as release-skipped and left to expire.

Evidence: 3 new scenarios in features/odd_entries.feature, all failed before and none does now; stage_pieces, result_storage and stage_runner_crashes pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -406,3 +406,16 @@
     Given 5 relay hosts whose store answers
     When host 0 sends to a peer of an odd address, then to host 1
     Then host 1 gets the message and host 0 has counted the error
+
+  # Guards against results that stay in the runners' storage, as the release of
+  # one whose handle names no address raises an error.
+  Scenario Outline: a handle <handle> keeps no other result from being freed
+    Given a host that owns a stage service
+    When it is to free the result <handle>, then one of a runner
+    Then the runner is asked to free its result
+
+    Examples:
+      | handle        |
+      | odd/1         |
+      | 10.0.0.1:x/1  |
+      | /1            |
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -978,3 +978,42 @@
     assert context.got, context.got
     text = context.world.hosts[0].metrics.text().decode()
     assert 'ragwort_unexpected_errors_total{part="send"}' in text
+
+
+@when('it is to free the result {handle}, then one of a runner')
+def free_odd_handle(context: Any, handle: str) -> None:
+    """Free both at once, and note the handles that runners are told."""
+    world = context.world
+    context.freed = []
+    dialect: Any = world.hosts[0].context.dialect
+    write_release = dialect.release_request
+
+    def write(address: str, handles: Any, runner: Any) -> Any:
+        context.freed.append((address, list(handles)))
+        return write_release(address, handles, runner)
+
+    dialect.release_request = write
+    network: Any = world.network
+    open_call = network.open
+
+    def open_checked(address: str, *arguments: Any) -> Any:
+        model.split_address(address)
+        return open_call(address, *arguments)
+
+    # Splits addresses as real connections do.
+    network.open = open_checked
+    context.address = next(iter(world.network.runners))
+    handles = [handle, f'{context.address}/1']
+    world.hosts[0].stages.release('first', handles)
+    context.error = None
+    try:
+        world.run(1.0)
+    except ValueError as error:
+        context.error = error
+
+
+@then('the runner is asked to free its result')
+def check_freed(context: Any) -> None:
+    """Compare the calls."""
+    expected = (context.address, [f'{context.address}/1'])
+    assert expected in context.freed, (context.freed, context.error)
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -614,6 +614,9 @@
         """Free results at their runners, with one call for each runner."""
         for handle in handles:
             address = self.dialect.handle_address(handle)
+            if not _is_address(address):
+                self.logger.info('release-skipped', runner=address, results=1)
+                continue
             self.releases.setdefault(address, []).append(handle)
         is_storage_needed = any(g.queue for g in self.batchers.values())
         delay_s = 0.0 if is_storage_needed else RELEASE_DELAY_S
@@ -665,6 +668,15 @@
                 self.schedule_dispatch(service, 0.0)
 
 
+def _is_address(text: str) -> bool:
+    """Tell whether a runner's handle begins with an address."""
+    try:
+        model.parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_sound_ask(message: model.StageAsk) -> bool:
     """Tell whether the numbers of a group can be used for calls."""
     numbers = (message.target_s, message.deadline_s, message.result_bytes)
