Let the soak tell a runner's cut from that of a leaving host

Its log shows that runners broke them off (send-failed, broken, 0.1 s and 0.2 s after the signal), which the new fault brings about on purpose; the check knew cuts of runners only by faults that concern all callers. Runners now note which streams they cut, and the check excuses exactly these. A scenario shows that it still catches others.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -118,3 +118,10 @@
     When a request that got no answer is in the records
     And a fault concerned its host
     Then no promise is broken
+
+  Scenario: a stream that its runner broke off may end while its host leaves
+    Given the records of a sound run
+    When a request that a leaving host cut is in the records
+    Then only the promise "leaving" is broken
+    When its runner had broken it off
+    Then no promise is broken
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -129,6 +129,8 @@
     strandings: list[Disturbance] = dataclasses.field(default_factory=list)
     same_crashes: list[float] = dataclasses.field(default_factory=list)
     same_arrivals: list[float] = dataclasses.field(default_factory=list)
+    # Requests whose streams a runner cut.
+    broken_off: set[str] = dataclasses.field(default_factory=set)
     # Times at which brittle runners fell over.
     falls: list[float] = dataclasses.field(default_factory=list)
     # Runners of an evacuated domain, and what was sent to them.
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -484,7 +484,10 @@
         for one in records.outcomes:
             is_open = one.asked_at < gone.told_at < one.ended_at
             if one.host == gone.host and is_open and one.problem == 'closed':
-                if not _is_disturbed(records, one):
+                is_excused = _is_disturbed(records, one) or (
+                    one.request_id in records.broken_off
+                )
+                if not is_excused:
                     yield f'{one.request_id} was cut by {gone.host} leaving'
 
 
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -549,11 +549,13 @@
         if self.resumed and number == CUT_EVENT and next(self.turns) % 2:
             self.running = max(self.running - 1, 0)
             exchange.write(text[: len(text) // 2])
+            self.records.broken_off.add(request_id)
             strange_answers.close(exchange)
             return
         if self.mode == RunnerMode.CUT and number > EVENTS // 2:
             self.running = max(self.running - 1, 0)
             exchange.write(text[: len(text) // 2])
+            self.records.broken_off.add(request_id)
             exchange.abort()
             return
         exchange.write(text)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -554,3 +554,11 @@
     """Compare the names of the broken promises."""
     broken = promises.broken_promises(context.records)
     assert {text.partition(':')[0] for text in broken} == {name}, broken
+
+
+@when('its runner had broken it off')
+def note_broken_off(context: Any) -> None:
+    """Let runners have cut all streams."""
+    context.records.broken_off |= {
+        one.request_id for one in context.records.outcomes
+    }
