Keep the first send whatever comes of the second

The overlap of two runners began before the second one had the request. A call that could not be opened left its runner's count of open calls too high, one that ended while another was looked at too low. Results made again for a resumed stream stayed in their storage until its end.

A response that is no event stream now counts as lost once the answer has begun; a stream without events counts as broken, and comments are not passed on, while the first runner may go on; whatever keeps the request from a second runner, the first one is waited for, and looked at less often each time. Only an address that answers nothing at all counts as out of reach, for each send by itself. An ended send is recorded, not cancelled.

Evidence: eight scenarios more in features/silent_runners.feature, all failed before, none now, and each of its streams leaves no call counted as open.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -8,6 +8,7 @@
     And <hindrance>
     When a resumable request is sent, and 6 s pass
     Then the caller gets events 1 to 6 once each and a whole answer
+    And no runner counts a call as open
 
     Examples:
       | silence | hindrance                                  |
@@ -28,6 +29,13 @@
       | 1.7     | the other runner is of another version     |
       | 1.7     | the other runner's domain is evacuated     |
       | 1.7     | the first runner breaks off before that    |
+      | 1.7     | the other runner answers 301               |
+      | 1.7     | the other runner answers 404               |
+      | 1.7     | the other runner answers 410               |
+      | 1.7     | the other runner ends without an event     |
+      | 1.7     | the other runner sends a comment and ends  |
+      | 1.7     | a second request can't be built            |
+      | 3.4     | the first runner refuses new connections   |
 
   # Guards against a first answer given up while no other comes of it.
   Scenario Outline: a <kind> request whose runner begins after <silence> s is served though <hindrance>
@@ -76,6 +84,14 @@
     When a resumable request is sent, and 3 s pass
     Then both runners worked on it for at most 0.4 s
 
+  # Guards against runners that count as busy for ever.
+  Scenario: a send that can't be opened leaves nothing behind
+    Given 2 runners that all do "ok"
+    And a request can't be built
+    When a once request is sent
+    Then the caller gets 502 after 0 runs
+    And no runner counts a call as open
+
   Scenario: a caller who leaves ends both sends of its stream
     Given 2 stream runners of 6 events, silent for 9 s behind event 2
     And the other runner is silent
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -19,7 +19,14 @@
     'breaks off at once': 'reset',
     'is silent': 'silent',
     'asks for a pause': 'pause:9',
+    'answers 301': 'status:301',
+    'answers 404': 'status:404',
+    'answers 410': 'status:410',
+    'ends without an event': 'bytes:nothing',
+    'sends a comment and ends': 'bytes:comment',
 }
+BODIES = {'nothing': b'', 'comment': b': on its way\n\n'}
+CHUNKS = ((b'transfer-encoding', b'chunked'),)
 # Events of which the first runner breaks off in the middle of the second.
 BREAKS_OFF = 'cut:1'
 
@@ -109,12 +116,54 @@
 def hinder_other(context: Any, what: str) -> None:
     """Let the second runner be of no use, once the first one has begun."""
     context.other = context.runners[1]
+    context.other.bodies = {
+        name: lambda last, body=body: body for name, body in BODIES.items()
+    }
+    if what.startswith(('ends', 'sends')):
+        context.other.extra_headers = CHUNKS
     if what in SCRIPTS:
         context.other.script = [SCRIPTS[what]] * 20
     else:
         context.world.clock.callLater(0.1, HINDRANCES[what], context)
 
 
+@given("a second request can't be built")
+def break_second(context: Any) -> None:
+    """Let the dialect fail at all requests but the first."""
+    break_requests(context, 1)
+
+
+@given("a request can't be built")
+def break_first_request(context: Any) -> None:
+    """Let the dialect fail at all requests."""
+    break_requests(context, 0)
+
+
+def break_requests(context: Any, sound: int) -> None:
+    """Let the dialect fail behind some requests."""
+    dialect = context.world.hosts[0].context.dialect
+    build = dialect.main_request
+    built: list[Any] = []
+
+    def fail(call: Any) -> Any:
+        built.append(call)
+        if len(built) > sound:
+            raise ZeroDivisionError('of the test')
+        return build(call)
+
+    dialect.main_request = fail
+
+
+@given('the first runner refuses new connections')
+def refuse_new(context: Any) -> None:
+    """Let nobody listen there, and no other runner be of use."""
+    first, context.other = context.runners
+    context.other.script = ['full'] * 20
+    context.world.clock.callLater(
+        0.1, context.world.network.runners.pop, first.address
+    )
+
+
 @hindrance('takes no connection')
 def refuse(context: Any) -> None:
     """Let nobody listen."""
@@ -179,6 +228,14 @@
     assert first.closed_at - second.at <= seconds, (first, second)
 
 
+@then('no runner counts a call as open')
+def check_inflight(context: Any) -> None:
+    """Look at what the host has noted."""
+    fleet = context.world.hosts[0].catalog.fleet
+    found = [runner.state.inflight for runner in fleet.runners.values()]
+    assert not any(found), found
+
+
 @then('no runner has an open connection {seconds:g} s later')
 def check_all_closed(context: Any, seconds: float) -> None:
     """Look at the runners' ends."""
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -682,7 +682,9 @@
                 response,
                 detail=f'status {response.status}',
             )
-        if self._is_resumed and response.status < HTTP_REDIRECT:
+        if self.exchange.is_started or (
+            self._is_resumed and response.status < HTTP_REDIRECT
+        ):
             # Its caller would take it for the rest of the stream.
             return _sends.SendOutcome(
                 relay.SendResult.LOST, detail='no event stream'
--- a/libs/ragwort_edge/ragwort_edge/_send_loop.py
+++ b/libs/ragwort_edge/ragwort_edge/_send_loop.py
@@ -4,7 +4,9 @@
 runner has taken the request over, and while none can, it is waited for.
 """
 
+from collections.abc import Callable
 import math
+import traceback
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -29,6 +31,8 @@
 # without one after which nothing more is expected of it.
 REACH_CHECK_S = 1.0
 UNREACHABLE_S = 1.0
+# Name of a failed second send in the log and the metrics.
+SECOND_SEND = 'second-send'
 
 
 class SendEnd(msgspec.Struct):
@@ -63,8 +67,8 @@
         self.is_first_back = False
         self.overlap_timer: Any = None
         self.check_due_at = -math.inf
-        # Since when the leading send's runner has taken no connection.
-        self.unreachable_at: float | None = None
+        # Interval until another runner is looked for again.
+        self.look_again_s = LOOK_AGAIN_S
 
     async def run(self) -> SendEnd | None:
         """Return how the request ended, None if another host served it.
@@ -105,8 +109,12 @@
         runner = handler.take_runner(self.service, self.tried, excluded)
         send = handler.new_send(runner, self)
         runner.state.on_dispatch()
-        self.context.catalog.on_send(runner, send.opened_at)
-        handler.open_send(send)
+        try:
+            self.context.catalog.on_send(runner, send.opened_at)
+            handler.open_send(send)
+        except Exception:
+            self._abandon(send)
+            raise
         return send
 
     async def _step_after(self, outcome: _sends.SendOutcome) -> relay.NextStep:
@@ -138,6 +146,11 @@
 
     # A silent runner.
 
+    @property
+    def has_other(self) -> bool:
+        """Tell whether a silent send is open beside the leading one."""
+        return self.kept is not None
+
     def on_silent(self, send: _sends.Send) -> None:
         """Ask another runner if one can take over, else go on waiting."""
         may_ask = self.kept is None and self._may_ask_another(send)
@@ -148,7 +161,7 @@
         if may_ask:
             send.pass_on(send.lost('runner is silent', is_silent=True))
         else:
-            send.expect(LOOK_AGAIN_S)
+            send.expect(self.look_again_s)
 
     def _may_ask_another(self, send: _sends.Send) -> bool:
         """Spend the budget for a send beside this one, if all allows it."""
@@ -182,18 +195,21 @@
         """Give a send up whose runner has been out of reach for a while."""
         now = self.context.reactor.seconds()
         self.check_due_at = now
-        if state == _client.AddressState.OPEN:
+        if state != _client.AddressState.OPEN:
+            self.context.catalog.reach.on_unreachable(send.runner, now)
+        if state != _client.AddressState.SILENT:
+            # A runner that refuses new connections may keep those it has.
             self.check_due_at += REACH_CHECK_S
-            self.unreachable_at = None
+            send.unreachable_at = None
             return
-        self.context.catalog.reach.on_unreachable(send.runner, now)
         if send is not self.lead or send.ended is not None:
             return
-        if self.unreachable_at is None or self.unreachable_at < send.heard_at:
-            self.unreachable_at = now
-        elif now >= self.unreachable_at + UNREACHABLE_S:
+        since = send.unreachable_at
+        if since is None or since < send.heard_at:
+            send.unreachable_at = now
+        elif now >= since + UNREACHABLE_S:
             send.stop()
-            send.end(send.lost('runner is silent and takes no connection'))
+            send.end(send.lost('runner is silent and out of reach'))
 
     async def _ask_another(
         self, first: _sends.Send
@@ -212,9 +228,15 @@
                 raise
             self._go_back(first)
             return None
-        except _context.RefusedError:
+        # Whatever keeps the request from a second runner.
+        except Exception as error:
             if self.kept is None:
                 raise
+            if not isinstance(error, _context.RefusedError):
+                self.context.last_resort.report(
+                    SECOND_SEND, traceback.format_exc()
+                )
+            self.look_again_s *= 2
             self._go_back(first)
             return None
         finally:
@@ -235,26 +257,28 @@
         await self.handler.await_place(self.service)
         self.lead = self._open((first.runner.name,))
         if self.overlap_s is not None and self.kept is not None:
-            self._set_overlap_timer(self.overlap_s)
+            self._await_connection(self.overlap_s)
         ended: _sends.SendOutcome = await self.lead.outcome()
         return ended
 
-    def _set_overlap_timer(self, delay_s: float) -> None:
-        self.overlap_timer = self.context.reactor.callLater(
-            delay_s, self._end_overlap
-        )
+    def _set_overlap_timer(
+        self, delay_s: float, then: Callable[[], None]
+    ) -> None:
+        self.overlap_timer = self.context.reactor.callLater(delay_s, then)
 
     def _stop_overlap_timer(self) -> None:
         if self.overlap_timer is not None and self.overlap_timer.active():
             self.overlap_timer.cancel()
         self.overlap_timer = None
 
-    def _end_overlap(self) -> None:
-        """Leave the request to the second runner if that may have it."""
+    def _await_connection(self, overlap_s: float) -> None:
+        """Count the overlap from when the second runner has the request."""
         if self.lead is not None and self.lead.was_sent:
-            self._drop_kept()
+            self._set_overlap_timer(overlap_s, self._drop_kept)
         else:
-            self._set_overlap_timer(CONNECTING_S)
+            self._set_overlap_timer(
+                CONNECTING_S, lambda: self._await_connection(overlap_s)
+            )
 
     def on_answer(self, send: _sends.Send) -> None:
         """Let the first send that brings something go on alone."""
@@ -292,7 +316,7 @@
             self.handler.stages.release_all()
         first.go_on()
         if first.ended is None and not self.is_first_back:
-            first.expect(LOOK_AGAIN_S)
+            first.expect(self.look_again_s)
 
     def _drop_kept(self) -> None:
         """Close the connection to the silent runner."""
@@ -323,6 +347,9 @@
         sends = [send for send in (self.lead, self.kept) if send is not None]
         self.lead = self.kept = None
         for send in sends:
+            if send.ended is not None:
+                self.handler.record_send(self.service, send, send.ended)
+                continue
             self._abandon(send)
             if send.was_sent and not send.has_begun:
                 self.handler.note_silence(send.runner, send.opened_at)
--- a/libs/ragwort_edge/ragwort_edge/_sends.py
+++ b/libs/ragwort_edge/ragwort_edge/_sends.py
@@ -33,6 +33,10 @@
 class SendOwner(Protocol):
     """What a send tells whoever opened it."""
 
+    @property
+    def has_other(self) -> bool:
+        """Tell whether a silent send is open beside the leading one."""
+
     def on_silent(self, send: 'Send') -> None:
         """Decide what becomes of a send whose runner is silent."""
 
@@ -62,6 +66,8 @@
         self.heard_at = self.opened_at
         # What heard_at was when the latest silence was logged.
         self.silence_logged_at: float | None = None
+        # Since when the runner has answered no connection at all.
+        self.unreachable_at: float | None = None
         # Set once the request's attempts include this send.
         self.is_counted = False
         self.timer: Any = None
--- a/libs/ragwort_edge/ragwort_edge/_stream.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream.py
@@ -186,6 +186,9 @@
 
     def _pass_on(self, events: list[relay.StreamEvent]) -> None:
         """Forward events, which may be the first ones."""
+        if self.owner.has_other and not self.has_numbered:
+            # Comments are no answer, and another runner may go on.
+            return
         is_first = not self.event_count
         self.event_count += len(events)
         self.heard_at = self.context.reactor.seconds()
@@ -196,7 +199,8 @@
         self._forward(b''.join(event.data for event in events))
 
     def _on_first_event(self) -> None:
-        """Let the host learn from the time that the first event took."""
+        """Free the results that the runner has read; learn from its time."""
+        self.handler.stages.release_all()
         now = self.context.reactor.seconds()
         self.handler.placement.on_first_event(
             self.runner, now - self.opened_at, now
@@ -251,9 +255,11 @@
                 relay.SendResult.BROKEN, 'ends within an event', is_closed=True
             )
             return
-        if not self.has_numbered and not _messages.is_framed(self.head):
+        is_sure = _messages.is_framed(self.head) and not self.owner.has_other
+        if not self.has_numbered and not is_sure:
             # The runner may have ended before it began. An explicit end is
-            # taken for one, as the caller may have all events already.
+            # taken for one, as the caller may have all events already, unless
+            # the runner that sent those may go on.
             self._finish(
                 relay.SendResult.BROKEN,
                 'ends without an event',
