Explain the intervals of the send loop and drop a repeated line

Read as a newcomer would: two constants and the second send had no word of explanation, and the host set the error callback of the callers' site twice. No behaviour changes; features/silent_runners.feature passes.

--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -303,7 +303,6 @@
         for site in (self.caller_site, self.hop_site):
             site.on_slow_reader = self._on_slow_reader
             site.on_error = self._on_http_error
-        self.caller_site.on_error = self._on_http_error
         self.ports: list[Any] = []
         self.caller_port: Any = None
         self.leaving_at: float | None = None
--- a/libs/ragwort_edge/ragwort_edge/_send_loop.py
+++ b/libs/ragwort_edge/ragwort_edge/_send_loop.py
@@ -23,12 +23,13 @@
 
 # Interval of looking for another runner while one is silent.
 LOOK_AGAIN_S = 0.25
-# Longest time for which two runners work on one stream. A runner that does
-# not take a request says so within it.
+# Longest time for which two runners work on one stream. Most runners that do
+# not take a request say so within it.
 OVERLAP_S = 0.3
+# Interval of looking whether the second runner has the request.
 CONNECTING_S = 0.05
-# Interval of looking whether a silent runner takes connections, and the time
-# without one after which nothing more is expected of it.
+# Interval of looking whether a silent runner's address answers connections,
+# and the time without an answer after which its connection counts as dead.
 REACH_CHECK_S = 1.0
 UNREACHABLE_S = 1.0
 # Name of a failed second send in the log and the metrics.
@@ -63,6 +64,7 @@
         self.lead: _sends.Send | None = None
         # A silent send whose connection is open while another one is tried.
         self.kept: _sends.Send | None = None
+        # The second send, from its preparation to its end.
         self.trial: defer.Deferred[_sends.SendOutcome] | None = None
         self.is_first_back = False
         self.overlap_timer: Any = None
@@ -180,7 +182,7 @@
         )
 
     def _check_reach(self, send: _sends.Send) -> None:
-        """Look whether a silent runner takes connections."""
+        """Look whether a silent runner's address answers connections."""
         now = self.context.reactor.seconds()
         if now < self.check_due_at:
             return
@@ -252,6 +254,7 @@
         return None
 
     async def _try_second(self, first: _sends.Send) -> _sends.SendOutcome:
+        """Send to a second runner and return how that ended."""
         self.handler.placement.on_send_over(self.context.reactor.seconds())
         await self._renew_inputs()
         await self.handler.await_place(self.service)
