--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -176,13 +176,17 @@
     stream the number of its events.
     """
 
-    def __init__(self, store, record, service, zone, plan, slots=8):
+    def __init__(self, store, record, service, zone, plan, slots=8,
+                 queue=24):
         self.store = store
         self.record = record
         self.service = service
         self.zone = zone
         self.plan = plan
         self.slots = slots
+        self.queue = queue
+        self.waiting = 0
+        self.free = asyncio.Condition()
         self.identifier = f'i-{random.getrandbits(32):08x}'
         self.state = 'ready'
         self.born = int(time.time() * 1000)
@@ -224,7 +228,7 @@
 
     def headers(self, message, seal=True):
         """Return the headers of an answer to a request."""
-        found = [('Server-Load', f'{self.running},0,{self.slots}')]
+        found = [('Server-Load', f'{self.running},{self.waiting},{self.slots}')]
         if message.get('request-id'):
             found.append(('Request-Id', message.get('request-id')))
         if seal:
@@ -252,14 +256,29 @@
         if not message.get('request-id'):
             writer.write(http.response(400, not_run))
             return None
-        if self.running >= self.slots:
+        if self.running >= self.slots and self.waiting >= self.queue:
             writer.write(http.response(503, not_run))
             return None
-        return await self._run(method, target, message, writer)
+        await self._await_slot()
+        try:
+            return await self._run(method, target, message, writer)
+        finally:
+            self.running -= 1
+            async with self.free:
+                self.free.notify()
+
+    async def _await_slot(self):
+        self.waiting += 1
+        try:
+            async with self.free:
+                while self.running >= self.slots:
+                    await self.free.wait()
+                self.running += 1
+        finally:
+            self.waiting -= 1
 
     async def _run(self, method, target, message, writer):
         request_id = message.get('request-id')
-        self.running += 1
         self.ran.append((request_id, method, target, message.body))
         self.record.add(
             f'runner {self.service} begins {method} {target} id {request_id} '
@@ -279,7 +298,6 @@
                 await writer.drain()
             end = 'ends'
         finally:
-            self.running -= 1
             self.record.add(f'runner {self.service} {end} {request_id}')
 
     async def _stream(self, message, writer, work_s, events):
@@ -466,7 +484,11 @@
         """Return the resident memory now, in MB of 1,000,000 bytes."""
         if self.process is None or self.process.returncode is not None:
             return 0.0
-        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        try:
+            path = pathlib.Path(f'/proc/{self.process.pid}/status')
+            status = path.read_text()
+        except OSError:
+            return 0.0
         found = re.search(r'VmRSS:\s+(\d+) kB', status)
         now = int(found[1]) * 1024 / 1e6 if found else 0.0
         self.peak_mb = max(self.peak_mb, now)
