--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -67,6 +67,19 @@
         self.changed = asyncio.Condition()
         self.server = None
         self.address = ''
+        self.is_down = False
+
+    async def go_down(self):
+        """Answer 503 from now on, to open watches too: nothing is done."""
+        self.is_down = True
+        self.record.add('the store is down: it answers all calls with 503')
+        async with self.changed:
+            self.changed.notify_all()
+
+    def come_back(self):
+        """Serve again."""
+        self.is_down = False
+        self.record.add('the store is back')
 
     async def start(self):
         """Listen on a free port."""
@@ -115,6 +128,8 @@
         else:
             body = json.loads(message.body) if message.body else {}
             status, body = await self._write(method, kind, name, body)
+        if self.is_down:
+            status, body = 503, {}
         headers = [('Content-Type', 'application/json'), ('Store-Era', 1)]
         data = json.dumps(body).encode()
         writer.write(http.response(status, headers, data))
@@ -134,7 +149,7 @@
     async def _watch(self, kind, argument):
         since = int(argument['watch'])
         until = time.monotonic() + int(argument.get('waitMs', 0)) / 1000
-        while True:
+        while not self.is_down:
             events = [
                 event
                 for revision, of, event in self.history
@@ -142,13 +157,18 @@
             ]
             left = until - time.monotonic()
             if events or left <= 0:
-                break
+                return 200, {
+                    'events': events,
+                    'storeRevision': self.revision,
+                }
             async with self.changed:
                 with contextlib.suppress(asyncio.TimeoutError):
                     await asyncio.wait_for(self.changed.wait(), left)
-        return 200, {'events': events, 'storeRevision': self.revision}
+        return 503, {}
 
     async def _write(self, method, kind, name, body):
+        if self.is_down:
+            return 503, {}
         metadata = body.get('metadata', {})
         name = name or metadata.get('name', '')
         item = self.objects.get((kind, name))
@@ -177,7 +197,7 @@
     """
 
     def __init__(self, store, record, service, zone, plan, slots=8,
-                 queue=24):
+                 queue=24, version='v1'):
         self.store = store
         self.record = record
         self.service = service
@@ -189,6 +209,8 @@
         self.free = asyncio.Condition()
         self.identifier = f'i-{random.getrandbits(32):08x}'
         self.state = 'ready'
+        self.version = version
+        self.connections = set()
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.address = ''
@@ -205,14 +227,33 @@
         await self.register()
         self.beat = asyncio.ensure_future(self._keep_alive())
 
+    async def restart(self, version, down_s):
+        """End, and start again in place under the same identifier."""
+        port = int(self.address.rpartition(':')[2])
+        self.record.add(f'runner {self.identifier} ({self.version}) ends')
+        self.beat.cancel()
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.server = await http.serve('127.0.0.1', self.answer, port)
+        self.record.add(f'runner {self.identifier} is back, as {version}')
+        await self.register()
+        self.beat = asyncio.ensure_future(self._keep_alive())
+
     async def register(self):
-        """Write the entry."""
+        """Write the entry, if the store takes it."""
+        if self.store.is_down:
+            return
         self.sequence += 1
         entry = {
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'coldRemainingMs': 0,
@@ -237,6 +278,13 @@
 
     async def answer(self, message, writer):
         """Run one request, or say that it is not run."""
+        self.connections.add(writer)
+        try:
+            return await self._answer(message, writer)
+        finally:
+            self.connections.discard(writer)
+
+    async def _answer(self, message, writer):
         method, target, _ = message.first.split(' ')
         if target == '/health':
             headers = [('Instance-Id', self.identifier)]
@@ -281,7 +329,8 @@
         request_id = message.get('request-id')
         self.ran.append((request_id, method, target, message.body))
         self.record.add(
-            f'runner {self.service} begins {method} {target} id {request_id} '
+            f'runner {self.service} {self.identifier} ({self.version}) begins '
+            f'{method} {target} id {request_id} '
             f'body of {len(message.body)} bytes, '
             f'tenant {message.get("tenant")}'
         )
@@ -310,7 +359,8 @@
         first = int(message.get('last-event-id') or 0) + 1
         for number in range(first, events + 1):
             await asyncio.sleep(work_s / events)
-            event = event_text(message.get('request-id'), number)
+            event = event_text(
+                message.get('request-id'), number, self.version)
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
         writer.write(b'0\r\n\r\n')
@@ -322,9 +372,9 @@
     return f'answer to {request_id} {target} {len(body)}'.encode()
 
 
-def event_text(request_id, number):
-    """Return one event of a stream."""
-    return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
+def event_text(request_id, number, version):
+    """Return one event of a stream, which shows the software version."""
+    return f'id: {number}\ndata: {request_id} {number} {version}\n\n'.encode()
 
 
 # The operator's configuration.
