--- a/review/3/case.py
+++ b/review/3/case.py
@@ -66,7 +66,7 @@
         rig.record.add(f'runner {runner.identifier} ({runner.version}) has '
                        f'{runner.running} streams')
     if is_disturbed:
-        await rig.store.go_down()
+        rig.store.go_down()
     began_at = asyncio.get_running_loop().time()
     for runner, at_s in zip(rig.runners, UPGRADES_AT_S, strict=False):
         loop = asyncio.get_running_loop()
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -64,17 +64,16 @@
         self.revision = 10
         self.objects = {}
         self.history = []
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.server = None
         self.address = ''
         self.is_down = False
 
-    async def go_down(self):
+    def go_down(self):
         """Answer 503 from now on, to open watches too: nothing is done."""
         self.is_down = True
         self.record.add('the store is down: it answers all calls with 503')
-        async with self.changed:
-            self.changed.notify_all()
+        self._wake()
 
     def come_back(self):
         """Serve again."""
@@ -98,20 +97,24 @@
         created = known['metadata']['created'] if known else self.revision
         item['metadata']['created'] = created
         self.objects[kind, name] = item
-        await self._note(kind, item, False)
+        self._note(kind, item, False)
 
     async def remove(self, kind, name):
         """Remove an object and wake the watches."""
         item = self.objects.pop((kind, name), None)
         if item is not None:
             self.revision += 1
-            await self._note(kind, item, True)
+            self._note(kind, item, True)
 
-    async def _note(self, kind, item, deleted):
+    def _note(self, kind, item, deleted):
         event = {'object': item, 'deleted': deleted}
         self.history.append((self.revision, kind, event))
-        async with self.changed:
-            self.changed.notify_all()
+        self._wake()
+
+    def _wake(self):
+        """Let all open watches look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def answer(self, message, writer):
         """Answer one call of a host."""
@@ -161,9 +164,8 @@
                     'events': events,
                     'storeRevision': self.revision,
                 }
-            async with self.changed:
-                with contextlib.suppress(asyncio.TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), left)
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), left)
         return 503, {}
 
     async def _write(self, method, kind, name, body):
@@ -206,7 +208,7 @@
         self.slots = slots
         self.queue = queue
         self.waiting = 0
-        self.free = asyncio.Condition()
+        self.places = asyncio.Semaphore(slots)
         self.identifier = f'i-{random.getrandbits(32):08x}'
         self.state = 'ready'
         self.version = version
@@ -307,23 +309,17 @@
         if self.running >= self.slots and self.waiting >= self.queue:
             writer.write(http.response(503, not_run))
             return None
-        await self._await_slot()
-        try:
-            return await self._run(method, target, message, writer)
-        finally:
-            self.running -= 1
-            async with self.free:
-                self.free.notify()
-
-    async def _await_slot(self):
         self.waiting += 1
         try:
-            async with self.free:
-                while self.running >= self.slots:
-                    await self.free.wait()
-                self.running += 1
+            await self.places.acquire()
         finally:
             self.waiting -= 1
+        self.running += 1
+        try:
+            return await self._run(method, target, message, writer)
+        finally:
+            self.running -= 1
+            self.places.release()
 
     async def _run(self, method, target, message, writer):
         request_id = message.get('request-id')
