--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -219,6 +219,9 @@
         self.server = None
         self.running = 0
         self.ran = []
+        self.arrivals = []
+        # When the store took the word that this runner leaves.
+        self.left_at = None
         self.beat = None
 
     async def start(self):
@@ -229,6 +232,21 @@
         await self.register()
         self.beat = asyncio.ensure_future(self._keep_alive())
 
+    async def leave(self, serves_on_s):
+        """Say draining, serve on for a while, and be gone."""
+        self.state = 'draining'
+        await self.register()
+        self.left_at = time.monotonic()
+        self.record.add(f'the store takes that runner {self.identifier} is '
+                        'draining')
+        await asyncio.sleep(serves_on_s)
+        self.beat.cancel()
+        await self.store.remove('servers', self.identifier)
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.record.add(f'runner {self.identifier} is gone')
+
     async def restart(self, version, down_s):
         """End, and start again in place under the same identifier."""
         port = int(self.address.rpartition(':')[2])
@@ -324,6 +342,7 @@
     async def _run(self, method, target, message, writer):
         request_id = message.get('request-id')
         self.ran.append((request_id, method, target, message.body))
+        self.arrivals.append((request_id, time.monotonic()))
         self.record.add(
             f'runner {self.service} {self.identifier} ({self.version}) begins '
             f'{method} {target} id {request_id} '
@@ -597,12 +616,8 @@
         await self.store.put('config', 'main', config)
         for service, count, plan, slots in runners:
             for index in range(count):
-                runner = Runner(
-                    self.store, self.record, service,
-                    self.zones[index % len(self.zones)], plan, slots,
-                )
-                await runner.start()
-                self.runners.append(runner)
+                zone = self.zones[index % len(self.zones)]
+                await self.add_runner(service, zone, plan, slots)
         base = free_base()
         ports = free_ports(f'{base}.1', 5)
         seeds = [
@@ -627,6 +642,14 @@
         await asyncio.sleep(1.5)
         self.record.add(f'{len(self.hosts)} hosts are ready')
 
+    async def add_runner(self, service, zone, plan, slots):
+        """Start a runner, which registers."""
+        runner = Runner(
+            self.store, self.record, service, zone, plan, slots)
+        await runner.start()
+        self.runners.append(runner)
+        return runner
+
     def log(self, host):
         """Return what a host has logged."""
         path = self.temporary / f'{host.name}.log'
