--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -87,13 +87,18 @@
         self.address = f'127.0.0.1:{port}'
 
     async def put(self, kind, name, specification):
-        """Write an object and wake the watches."""
+        """Write an object and wake the watches.
+
+        A runner's entry changes when more than its sequence changes.
+        """
+        known = self.objects.get((kind, name))
+        if known is not None and _same(known['specification'], specification):
+            return
         self.revision += 1
         item = {
             'metadata': {'name': name, 'revision': self.revision},
             'specification': specification,
         }
-        known = self.objects.get((kind, name))
         created = known['metadata']['created'] if known else self.revision
         item['metadata']['created'] = created
         self.objects[kind, name] = item
@@ -188,6 +193,13 @@
         return 200, self.objects[kind, name]
 
 
+def _same(old, new):
+    """Tell whether two contents differ in no more than a sequence."""
+    if not isinstance(old, dict) or not isinstance(new, dict):
+        return old == new
+    return old | {'sequence': 0} == new | {'sequence': 0}
+
+
 # The runners.
 
 
