--- a/features/platform.feature
+++ b/features/platform.feature
@@ -210,6 +210,17 @@
       | SIGTERM | 0      |
       | SIGHUP  | 2      |
 
+  Scenario Outline: a host that has stopped and gets <signal> ends with 0
+    Guards against a planned stop that a late signal turns into a failure.
+    When a host that has stopped gets <signal> before its process is gone
+    Then it ends with status 0
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGINT  |
+      | SIGHUP  |
+
   Scenario: no name of the platform stands outside the adapter
     Then no library holds a header, path or field of the platform
 
--- a/features/steps/platform_process_steps.py
+++ b/features/steps/platform_process_steps.py
@@ -15,6 +15,23 @@
 
 START_S = 30.0
 LOOK_S = 0.05
+# Ends a host at once; then a module's last object signals its process.
+SIGNALLED_AT_END = """
+import os, signal, sys
+sys.path.insert(0, 'platform')
+from unittest import mock
+from ragwort_platform import _main
+
+class Last:
+    kill, pid = staticmethod(os.kill), os.getpid()
+    def __del__(self):
+        self.kill(self.pid, signal.{name})
+
+last = Last()
+_main._settings = _main.build_host = mock.MagicMock()
+_main.peers = mock.MagicMock()
+sys.exit(_main.main())
+"""
 
 
 @when('a host that has not read its settings yet gets {name}')
@@ -40,6 +57,16 @@
             process.wait()
 
 
+@when('a host that has stopped gets {name} before its process is gone')
+def signal_late(context: Any, name: str) -> None:
+    """Signal it after the interpreter has restored its own handlers."""
+    done = subprocess.run(
+        [sys.executable, '-c', SIGNALLED_AT_END.format(name=name)],
+        timeout=START_S,
+    )
+    context.status = done.returncode
+
+
 def _open_once_read(pipe: pathlib.Path) -> int:
     """Open a pipe for writing once somebody reads it."""
     until = time.monotonic() + START_S
