--- a/features/soak.feature
+++ b/features/soak.feature
@@ -47,6 +47,11 @@
     When the soak plays seed 13 with 4 hosts, silent and strange runners and 12 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes that leave while long requests follow each other
+    Guards against hosts that take in what they then cut.
+    When the soak plays seed 14 with 4 hosts, requests late in the grace and 14 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -90,6 +95,7 @@
       | leaving      | a host that does not leave              |
       | leaving      | a host that crashes as it leaves        |
       | leaving      | a request that a leaving host cut       |
+      | late         | a request that came late in the grace and was cut |
       | recovery     | a host that serves nobody any more      |
 
   Scenario: hosts without runners need help only from hosts that they reach
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -24,6 +24,7 @@
     odd: bool = False,
     repeats: bool = False,
     errors: bool = False,
+    late: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -45,6 +46,7 @@
         odd,
         repeats,
         errors,
+        late,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -29,6 +29,15 @@
     'stream': ('POST', '/stream/'),
     'staged': ('POST', '/stream/staged/'),
 }
+# Requests that tell runners how long to work on them.
+LATE_KINDS = {
+    'late-safe': ('GET', '/safe/late/'),
+    'late-unsafe': ('POST', '/once/late/'),
+    'late-stream': ('POST', '/stream/late/'),
+}
+ALL_KINDS = KINDS | LATE_KINDS
+LATE_DEADLINE_S = 12.0
+LATE_WORK_S = (0.05, 1.0, 3.0, 6.0)
 STAGED_PIECES = '1,2,3'
 _SHOWN_VERSION = re.compile(rb' (v\d+)$', re.MULTILINE)
 
@@ -82,6 +91,9 @@
     """Sends one request after the other, on one connection while it lasts."""
 
     numbers = itertools.count(1)
+    kinds = KINDS
+    deadline_s = DEADLINE_S
+    think_s = THINK_S
 
     def __init__(
         self,
@@ -122,7 +134,7 @@
 
     def start(self) -> None:
         """Begin after a short while."""
-        self.reactor.callLater(self.rng.uniform(*THINK_S), self._next)
+        self.reactor.callLater(self.rng.uniform(*self.think_s), self._next)
 
     def stop(self) -> None:
         """Send nothing more and close."""
@@ -164,19 +176,24 @@
             connection.transport.abortConnection()
             return
         # What a host has still to show goes first.
-        wanted = [k for h, k in self.records.unserved if h == self.host.name]
-        kind = self.rng.choice(wanted or sorted(KINDS))
+        wanted = [
+            kind
+            for host, kind in self.records.unserved
+            if host == self.host.name and kind in self.kinds
+        ]
+        kind = self.rng.choice(wanted or sorted(self.kinds))
         broken, self.broken = self.broken, None
         kind = broken.kind if broken else kind
-        method, prefix = KINDS[kind]
+        method, prefix = ALL_KINDS[kind]
         request_id = f'{next(self.numbers):08x}'
         body = b'' if method == 'GET' else request_id.encode() * 20
         headers = [
             ('host', SITE),
             ('request-id', request_id),
             ('authorization', f'Bearer {self.choose_key()}'),
-            ('deadline-milliseconds', str(int(DEADLINE_S * 1000))),
+            ('deadline-milliseconds', str(int(self.deadline_s * 1000))),
             ('content-length', str(len(body))),
+            *self.more_headers(),
         ]
         if kind == 'staged':
             headers += [('pieces', STAGED_PIECES), ('piece-key', request_id)]
@@ -217,9 +234,13 @@
         request = h11.Request(method=method, target=target, headers=headers)
         connection.send(request, body)
         self.timer = self.reactor.callLater(
-            DEADLINE_S, self._on_deadline, self.outcome
+            self.deadline_s, self._on_deadline, self.outcome
         )
 
+    def more_headers(self) -> list[tuple[str, str]]:
+        """Return what a kind of caller adds to its requests."""
+        return []
+
     def on_event(self, connection: _Connection, event: Any) -> None:
         """Take a part of an answer."""
         outcome = self.outcome
@@ -271,7 +292,7 @@
         outcome.ended_at = self.reactor.seconds()
         self.records.outcomes.append(outcome)
         if self.takes_up and problem is not None:
-            is_stream = KINDS[outcome.kind][1].startswith('/stream/')
+            is_stream = ALL_KINDS[outcome.kind][1].startswith('/stream/')
             if is_stream and last_event(outcome):
                 self.broken = outcome
         if self.timer is not None and self.timer.active():
@@ -279,9 +300,25 @@
         self.start()
 
 
+class LateCaller(Caller):
+    """A caller whose long requests follow each other on one connection.
+
+    Whichever host leaves, some of its next requests come late in the grace.
+    """
+
+    kinds = LATE_KINDS
+    deadline_s = LATE_DEADLINE_S
+    think_s = (0.0, 0.01)
+
+    def more_headers(self) -> list[tuple[str, str]]:
+        """Tell the runner how long to work."""
+        work_ms = round(self.rng.choice(LATE_WORK_S) * 1000)
+        return [('work-ms', str(work_ms))]
+
+
 def expected_body(outcome: ledger.Outcome) -> bytes:
     """Return the whole body of a good answer."""
-    method, prefix = KINDS[outcome.kind]
+    method, prefix = ALL_KINDS[outcome.kind]
     if prefix.startswith('/stream/'):
         return b''.join(
             runners.event_text(outcome.request_id, number)
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -86,6 +86,25 @@
     return rng.choice(steady or whole.hosts)
 
 
+def settled(
+    whole: system.SoakSystem, rng: random.Random
+) -> list[hosts.HostProcess]:
+    """Return one host that has been up for a while, if there is one.
+
+    A signal ends an interpreter that has not run the first line of its script.
+    """
+    since = whole.reactor.seconds() - START_S
+    found = [
+        host
+        for host in whole.hosts
+        if host.is_running
+        and not host.is_paused
+        and not host.is_leaving
+        and host.starts[-1] < since
+    ]
+    return [rng.choice(found)] if found else []
+
+
 def _some_runners(
     whole: system.SoakSystem, rng: random.Random
 ) -> list[runners.RunnerStandIn]:
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -49,7 +49,18 @@
 # Streams of two software versions that may be, in a whole run.
 MAX_MIXED_STREAMS = 2
 NOT_RUN = (408, 421, 429, 503)
-ATTEMPTS = {'safe': 2, 'unsafe': 1, 'stream': 2, 'staged': 2}
+ATTEMPTS = {
+    'safe': 2,
+    'unsafe': 1,
+    'stream': 2,
+    'staged': 2,
+    'late-unsafe': 1,
+}
+STREAMS = ('stream', 'staged', 'late-stream')
+# Time after a signal until which a request may be taken that its runner does
+# not end before the last part of the grace, and that part.
+TAKEN_S = 3.0
+LAST_SHARE = 1.0 / 6.0
 STAGED_SERVICES = ('engine', 'stage-a', 'stage-b')
 SERVICES = {'/safe/': 'plain', '/once/': 'plain', '/stream/': 'engine'}
 
@@ -101,7 +112,7 @@
 def event_order(records: ledger.Ledger) -> Iterator[str]:
     """What came of a stream begins its events, none twice or left out."""
     for one in records.outcomes:
-        if one.status == 200 and one.kind in ('stream', 'staged'):
+        if one.status == 200 and one.kind in STREAMS:
             body = clients.body_without_versions(one)
             if not clients.expected_body(one).startswith(body):
                 yield f'{one.request_id} got {one.body[-80:]!r}'
@@ -112,7 +123,7 @@
     """Hardly any stream holds events of two software versions."""
     shown: dict[str, set[bytes]] = collections.defaultdict(set)
     for one in records.outcomes:
-        if one.kind in ('stream', 'staged'):
+        if one.kind in STREAMS:
             shown[one.first_attempt] |= clients.versions(one)
     mixed = [name for name, found in shown.items() if len(found) > 1]
     if len(mixed) > MAX_MIXED_STREAMS:
@@ -484,13 +495,44 @@
         for one in records.outcomes:
             is_open = one.asked_at < gone.told_at < one.ended_at
             if one.host == gone.host and is_open and one.problem == 'closed':
-                is_excused = _is_disturbed(records, one) or (
-                    one.request_id in records.broken_off
-                )
-                if not is_excused:
+                if not _is_broken(records, one):
                     yield f'{one.request_id} was cut by {gone.host} leaving'
 
 
+@promise('late')
+def late(records: ledger.Ledger) -> Iterator[str]:
+    """A host that leaves cuts nothing that came after the signal."""
+    ran = _runs(records)
+    for gone in records.exits:
+        last_at = gone.told_at + hosts.GRACE_S * (1.0 - LAST_SHARE)
+        for one in records.outcomes:
+            is_cut = (
+                one.host == gone.host
+                and one.problem == 'closed'
+                and gone.told_at <= one.asked_at
+                and one.ended_at <= (gone.gone_at or 0.0) + SLACK_S
+                and one.request_id in ran
+            )
+            is_excused = (
+                one.asked_at <= gone.told_at + TAKEN_S
+                and one.ended_at >= last_at
+            )
+            if is_cut and not is_excused and not _is_broken(records, one):
+                yield f'{one.request_id} ({one.kind}) was cut by {gone.host}'
+
+
+def _is_broken(records: ledger.Ledger, one: ledger.Outcome) -> bool:
+    """Tell whether a fault beside the signal may have cut a request."""
+    used = {
+        arrival.runner
+        for arrival in records.arrivals
+        if arrival.request_id == one.request_id
+    }
+    return one.request_id in records.broken_off or _is_concerned(
+        records, one, {one.request_id: used}
+    )
+
+
 @promise('alive')
 def alive(records: ledger.Ledger) -> Iterator[str]:
     """No host ends by itself."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -12,6 +12,7 @@
 
 from features.soak import evacuations
 from features.soak import faults
+from features.soak import leaving
 from features.soak import ledger
 from features.soak import odd_entries
 from features.soak import promises
@@ -46,7 +47,9 @@
     runners fall silent for a while, with has_odd another writer puts odd
     entries among those of the runners, with has_repeats runners send earlier
     refusals once more, with has_errors runners answer resumptions of broken
-    streams with something else.
+    streams with something else. With has_late hosts leave in series while
+    callers send long requests, one after the other, on connections that they
+    keep.
     """
 
     seed: int
@@ -67,6 +70,7 @@
     has_odd: bool = False
     has_repeats: bool = False
     has_errors: bool = False
+    has_late: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +122,7 @@
             options.has_versions,
             options.has_deadly,
             options.has_same,
+            options.has_late,
         )
         self.plan = faults.draw_plan(self.rng, options.faults_s)
         if options.has_restores:
@@ -146,6 +151,8 @@
             self.plan += odd_entries.draw_odd_entries(
                 self.extra_rng, options.faults_s
             )
+        if options.has_late:
+            self.plan += leaving.draw_leaving(self.extra_rng, options.faults_s)
         for is_wanted, name in (
             (options.has_repeats, strange_faults.REPEATED_REFUSALS),
             (options.has_errors, strange_faults.BROKEN_RESUMPTIONS),
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -51,6 +51,11 @@
 CUT_EVENT = 4
 
 
+def _told_s(exchange: edge.Exchange) -> float:
+    """Return for how long a caller wants its request worked on, or 0."""
+    return int(exchange.request.header(b'work-ms') or b'0') / 1000.0
+
+
 class RunnerMode(enum.StrEnum):
     """How a runner treats what reaches it."""
 
@@ -432,7 +437,10 @@
             self._begin_stream(exchange, self.born)
         else:
             self.reactor.callLater(
-                self._work_s(WORK_S), self._finish_plain, exchange, self.born
+                self._work_s(_told_s(exchange) or WORK_S),
+                self._finish_plain,
+                exchange,
+                self.born,
             )
 
     def _refuse_for_later(self, exchange: edge.Exchange) -> None:
@@ -560,7 +568,10 @@
             return
         exchange.write(text)
         self.reactor.callLater(
-            self._work_s(EVENT_S if not self.version else LONG_EVENT_S),
+            self._work_s(
+                _told_s(exchange) / EVENTS
+                or (LONG_EVENT_S if self.version else EVENT_S)
+            ),
             self._next_event,
             exchange,
             request_id,
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -28,6 +28,7 @@
     'odd',
     'repeats',
     'errors',
+    'late',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -81,6 +82,7 @@
     odd: bool = typer.Option(False, help='Odd entries of runners.'),
     repeats: bool = typer.Option(False, help='Refusals sent once more.'),
     errors: bool = typer.Option(False, help='Errors behind broken streams.'),
+    late: bool = typer.Option(False, help='Requests late in the grace.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -101,6 +103,7 @@
             odd,
             repeats,
             errors,
+            late,
         ),
         strict=True,
     )
--- a/features/soak/silences.py
+++ b/features/soak/silences.py
@@ -5,7 +5,6 @@
 import signal
 
 from features.soak import faults
-from features.soak import hosts
 from features.soak import runners
 from features.soak import system
 
@@ -44,34 +43,15 @@
     return register
 
 
-def _settled(
-    whole: system.SoakSystem, rng: random.Random
-) -> list[hosts.HostProcess]:
-    """Return one host that has been up for a while, if there is one.
-
-    A signal ends an interpreter that has not run the first line of its script.
-    """
-    since = whole.reactor.seconds() - faults.START_S
-    found = [
-        host
-        for host in whole.hosts
-        if host.is_running
-        and not host.is_paused
-        and not host.is_leaving
-        and host.starts[-1] < since
-    ]
-    return [rng.choice(found)] if found else []
-
-
 @beside('reload')
 def _reload(whole: system.SoakSystem, rng: random.Random) -> None:
-    for host in _settled(whole, rng):
+    for host in faults.settled(whole, rng):
         host.send(signal.SIGHUP)
 
 
 @beside('leave')
 def _leave(whole: system.SoakSystem, rng: random.Random) -> None:
-    for host in _settled(whole, rng):
+    for host in faults.settled(whole, rng):
         faults.leave(whole, host)
 
 
--- a/features/soak/system.py
+++ b/features/soak/system.py
@@ -36,13 +36,19 @@
 }
 
 
-def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+def _route(
+    name: str,
+    prefix: str,
+    kind: str,
+    service: str,
+    timeout_s: float = clients.DEADLINE_S,
+) -> dict[str, Any]:
     return {
         'name': name,
         'host': clients.SITE,
         'pathPrefix': prefix,
         'kind': kind,
-        'timeoutMs': clients.DEADLINE_S * 1000,
+        'timeoutMs': timeout_s * 1000,
         'targetLatencyMs': 800,
         'attempts': 1 if kind == 'unsafe' else 2,
         'service': service,
@@ -62,6 +68,16 @@
     _route('staged', '/stream/staged/', 'streaming', 'engine')
     | {'stages': STAGES},
 ]
+LATE_ROUTES = [
+    _route(name, prefix, kind, service, clients.LATE_DEADLINE_S)
+    for name, prefix, kind, service in (
+        ('late-safe', '/safe/late/', 'safe', 'plain'),
+        ('late-once', '/once/late/', 'unsafe', 'plain'),
+        ('late-stream', '/stream/late/', 'streaming', 'engine'),
+    )
+]
+# Callers of the late routes, for each host.
+LATE_CALLERS_PER_HOST = 2
 
 
 class SoakSystem:
@@ -78,11 +94,13 @@
         has_versions: bool = False,
         has_deadly: bool = False,
         has_same: bool = False,
+        has_late: bool = False,
     ) -> None:
         """Create all parts; base is the start of the hosts' IP numbers.
 
         With has_versions the engine's runners are of two software versions,
-        in turn at each start, and callers take broken streams up.
+        in turn at each start, and callers take broken streams up. has_late
+        adds callers with long requests, one after the other.
         """
         self.reactor = reactor
         self.rng = rng
@@ -91,6 +109,7 @@
         self.store = store.StoreStandIn(reactor)
         self.version = 0
         self.configuration: dict[str, Any] = {}
+        self.routes = ROUTES + (LATE_ROUTES if has_late else [])
         self.keys = set(STANDING_KEYS)
         self.key_numbers = iter(range(10_000))
         self.write_configuration()
@@ -143,6 +162,18 @@
             )
             for index in range(caller_count)
         ]
+        if has_late:
+            self.callers += [
+                clients.LateCaller(
+                    reactor,
+                    random.Random(f'late/{rng.random()}'),
+                    self.records,
+                    self._choose_host,
+                    self._choose_key,
+                    True,
+                )
+                for _ in range(LATE_CALLERS_PER_HOST * host_count)
+            ]
         self.is_stopped = False
         # Processes that are known to have ended.
         self.ended: set[int] = set()
@@ -160,7 +191,7 @@
         ]
         configuration: dict[str, Any] = {
             'version': self.version,
-            'routes': ROUTES,
+            'routes': self.routes,
             'services': services,
             'limits': {
                 'headerBytes': 16384,
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -125,6 +125,15 @@
     run_soak(context, seed, count, faults_s, '--versions')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, requests late in the'
+    ' grace and {faults_s:d} s of faults'
+)
+def play_late(context: Any, seed: int, count: int, faults_s: int) -> None:
+    """Run the soak with hosts that leave under long requests."""
+    run_soak(context, seed, count, faults_s, '--late')
+
+
 def run_soak(
     context: Any, seed: int, count: int, faults_s: int, *more: str
 ) -> None:
@@ -166,7 +175,7 @@
 
 def add_arrival(records: ledger.Ledger, one: ledger.Outcome) -> None:
     """Add a run of a request at a runner of its service."""
-    prefix = clients.KINDS[one.kind][1]
+    prefix = clients.ALL_KINDS[one.kind][1]
     service = 'engine' if prefix.startswith('/stream/') else 'plain'
     records.arrivals.append(
         ledger.Arrival(
@@ -446,6 +455,15 @@
     context.records.cuts.append(cut)
 
 
+@defect('a request that came late in the grace and was cut')
+def cut_late(records: ledger.Ledger) -> None:
+    """Cut a request that came 4 s after the signal."""
+    one = add_request(records, 'late', 'late-stream', 14.0)
+    one.host, one.problem = 'host-1', 'closed'
+    one.ended_at, one.body = 17.9, b''
+    records.exits.append(ledger.HostExit('host-1', 10.0, 17.9, 0))
+
+
 @defect('a cut answer of a runner that was silent')
 def cut_silent(records: ledger.Ledger) -> None:
     """Cut a request 1.5 s after its runner fell silent."""
