Take the only version seen for the only one if the others say so

Cause: with one version seen for long enough a host asked nobody what began a stream; what it had not heard of did not exist for it.

Change: a take-up of which the host has no record asks the stream's homes and seven other hosts. The only version counts if all answer and none knows another, or if the store has just told so; else the take-up is refused.

Why it works: whoever began a stream knew its version, told the homes, and is among those asked or as good as they; a host that hears from none of them and not from the store no longer vouches for it.

--- a/features/relay_streams.feature
+++ b/features/relay_streams.feature
@@ -181,3 +181,37 @@
     Given 8 relay hosts with runners 4 of v1
     When streams run for 4 s
     Then the store got no call for streams
+
+  # Guards against a host that was out of step and takes the only version that
+  # it has seen for the only one that there is.
+  Scenario Outline: <hosts> of 8 hosts <state> while v2 joins, streams are taken up there <moment>
+    Given 8 relay hosts with runners 4 of v1
+    When the first <hosts> hosts <state> while v2 joins and streams of the others are taken up there <moment>
+    Then at most 2 streams hold events of two versions
+    And some streams of v2 were taken up
+
+    Examples:
+      | hosts | state                                  | moment    |
+      | 1     | stand still                            | at once   |
+      | 1     | stand still                            | meanwhile |
+      | 1     | hear no other host and no store        | at once   |
+      | 1     | hear no other host and no store        | meanwhile |
+      | 1     | hear no other host                     | meanwhile |
+      | 1     | hear no store                          | meanwhile |
+      | 4     | hear no other host and no store        | meanwhile |
+      | 4     | hear no other host and no store        | at once   |
+      | 7     | hear no other host and no store        | meanwhile |
+
+  # Guards against refusals where a host can tell.
+  Scenario Outline: one version serves and <what>, streams go on
+    Given 8 relay hosts with runners 4 of v1
+    When <what> and streams are taken up elsewhere
+    Then of the streams taken up at least half the share that begins goes on
+
+    Examples:
+      | what                                       |
+      | nothing else happens                       |
+      | the store is away                          |
+      | a host has just lost power                 |
+      | a host hears no store                      |
+      | a host hears no other host                 |
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -253,6 +253,7 @@
                 logger,
                 lambda call: self.store.call(call),
             ),
+            lambda: _stream_origins.random_witnesses(self.members, self.rng),
         )
         self.crashes = _crash_watch.CrashWatch(
             reactor,
--- a/libs/ragwort_edge/ragwort_edge/_stream_origins.py
+++ b/libs/ragwort_edge/ragwort_edge/_stream_origins.py
@@ -28,6 +28,11 @@
 ASKED_HOSTS = 3
 # Streams share their hosts by shard, so that the choice can be cached.
 SHARDS = 256
+# Further hosts that are asked whether a service has a second version. In a
+# fleet cut in halves the chance that all are in the same one is 1 in 100.
+WITNESSES = 7
+# Age of a store's answer that still tells which versions there are.
+STORE_ANSWER_AGE_S = 0.5
 # A host that does not answer in this time is down or cut off.
 ANSWER_TIMEOUT_S = 0.3
 MAX_STREAMS_PER_MESSAGE = 200
@@ -36,6 +41,7 @@
 ROUNDING_S = 0.001
 
 Homes = Callable[[str, int], list[str]]
+Witnesses = Callable[[], list[str] | None]
 
 
 def stream_homes(
@@ -53,10 +59,34 @@
     ]
 
 
+def random_witnesses(
+    members: membership.Membership, rng: random.Random
+) -> list[str] | None:
+    """Return the peer addresses of some other hosts.
+
+    None tells that there has been no other host.
+    """
+    if len(members.members) <= 1:
+        return None
+    addresses = members.peer_addresses()
+    return rng.sample(addresses, min(WITNESSES, len(addresses)))
+
+
+class _Told(msgspec.Struct, frozen=True):
+    """What other hosts told of a stream.
+
+    is_sure tells that all have answered that were asked, or that there is no
+    other host: none has seen a version that this host has not.
+    """
+
+    origin: relay.StreamOrigin | None
+    is_sure: bool
+
+
 class _Question(msgspec.Struct):
     """An open question to other hosts and how many have yet to answer."""
 
-    done: 'defer.Deferred[relay.StreamOrigin | None]'
+    done: 'defer.Deferred[_Told]'
     service: str
     open_answers: int
     timer: Any = None
@@ -76,8 +106,13 @@
         homes: Homes,
         version_store: _version_store.VersionStore | None = None,
         stream_store: _stream_store.StreamStore | None = None,
+        witnesses: Witnesses = lambda: None,
     ) -> None:
-        """Send to the homes of a stream, which homes returns."""
+        """Send to the homes of a stream, which homes returns.
+
+        witnesses returns other hosts, None if there has never been one.
+        """
+        self.witnesses = witnesses
         self.stream_store = stream_store
         self.version_store = version_store
         self.reactor = reactor
@@ -167,20 +202,20 @@
         """Return what began a stream, and the source of that belief.
 
         The key is None if the caller did not name the first attempt. A host
-        that started lately may have missed a version: it takes the only one
-        that it knows once another host or the store says that there was no
-        other.
+        that was out of step, or started lately, may have missed a version: it
+        takes the only one that it knows once the others or the store have
+        said that there is no other.
         """
         now = self.reactor.seconds()
         known = self.origins.find(key, now) if key is not None else None
         if known is not None:
             return known, 'own'
+        told = await self._ask(key, service)
+        if told.origin is not None:
+            return told.origin, 'peer'
         sole = self._sole_origin(service)
-        if sole is None and key is not None:
-            told = await self._ask(key, service)
-            if told is not None:
-                return told, 'peer'
-            sole = self._sole_origin(service)
+        if sole is not None and not told.is_sure:
+            sole = await self._confirmed_by_store(service)
         if sole is None and self._may_be_stored(service):
             assert self.version_store is not None
             await self.version_store.read()
@@ -201,6 +236,18 @@
             return None
         return relay.StreamOrigin(service, version)
 
+    async def _confirmed_by_store(
+        self, service: str
+    ) -> relay.StreamOrigin | None:
+        """Return the only origin if the store has just told of no other."""
+        if self.version_store is None:
+            return None
+        since = self.reactor.seconds() - STORE_ANSWER_AGE_S
+        await self.version_store.read(STORE_ANSWER_AGE_S)
+        if not self.version_store.has_read_since(since):
+            return None
+        return self._sole_origin(service)
+
     def _may_find_stored(self) -> bool:
         """Tell whether the store may know a stream that nobody remembers.
 
@@ -229,35 +276,51 @@
             and not self.origins.remembers_all_versions(service, now)
         )
 
+    def _asked_hosts(
+        self, key: relay.StreamKey | None, service: str
+    ) -> tuple[list[str], bool]:
+        """Return the hosts to ask, and whether there has been any other."""
+        asked = self.homes(key.first_attempt, ASKED_HOSTS) if key else []
+        others = self.witnesses()
+        if others is None:
+            return asked, bool(asked)
+        if self._sole_origin(service) is not None:
+            asked = list(dict.fromkeys(asked + others))
+        return asked, True
+
     def _ask(
-        self, key: relay.StreamKey, service: str
-    ) -> 'defer.Deferred[relay.StreamOrigin | None]':
-        done: defer.Deferred[relay.StreamOrigin | None] = defer.Deferred()
-        addresses = self.homes(key.first_attempt, ASKED_HOSTS)
+        self, key: relay.StreamKey | None, service: str
+    ) -> 'defer.Deferred[_Told]':
+        """Ask the homes of a stream, and others if there is one version."""
+        done: defer.Deferred[_Told] = defer.Deferred()
+        addresses, has_others = self._asked_hosts(key, service)
         if not addresses:
-            done.callback(None)
+            done.callback(_Told(None, not has_others))
             return done
         name = f'{self.rng.getrandbits(64):x}'
         question = _Question(done, service, len(addresses))
         self.questions[name] = question
         question.timer = self.reactor.callLater(
-            ANSWER_TIMEOUT_S, self._end, name, None
+            ANSWER_TIMEOUT_S, self._end, name, _Told(None, False)
         )
         asked = model.StreamQuestion(
-            name, key.first_attempt, key.workspace, service
+            name,
+            key.first_attempt if key else '',
+            key.workspace if key else '',
+            service,
         )
         for address in addresses:
             self.send_peer(model.SendPeerMessage(address, asked))
         return done
 
-    def _end(self, name: str, origin: relay.StreamOrigin | None) -> None:
+    def _end(self, name: str, told: _Told) -> None:
         question = self.questions.pop(name, None)
         if question is None:
             return
         if question.timer.active():
             question.timer.cancel()
         if not question.done.called:
-            question.done.callback(origin)
+            question.done.callback(told)
 
     def on_store_result(self, result: model.StoreResult, now: float) -> None:
         """Take over what the store knows of versions and streams."""
@@ -332,6 +395,7 @@
         question.open_answers -= 1
         told = answer.origin
         if told is not None and math.isfinite(told.ttl_s):
-            self._end(answer.question, self.origins.on_told(told, now))
+            origin = self.origins.on_told(told, now)
+            self._end(answer.question, _Told(origin, True))
         elif question.open_answers <= 0:
-            self._end(answer.question, None)
+            self._end(answer.question, _Told(None, True))
--- a/libs/ragwort_edge/ragwort_edge/_version_store.py
+++ b/libs/ragwort_edge/ragwort_edge/_version_store.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 import time
 from typing import Any
@@ -118,11 +119,14 @@
             for service in sorted(configuration.streaming_services)
         }
 
-    def read(self) -> 'defer.Deferred[None]':
-        """Read the versions, unless that was tried lately; tell the end."""
+    def read(self, max_age_s: float = math.inf) -> 'defer.Deferred[None]':
+        """Read the versions, unless that was tried lately; tell the end.
+
+        What was read lately stands for so long.
+        """
         now = self.reactor.seconds()
         done: defer.Deferred[None] = defer.Deferred()
-        if not self.register.may_read(now):
+        if not self.register.may_read(now, max_age_s):
             done.callback(None)
             return done
         self.has_tried = True
@@ -133,6 +137,10 @@
         self.tick(now)
         return done
 
+    def has_read_since(self, at: float) -> bool:
+        """Tell whether the store has told the versions since a time."""
+        return self.register.read_at >= at
+
     @property
     def has_failed(self) -> bool:
         """Tell whether a read was tried and none has succeeded."""
--- a/libs/ragwort_state/ragwort_state/_version_register.py
+++ b/libs/ragwort_state/ragwort_state/_version_register.py
@@ -71,6 +71,7 @@
         self.rng = rng
         # Era in which the objects were read last, None if never.
         self.read_era: int | None = None
+        self.read_at = -math.inf
         self.is_read_due = False
         self.was_writer = False
         self.stored: dict[str, _Stored] = {}
@@ -87,9 +88,10 @@
         """Tell whether a list is open."""
         return self.pending is not None and self.pending[0] == LIST_OP
 
-    def may_read(self, now: float) -> bool:
-        """Tell whether a read can tell more than this host has read."""
-        if self.read_era == self.store_era.current:
+    def may_read(self, now: float, max_age_s: float = math.inf) -> bool:
+        """Tell whether a read can tell more than one of that age did."""
+        is_outdated = self.read_era != self.store_era.current
+        if not is_outdated and now < self.read_at + max_age_s:
             return False
         return self.pending is not None or now >= self.next_call_at
 
@@ -187,7 +189,7 @@
         if op == WRITE_OP:
             self.stored[service] = _Stored(None, entry)
             return None
-        self.read_era = result.era
+        self.read_era, self.read_at = result.era, now
         self.stored = _read(result.objects)
         return self._trusted_versions(self.stored)
 
