--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -16,6 +16,32 @@
       | watch | 5000   | arrays  |
       | watch | 200000 | objects |
 
+  # Guards against one text that hides all entries of a list or a watch, so
+  # that hosts send to runners that are gone.
+  Scenario Outline: a <call> with an entry whose <place> has <odd> has the others
+    When a <call> brings an entry whose <place> has <odd>, at each position
+    Then each call has one result with all sound entries
+
+    Examples:
+      | call  | place | odd                     |
+      | list  | note  | half a surrogate pair   |
+      | list  | note  | the other half          |
+      | list  | note  | an unknown escape       |
+      | list  | note  | bytes that are no UTF-8 |
+      | list  | note  | a control character     |
+      | list  | key   | half a surrogate pair   |
+      | list  | key   | bytes that are no UTF-8 |
+      | list  | name  | half a surrogate pair   |
+      | list  | name  | bytes that are no UTF-8 |
+      | watch | note  | half a surrogate pair   |
+      | watch | note  | bytes that are no UTF-8 |
+      | watch | key   | an unknown escape       |
+      | watch | name  | half a surrogate pair   |
+
+  Scenario: a stage reply with half a surrogate pair has its other pieces
+    When a runner's answer for three pieces has "note \ud83d" as the second
+    Then the first and the third have their handles, the second is error
+
   # Guards against a host that waits forever for the result of its own write.
   Scenario: a write whose answer is nested too deep has a result
     When the store answers a write with 5000 nested arrays
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -74,12 +74,14 @@
 def call_store(
     context: Any,
     effect: model.StoreCall,
-    body: str,
+    body: str | bytes,
     headers: Any = (),
 ) -> None:
     """Make one store call and keep its results and log lines."""
     world = lab.RelayWorld(hosts=1)
-    server = RawStore(world.clock, body.encode(), headers)
+    if isinstance(body, str):
+        body = body.encode()
+    server = RawStore(world.clock, body, headers)
     world.network.runners[platform_steps.STORE] = server
     context.results = []
     context.lines = []
@@ -153,6 +155,51 @@
         assert runner.slots == platform_steps.SERVER['slots'], runner
 
 
+ODD_TEXTS = {
+    'half a surrogate pair': b'a \\ud83d',
+    'the other half': b'\\udc80 b',
+    'an unknown escape': b'a \\x b',
+    'bytes that are no UTF-8': b'a \xff\xfe b',
+    'a control character': b'a \x01 b',
+}
+# Entries of a page, one of them odd.
+PAGE = 4
+
+
+@when('a {call} brings an entry whose {place} has {odd}, at each position')
+def bring_odd_text(context: Any, call: str, place: str, odd: str) -> None:
+    """Answer a call with sound entries and one with an odd text."""
+    context.calls = []
+    for position in range(PAGE):
+        entries = [
+            entry(f'e{n}', n + 3, platform_steps.SERVER) for n in range(PAGE)
+        ]
+        odd_one = entries[position]
+        if place == 'name':
+            odd_one['metadata']['name'] = '@'
+        elif place == 'key':
+            odd_one['specification'] = {'@': 1}
+        else:
+            odd_one['specification'] = {'note': '@'}
+        body = answer_with(call, entries).encode()
+        body = body.replace(PLACE.encode(), b'"%s"' % ODD_TEXTS[odd])
+        call_store(context, EFFECTS[call], body)
+        context.calls.append((position, list(context.results)))
+
+
+@then('each call has one result with all sound entries')
+def check_sound_entries(context: Any) -> None:
+    """Look for the other entries, which name runners."""
+    dialect = platform.PlatformDialect()
+    for position, (result,) in context.calls:
+        assert result.status == model.StoreStatus.OK, result.status
+        found = {item.name: item for item in result.objects}
+        for number in range(PAGE):
+            if number != position:
+                item = found[f'servers/e{number}']
+                dialect.decode_runner(item.name, item.value)
+
+
 @when('the store answers a write with {depth:d} nested arrays')
 def answer_write(context: Any, depth: int) -> None:
     """Write an object."""
