--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -38,6 +38,11 @@
       | watch | key   | an unknown escape       |
       | watch | name  | half a surrogate pair   |
 
+  # Guards against pages behind one that has only odd entries.
+  Scenario: a page of odd entries alone hides no page behind it
+    When the first of two pages of a list has odd entries alone
+    Then the call has the sound entry of the second page
+
   Scenario: a stage reply with half a surrogate pair has its other pieces
     When a runner's answer for three pieces has "note \ud83d" as the second
     Then the first and the third have their handles, the second is error
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -200,6 +200,27 @@
                 dialect.decode_runner(item.name, item.value)
 
 
+@when('the first of two pages of a list has odd entries alone')
+def list_odd_page(context: Any) -> None:
+    """Send a page without a sound entry, then one with one."""
+    odd = [entry(f'a{n}', 'odd', {}) for n in range(2)]
+    sound = [entry('b', 4, platform_steps.SERVER)]
+    platform_store_steps.call_store(
+        context,
+        EFFECTS['list'],
+        {'items': odd, 'hasMore': True, 'storeRevision': 20},
+        {'items': sound, 'storeRevision': 20},
+    )
+
+
+@then('the call has the sound entry of the second page')
+def check_second_page(context: Any) -> None:
+    """Look at the result and at where the second page began."""
+    names = [item.name for item in context.result.objects]
+    assert names == ['servers/b'], names
+    assert context.store.targets[1].endswith(b'after=a1')
+
+
 @when('the store answers a write with {depth:d} nested arrays')
 def answer_write(context: Any, depth: int) -> None:
     """Write an object."""
