--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -85,6 +85,20 @@
     When it leaves while 20 callers send requests of 0.1 s every 0.3 s on kept connections
     Then each request is served, and no connection closes without notice
 
+  # Guards against requests lost where a planned stop meets other planned work.
+  Scenario Outline: a host leaves beside <what>, and kept connections cost nothing
+    Given a host with 8 s to leave
+    And once requests that have taken 0.1 s
+    And <what> in series
+    When it leaves while 20 callers send requests of 0.1 s every 0.3 s on kept connections
+    Then each request is served, and no connection closes without notice
+
+    Examples:
+      | what           |
+      | configurations |
+      | limits         |
+      | reloads        |
+
   Scenario: all requests that a caller has pipelined are answered
     Given a host with 8 s to leave
     When it leaves and a caller pipelines 5 requests behind a stream
--- a/features/steps/leaving_host_steps.py
+++ b/features/steps/leaving_host_steps.py
@@ -292,6 +292,25 @@
     assert found == outcome, found
 
 
+@given('{what} in series')
+def change(context: Any, what: str) -> None:
+    """Let other planned work come five times a second."""
+    world = context.world
+    host = world.hosts[0]
+    sizes = itertools.cycle((8, 16, 32))
+
+    def come() -> None:
+        if what == 'reloads':
+            host.reload(host.options)
+        else:
+            if what == 'limits':
+                world.header_bytes = next(sizes) * 1024
+            world.keep_keys(['k1', f'given-{next(world.numbers)}'])
+        world.clock.callLater(0.2, come)
+
+    come()
+
+
 @when(
     'it leaves while {count:d} callers send requests of {work_s:g} s every'
     ' {gap_s:g} s on kept connections'
--- a/features/support/relay_hosts.py
+++ b/features/support/relay_hosts.py
@@ -85,7 +85,7 @@
                 ),
                 relay.Workspace('museum', frozenset(['k2'])),
             ),
-            relay.CallerLimits(),
+            relay.CallerLimits(fields.get('header_bytes', 16 * 1024)),
         )
 
 
@@ -364,6 +364,7 @@
     cold: relay.ColdBound | None = None
     settings: dict[str, Any] = {}
     grace_s = 8.0
+    header_bytes = 16 * 1024
 
     def __init__(
         self,
@@ -448,7 +449,12 @@
         version = self.objects.revision + 1
         padding = sample_routes(size_bytes, random.Random(version))
         text = json.dumps(
-            {'version': version, 'keys': keys, 'padding': padding}
+            {
+                'version': version,
+                'keys': keys,
+                'padding': padding,
+                'header_bytes': self.header_bytes,
+            }
             | homes
             | self.settings
         )
