--- a/features/leaving_hosts.feature
+++ b/features/leaving_hosts.feature
@@ -122,6 +122,11 @@
     When the host notices the signal after 1 s
     Then the host ends within 2 s of the first signal
 
+  # Guards against memory that grows with each new name of a route.
+  Scenario: the times of answers are remembered of the latest routes alone
+    When answers of 5000 routes are recorded
+    Then the times of 2000 are remembered, the latest among them
+
   Scenario: a request that another host hands to a leaving one is served elsewhere
     Given 3 hosts with 8 s to leave, the first without runners
     When the second leaves unknown to the first, which is asked 6 times
--- a/features/steps/leaving_host_steps.py
+++ b/features/steps/leaving_host_steps.py
@@ -1,6 +1,7 @@
 """Steps of hosts that are told to leave while requests come and wait."""
 
 import itertools
+import math
 from typing import Any
 
 from behave import given
@@ -13,6 +14,7 @@
 import ragwort_edge as edge
 import ragwort_lab as lab
 from ragwort_lab import _relay_fakes as fakes
+import ragwort_relay as relay
 
 PATHS = {
     'once': '/job/',
@@ -413,6 +415,23 @@
     assert _result(context) in ('answered 504', 'broken off')
 
 
+@when('answers of {count:d} routes are recorded')
+def record_answers(context: Any, count: int) -> None:
+    """Record one answer of each route."""
+    context.times = relay.AnswerTimes()
+    for number in range(count):
+        context.times.record(f'route-{number}', relay.Span.SEND, 1.0)
+
+
+@then('the times of {count:d} are remembered, the latest among them')
+def check_remembered(context: Any, count: int) -> None:
+    """Look at the number of routes and at two of them."""
+    times = context.times
+    assert len(times.times_s) == count, len(times.times_s)
+    assert times.expected_s('route-0', relay.Span.SEND) == math.inf
+    assert times.expected_s('route-4999', relay.Span.SEND) < 2.0
+
+
 def _leave_unknown(world: LeavingWorld, index: int) -> None:
     """Let a host leave without the others hearing of it."""
     host = world.hosts[index]
--- a/libs/ragwort_edge/ragwort_edge/_server.py
+++ b/libs/ragwort_edge/ragwort_edge/_server.py
@@ -311,13 +311,13 @@
         self.exchange = Exchange(self, request)
         self.site.on_exchange(self.exchange)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: _messages.Headers = ()) -> None:
         """Respond to a request that is invalid or too slow, and close."""
         try:
             self.site.on_rejected(status)
         except Exception:
             self.site.on_error()
-        self._send_rejection(status)
+        self._send_rejection(status, headers)
 
     def _send_rejection(
         self, status: int, headers: _messages.Headers = ()
@@ -409,9 +409,7 @@
     def refuse_if_incomplete(self) -> None:
         """Refuse a request of which only a part has come."""
         if self.state == _State.READING:
-            self._guarded(
-                lambda: self._send_rejection(HTTP_UNAVAILABLE, RETRY_NOW)
-            )
+            self._guarded(lambda: self._reject(HTTP_UNAVAILABLE, RETRY_NOW))
 
     def _close(self) -> None:
         self.state = _State.CLOSED
