--- a/review/common-2/stands.py
+++ b/review/common-2/stands.py
@@ -95,10 +95,18 @@
     writer.transport.abort()
 
 
+_given = set()
+
+
 def free_port(ip='127.0.0.1'):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free, another one each time."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            found = ip, probe.getsockname()[1]
+        if found not in _given:
+            _given.add(found)
+            return found[1]
 
 
 class Store:
