--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,13 @@
-"""Callers send bodies within the limits, and hosts outgrow their memory."""
+"""Callers read their answers slowly."""
 
 import asyncio
 import collections
 import os
 import pathlib
-import random
+import signal
+import socket
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common-2'))
@@ -13,35 +15,51 @@
 import stands  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE') != '0'
-MEMORY_MB = 300
-BODY_BYTES = 4194304
-USUAL_BODY_BYTES = 18000
-PART_BYTES = 64 * 1024
-# Callers of each host: those with a long body, and those with short requests
-# on connections that they keep.
-LONG_CALLERS = 52
-SHORT_CALLERS = 6
-WORK_S = 0.3
-BURST_S = 30.0
-RESTART_S = 0.5
-UPLOAD_S = 2.0
+# The route's timeout and the callers' deadline.
+DEADLINE_MS = 15000
+CALLERS = 8
+ROUNDS = 2
+# The round whose requests are sent right behind a SIGHUP.
+HUP_ROUND = 1
+
+
+class Kind:
+    """How a caller reads: so many bytes, then a pause, until all are there.
+
+    buffer_bytes is the size asked for its receive buffer, None for the
+    system's own.
+    """
+
+    def __init__(self, name, answer_bytes, read_bytes, pause_s, buffer_bytes):
+        self.name = name
+        self.answer_bytes = answer_bytes
+        self.read_bytes = read_bytes
+        self.pause_s = pause_s
+        self.buffer_bytes = buffer_bytes
+
+
+KINDS = (
+    # 32 KB/s with the system's buffers.
+    Kind('large', 300_000, 16 * 1024, 0.5, None),
+    # The largest plain answer of the sheets, read by a caller with a small
+    # window at 512 bytes a second.
+    Kind('small', 4800, 512, 1.0, 2048),
+)
 
 
 class Desk(stands.Runner):
-    """Works on each request for a while and answers it."""
+    """Answers with as many bytes as the path asks for."""
 
     def __init__(self, *more, **named):
         super().__init__(*more, **named)
         self.runs = collections.Counter()
 
     async def run(self, method, target, headers, reader, writer):
-        body = await stands.read_body(reader, headers)
+        await stands.read_body(reader, headers)
         request_id = headers['request-id']
         self.runs[request_id] += 1
-        self.record.note(
-            f'runner {self.identifier}: runs {request_id} ({len(body)} bytes)'
-        )
-        await asyncio.sleep(WORK_S)
+        self.record.note(f'runner {self.identifier}: runs {request_id}')
+        size = int(target.rsplit('/', 1)[1])
         await stands.answer(
             writer,
             200,
@@ -49,145 +67,107 @@
                 *self.plain_headers(headers),
                 ('Response-Seal', f'seal-{request_id}'),
             ],
-            f'{request_id} {len(body)}'.encode(),
+            b'a' * size,
         )
+        self.record.note(f'runner {self.identifier}: answered {request_id}')
 
 
-def request_head(request_id, length):
-    return stands.head_bytes(
-        f'POST /ticket/{request_id} HTTP/1.1',
-        [
-            ('Host', 'shop.example'),
-            ('Request-Id', request_id),
-            ('Authorization', 'Bearer key-1'),
-            ('Deadline-Milliseconds', 10000),
-            ('Content-Length', length),
-        ],
-    )
-
+class Caller:
+    """Sends unsafe requests, one after the other, on a kept connection."""
 
-class Case:
-    def __init__(self, record):
+    def __init__(self, record, host, kind, number):
         self.record = record
-        self.is_over = False
-        self.is_burst = False
-        self.statuses = collections.Counter()
-        # Requests on kept connections that ended without an answer.
+        self.host = host
+        self.kind = kind
+        self.name = f'{kind.name}-{host.name}-{number}'
+        self.sock = None
+        self.buffer = b''
+        # Requests on a kept connection that ended without a whole answer.
         self.unanswered = []
-        self.kills = collections.Counter()
-        self.peaks = collections.Counter()
-
-    async def send_short(self, host, number):
-        """Send unsafe requests, one after the other, on one connection."""
-        count = 0
-        while not self.is_over:
-            try:
-                reader, writer = await asyncio.open_connection(
-                    host.ip, host.ports['front']
-                )
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            while not self.is_over:
-                count += 1
-                request_id = f'short-{host.name}-{number}-{count}'
-                status = await self._ask_short(reader, writer, request_id)
-                self.statuses[f'short {status}'] += 1
-                self.record.note(f'client: {request_id}: {status}')
-                if status is None:
-                    self.unanswered.append((host.name, request_id, count))
-                    break
-                await asyncio.sleep(0.05 if status == 200 else 0.5)
-            writer.close()
-
-    async def _ask_short(self, reader, writer, request_id):
-        try:
-            body = b'x' * 600
-            writer.write(request_head(request_id, len(body)) + body)
-            head = await stands.read_head(reader)
-            if head is None:
-                return None
-            await stands.read_body(reader, head[1])
-            return int(head[0].split(' ')[1])
-        except (OSError, asyncio.IncompleteReadError):
-            return None
-
-    async def send_long(self, host, number, rng):
-        """Send requests with a body, each on a connection of its own."""
-        count = 0
-        while not self.is_over:
-            if not self.is_burst:
-                await asyncio.sleep(0.1)
-                continue
-            count += 1
-            request_id = f'long-{host.name}-{number}-{count}'
-            length = BODY_BYTES if TROUBLE else USUAL_BODY_BYTES
-            status = await self._ask_long(host, request_id, length)
-            self.statuses[f'long {status}'] += 1
-            self.record.note(f'client: {request_id}: {status}')
-            await asyncio.sleep(rng.uniform(0.5, 1.0))
-
-    async def _ask_long(self, host, request_id, length):
-        writer = None
+        self.answered = 0
+
+    async def begin(self, index):
+        """Connect and send a short request, so that the next one is one of a
+        kept connection."""
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        if self.kind.buffer_bytes is not None:
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.kind.buffer_bytes
+            )
+        await asyncio.get_running_loop().sock_connect(
+            self.sock, (self.host.ip, self.host.ports['front'])
+        )
+        self.buffer = b''
+        await self._ask(f'{self.name}-{index}-first', 100, False)
+
+    async def go_on(self, index):
+        """Send the request whose answer is read slowly."""
+        await self._ask(
+            f'{self.name}-{index}-slow', self.kind.answer_bytes, TROUBLE
+        )
+        self.sock.close()
+
+    async def _ask(self, request_id, size, is_slow):
+        loop = asyncio.get_running_loop()
+        started, got = time.monotonic(), 0
         try:
-            reader, writer = await asyncio.open_connection(
-                host.ip, host.ports['front']
+            await loop.sock_sendall(
+                self.sock,
+                stands.head_bytes(
+                    f'POST /ticket/{size} HTTP/1.1',
+                    [
+                        ('Host', 'shop.example'),
+                        ('Request-Id', request_id),
+                        ('Authorization', 'Bearer key-1'),
+                        ('Deadline-Milliseconds', DEADLINE_MS),
+                        ('Content-Length', 0),
+                    ],
+                ),
             )
-            writer.write(request_head(request_id, length))
-            parts = -(-length // PART_BYTES)
-            for index in range(parts):
-                size = min(PART_BYTES, length - index * PART_BYTES)
-                writer.write(b'x' * size)
-                await writer.drain()
-                await asyncio.sleep(UPLOAD_S / parts)
-            head = await stands.read_head(reader)
-            return None if head is None else int(head[0].split(' ')[1])
-        except OSError:
-            return None
-        finally:
-            if writer is not None:
-                writer.close()
-
-    async def watch_memory(self, host):
-        """Kill a process over its memory, as the platform does, and start it
-        again after a short delay."""
-        while not self.is_over:
-            resident_mb = memory_mb(host)
-            if resident_mb > self.peaks[host.name]:
-                self.peaks[host.name] = resident_mb
-            if resident_mb > MEMORY_MB:
-                self.kills[host.name] += 1
-                self.record.note(
-                    f'platform: {host.name} has {resident_mb:.0f} MB and is '
-                    f'killed'
-                )
-                host.end()
-                await asyncio.sleep(RESTART_S)
-                host.start()
-            await asyncio.sleep(0.02)
-
-
-def memory_mb(host):
-    try:
-        status = pathlib.Path(f'/proc/{host.process.pid}/status').read_text()
-    except OSError:
-        return 0.0
-    for line in status.splitlines():
-        if line.startswith('VmRSS:'):
-            return int(line.split()[1]) / 1000
-    return 0.0
+            while b'\r\n\r\n' not in self.buffer:
+                await self._read(is_slow)
+            head, _, self.buffer = self.buffer.partition(b'\r\n\r\n')
+            status = int(head.split(b' ')[1])
+            while len(self.buffer) < size and status == 200:
+                await self._read(is_slow)
+            got, self.buffer = len(self.buffer), b''
+            self.answered += 1
+            problem = f'{status}, whole'
+        except OSError as error:
+            got = len(self.buffer)
+            problem = f'no whole answer: {type(error).__name__}'
+            if is_slow:
+                self.unanswered.append(request_id)
+        took_s = time.monotonic() - started
+        self.record.note(
+            f'client: {request_id}: {problem}, {got} of {size} bytes in '
+            f'{took_s:.1f} s'
+        )
+
+    async def _read(self, is_slow):
+        if is_slow:
+            await asyncio.sleep(self.kind.pause_s)
+        data = await asyncio.get_running_loop().sock_recv(
+            self.sock, self.kind.read_bytes
+        )
+        if not data:
+            raise ConnectionResetError('closed')
+        self.buffer += data
 
 
 async def play(record, workdir, started):
     store = stands.Store(record)
     await store.start()
-    ticket = stands.route('ticket', '/ticket/', 'unsafe', 'desk', 10000, 1000)
+    ticket = stands.route(
+        'ticket', '/ticket/', 'unsafe', 'desk', DEADLINE_MS, 400
+    )
     await store.put(
         'config', 'main', stands.configuration(7, [ticket], [{'name': 'desk'}])
     )
     desks = [
         Desk(store, record, 'desk', zone, slots=64)
-        for zone in ('north', 'east', 'south', 'north')
+        for zone in ('north', 'east', 'south')
     ]
     for desk in desks:
         await desk.start()
@@ -197,36 +177,35 @@
         started.append(host)
     if not await stands.await_ready(hosts):
         return None
-    case = Case(record)
-    tasks = []
-    for host in hosts:
-        tasks.append(case.watch_memory(host))
-        tasks += [case.send_short(host, n) for n in range(SHORT_CALLERS)]
-        tasks += [
-            case.send_long(host, n, random.Random(n))
-            for n in range(LONG_CALLERS)
-        ]
-    tasks = [asyncio.create_task(task) for task in tasks]
-    await asyncio.sleep(2.0)
-    case.is_burst = True
-    await asyncio.sleep(BURST_S)
-    case.is_burst = False
-    case.is_over = True
-    await asyncio.wait(tasks, timeout=12.0)
+    callers = [
+        Caller(record, host, kind, number)
+        for host in hosts
+        for kind in KINDS
+        for number in range(CALLERS // 2)
+    ]
+    for index in range(ROUNDS):
+        await asyncio.gather(*(caller.begin(index) for caller in callers))
+        if index == HUP_ROUND:
+            # Planned work; the settings are the same.
+            record.note('platform: SIGHUP to all hosts')
+            for host in hosts:
+                host.send(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+        await asyncio.gather(*(caller.go_on(index) for caller in callers))
     ran = collections.Counter()
     for desk in desks:
         ran += desk.runs
-    lost = [r for _, r, count in case.unanswered if ran[r] and count > 1]
-    record.note(f'statuses: {dict(case.statuses)}')
-    record.note(f'most memory, MB: {dict(case.peaks)}')
-    record.note(f'killed over {MEMORY_MB} MB: {dict(case.kills)}')
-    record.note(
-        f'requests of kept connections that ran and got no answer: '
-        f'{len(lost)}: {" ".join(lost)}'
-    )
-    if case.statuses['short 200'] < 50:
+    lost = [r for c in callers for r in c.unanswered if ran[r]]
+    for kind in KINDS:
+        count = sum(r.startswith(kind.name) for r in lost)
+        record.note(f'{kind.name}: {count} ran and got no whole answer')
+    hup = sum(f'-{HUP_ROUND}-slow' in r for r in lost)
+    record.note(f'of these sent within 2 s of a SIGHUP: {hup}')
+    twice = [r for r, count in ran.items() if count > 1]
+    record.note(f'requests that ran: {len(ran)}, more than once: {twice}')
+    if not sum(caller.answered for caller in callers):
         return None
-    return len(lost) <= 3
+    return len(lost) <= 3 and not hup
 
 
 if __name__ == '__main__':
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,10 @@
-"""A stage runner starts again and counts its results anew."""
+"""Callers send bodies within the limits, and hosts outgrow their memory."""
 
 import asyncio
 import collections
-import json
 import os
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -13,260 +13,220 @@
 import stands  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE') != '0'
-CALLERS = 64
-TIMEOUT_MS = 10000
-DOWN_S = 0.8
-# A stale handle counts if it is sent so long after the store had the entry of
-# the new start.
-KNOWN_S = 0.5
-HANDLE_S = 4.0
-# Seconds of a call, of each of its pieces, and its pieces at most.
-COSTS = {'prep': (0.1, 0.02, 4), 'mix': (0.5, 0.05, 5)}
-
-
-class Result:
-    def __init__(self, request_id, stage, piece):
-        self.request_id = request_id
-        self.stage = stage
-        self.piece = piece
-
-
-class StageRunner(stands.Runner):
-    """Makes pieces; its results are numbered from 1 at each start."""
-
-    # Of all stage runners, by address.
-    at = {}
-
-    def __init__(self, case, *more, **named):
-        super().__init__(*more, slots=1, **named)
-        self.case = case
-        self.results = {}
-        self.count = 0
-        self.turn = asyncio.Lock()
-        self.waiting = 0
-        self.at[self.address] = self
-
-    async def start(self):
-        self.results, self.count = {}, 0
-        self.turn, self.waiting = asyncio.Lock(), 0
-        await super().start()
-        self.registered_at = self.record.now()
-
-    async def _on_request(self, first, headers, reader, writer):
-        path = first.split(' ')[1]
-        expected = headers.get('expected-instance', self.identifier)
-        if not path.startswith('/api/stage') or expected != self.identifier:
-            await super()._on_request(first, headers, reader, writer)
-            return
-        content = json.loads(await stands.read_body(reader, headers))
-        if path == '/api/stage-free':
-            for handle in content['handles']:
-                self.results.pop(handle, None)
-            await answer_json(writer, 200, {})
-            return
-        if self.waiting > 2:
-            await answer_json(writer, 503, {}, [('Not-Executed', '1')])
-            return
-        await self._make(content['items'], writer)
-
-    async def _make(self, items, writer):
-        born, turn = self.born, self.turn
-        self.waiting += 1
-        async with turn:
-            # The inputs are fetched when the call's turn comes.
-            gone = {
-                index
-                for index, item in enumerate(items)
-                if not all(
-                    self.case.fetch(self, item, handle)
-                    for handle in item.get('inputs', ())
-                )
-            }
-            call_s, item_s, _ = COSTS[self.service]
-            await asyncio.sleep(call_s + item_s * len(items))
-        if self.born != born or not self.is_up:
-            return
-        self.waiting -= 1
-        found = []
-        for index, item in enumerate(items):
-            if index in gone:
-                found.append({'reason': 'gone'})
-                continue
-            self.count += 1
-            handle = f'{self.address}/{self.count:x}'
-            self.results[handle] = Result(
-                item['identifier'], item['stage'], item['piece']
-            )
-            asyncio.get_running_loop().call_later(
-                HANDLE_S, self._expire, born, handle
-            )
-            self.record.note(
-                f'runner {self.identifier}: makes {handle} of '
-                f'{item["identifier"]} stage {item["stage"]}'
-            )
-            found.append({'handle': handle})
-        await answer_json(writer, 200, {'items': found})
-
-    def _expire(self, born, handle):
-        if self.born == born:
-            self.results.pop(handle, None)
-
-
-async def answer_json(writer, status, content, headers=()):
-    headers = [('Content-Type', 'application/json'), *headers]
-    await stands.answer(
-        writer, status, headers, json.dumps(content).encode()
-    )
-
-
-class Engine(stands.Runner):
-    """Streams a few events once it has its inputs."""
-
-    def __init__(self, case, *more, **named):
+MEMORY_MB = 300
+BODY_BYTES = 4194304
+USUAL_BODY_BYTES = 18000
+PART_BYTES = 64 * 1024
+# Callers of each host: those with a long body, and those with short requests
+# on connections that they keep.
+LONG_CALLERS = 52
+SHORT_CALLERS = 6
+WORK_S = 0.3
+BURST_S = 30.0
+RESTART_S = 0.5
+UPLOAD_S = 2.0
+
+
+class Desk(stands.Runner):
+    """Works on each request for a while and answers it."""
+
+    def __init__(self, *more, **named):
         super().__init__(*more, **named)
-        self.case = case
+        self.runs = collections.Counter()
 
     async def run(self, method, target, headers, reader, writer):
-        await stands.read_body(reader, headers)
+        body = await stands.read_body(reader, headers)
         request_id = headers['request-id']
-        handles = [h for h in headers.get('inputs', '').split(',') if h]
-        item = {'identifier': request_id, 'stage': 'main', 'piece': 0}
-        plain = self.plain_headers(headers)
-        if not handles:
-            await stands.answer(writer, 400, [*plain, ('Not-Executed', '1')])
-            return
-        if not all(self.case.fetch(self, item, handle) for handle in handles):
-            await stands.answer(writer, 409, [*plain, ('Not-Executed', '1')])
-            return
-        seal = ('Response-Seal', f'seal-{request_id}')
-        kind = ('Content-Type', 'text/event-stream')
-        body = b''.join(
-            f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
-            for number in range(1, 5)
+        self.runs[request_id] += 1
+        self.record.note(
+            f'runner {self.identifier}: runs {request_id} ({len(body)} bytes)'
+        )
+        await asyncio.sleep(WORK_S)
+        await stands.answer(
+            writer,
+            200,
+            [
+                *self.plain_headers(headers),
+                ('Response-Seal', f'seal-{request_id}'),
+            ],
+            f'{request_id} {len(body)}'.encode(),
         )
-        await stands.answer(writer, 200, [*plain, seal, kind], body)
+
+
+def request_head(request_id, length):
+    return stands.head_bytes(
+        f'POST /ticket/{request_id} HTTP/1.1',
+        [
+            ('Host', 'shop.example'),
+            ('Request-Id', request_id),
+            ('Authorization', 'Bearer key-1'),
+            ('Deadline-Milliseconds', 10000),
+            ('Content-Length', length),
+        ],
+    )
 
 
 class Case:
     def __init__(self, record):
         self.record = record
-        # Pieces and requests that were given a result of another request.
-        self.foreign = []
-
-    def fetch(self, reader, item, handle):
-        """Fetch an input; return whether it is there."""
-        maker = StageRunner.at.get(handle.partition('/')[0])
-        if maker is None or not maker.is_up:
-            return False
-        result = maker.results.get(handle)
-        if result is None:
-            return False
-        if result.request_id != item['identifier']:
-            known_s = self.record.now() - maker.registered_at
-            self.record.note(
-                f'foreign: {reader.identifier} is given {handle} of '
-                f'{result.request_id} for {item["identifier"]} stage '
-                f'{item["stage"]}, {known_s:.2f} s after the entry of the '
-                f'new start'
+        self.is_over = False
+        self.is_burst = False
+        self.statuses = collections.Counter()
+        # Requests on kept connections that ended without an answer.
+        self.unanswered = []
+        self.kills = collections.Counter()
+        self.peaks = collections.Counter()
+
+    async def send_short(self, host, number):
+        """Send unsafe requests, one after the other, on one connection."""
+        count = 0
+        while not self.is_over:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    host.ip, host.ports['front']
+                )
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            while not self.is_over:
+                count += 1
+                request_id = f'short-{host.name}-{number}-{count}'
+                status = await self._ask_short(reader, writer, request_id)
+                self.statuses[f'short {status}'] += 1
+                self.record.note(f'client: {request_id}: {status}')
+                if status is None:
+                    self.unanswered.append((host.name, request_id, count))
+                    break
+                await asyncio.sleep(0.05 if status == 200 else 0.5)
+            writer.close()
+
+    async def _ask_short(self, reader, writer, request_id):
+        try:
+            body = b'x' * 600
+            writer.write(request_head(request_id, len(body)) + body)
+            head = await stands.read_head(reader)
+            if head is None:
+                return None
+            await stands.read_body(reader, head[1])
+            return int(head[0].split(' ')[1])
+        except (OSError, asyncio.IncompleteReadError):
+            return None
+
+    async def send_long(self, host, number, rng):
+        """Send requests with a body, each on a connection of its own."""
+        count = 0
+        while not self.is_over:
+            if not self.is_burst:
+                await asyncio.sleep(0.1)
+                continue
+            count += 1
+            request_id = f'long-{host.name}-{number}-{count}'
+            length = BODY_BYTES if TROUBLE else USUAL_BODY_BYTES
+            status = await self._ask_long(host, request_id, length)
+            self.statuses[f'long {status}'] += 1
+            self.record.note(f'client: {request_id}: {status}')
+            await asyncio.sleep(rng.uniform(0.5, 1.0))
+
+    async def _ask_long(self, host, request_id, length):
+        writer = None
+        try:
+            reader, writer = await asyncio.open_connection(
+                host.ip, host.ports['front']
             )
-            if known_s >= KNOWN_S:
-                self.foreign.append(item['identifier'])
-        return True
+            writer.write(request_head(request_id, length))
+            parts = -(-length // PART_BYTES)
+            for index in range(parts):
+                size = min(PART_BYTES, length - index * PART_BYTES)
+                writer.write(b'x' * size)
+                await writer.drain()
+                await asyncio.sleep(UPLOAD_S / parts)
+            head = await stands.read_head(reader)
+            return None if head is None else int(head[0].split(' ')[1])
+        except OSError:
+            return None
+        finally:
+            if writer is not None:
+                writer.close()
+
+    async def watch_memory(self, host):
+        """Kill a process over its memory, as the platform does, and start it
+        again after a short delay."""
+        while not self.is_over:
+            resident_mb = memory_mb(host)
+            if resident_mb > self.peaks[host.name]:
+                self.peaks[host.name] = resident_mb
+            if resident_mb > MEMORY_MB:
+                self.kills[host.name] += 1
+                self.record.note(
+                    f'platform: {host.name} has {resident_mb:.0f} MB and is '
+                    f'killed'
+                )
+                host.end()
+                await asyncio.sleep(RESTART_S)
+                host.start()
+            await asyncio.sleep(0.02)
 
 
-async def ask(host, request_id):
-    reader, writer = await asyncio.open_connection(
-        host.ip, host.ports['front']
-    )
+def memory_mb(host):
     try:
-        body = b'x' * 300
-        headers = [
-            ('Host', 'shop.example'),
-            ('Request-Id', request_id),
-            ('Authorization', 'Bearer key-1'),
-            ('Deadline-Milliseconds', TIMEOUT_MS),
-            ('Pieces', '1,1'),
-            ('Piece-Key', f'key{request_id}'),
-            ('Content-Length', len(body)),
-        ]
-        writer.write(
-            stands.head_bytes(f'POST /guide/{request_id} HTTP/1.1', headers)
-            + body
-        )
-        head = await stands.read_head(reader)
-        return None if head is None else int(head[0].split(' ')[1])
+        status = pathlib.Path(f'/proc/{host.process.pid}/status').read_text()
     except OSError:
-        return None
-    finally:
-        writer.close()
-
-
-async def call(record, hosts, number, statuses, is_over):
-    count = 0
-    while not is_over.is_set():
-        count += 1
-        request_id = f'{number:02x}{count:04x}'
-        record.note(f'client: sends {request_id}')
-        status = await ask(hosts[number % len(hosts)], request_id)
-        statuses[str(status)] += 1
-        record.note(f'client: {request_id}: {status}')
-        await asyncio.sleep(0.05 if status == 200 else 0.5)
+        return 0.0
+    for line in status.splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) / 1000
+    return 0.0
 
 
 async def play(record, workdir, started):
     store = stands.Store(record)
     await store.start()
-    case = Case(record)
-    guide = stands.route(
-        'guide', '/guide/', 'streaming', 'engine', TIMEOUT_MS, 8000,
-        resumeStreams=True, targetGapMs=400,
-        stages=[
-            {'service': 'prep', 'after': [], 'bytes': 8000},
-            {'service': 'mix', 'after': [0], 'bytes': 8000},
-        ],
+    ticket = stands.route('ticket', '/ticket/', 'unsafe', 'desk', 10000, 1000)
+    await store.put(
+        'config', 'main', stands.configuration(7, [ticket], [{'name': 'desk'}])
     )
-    services = [{'name': 'engine'}]
-    for name, (call_s, item_s, batch) in COSTS.items():
-        pieces = {
-            'slots': 1, 'queue': 2, 'batch': batch,
-            'callMs': call_s * 1000, 'itemMs': item_s * 1000,
-            'headroomMb': 18.0, 'handleS': HANDLE_S, 'linkMbps': 10000,
-        }
-        services.append({'name': name, 'pieces': pieces})
-    await store.put('config', 'main', stands.configuration(7, [guide], services))
-    zones = ('north', 'east', 'south', 'north')
-    runners = [Engine(case, store, record, 'engine', z) for z in zones[:3]]
-    preps = [StageRunner(case, store, record, 'prep', z) for z in zones]
-    mixes = [StageRunner(case, store, record, 'mix', z) for z in zones[:2]]
-    for runner in (*runners, *preps, *mixes):
-        await runner.start()
+    desks = [
+        Desk(store, record, 'desk', zone, slots=64)
+        for zone in ('north', 'east', 'south', 'north')
+    ]
+    for desk in desks:
+        await desk.start()
     hosts = stands.make_hosts(workdir, 2, store)
     for host in hosts:
         host.start()
         started.append(host)
     if not await stands.await_ready(hosts):
         return None
-    statuses, is_over = collections.Counter(), asyncio.Event()
-    callers = [
-        asyncio.create_task(call(record, hosts, n, statuses, is_over))
-        for n in range(CALLERS)
-    ]
-    for prep in preps:
-        # Twice, as one that goes down and up.
-        for pause_s in (1.5, 1.5):
-            await asyncio.sleep(pause_s)
-            if TROUBLE:
-                await prep.crash()
-                await asyncio.sleep(DOWN_S)
-                await prep.start()
-    await asyncio.sleep(6.0)
-    is_over.set()
-    await asyncio.wait(callers, timeout=12.0)
-    record.note(f'statuses: {dict(statuses)}')
-    record.note(f'inputs of another request: {len(case.foreign)}')
-    if statuses['200'] < 20:
+    case = Case(record)
+    tasks = []
+    for host in hosts:
+        tasks.append(case.watch_memory(host))
+        tasks += [case.send_short(host, n) for n in range(SHORT_CALLERS)]
+        tasks += [
+            case.send_long(host, n, random.Random(n))
+            for n in range(LONG_CALLERS)
+        ]
+    tasks = [asyncio.create_task(task) for task in tasks]
+    await asyncio.sleep(2.0)
+    case.is_burst = True
+    await asyncio.sleep(BURST_S)
+    case.is_burst = False
+    case.is_over = True
+    await asyncio.wait(tasks, timeout=12.0)
+    ran = collections.Counter()
+    for desk in desks:
+        ran += desk.runs
+    lost = [r for _, r, count in case.unanswered if ran[r] and count > 1]
+    record.note(f'statuses: {dict(case.statuses)}')
+    record.note(f'most memory, MB: {dict(case.peaks)}')
+    record.note(f'killed over {MEMORY_MB} MB: {dict(case.kills)}')
+    record.note(
+        f'requests of kept connections that ran and got no answer: '
+        f'{len(lost)}: {" ".join(lost)}'
+    )
+    if case.statuses['short 200'] < 50:
         return None
-    return not case.foreign
+    return len(lost) <= 3
 
 
 if __name__ == '__main__':
