--- a/review/9/case.py
+++ b/review/9/case.py
@@ -174,7 +174,7 @@
         return 0.0
     for line in status.splitlines():
         if line.startswith('VmRSS:'):
-            return int(line.split()[1]) / 1000
+            return int(line.split()[1]) * 1024 / 1e6
     return 0.0
 
 
