Know a runner's start from its process, not its entry

With clocks set back few requests were served besides.

Cause: hosts knew of a start from the runner's entry in the store alone, so that results of two starts bore the same one; starts were compared by "later than", so that results of a start born earlier counted as outlived.

Change: the host that gives work to a stage runner keeps one connection to it while results of it are in use. A process that ends closes it; the report asked for on the next one tells the start that is there now. Where reports tell none, the results of before end with the connection. Hosts that got results hear of it at once, and so do the owners of pieces that read them. Starts are told apart, never put in order; one that is not told is known by the runner's name. Results of a runner that refuses connections behind a broken one are gone until it is back.

--- a/features/stage_runner_crashes.feature
+++ b/features/stage_runner_crashes.feature
@@ -47,3 +47,55 @@
       | lag |
       | 0   |
       | 1   |
+
+  Scenario Outline: stage runners start again and count their results anew while the store is <away>
+    # Guards against results of two starts that are taken for those of one, as
+    # hosts know of a start from the runner's entry alone.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And a second stage that keeps pieces waiting
+    When 12 staged requests a second are sent for 8 s while each runner starts again in turn
+    And <hearing>
+    Then no piece and no request gets a result of another request
+    And nobody frees a result of a start that is not its own
+    And at least 0.6 of the requests are answered
+
+    Examples:
+      | away | hearing                                           |
+      | away | no host hears of the starts, as the store is away |
+      | late | the hosts hear of each start 1.5 s later          |
+
+  Scenario Outline: stage runners whose clocks are set back start again, hosts hear of it <when>
+    # Guards against starts that are put in order: results of the new start
+    # were dropped, those of the one before were used.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And a second stage that keeps pieces waiting
+    And runners whose clocks are set back before each start
+    When 12 staged requests a second are sent for 8 s while each runner starts again in turn
+    And <hearing>
+    Then no piece and no request gets a result of another request
+    And nobody frees a result of a start that is not its own
+    And at least 0.6 of the requests are answered
+
+    Examples:
+      | when    | hearing                                              |
+      | at once | the hosts hear of each start 0 s later               |
+      | late    | all hosts but the owner hear of each start 1 s later |
+      | never   | no host hears of the starts, as the store is away    |
+
+  Scenario Outline: stage runners whose reports tell no start begin anew while the store is <away>
+    # Guards against two starts that nothing but the end of their connections
+    # tells apart.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And a second stage that keeps pieces waiting
+    And runners whose reports tell no start
+    When 12 staged requests a second are sent for 8 s while each runner starts again in turn
+    And <hearing>
+    Then no piece and no request gets a result of another request
+    And nobody frees a result of a start that is not its own
+    And at least 0.6 of the requests are answered
+
+    Examples:
+      | away     | hearing                                           |
+      | in place | the hosts hear of each start 0 s later            |
+      | away     | no host hears of the starts, as the store is away |
+      | late     | the hosts hear of each start 1.5 s later          |
--- a/features/steps/renumbered_result_steps.py
+++ b/features/steps/renumbered_result_steps.py
@@ -24,6 +24,8 @@
 START_GAP_S = 0.4
 DOWN_S = 0.2
 STARTS_PER_RUNNER = 4
+FIRST_BORN_MS = 10_000_000
+CLOCK_STEP_MS = 100_000
 
 
 class Shelf:
@@ -69,12 +71,11 @@
                 del self.shelf.held[handle]
         self.results.clear()
         self.waiting.clear()
-        for call in network.runner_calls:
-            if call.address == self.address and not call.is_over:
-                call.fail(edge.CallErrorKind.CLOSED)
+        network.end_connections(self.address)
 
-    def start(self, network: Any) -> None:
+    def start(self, network: Any, born: int) -> None:
         """Begin anew."""
+        self.born = born
         self.count = 0
         self.is_busy = False
         network.runners[self.address] = self
@@ -93,6 +94,7 @@
             limits,
         )
         runner.shelf = shelf
+        runner.born = 1
         world.add_runner(runner, service, slots=1)
         runners.append(runner)
     return runners
@@ -141,23 +143,65 @@
     context.per_s, context.load_s = per_s, seconds
 
 
+@given('runners whose clocks are set back before each start')
+def set_back(context: Any) -> None:
+    """Let each start be born before the last one."""
+    context.born_step = -CLOCK_STEP_MS
+
+
+@given('runners whose reports tell no start')
+def tell_nothing(context: Any) -> None:
+    """Let runners tell their starts in their entries alone."""
+    for runner in context.runners:
+        runner.tells_start = False
+
+
 @when('all hosts but the owner hear of each start {lag_s:g} s later')
 def play(context: Any, lag_s: float) -> None:
-    """Let runners end and start, and requests come."""
+    """Let the owner hear of each start at once."""
+    _play(context, 0.0, lag_s)
+
+
+@when('no host hears of the starts, as the store is away')
+def play_away(context: Any) -> None:
+    """Let no entry of a start come."""
+    _play(context, None, None)
+
+
+@when('the hosts hear of each start {lag_s:g} s later')
+def play_late(context: Any, lag_s: float) -> None:
+    """Let all entries come late."""
+    _play(context, lag_s, lag_s)
+
+
+def _play(
+    context: Any, owner_lag_s: float | None, lag_s: float | None
+) -> None:
+    """Let runners end and start, and requests come.
+
+    Entries of starts come so long behind them, not at all if it is None.
+    """
     world = context.world
+    step = getattr(context, 'born_step', CLOCK_STEP_MS)
     for number in range(len(context.runners) * STARTS_PER_RUNNER):
         runner = context.runners[number % len(context.runners)]
         at = FIRST_START_S + number * START_GAP_S
         world.clock.callLater(at, runner.end, world.network)
+        born = FIRST_BORN_MS + (number + 1) * step
         world.clock.callLater(
-            at + DOWN_S, _start_again, context, runner, number + 2, lag_s
+            at + DOWN_S,
+            _start_again,
+            context,
+            runner,
+            born,
+            (owner_lag_s, lag_s),
         )
     context.sent = []
     for index in range(context.per_s * context.load_s):
         facts = edge.RequestMetadata(
             f'request-{index}',
             ROUTE_S,
-            pieces=(PIECES, PIECES),
+            pieces=(PIECES,) * len(context.route.stages),
             piece_key='key',
         )
         host = world.hosts[index % len(world.hosts)]
@@ -169,7 +213,10 @@
 
 
 def _start_again(
-    context: Any, runner: CountingRunner, born: int, lag_s: float
+    context: Any,
+    runner: CountingRunner,
+    born: int,
+    lags_s: tuple[float | None, float | None],
 ) -> None:
     """Start a runner; its new entry is heard of before or later."""
     world = context.world
@@ -183,9 +230,15 @@
     }
     item = model.StoredObject(f'runner/{runner.name}', born, json.dumps(entry))
     for index, host in enumerate(world.hosts):
-        delay_s = lag_s if index else 0.0
-        world.clock.callLater(delay_s, host.catalog.apply, item)
-    runner.start(world.network)
+        delay_s = lags_s[1] if index else lags_s[0]
+        if delay_s is not None:
+            world.clock.callLater(delay_s, _apply, world, host, item)
+    runner.start(world.network, born)
+
+
+def _apply(world: Any, host: Any, item: model.StoredObject) -> None:
+    host.catalog.now = world.clock.seconds()
+    host.catalog.apply(item)
 
 
 def _reads(context: Any) -> list[tuple[float, str, str]]:
--- a/libs/ragwort_edge/ragwort_edge/_client.py
+++ b/libs/ragwort_edge/ragwort_edge/_client.py
@@ -53,10 +53,16 @@
 class CallError(model.RagwortError):
     """Raise when a call ends without a complete response."""
 
-    def __init__(self, kind: CallErrorKind, detail: str) -> None:
-        """Build the message from kind and detail."""
+    def __init__(
+        self, kind: CallErrorKind, detail: str, is_refused: bool = False
+    ) -> None:
+        """Build the message from kind and detail.
+
+        is_refused tells whether nobody listens at the address.
+        """
         super().__init__(f'{kind}: {detail}')
         self.kind = kind
+        self.is_refused = is_refused
 
 
 class _ConnectionCheck(protocol.ClientFactory):
@@ -101,6 +107,9 @@
     def on_error(self, call_error: CallError) -> None:
         """Handle a failed call; no callback follows."""
 
+    def on_closed(self) -> None:
+        """Handle the end of a connection that was kept behind on_end."""
+
 
 @implementer(interfaces.IPushProducer)
 class _CallProtocol(protocol.Protocol):
@@ -118,10 +127,14 @@
         held: _body.HeldBytes,
         monitor: peers.SendMonitor,
         report: Callable[[], None] = log.err,
+        keeps_open: bool = False,
     ) -> None:
         self.held = held
         self.monitor = monitor
         self.report = report
+        self.keeps_open = keeps_open
+        # Set while the connection is kept behind the response.
+        self.is_kept = False
         self.size = 0
         self.request = request
         self.reader = reader
@@ -189,6 +202,9 @@
         """Feed received bytes to the parser."""
         if not self.is_over:
             self._feed(data)
+        elif self.is_kept:
+            # Nothing was asked for.
+            self.transport.abortConnection()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -196,6 +212,9 @@
         """End a response that the close delimits, or fail the call."""
         self._let_go()
         self.monitor.forget(self.transport)
+        if self.is_kept:
+            self.is_kept = False
+            self.reader.on_closed()
         if self.is_over:
             return
         if reason.check(error.ConnectionDone):
@@ -266,8 +285,10 @@
             # The runner must not get the rest of a request that it has
             # refused: it may be sent to another one now.
             self.transport.abortConnection()
-        else:
-            self.transport.unregisterProducer()
+            return
+        self.transport.unregisterProducer()
+        self.is_kept = self.keeps_open
+        if not self.is_kept:
             self.transport.loseConnection()
 
     def _fail(self, kind: CallErrorKind, detail: str) -> None:
@@ -290,7 +311,9 @@
         held: _body.HeldBytes,
         monitor: peers.SendMonitor,
         report: Callable[[], None],
+        keeps_open: bool = False,
     ) -> None:
+        self.keeps_open = keeps_open
         self.request = request
         self.reader = reader
         self.held = held
@@ -311,6 +334,7 @@
             self.held,
             self.monitor,
             self.report,
+            self.keeps_open,
         )
         return self.call_protocol
 
@@ -321,7 +345,9 @@
             self.is_cancelled = True
             self.reader.on_error(
                 CallError(
-                    CallErrorKind.NOT_CONNECTED, reason.getErrorMessage()
+                    CallErrorKind.NOT_CONNECTED,
+                    reason.getErrorMessage(),
+                    reason.check(error.ConnectionRefusedError) is not None,
                 )
             )
 
@@ -360,8 +386,9 @@
         call_protocol = self.factory.call_protocol
         if call_protocol is None:
             self.connector.disconnect()
-        elif not call_protocol.is_over:
+        elif not call_protocol.is_over or call_protocol.is_kept:
             call_protocol.is_over = True
+            call_protocol.is_kept = False
             if call_protocol.transport is not None:
                 call_protocol.transport.abortConnection()
 
@@ -385,10 +412,20 @@
         request: _messages.HttpRequest,
         reader: ResponseReader,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        keeps_open: bool = False,
     ) -> OpenCall:
-        """Send a request to an IP number and port."""
+        """Send a request to an IP number and port.
+
+        With keeps_open the connection stays open behind a whole response,
+        until either side closes it.
+        """
         factory = _CallFactory(
-            request, reader, self.held, self.monitor, self.report
+            request,
+            reader,
+            self.held,
+            self.monitor,
+            self.report,
+            keeps_open,
         )
         host, port = model.split_address(address)
         connector = self.reactor.connectTCP(
--- a/libs/ragwort_edge/ragwort_edge/_dialect.py
+++ b/libs/ragwort_edge/ragwort_edge/_dialect.py
@@ -142,6 +142,15 @@
     def read_free_storage(self, response: _messages.HttpResponse) -> float:
         """Return the free storage in bytes; raise WireError."""
 
+    def report_request(self, address: str) -> _messages.HttpRequest:
+        """Return the request for the report of whatever is at an address."""
+
+    def read_start(self, response: _messages.HttpResponse) -> int:
+        """Return the start in Unix milliseconds that a report tells.
+
+        Return 0 if it tells none.
+        """
+
     def handle_address(self, handle: str) -> str:
         """Return the address of the runner that stores a result."""
 
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -483,6 +483,7 @@
         self.catalog.now = now
         parts: dict[str, Callable[[], object]] = {
             'fleet': lambda: self.catalog.fleet.remove_expired(now),
+            'makers': lambda: self.stages.forget_makers(now),
             'stream-origins': lambda: self.origins.tick(now),
             'members': lambda: self._send_all(self.members.tick(now, wall)),
             'gossip': self._send_gossip,
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 import math
 from typing import Any
 
@@ -12,6 +13,8 @@
 from ragwort_edge import _body
 from ragwort_edge import _client
 from ragwort_edge import _dialect
+from ragwort_edge import _maker_news
+from ragwort_edge import _maker_watch
 from ragwort_edge import _messages
 from ragwort_edge import _metrics
 from ragwort_edge import _runner_replies
@@ -83,6 +86,24 @@
         self.send_peer = send_peer
         self.on_outcomes = on_outcomes
         self.on_given_back = on_given_back
+        self.makers = catalog.makers
+        self.maker_news = _maker_news.MakerNews(
+            reactor, catalog.makers, send_peer, logger
+        )
+        self.maker_watch = _maker_watch.MakerWatch(
+            reactor,
+            client,
+            dialect,
+            catalog,
+            logger,
+            self._has_results,
+            self._read_notices,
+        )
+        catalog.makers.on_ended = self._on_maker_ended
+        # Addresses of runners that have started again, to be acted upon.
+        self.ended_makers: set[str] = set()
+        # Called with the addresses of such runners.
+        self.on_ended_makers: Callable[[list[str]], None] = lambda ended: None
         self.owned: dict[str, _OwnedGroup] = {}
         self.finished: collections.OrderedDict[str, _OwnedGroup] = (
             collections.OrderedDict()
@@ -90,9 +111,9 @@
         self.batchers: dict[str, relay.Batcher] = {}
         # Handles to free by address, each with the start of its maker.
         self.releases: dict[str, list[tuple[str, int]]] = {}
-        # The catalog's count of starts when a queue was last searched for
+        # The makers' count of changes when a queue was last searched for
         # pieces whose inputs are gone with their makers, by service.
-        self.searched_at_start: dict[str, int] = {}
+        self.searched_at_change: dict[str, int] = {}
         self.release_timer: Any = None
         self.storage_check_due: dict[str, float] = {}
         self.dispatch_timers: dict[str, Any] = {}
@@ -167,8 +188,7 @@
                     w.key,
                     tuple(w.inputs),
                     tuple(
-                        starts.get(self.dialect.handle_address(handle), 0)
-                        for handle in w.inputs
+                        self._start_of(handle, starts) for handle in w.inputs
                     ),
                 )
                 for w in message.work
@@ -187,6 +207,11 @@
         )
         self.enqueue(message.service_name, group, sender)
 
+    def _start_of(self, handle: str, starts: dict[str, int]) -> int:
+        """Return the start of a result's maker, as told or as known here."""
+        address = self.dialect.handle_address(handle)
+        return starts.get(address, 0) or self.makers.start_at(address)
+
     def _decline(self, sender: str, group: str, service: str) -> None:
         declined = model.StageDeclined(group, service)
         self.send_peer(model.SendPeerMessage(sender, declined))
@@ -236,8 +261,8 @@
 
     def on_release(self, message: model.StageRelease) -> None:
         """Free results at their runners."""
-        starts = message.starts or [0] * len(message.handles)
-        self.queue_release(zip(message.handles, starts, strict=False))
+        known = itertools.chain(message.starts, itertools.repeat(0))
+        self.queue_release(zip(message.handles, known, strict=False))
 
     def _batcher(self, service: str) -> relay.Batcher | None:
         configuration = self.catalog.configuration
@@ -277,7 +302,7 @@
             service, self.reactor.seconds(), len(group.work)
         )
         batcher.add(group)
-        self.searched_at_start.pop(service, None)
+        self.searched_at_change.pop(service, None)
         self.schedule_dispatch(service, 0.0)
 
     def schedule_dispatch(self, service: str, delay_s: float) -> None:
@@ -394,10 +419,10 @@
 
         Its new start may give their handles to results of other requests.
         """
-        start_count = self.catalog.start_count
-        if self.searched_at_start.get(service) == start_count:
+        change_count = self.makers.change_count
+        if self.searched_at_change.get(service) == change_count:
             return
-        self.searched_at_start[service] = start_count
+        self.searched_at_change[service] = change_count
         queue, batcher.queue = batcher.queue, []
         for piece in queue:
             if self._is_outlived(piece.work):
@@ -420,7 +445,34 @@
     def has_outlived(self, handle: str, started_ms: int) -> bool:
         """Tell whether the runner that made a result has started again."""
         address = self.dialect.handle_address(handle)
-        return self.catalog.has_started_again(address, started_ms)
+        return self.makers.has_ended(address, started_ms)
+
+    def _has_results(self, runner: relay.FleetRunner) -> bool:
+        """Tell whether results of a runner are in use or being made."""
+        return any(
+            batcher.storage.holds_results(runner.name)
+            or any(
+                c.runner.name == runner.name for c in batcher.calls.values()
+            )
+            for batcher in self.batchers.values()
+        )
+
+    def _on_maker_ended(self, address: str) -> None:
+        """Act upon the end of a start once the event at hand is handled."""
+        if not self.ended_makers:
+            self.reactor.callLater(0.0, self._act_on_ended_makers)
+        self.ended_makers.add(address)
+
+    def _act_on_ended_makers(self) -> None:
+        """Fail what needs results of ended starts; tell who holds some."""
+        now = self.reactor.seconds()
+        addresses, self.ended_makers = sorted(self.ended_makers), set()
+        for address in addresses:
+            self.maker_news.tell_holders(address, now)
+        self.on_ended_makers(addresses)
+        for service, batcher in list(self.batchers.items()):
+            if batcher.queue:
+                self.schedule_dispatch(service, 0.0)
 
     def _fail_evacuated(self, service: str, batcher: relay.Batcher) -> None:
         """Fail all queued pieces, as no runner is left to take them."""
@@ -448,6 +500,11 @@
     ) -> None:
         now = self.reactor.seconds()
         request = self.dialect.stage_request(call, now)
+        call.started_ms = self.makers.start_at(call.runner.address)
+        self.maker_watch.expect(
+            call.runner,
+            now + call.timeout_s + batcher.limits.result_ttl_s,
+        )
         call.runner.state.on_dispatch()
         self.catalog.on_send(call.runner, now)
         for piece in call.pieces:
@@ -585,7 +642,11 @@
         by_group: dict[str, list[model.PieceOutcome]] = {}
         retries: list[relay.QueuedPiece] = []
         unneeded: list[tuple[str, int]] = []
-        started_ms = call.runner.entry.started_ms
+        address = call.runner.address
+        started_ms = call.started_ms or self.makers.start_at(address)
+        # Either the start before has made the results or the next one.
+        is_doubtful = self.makers.has_ended(address, started_ms)
+        until = self.reactor.seconds() + batcher.limits.result_ttl_s
         for piece, result in zip(call.pieces, results, strict=True):
             self.metrics.pieces.labels(service, result.result).inc()
             group_id = piece.group.group_id
@@ -607,7 +668,7 @@
             if group_id not in self.owned:
                 if result.handle:
                     unneeded.append((result.handle, started_ms))
-            elif result.result in retryable:
+            elif result.result in retryable or (result.handle and is_doubtful):
                 if result.result == _dialect.PieceResult.STORAGE_FULL:
                     batcher.storage.on_full(
                         call.runner.name, self.reactor.seconds()
@@ -620,6 +681,9 @@
                         piece.work.piece, result.handle, reason, started_ms
                     )
                 )
+                origin = self.owned[group_id].origin
+                if origin is not None and result.handle:
+                    self.maker_news.on_delivered(origin, address, until)
         if unneeded:
             self.queue_release(unneeded)
         for group_id, outcomes in by_group.items():
@@ -682,7 +746,7 @@
             for piece in wanted:
                 piece.group.sends -= 1
             batcher.queue += wanted
-            self.searched_at_start.pop(service, None)
+            self.searched_at_change.pop(service, None)
         self.schedule_dispatch(service, 0.0)
 
     def _requeue(
@@ -696,7 +760,7 @@
             group = piece.group
             if self._may_resend(group) and self.budget.take(service, now):
                 batcher.queue.append(piece)
-                self.searched_at_start.pop(service, None)
+                self.searched_at_change.pop(service, None)
             else:
                 self._fail_pieces(group, [piece.work.piece], 'error')
 
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -89,6 +89,7 @@
             self._on_outcomes,
             self._on_given_back,
         )
+        self.local_owner.on_ended_makers = self._on_makers_ended
         self.group_numbers = itertools.count(1)
         # Wall time, as the steady clock may repeat values after a restart.
         self.group_prefix = f'{name}/{time.time_ns()}'
@@ -101,6 +102,11 @@
             collections.OrderedDict()
         )
 
+    def forget_makers(self, now: float) -> None:
+        """Forget starts and holders of results that are gone by now."""
+        self.catalog.makers.forget(now)
+        self.local_owner.maker_news.forget(now)
+
     @property
     def is_idle(self) -> bool:
         """Tell whether no group is queued or pending here."""
@@ -318,6 +324,29 @@
                 self.local_owner.on_drop(message)
             case model.StageRelease():
                 self.local_owner.on_release(message)
+            case model.RunnerStarts():
+                self.local_owner.maker_news.on_told(
+                    sender, message, self.reactor.seconds()
+                )
+
+    def _on_makers_ended(self, addresses: list[str]) -> None:
+        """Tell the owners of pieces that read results of ended starts."""
+        owners: dict[str, set[str]] = {}
+        for pending in self.pending.values():
+            if pending.owner is None:
+                continue
+            starts = self._maker_starts(pending.group)
+            found = {
+                address
+                for address in addresses
+                if self.catalog.makers.has_ended(
+                    address, starts.get(address, 0)
+                )
+            }
+            owners.setdefault(pending.owner, set()).update(found)
+        for owner, found in owners.items():
+            if found:
+                self.local_owner.maker_news.tell(owner, sorted(found))
 
     def on_reply(self, message: model.StageReply) -> None:
         """Handle outcomes from an owner."""
@@ -335,7 +364,7 @@
                 [o for o in outcomes if o.handle not in used]
             )
             return
-        for outcome in outcomes:
+        for outcome in map(self._with_start, outcomes):
             pending.outcomes.setdefault(outcome.piece, outcome)
             if outcome.handle:
                 self.handle_owners[outcome.handle] = pending.owner
@@ -353,6 +382,17 @@
                 self.delivered.popitem(last=False)
             pending.done.callback(pending.outcomes)
 
+    def _with_start(self, outcome: model.PieceOutcome) -> model.PieceOutcome:
+        """Return an outcome with the start of its maker as known here.
+
+        Hosts of earlier builds tell none.
+        """
+        if not outcome.handle or outcome.started_ms:
+            return outcome
+        address = self.local_owner.dialect.handle_address(outcome.handle)
+        started_ms = self.catalog.makers.start_at(address)
+        return msgspec.structs.replace(outcome, started_ms=started_ms)
+
     def _log_done(self, pending: _PendingGroup) -> None:
         group = pending.group
         now = self.reactor.seconds()
--- a/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_fakes.py
@@ -175,6 +175,14 @@
         except ValueError as error:
             raise model.WireError(str(error)) from None
 
+    def report_request(self, address: str) -> edge.HttpRequest:
+        """Return the request for the report of whatever is at an address."""
+        return edge.HttpRequest(b'GET', b'/room', ())
+
+    def read_start(self, response: edge.HttpResponse) -> int:
+        """Return the start that a report tells, 0 if it tells none."""
+        return int(response.header(b'born') or b'0')
+
     def handle_address(self, handle: str) -> str:
         """Return the address of the runner that keeps a result."""
         return handle.partition('/')[0]
@@ -281,6 +289,9 @@
         self.is_abandoned = False
         # Set while nothing passes on its connection.
         self.is_muted = False
+        # Set while its connection is kept behind the response.
+        self.keeps_open = False
+        self.is_kept = False
         # What came while the host did not read.
         self.is_paused = False
         self.unread: list[Callable[[], None]] = []
@@ -291,6 +302,11 @@
         """Tell whether the request has gone out."""
         return self.sent
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether its connection is open."""
+        return self.is_kept or not self.is_over
+
     def pause(self) -> None:
         """Deliver nothing for now."""
         self.is_paused = True
@@ -304,6 +320,7 @@
 
     def cancel(self) -> None:
         """Close the connection; the runner hears of it."""
+        self.is_kept = False
         if not self.is_over:
             self.is_over = True
             self.clock.callLater(ONE_WAY_S, self.on_close)
@@ -318,6 +335,7 @@
                 self.unread.append(deliver)
                 return
             self.is_over = ends
+            self.is_kept = ends and self.keeps_open and name == 'on_end'
             getattr(self.reader, name)(*arguments)
 
         self.clock.callLater(ONE_WAY_S, deliver)
@@ -331,9 +349,23 @@
             self.send('on_data', body)
         self.send('on_end', ends=True)
 
-    def fail(self, kind: edge.CallErrorKind) -> None:
+    def fail(self, kind: edge.CallErrorKind, is_refused: bool = False) -> None:
         """End the call without a whole response."""
-        self.send('on_error', edge.CallError(kind, 'lab'), ends=True)
+        error = edge.CallError(kind, 'lab', is_refused)
+        self.send('on_error', error, ends=True)
+
+    def close(self) -> None:
+        """End a connection that is kept, or the call."""
+
+        def deliver() -> None:
+            if self.is_kept and not self.is_muted:
+                self.is_kept = False
+                self.reader.on_closed()
+
+        if self.is_kept:
+            self.clock.callLater(ONE_WAY_S, deliver)
+        else:
+            self.fail(edge.CallErrorKind.CLOSED)
 
 
 class CutManner(enum.StrEnum):
@@ -373,10 +405,16 @@
         for call in self.runner_calls:
             if manner == CutManner.HANG:
                 call.is_muted = True
-            elif manner == CutManner.RESET and not call.is_over:
-                call.fail(edge.CallErrorKind.CLOSED)
+            elif manner == CutManner.RESET and call.is_open:
+                call.close()
                 self.reactor.callLater(ONE_WAY_S, call.on_close)
 
+    def end_connections(self, address: str) -> None:
+        """End all connections to a runner, whose process ends."""
+        for call in self.runner_calls:
+            if call.address == address and call.is_open:
+                call.close()
+
     def heal(self) -> None:
         """Reach the runners again."""
         self.cut = None
@@ -387,9 +425,11 @@
         request: edge.HttpRequest,
         reader: edge.ResponseReader,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        keeps_open: bool = False,
     ) -> LabCall:
-        """Send a request."""
+        """Send a request; keep the connection behind a whole response."""
         call = LabCall(self.reactor, reader)
+        call.keeps_open = keeps_open
         call.address = address
         target = self.hosts.get(address)
         if target is None:
@@ -401,10 +441,10 @@
                 )
                 return call
             target = self.runners.get(address) if self.cut is None else None
-            self.runner_calls = [c for c in self.runner_calls if not c.is_over]
+            self.runner_calls = [c for c in self.runner_calls if c.is_open]
             self.runner_calls.append(call)
         if target is None:
-            call.fail(edge.CallErrorKind.NOT_CONNECTED)
+            call.fail(edge.CallErrorKind.NOT_CONNECTED, is_refused=True)
             return call
         call.sent = True
         self.reactor.callLater(ONE_WAY_S, self._arrive, target, request, call)
@@ -637,6 +677,8 @@
         """Start empty."""
         super().__init__(clock, name, address, domain)
         self.limits = limits
+        self.born = 1
+        self.tells_start = True
         self.waiting: list[tuple[edge.HttpRequest, LabCall]] = []
         self.is_busy = False
         self.results: dict[str, float] = {}
@@ -666,8 +708,13 @@
         if request.target == b'/room':
             used = sum(self.results.values())
             free = self.limits.storage_bytes - used
+            told: edge.Headers = ()
+            if self.tells_start:
+                told = ((b'born', str(self.born).encode()),)
             open_call.respond(
-                HTTP_OK, self.notices(request.target), str(free).encode()
+                HTTP_OK,
+                told + self.notices(request.target),
+                str(free).encode(),
             )
             return
         if len(self.waiting) >= QUEUE:
--- a/libs/ragwort_model/ragwort_model/__init__.py
+++ b/libs/ragwort_model/ragwort_model/__init__.py
@@ -57,6 +57,8 @@
 from ragwort_model._peer import RunnerLimit
 from ragwort_model._peer import RunnerLimits
 from ragwort_model._peer import RunnersLeaving
+from ragwort_model._peer import RunnerStart
+from ragwort_model._peer import RunnerStarts
 from ragwort_model._peer import SeenVersion
 from ragwort_model._peer import SendPeerMessage
 from ragwort_model._peer import ServiceWait
@@ -226,6 +228,8 @@
     'RunnerOrder',
     'RunnerSettings',
     'RunnersLeaving',
+    'RunnerStart',
+    'RunnerStarts',
     'SeenVersion',
     'select_by_rendezvous',
     'select_settings',
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -225,8 +225,9 @@
 class PieceOutcome(msgspec.Struct, frozen=True):
     """How one piece ended: the handle of its result, or why there is none.
 
-    started_ms is the wall-clock start of the runner that made the result, 0
-    if it is not known. The next start may give the same handle again.
+    started_ms tells the start of the runner that made the result: its Unix
+    time, a negative number for one that does not say it, 0 if it is not
+    known. The next start may give the same handle again.
     """
 
     piece: int
@@ -266,6 +267,25 @@
     starts: list[int] = []
 
 
+class RunnerStart(msgspec.Struct, frozen=True):
+    """The start that is at a runner's address, as PieceOutcome.started_ms.
+
+    ended are earlier starts there, whose results are gone; is_down tells that
+    its process has ended as well, and no other one is there.
+    """
+
+    address: str
+    started_ms: int
+    ended: list[int]
+    is_down: bool = False
+
+
+class RunnerStarts(msgspec.Struct, frozen=True):
+    """Starts of runners whose results the receiver may use."""
+
+    starts: list[RunnerStart]
+
+
 class RunnerLimit(msgspec.Struct, frozen=True):
     """Requests a second that a runner takes from all hosts together.
 
@@ -425,6 +445,7 @@
     | RunnersLeaving
     | CrashNews
     | ColdRunners
+    | RunnerStarts
 )
 
 
--- a/libs/ragwort_relay/ragwort_relay/__init__.py
+++ b/libs/ragwort_relay/ragwort_relay/__init__.py
@@ -44,6 +44,7 @@
 from ragwort_relay._homes import Homes
 from ragwort_relay._homes import homes_of
 from ragwort_relay._limits import RateLimits
+from ragwort_relay._makers import MakerStarts
 from ragwort_relay._order import ChooseTimely
 from ragwort_relay._order import SLACK_PER_RANK_S
 from ragwort_relay._order import Throughput
@@ -126,6 +127,7 @@
     'Homes',
     'homes_of',
     'next_step',
+    'MakerStarts',
     'NextStep',
     'ObjectDecoder',
     'Pauses',
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -12,6 +12,7 @@
 from ragwort_relay import _fleet
 from ragwort_relay import _homes
 from ragwort_relay import _limits
+from ragwort_relay import _makers
 from ragwort_relay import _origins
 from ragwort_relay import _pauses
 from ragwort_relay import _prompts
@@ -60,10 +61,7 @@
         self.decoder = decoder
         self.configuration: _routes.RelayConfiguration | None = None
         self.fleet = _fleet.Fleet()
-        # The latest start of a runner at each address, in milliseconds, and
-        # how many there were.
-        self.latest_starts: dict[str, int] = {}
-        self.start_count = 0
+        self.makers = _makers.MakerStarts()
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
         self.pauses = _pauses.Pauses()
@@ -337,14 +335,6 @@
             default=None,
         )
 
-    def has_started_again(self, address: str, started_ms: int) -> bool:
-        """Tell whether whoever made results at a start has a later one.
-
-        Its results are gone then, though the new start may give their handles
-        to others. started_ms is 0 if the start is not known.
-        """
-        return 0 < started_ms < self.latest_starts.get(address, 0)
-
     def takes_release(self, address: str, now: float) -> bool:
         """Tell whether results at an address are to be freed by a call.
 
@@ -404,7 +394,6 @@
             entry_before = before.entry if before is not None else None
             self.fleet.update(item.name, entry, self.now, era)
             known = self.fleet.runners.get(item.name)
-            self._note_start(before, known)
             if before is not None and before is not known:
                 # Its entry is gone, or that of a later start.
                 incarnation = (before.name, before.entry.started_ms)
@@ -413,6 +402,9 @@
             if known is not None and known is not before:
                 self.reach.on_started(known)
             if known is not None:
+                self.makers.on_entry(
+                    known.address, known.entry.start, self.now
+                )
                 self.stream_origins.observe([known], self.now)
                 self.cold.on_entry(
                     known,
@@ -428,21 +420,6 @@
                     self.decoder.decode_configuration(item.value)
                 )
 
-    def _note_start(
-        self,
-        before: _fleet.FleetRunner | None,
-        known: _fleet.FleetRunner | None,
-    ) -> None:
-        """Keep the latest start at each address, for as long as it is one."""
-        starts = self.latest_starts
-        if known is not None:
-            if known.entry.started_ms > starts.get(known.address, 0):
-                starts[known.address] = known.entry.started_ms
-                self.start_count += 1
-        elif before is not None:
-            if starts.get(before.address) == before.entry.started_ms:
-                del starts[before.address]
-
     def _forget_model(self, runner: _fleet.FleetRunner) -> None:
         """Forget what an incarnation that ended held and how fast it was."""
         models = self.runner_models
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -25,9 +25,10 @@
 class RunnerEntry(msgspec.Struct, frozen=True):
     """A runner's entry in the store.
 
-    started_ms is the wall-clock start of this incarnation in milliseconds;
-    slots is how many calls it works on at once; cold_remaining_s is how long
-    it was still cold when the entry was written, None if it does not say.
+    started_ms is the wall-clock start of this incarnation in milliseconds, 0
+    if it does not say; slots is how many calls it works on at once;
+    cold_remaining_s is how long it was still cold when the entry was written,
+    None if it does not say.
     """
 
     runner: model.Runner
@@ -35,6 +36,15 @@
     slots: int
     cold_remaining_s: float | None = None
 
+    @property
+    def start(self) -> int:
+        """Return a number that no other start of a runner has.
+
+        Runners that don't say when they started have a new name each time.
+        """
+        name_hash = model.stable_hash(self.runner.name) >> 1
+        return self.started_ms or ~name_hash
+
 
 class FleetRunner(msgspec.Struct):
     """A runner's entry and what this host learned of the runner.
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -50,13 +50,17 @@
 
 
 class BatchCall(msgspec.Struct):
-    """A batch of pieces sent to one runner."""
+    """A batch of pieces sent to one runner.
+
+    started_ms is the start of the runner as known when the call was sent.
+    """
 
     call_id: int
     runner: _fleet.FleetRunner
     pieces: list[QueuedPiece]
     sent_at: float
     expected_s: float
+    started_ms: int = 0
 
     @property
     def timeout_s(self) -> float:
--- a/libs/ragwort_relay/ragwort_relay/_storage.py
+++ b/libs/ragwort_relay/ragwort_relay/_storage.py
@@ -79,6 +79,10 @@
         expires_at = now + self.limits.result_ttl_s
         self.results[handle] = _StoredResult(runner, size, expires_at)
 
+    def holds_results(self, runner: str) -> bool:
+        """Tell whether results at a runner are neither read nor expired."""
+        return any(r.runner == runner for r in self.results.values())
+
     def release(self, handles: Iterable[str]) -> None:
         """Count the storage of released results as free."""
         for handle in handles:
--- a/libs/ragwort_wire/ragwort_wire/_peer_codec.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_codec.py
@@ -35,6 +35,7 @@
         model.LeavingRunner,
         model.MemberUpdate,
         model.RunnerLimit,
+        model.RunnerStart,
         model.StreamBegan,
         model.SuspectCrash,
     }
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -378,6 +378,24 @@
     },
 )
 
+RunnerStart = _payload.new_type(
+    'RunnerStart',
+    {
+        1: (11, 'address', False),
+        2: (10, 'started_ms', False),
+        3: (15, 'ended', 10, False),
+        4: (2, 'is_down', False),
+    },
+    {'is_down': False},
+)
+
+RunnerStarts = _payload.new_type(
+    'RunnerStarts',
+    {
+        1: (15, 'starts', (12, RunnerStart), False),
+    },
+)
+
 Envelope = _payload.new_type(
     'Envelope',
     {
@@ -409,6 +427,7 @@
         32: (12, 'crash_news', CrashNews, False),
         33: (12, 'stage_declined', StageDeclined, False),
         34: (12, 'cold_runners', ColdRunners, False),
+        35: (12, 'runner_starts', RunnerStarts, False),
     },
     {'number': 0},
 )
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -250,6 +250,17 @@
   1: list<ColdRunner> runners
 }
 
+struct RunnerStart {
+  1: string address
+  2: i64 started_ms
+  3: list<i64> ended
+  4: bool is_down = false
+}
+
+struct RunnerStarts {
+  1: list<RunnerStart> starts
+}
+
 struct Envelope {
   1: i32 version
   2: string sender
@@ -281,4 +292,5 @@
   32: optional CrashNews crash_news
   33: optional StageDeclined stage_declined
   34: optional ColdRunners cold_runners
+  35: optional RunnerStarts runner_starts
 }
