Take back a main call whose inputs have ended

Cause: inputs were looked at before a main call was sent, and not after.

Change: once a maker of its inputs has ended, a call that may be repeated and whose answer has not begun is taken back, its stages run again and it is sent anew, within the attempts and the budget. Others wait on: they may have run.

--- a/features/stage_runner_crashes.feature
+++ b/features/stage_runner_crashes.feature
@@ -99,3 +99,18 @@
       | in place | the hosts hear of each start 0 s later            |
       | away     | no host hears of the starts, as the store is away |
       | late     | the hosts hear of each start 1.5 s later          |
+
+  Scenario Outline: stage runners begin anew while main calls wait at their runners, hosts hear of it <when>
+    # Guards against main calls that wait with handles of an ended start until
+    # the next one has given them to other results.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And runners of main calls that fetch the inputs 1 s later
+    When 12 staged requests a second are sent for 8 s while each runner starts again in turn
+    And <hearing>
+    Then no piece and no request gets a result of another request
+    And at least 0.6 of the requests are answered
+
+    Examples:
+      | when    | hearing                                           |
+      | at once | the hosts hear of each start 0 s later            |
+      | never   | no host hears of the starts, as the store is away |
--- a/features/steps/renumbered_result_steps.py
+++ b/features/steps/renumbered_result_steps.py
@@ -18,6 +18,8 @@
 QUICK = relay.BatchLimits(4, 0.05, 0.01, 1e9, 4.0)
 SLOW = relay.BatchLimits(6, 0.4, 0.05, 1e9, 4.0)
 ROUTE_S = 8.0
+# Time for which a main call waits at its runner.
+ROOM_S = 1.0
 TARGET_S = 4.0
 PIECES = 2
 FIRST_START_S = 1.0
@@ -81,6 +83,32 @@
         network.runners[self.address] = self
 
 
+class WaitingRunner(lab.ScriptedRunner):
+    """Fetches the inputs of a main call once it has room for it."""
+
+    shelf: Shelf
+
+    def __init__(self, *more: Any) -> None:
+        super().__init__(*more)
+        self.events = 3
+        # The time, the request and the handle of each input.
+        self.fetched: list[tuple[float, str, str]] = []
+
+    def serve(self, request: edge.HttpRequest, open_call: Any) -> None:
+        self.clock.callLater(ROOM_S, self._fetch, request, open_call)
+
+    def _fetch(self, request: edge.HttpRequest, call: Any) -> None:
+        if call.is_over:
+            return
+        told = json.loads(request.header(b'call') or b'{}')
+        now = self.clock.seconds()
+        self.fetched += [(now, told['id'], one) for one in told['inputs']]
+        if all(handle in self.shelf.held for handle in told['inputs']):
+            super().serve(request, call)
+        else:
+            call.respond(409, ((b'not-run', b'1'),))
+
+
 def _add(
     world: Any, shelf: Shelf, service: str, limits: Any, count: int
 ) -> list[CountingRunner]:
@@ -134,6 +162,35 @@
     )
 
 
+@given('runners of main calls that fetch the inputs {wait_s:g} s later')
+def add_waiting(context: Any, wait_s: float) -> None:
+    """Let them be the next to read what the first stage makes."""
+    assert wait_s == ROOM_S
+    world = context.world
+    # Long enough for a request to meet the start of one of its makers alone.
+    context.start_gap_s = ROOM_S
+    context.readers, context.mains = [], []
+    for index in range(6):
+        runner = WaitingRunner(
+            world.clock, f'engine-{index}', f'10.0.1.{index + 1}:80', 'north'
+        )
+        runner.shelf = context.shelf
+        world.add_runner(runner, 'engine', slots=8)
+        context.mains.append(runner)
+    context.route = relay_decision_steps.make_route(
+        shares=(relay.ServiceShare('engine', 1.0),),
+        stages=(relay.StageSpec('first', (), 1000.0),),
+        kind=relay.CallKind.STREAM,
+        is_resumable=True,
+        attempts=2,
+        timeout_s=ROUTE_S,
+        target_s=TARGET_S,
+    )
+    world.configure(
+        relay_decision_steps.make_configuration([context.route], first=QUICK)
+    )
+
+
 @when(
     '{per_s:d} staged requests a second are sent for {seconds:d} s while each'
     ' runner starts again in turn'
@@ -183,9 +240,10 @@
     """
     world = context.world
     step = getattr(context, 'born_step', CLOCK_STEP_MS)
+    gap_s = getattr(context, 'start_gap_s', START_GAP_S)
     for number in range(len(context.runners) * STARTS_PER_RUNNER):
         runner = context.runners[number % len(context.runners)]
-        at = FIRST_START_S + number * START_GAP_S
+        at = FIRST_START_S + number * gap_s
         world.clock.callLater(at, runner.end, world.network)
         born = FIRST_BORN_MS + (number + 1) * step
         world.clock.callLater(
@@ -252,6 +310,9 @@
                 for handle in item['inputs']:
                     reads.append((arrival.at, item['request_id'], handle))
     for runner in context.mains:
+        reads += getattr(runner, 'fetched', [])
+        if isinstance(runner, WaitingRunner):
+            continue
         for arrival in runner.arrivals:
             for handle in arrival.told['inputs']:
                 reads.append((arrival.at, arrival.told['id'], handle))
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -208,6 +208,7 @@
             self._send_peer,
             self._stage_owner_candidates,
         )
+        self.stages.on_inputs_ended = self._on_inputs_ended
         self.limit_sharing = _runner_limits.LimitSharing(
             self.catalog,
             self.members,
@@ -708,6 +709,10 @@
             _stage_service.OWNER_CANDIDATES,
         )
 
+    def _on_inputs_ended(self) -> None:
+        for handler in list(self.open_requests):
+            self.guard.run('inputs', handler.on_makers_ended)
+
     def _on_silent_peer(
         self, address: str, frame_count: int, age_s: float
     ) -> None:
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -134,6 +134,7 @@
         # What the caller of a stream holds.
         self.progress = relay.StreamProgress(metadata.last_event)
         self.hops = _request_hops.RequestHops(self)
+        self.send_loop: _send_loop.SendLoop | None = None
         self.placement = _placement.Placement(
             context, metadata, route, self.log_fields
         )
@@ -199,6 +200,11 @@
             self.route.name, self.metadata.prompt
         )
 
+    def on_makers_ended(self) -> None:
+        """Make inputs again that are gone with their makers."""
+        if self.send_loop is not None:
+            self.send_loop.on_makers_ended()
+
     def on_leaving(self, drain: relay.Drain) -> None:
         """Answer before the host ends."""
         if self.is_timed_out or drain.answers_due_at >= self.deadline_at:
@@ -370,9 +376,10 @@
             await self._run_stages()
         self.context.budget.on_request(service, self.context.reactor.seconds())
         is_stream = self.route.kind == relay.CallKind.STREAM
-        end = await _send_loop.SendLoop(
+        self.send_loop = _send_loop.SendLoop(
             self, service, _send_loop.OVERLAP_S if is_stream else None
-        ).run()
+        )
+        end = await self.send_loop.run()
         if end is not None:
             self._conclude(end.step, end.outcome)
 
--- a/libs/ragwort_edge/ragwort_edge/_send_loop.py
+++ b/libs/ragwort_edge/ragwort_edge/_send_loop.py
@@ -99,6 +99,8 @@
     async def _next_end(self, send: _sends.Send) -> _sends.SendOutcome | None:
         """Return how the leading send ended, None if another one leads."""
         outcome: _sends.SendOutcome | None = await send.outcome()
+        if self.lead is not send:
+            return None
         while outcome is not None and outcome.is_silent:
             assert self.lead is not None
             outcome = await self._ask_another(self.lead)
@@ -149,6 +151,36 @@
             self.handler.log_fields['remade'] = True
             await self.handler.stages.execute()
 
+    def on_makers_ended(self) -> None:
+        """Take a request back that may wait for inputs which are gone.
+
+        A runner fetches them once it has room; by then the next start of
+        their maker may have given their handles to other results.
+        """
+        send, handler = self.lead, self.handler
+        if send is None or send.has_begun or send.ended is not None:
+            return
+        if self.kept is not None or not handler.stages.has_outlived_inputs:
+            return
+        if self._may_send_beside(send):
+            self.lead = None
+            handler.placement.on_send_over(self.context.reactor.seconds())
+            self._abandon(send)
+            send.pass_on(send.lost('inputs are gone with their makers'))
+
+    def _may_send_beside(self, send: _sends.Send) -> bool:
+        """Spend the budget for a send beside an open one, if all allows it."""
+        handler = self.handler
+        return (
+            handler.fits(relay.Span.SEND)
+            and handler.attempts.may_send_beside(
+                handler.left_s(), send.is_counted
+            )
+            and self.context.budget.take(
+                self.service, self.context.reactor.seconds()
+            )
+        )
+
     # A silent runner.
 
     @property
@@ -169,21 +201,13 @@
             send.expect(self.look_again_s)
 
     def _may_ask_another(self, send: _sends.Send) -> bool:
-        """Spend the budget for a send beside this one, if all allows it."""
-        handler, now = self.handler, self.context.reactor.seconds()
+        """Spend the budget for another runner, if there is one."""
         others = [
             runner
-            for runner in handler.sendable(self.service)
+            for runner in self.handler.sendable(self.service)
             if runner.name != send.runner.name
         ]
-        return (
-            bool(others)
-            and handler.fits(relay.Span.SEND)
-            and handler.attempts.may_send_beside(
-                handler.left_s(), send.is_counted
-            )
-            and self.context.budget.take(self.service, now)
-        )
+        return bool(others) and self._may_send_beside(send)
 
     def _check_reach(self, send: _sends.Send) -> None:
         """Look whether a silent runner's address answers connections."""
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -90,6 +90,8 @@
             self._on_given_back,
         )
         self.local_owner.on_ended_makers = self._on_makers_ended
+        # Called when results that requests here hold may be gone.
+        self.on_inputs_ended: Callable[[], None] = lambda: None
         self.group_numbers = itertools.count(1)
         # Wall time, as the steady clock may repeat values after a restart.
         self.group_prefix = f'{name}/{time.time_ns()}'
@@ -347,6 +349,7 @@
         for owner, found in owners.items():
             if found:
                 self.local_owner.maker_news.tell(owner, sorted(found))
+        self.on_inputs_ended()
 
     def on_reply(self, message: model.StageReply) -> None:
         """Handle outcomes from an owner."""
--- a/libs/ragwort_lab/ragwort_lab/_relay_world.py
+++ b/libs/ragwort_lab/ragwort_lab/_relay_world.py
@@ -38,6 +38,11 @@
     is_alive: bool = True
     open: set[edge.RequestHandler] = dataclasses.field(default_factory=set)
 
+    def on_inputs_ended(self) -> None:
+        """Tell the open requests that results may be gone."""
+        for handler in list(self.open):
+            handler.on_makers_ended()
+
 
 class RelayWorld:
     """Hosts that share one network of runners and one clock."""
@@ -53,6 +58,8 @@
         self.messages: list[Any] = []
         for index in range(hosts):
             self.hosts.append(self._host(index))
+        for host in self.hosts:
+            host.stages.on_inputs_ended = host.on_inputs_ended
 
     def _host(self, index: int) -> LabHost:
         name = f'host-{index}'
