Count a handle that two starts gave once

Callers saw: fewer results at a stage runner than it has room for, once it had started again and numbered its results anew; the storage of each result that had the handle of one before stayed counted for good.

Cause: the account kept results by handle; the second one took the first one's place, whose size was never taken off.

Change: a result takes the place of one with its handle with its size, and all results of a runner are taken off once its process has ended.

--- a/features/result_storage.feature
+++ b/features/result_storage.feature
@@ -8,6 +8,22 @@
     When the results are released
     Then 20 MB are free at 1 s
 
+  Scenario: a new start gives the handle of a result of the one before
+    # Guards against storage that stays counted for ever, as both results were
+    # counted under one handle.
+    Given an owner from the service's start
+    When 6 MB are made at 0 s
+    And 4 MB are made at 1 s
+    Then 16 MB are free at 1 s
+    When the results are released
+    Then 20 MB are free at 1 s
+
+  Scenario: results are gone with the runner that made them
+    Given an owner from the service's start
+    When 6 MB are made at 0 s
+    And the runner ends
+    Then 20 MB are free at 1 s
+
   Scenario: a new owner counts on half of the storage until old results expire
     Given an owner from 10 s on
     Then 10 MB are free at 10 s
--- a/features/steps/result_storage_steps.py
+++ b/features/steps/result_storage_steps.py
@@ -41,6 +41,12 @@
     context.storage.release(['handle'])
 
 
+@when('the runner ends')
+def end(context: Any) -> None:
+    """Let its results end with it."""
+    context.storage.release_all_of(RUNNER)
+
+
 @when('a result finds no room at {at:g} s')
 def refuse(context: Any, at: float) -> None:
     """Let the runner be full."""
--- a/libs/ragwort_edge/ragwort_edge/_maker_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_maker_watch.py
@@ -114,8 +114,10 @@
             self._open(link)
 
     def _is_needed(self, link: _Link) -> bool:
-        now = self.reactor.seconds()
-        if now < link.used_until and self.has_results(link.runner):
+        is_in_use = link.broken_start is not None or self.has_results(
+            link.runner
+        )
+        if is_in_use and self.reactor.seconds() < link.used_until:
             return True
         self.links.pop(link.runner.address, None)
         self.catalog.makers.on_up(link.runner.address)
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -469,11 +469,18 @@
         addresses, self.ended_makers = sorted(self.ended_makers), set()
         for address in addresses:
             self.maker_news.tell_holders(address, now)
+            runner = self.catalog.runner_at(address)
+            if runner is not None:
+                self._free_storage_of(runner.name)
         self.on_ended_makers(addresses)
         for service, batcher in list(self.batchers.items()):
             if batcher.queue:
                 self.schedule_dispatch(service, 0.0)
 
+    def _free_storage_of(self, runner: str) -> None:
+        for batcher in self.batchers.values():
+            batcher.storage.release_all_of(runner)
+
     def _fail_evacuated(self, service: str, batcher: relay.Batcher) -> None:
         """Fail all queued pieces, as no runner is left to take them."""
         queue, batcher.queue = batcher.queue, []
@@ -828,10 +835,6 @@
             # Those of an earlier start are gone, and their handles may be
             # other results' now.
             handles = [h for h, at in results if not self.has_outlived(h, at)]
-            if len(handles) < len(results):
-                gone = [h for h, at in results if self.has_outlived(h, at)]
-                for batcher in self.batchers.values():
-                    batcher.storage.release(gone)
             if not handles:
                 continue
             runner = self.catalog.runner_at(address)
--- a/libs/ragwort_relay/ragwort_relay/_storage.py
+++ b/libs/ragwort_relay/ragwort_relay/_storage.py
@@ -75,7 +75,11 @@
         self.used_bytes[runner] = max(used, 0.0)
 
     def store(self, handle: str, runner: str, size: float, now: float) -> None:
-        """Record a result, whose storage is counted already."""
+        """Record a result, whose storage is counted already.
+
+        One of an earlier start with this handle is gone.
+        """
+        self.release([handle])
         expires_at = now + self.limits.result_ttl_s
         self.results[handle] = _StoredResult(runner, size, expires_at)
 
@@ -90,6 +94,12 @@
             if result is not None:
                 self.occupy(result.runner, -result.size)
 
+    def release_all_of(self, runner: str) -> None:
+        """Count the storage of all results of an ended runner as free."""
+        self.release(
+            [h for h, r in self.results.items() if r.runner == runner]
+        )
+
     def expire(self, now: float) -> None:
         """Release the results whose time is over."""
         self.release(
