Send no pieces whose inputs have expired

Callers saw: refusals (results vanished with their runners, stage late) while a stage has more to do than it can: pieces wait for longer than their inputs live, and calls to the runners come back with "gone".

Cause: an owner did not know how old the inputs of a piece are.

Change: the time until the first input is gone goes with a group, in an optional field between hosts; pieces fail as gone once it has passed, so that the request makes its results again while runners work for others.

--- a/features/stage_runner_crashes.feature
+++ b/features/stage_runner_crashes.feature
@@ -114,3 +114,13 @@
       | when    | hearing                                           |
       | at once | the hosts hear of each start 0 s later            |
       | never   | no host hears of the starts, as the store is away |
+
+  Scenario: results expire before the next stage has room for what reads them
+    # Guards against calls that come back without results, as pieces wait for
+    # longer than their inputs live.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And a second stage that keeps pieces waiting
+    When 16 staged requests come a second for 8 s
+    And no runner starts again
+    Then no piece is sent whose inputs have expired
+    And at least 0.5 of the requests are answered
--- a/features/steps/renumbered_result_steps.py
+++ b/features/steps/renumbered_result_steps.py
@@ -18,6 +18,8 @@
 QUICK = relay.BatchLimits(4, 0.05, 0.01, 1e9, 4.0)
 SLOW = relay.BatchLimits(6, 0.4, 0.05, 1e9, 4.0)
 ROUTE_S = 8.0
+# Time for which a result of the first stage lives behind its call.
+LIFE_S = QUICK.result_ttl_s + QUICK.duration_s(QUICK.max_pieces)
 # Time for which a main call waits at its runner.
 ROOM_S = 1.0
 TARGET_S = 4.0
@@ -195,6 +197,7 @@
     '{per_s:d} staged requests a second are sent for {seconds:d} s while each'
     ' runner starts again in turn'
 )
+@when('{per_s:d} staged requests come a second for {seconds:d} s')
 def plan(context: Any, per_s: int, seconds: int) -> None:
     """Plan what is sent once it is known when hosts hear of starts."""
     context.per_s, context.load_s = per_s, seconds
@@ -231,8 +234,17 @@
     _play(context, lag_s, lag_s)
 
 
+@when('no runner starts again')
+def play_sound(context: Any) -> None:
+    """Let all runners be sound."""
+    _play(context, None, None, starts=0)
+
+
 def _play(
-    context: Any, owner_lag_s: float | None, lag_s: float | None
+    context: Any,
+    owner_lag_s: float | None,
+    lag_s: float | None,
+    starts: int = STARTS_PER_RUNNER,
 ) -> None:
     """Let runners end and start, and requests come.
 
@@ -241,7 +253,7 @@
     world = context.world
     step = getattr(context, 'born_step', CLOCK_STEP_MS)
     gap_s = getattr(context, 'start_gap_s', START_GAP_S)
-    for number in range(len(context.runners) * STARTS_PER_RUNNER):
+    for number in range(len(context.runners) * starts):
         runner = context.runners[number % len(context.runners)]
         at = FIRST_START_S + number * gap_s
         world.clock.callLater(at, runner.end, world.network)
@@ -335,6 +347,19 @@
     assert not foreign, (len(foreign), len(reads), foreign[:5])
 
 
+@then('no piece is sent whose inputs have expired')
+def check_age(context: Any) -> None:
+    """Compare the age of each input with the time that results live."""
+    reads = _reads(context)
+    old = [
+        (at, request_id, handle)
+        for at, request_id, handle in reads
+        if at > context.shelf.history[handle][0][0] + LIFE_S
+    ]
+    assert len(reads) > 100, len(reads)
+    assert not old, (len(old), len(reads), old[:5])
+
+
 @then('nobody frees a result of a start that is not its own')
 def check_freed(context: Any) -> None:
     """Look whether what was freed had been read by its request."""
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+import math
 from typing import Any
 
 import msgspec
@@ -261,6 +262,7 @@
                 if stage in spec.after
             ),
             domains=self.homes.domains(),
+            inputs_expire_at=run.inputs_expire_at(stage),
         )
 
     def _preferred_domain(self, run: relay.StageRun, stage: int) -> str:
@@ -294,10 +296,15 @@
         failure_reasons = [
             o.reason for o in outcomes.values() if o.handle is None
         ]
+        expires_at = self._results_expire_at(stage)
         for outcome in outcomes.values():
             if outcome.handle is not None:
                 run.add_result(
-                    stage, outcome.piece, outcome.handle, outcome.started_ms
+                    stage,
+                    outcome.piece,
+                    outcome.handle,
+                    outcome.started_ms,
+                    expires_at,
                 )
         if done.called:
             return
@@ -312,6 +319,15 @@
         else:
             self._start_ready(run, done)
 
+    def _results_expire_at(self, stage: int) -> float:
+        """Return when results of a stage that came now are gone."""
+        service = self.route.stages[stage].service
+        spec = self.configuration.services.get(service)
+        if spec is None or spec.batch_limits is None:
+            return math.inf
+        ttl_s = spec.batch_limits.result_ttl_s
+        return float(self.context.reactor.seconds() + ttl_s)
+
     def _stage_error(
         self, stage: int, reasons: list[str | None]
     ) -> model.RagwortError:
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -204,6 +204,11 @@
                 if message.allowed_domains is None
                 else frozenset(message.allowed_domains)
             ),
+            inputs_expire_at=(
+                math.inf
+                if message.inputs_left_s is None
+                else now + message.inputs_left_s
+            ),
         )
         self.enqueue(message.service_name, group, sender)
 
@@ -402,6 +407,7 @@
             self._fail_evacuated(service, batcher)
             return
         self._fail_outlived(service, batcher)
+        self._fail_gone(batcher.remove_without_inputs(now))
         runners, pause_s = self._working(service, now)
         for piece in batcher.remove_too_late(runners, now + pause_s):
             self._fail_pieces(piece.group, [piece.work.piece], 'late')
@@ -424,15 +430,19 @@
             return
         self.searched_at_change[service] = change_count
         queue, batcher.queue = batcher.queue, []
+        gone: list[relay.QueuedPiece] = []
         for piece in queue:
-            if self._is_outlived(piece.work):
-                self._fail_pieces(
-                    piece.group,
-                    [piece.work.piece],
-                    str(_dialect.PieceResult.INPUT_GONE),
-                )
-            else:
-                batcher.queue.append(piece)
+            is_gone = self._is_outlived(piece.work)
+            (gone if is_gone else batcher.queue).append(piece)
+        self._fail_gone(gone)
+
+    def _fail_gone(self, pieces: list[relay.QueuedPiece]) -> None:
+        for piece in pieces:
+            self._fail_pieces(
+                piece.group,
+                [piece.work.piece],
+                str(_dialect.PieceResult.INPUT_GONE),
+            )
 
     def _is_outlived(self, work: relay.PieceWork) -> bool:
         return any(
@@ -886,5 +896,10 @@
 
 def _is_sound_ask(message: model.StageAsk) -> bool:
     """Tell whether the numbers of a group can be used for calls."""
-    numbers = (message.target_s, message.deadline_s, message.result_bytes)
+    numbers = (
+        message.target_s,
+        message.deadline_s,
+        message.result_bytes,
+        message.inputs_left_s or 0.0,
+    )
     return all(abs(number) <= MAX_TOLD_NUMBER for number in numbers)
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -185,6 +185,11 @@
             None if group.domains is None else sorted(group.domains),
             list(starts),
             list(starts.values()),
+            (
+                group.inputs_expire_at - now
+                if math.isfinite(group.inputs_expire_at)
+                else None
+            ),
         )
         self.send_peer(model.SendPeerMessage(owner, message))
         self._set_timer(pending, ACK_TIMEOUT_S, self._on_owner_timeout)
--- a/libs/ragwort_model/ragwort_model/_peer.py
+++ b/libs/ragwort_model/ragwort_model/_peer.py
@@ -182,7 +182,8 @@
     those whose pieces read the results. allowed_domains are the failure
     domains whose runners may get the pieces, None for any. makers are the
     addresses of those that made the inputs, maker_starts their starts, as in
-    PieceOutcome.
+    PieceOutcome. inputs_left_s is the time until the first input is gone, None
+    if it is not known.
     """
 
     group: str
@@ -197,6 +198,7 @@
     allowed_domains: list[str] | None = None
     makers: list[str] = []
     maker_starts: list[int] = []
+    inputs_left_s: float | None = None
 
 
 class ServiceWait(msgspec.Struct, frozen=True):
--- a/libs/ragwort_relay/ragwort_relay/_batcher.py
+++ b/libs/ragwort_relay/ragwort_relay/_batcher.py
@@ -107,6 +107,18 @@
         ]
         return before - len(self.queue)
 
+    def remove_without_inputs(self, now: float) -> list[_pieces.QueuedPiece]:
+        """Remove and return the pieces whose inputs have expired.
+
+        A call would come back without their results.
+        """
+        gone = [p for p in self.queue if p.group.inputs_expire_at <= now]
+        if gone:
+            self.queue = [
+                p for p in self.queue if p.group.inputs_expire_at > now
+            ]
+        return gone
+
     def remove_too_late(
         self, runners: Sequence[_fleet.FleetRunner], now: float
     ) -> list[_pieces.QueuedPiece]:
--- a/libs/ragwort_relay/ragwort_relay/_pieces.py
+++ b/libs/ragwort_relay/ragwort_relay/_pieces.py
@@ -1,5 +1,7 @@
 """Pieces of stage work queued at an owner, and batched calls of them."""
 
+import math
+
 import msgspec
 
 from ragwort_relay import _fleet
@@ -20,6 +22,7 @@
     sends counts the pieces sent so far; a group with none is not started.
     next_services are those whose pieces read the results. domains are the
     failure domains whose runners may get the pieces, None for any.
+    inputs_expire_at is when the first input is gone at the latest.
     """
 
     group_id: str
@@ -32,6 +35,7 @@
     sends: int = 0
     next_services: tuple[str, ...] = ()
     domains: frozenset[str] | None = None
+    inputs_expire_at: float = math.inf
 
     def slack_s(self, now: float, work_s: float) -> float:
         """Return the seconds left before the target after work_s of work."""
--- a/libs/ragwort_relay/ragwort_relay/_stages.py
+++ b/libs/ragwort_relay/ragwort_relay/_stages.py
@@ -1,6 +1,7 @@
 """Progress of one request through the stages before its main call."""
 
 from collections.abc import Sequence
+import math
 
 import msgspec
 
@@ -45,6 +46,8 @@
         self.handles: list[dict[int, str]] = [{} for _ in stages]
         # Starts of the runners that made the results, by handle.
         self.starts: dict[str, int] = {}
+        # When the results are gone at the latest, by handle.
+        self.expires_at: dict[str, float] = {}
         self.started_at: dict[int, float] = {}
         self.stages_with_dependents = {
             index for spec in stages for index in spec.after
@@ -119,13 +122,20 @@
         return [handle for _, handle in sorted(self.handles[stage].items())]
 
     def add_result(
-        self, stage: int, piece: int, handle: str, started_ms: int = 0
+        self,
+        stage: int,
+        piece: int,
+        handle: str,
+        started_ms: int = 0,
+        expires_at: float = math.inf,
     ) -> None:
         """Store the handle of a piece's result; a second one is ignored.
 
-        started_ms is the start of the runner that made it.
+        started_ms is the start of the runner that made it, expires_at when it
+        is gone at the latest, in seconds of this host's clock.
         """
         if self.handles[stage].setdefault(piece, handle) is handle:
+            self.expires_at[handle] = expires_at
             # Two starts of a runner may have given one handle.
             known_ms = self.starts.get(handle, started_ms)
             self.starts[handle] = min(known_ms, started_ms)
@@ -134,6 +144,17 @@
         """Return the starts of the runners that made some results."""
         return [self.starts.get(handle, 0) for handle in handles]
 
+    def inputs_expire_at(self, stage: int) -> float:
+        """Return when the first input of a stage is gone at the latest."""
+        return min(
+            (
+                self.expires_at.get(handle, math.inf)
+                for needed in self.stages[stage].after
+                for handle in self.results(needed)
+            ),
+            default=math.inf,
+        )
+
     def is_consumed(self, stage: int) -> bool:
         """Tell whether every stage that reads these results is complete."""
         dependents = [
--- a/libs/ragwort_wire/ragwort_wire/_peer_structs.py
+++ b/libs/ragwort_wire/ragwort_wire/_peer_structs.py
@@ -180,6 +180,7 @@
         10: (15, 'allowed_domains', 11, False),
         11: (15, 'makers', 11, False),
         12: (15, 'maker_starts', 10, False),
+        13: (4, 'inputs_left_s', False),
     },
     {'next_services': [], 'makers': [], 'maker_starts': []},
 )
--- a/libs/ragwort_wire/ragwort_wire/peer.thrift
+++ b/libs/ragwort_wire/ragwort_wire/peer.thrift
@@ -121,6 +121,7 @@
   10: optional list<string> allowed_domains
   11: list<string> makers = []
   12: list<i64> maker_starts = []
+  13: optional double inputs_left_s
 }
 
 struct ServiceWait {
