Soak: stage runners that begin anew under their names

Stage runners start again in series under their identifiers and number their results from 1, mostly while the store is silent, busy, slow or loses answers; every second one has a clock that is set back, every third one tells its start in its entry alone. The second stage is slow enough for pieces to wait. Inputs are fetched as a call begins. A promise more: own-inputs.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -58,6 +58,12 @@
     When the soak plays seed 15 with 4 hosts, slow readers, streams that outlast hosts and 14 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes whose stage runners number results anew
+    Guards against results of an ended start that are taken for those of the
+    next one, mostly while the store is away.
+    When the soak plays seed 7001 with 4 hosts, results numbered anew and 14 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -70,6 +76,7 @@
     Examples:
       | promise      | defect                                  |
       | own-answer   | another request's answer                |
+      | own-inputs   | an input that is a result of another request |
       | evacuated    | a call to a runner of an evacuated domain |
       | event-order  | an event that is left out               |
       | event-order  | an event that came twice                |
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -27,6 +27,7 @@
     late: bool = False,
     outlasting: bool = False,
     slow: bool = False,
+    renumbered: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -51,6 +52,7 @@
         late,
         outlasting,
         slow,
+        renumbered,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/clients.py
+++ b/features/soak/clients.py
@@ -313,6 +313,25 @@
         self.start()
 
 
+class StagedCaller(Caller):
+    """A caller of staged requests alone."""
+
+    kinds = {'staged': KINDS['staged']}
+    think_s = (0.0, 0.05)
+
+    @classmethod
+    def like(cls, caller: Caller) -> 'StagedCaller':
+        """Return one that chooses hosts and keys as another caller does."""
+        return cls(
+            caller.reactor,
+            random.Random(f'staged/{caller.rng.random()}'),
+            caller.records,
+            caller.choose_host,
+            caller.choose_key,
+            True,
+        )
+
+
 class LateCaller(Caller):
     """A caller whose long requests follow each other on one connection.
 
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -142,6 +142,12 @@
     deadly_arrivals: list[float] = dataclasses.field(default_factory=list)
     starts: dict[str, list[float]] = dataclasses.field(default_factory=dict)
     handles: set[str] = dataclasses.field(default_factory=set)
+    # Whose results lie, or lay last, under the handles.
+    made_for: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Handles that were read, by whom, and whose results lay there.
+    foreign: list[tuple[str, str, str]] = dataclasses.field(
+        default_factory=list
+    )
     silent_calls: list[SilentCall] = dataclasses.field(default_factory=list)
     # Times at which a runner was not sound, by its address and its service.
     unsound: dict[str, list[float]] = dataclasses.field(default_factory=dict)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -109,6 +109,13 @@
                 yield f'{one.request_id} ({one.kind}) got {one.body[:60]!r}'
 
 
+@promise('own-inputs')
+def own_inputs(records: ledger.Ledger) -> Iterator[str]:
+    """What is made for a request is made of its own results."""
+    for handle, reader, owner in records.foreign:
+        yield f'{reader} got {handle}, a result of {owner}'
+
+
 @promise('event-order')
 def event_order(records: ledger.Ledger) -> Iterator[str]:
     """What came of a stream begins its events, none twice or left out."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -16,6 +16,7 @@
 from features.soak import ledger
 from features.soak import odd_entries
 from features.soak import promises
+from features.soak import renumbering
 from features.soak import silences
 from features.soak import strange_faults
 from features.soak import system
@@ -51,7 +52,8 @@
     callers send long requests, one after the other, on connections that they
     keep; with has_outlasting some streams become much longer as their host
     leaves. With has_slow callers and runners stop reading in the middle of
-    large bodies.
+    large bodies. With has_renumbered stage runners start again under their
+    names and number their results anew, mostly while the store is away.
     """
 
     seed: int
@@ -75,6 +77,7 @@
     has_late: bool = False
     has_outlasting: bool = False
     has_slow: bool = False
+    has_renumbered: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -159,6 +162,11 @@
             )
         if options.has_late or options.has_outlasting:
             self.plan += leaving.draw_leaving(self.extra_rng, options.faults_s)
+        if options.has_renumbered:
+            renumbering.prepare(self.system)
+            self.plan += renumbering.draw_restarts(
+                self.extra_rng, options.faults_s
+            )
         for is_wanted, name in (
             (options.has_repeats, strange_faults.REPEATED_REFUSALS),
             (options.has_errors, strange_faults.BROKEN_RESUMPTIONS),
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -134,6 +134,14 @@
         self.version = ''
         self.running = 0
         self.handles: set[str] = set()
+        # Set if it starts again under its name and numbers results from 1.
+        self.renumbers = False
+        self.result_numbers = itertools.count(1)
+        # What its clock is set by before each start, in ms.
+        self.clock_step_ms = 0
+        self.tells_start = True
+        # Its calls take so many times as long as the configuration says.
+        self.pace = 1.0
         self.is_draining = False
         self.notices = notices.Notices(records)
         self.is_up = False
@@ -180,9 +188,14 @@
             self.port = self.reactor.listenTCP(
                 self.number, self.site, interface='127.0.0.1'
             )
-        self.identifier = f'i-{next(self.numbers):04x}'
+        if not (self.renumbers and self.identifier):
+            self.identifier = f'i-{next(self.numbers):04x}'
+        self.result_numbers = itertools.count(1)
         self.version = next(self.versions)
-        self.born = int(time.time() * 1000)
+        if self.clock_step_ms and self.born:
+            self.born += self.clock_step_ms
+        else:
+            self.born = int(time.time() * 1000)
         self.is_draining = False
         self.is_up = True
         self.limit_per_s = None
@@ -254,9 +267,16 @@
             return
         self._stop()
         self.reactor.callLater(
-            LAPSE_S, self.store.remove, KIND, self.identifier
+            LAPSE_S, self._lapse, self.identifier, self.born
         )
 
+    def _lapse(self, identifier: str, born: int) -> None:
+        """Remove the entry of a start unless a later one has its name."""
+        if (identifier, born) == (self.identifier, self.born) and self.is_up:
+            return
+        if identifier != self.identifier or born == self.born:
+            self.store.remove(KIND, identifier)
+
     def _die(self, arrivals: list[float], crashes: list[float]) -> None:
         """Crash under a request and come back later."""
         now = self.reactor.seconds()
@@ -291,6 +311,9 @@
         )
 
     def _end_drain(self, identifier: str) -> None:
+        if self.identifier == identifier and not self.is_draining:
+            # It has started again under its name.
+            return
         self.store.remove(KIND, identifier)
         if self.identifier == identifier and self.is_up:
             self._stop()
@@ -428,7 +451,10 @@
             if len(self.refused) < KEPT_REFUSALS:
                 self._refuse_for_later(exchange)
                 return
-        missing = {i for i in inputs.split(',') if i} - self.records.handles
+        handles = [i for i in inputs.split(',') if i]
+        request_id = exchange.request.header(b'request-id') or b''
+        has_inputs = self._fetch(request_id.decode(), handles)
+        missing = bool(handles) and not has_inputs
         self._note_main(exchange, not (is_full or missing))
         if is_full or missing:
             self.reply(exchange, 503 if is_full else 409, (NOT_RUN,))
@@ -598,26 +624,45 @@
         items = json.loads(exchange.request.body)['items']
         for item in items:
             self._open_call(item['identifier'])
+        # Inputs are fetched as the call begins.
+        has_inputs = [
+            self._fetch(item['identifier'], item.get('inputs') or ())
+            for item in items
+        ]
         self.reactor.callLater(
-            self._work_s(CALL_S + PIECE_S * len(items)),
+            self.pace * self._work_s(CALL_S + PIECE_S * len(items)),
             self._finish_stage,
             exchange,
-            items,
+            list(zip(items, has_inputs, strict=True)),
             self.born,
         )
 
+    def _fetch(self, request_id: str, handles: Sequence[str]) -> bool:
+        """Read the results under some handles; tell whether all are there."""
+        for handle in set(handles) & self.records.handles:
+            owner = self.records.made_for[handle]
+            if owner != request_id:
+                self.records.foreign.append((handle, request_id, owner))
+        return self.records.handles.issuperset(handles)
+
     def _finish_stage(
-        self, exchange: edge.Exchange, items: list[Any], born: int
+        self,
+        exchange: edge.Exchange,
+        items: list[tuple[Any, bool]],
+        born: int,
     ) -> None:
         if born != self.born or not self.is_up:
             return
         self.running = max(self.running - 1, 0)
         if not self.silent_s:
-            self.open_calls -= {item['identifier'] for item in items}
+            self.open_calls -= {item['identifier'] for item, _ in items}
         if self.mode == RunnerMode.ERRORS:
             self.reply(exchange, 500)
             return
-        results = [self._make(item) for item in items]
+        results = [
+            self._make(item) if has_inputs else {'reason': 'gone'}
+            for item, has_inputs in items
+        ]
         body = json.dumps({'items': results}).encode()
         if self.mode == RunnerMode.CUT:
             exchange.start(200, _sized('', body))
@@ -627,11 +672,11 @@
         self.reply(exchange, 200, (), body)
 
     def _make(self, item: Any) -> dict[str, str]:
-        if set(item.get('inputs') or ()) - self.records.handles:
-            return {'reason': 'gone'}
-        handle = f'{self.address}/{next(self.numbers):x}'
+        numbers = self.result_numbers if self.renumbers else self.numbers
+        handle = f'{self.address}/{next(numbers):x}'
         self.handles.add(handle)
         self.records.handles.add(handle)
+        self.records.made_for[handle] = item['identifier']
         return {'handle': handle}
 
     def _stage_free(self, exchange: edge.Exchange) -> None:
@@ -640,7 +685,10 @@
         self.reply(exchange, 200)
 
     def _report(self, exchange: edge.Exchange) -> None:
-        self.reply(exchange, 200, (), b'{"freeMb": 100}')
+        told: dict[str, int] = {'freeMb': 100}
+        if self.tells_start:
+            told['born'] = self.born
+        self.reply(exchange, 200, (), json.dumps(told).encode())
 
 
 def _sized(request_id: str, body: bytes) -> edge.Headers:
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -31,6 +31,7 @@
     'late',
     'outlasting',
     'slow',
+    'renumbered',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -87,6 +88,7 @@
     late: bool = typer.Option(False, help='Requests late in the grace.'),
     outlasting: bool = typer.Option(False, help='Streams that grow then.'),
     slow: bool = typer.Option(False, help='Readers that stop for a while.'),
+    renumbered: bool = typer.Option(False, help='Results numbered anew.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -110,6 +112,7 @@
             late,
             outlasting,
             slow,
+            renumbered,
         ),
         strict=True,
     )
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -143,6 +143,17 @@
     run_soak(context, seed, count, faults_s, '--outlasting', '--slow')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, results numbered anew'
+    ' and {faults_s:d} s of faults'
+)
+def play_renumbered(
+    context: Any, seed: int, count: int, faults_s: int
+) -> None:
+    """Run the soak with stage runners that begin anew under their names."""
+    run_soak(context, seed, count, faults_s, '--renumbered')
+
+
 def run_soak(
     context: Any, seed: int, count: int, faults_s: int, *more: str
 ) -> None:
@@ -237,6 +248,12 @@
     first.body, second.body = second.body, first.body
 
 
+@defect('an input that is a result of another request')
+def mix_inputs(records: ledger.Ledger) -> None:
+    """Let a runner read what was made for another request."""
+    records.foreign.append((f'{RUNNER}/1', 'stream-1', 'stream-2'))
+
+
 @defect('an event that is left out')
 def drop_event(records: ledger.Ledger) -> None:
     """Take an event out of a stream that broke off later."""
