Keep an entry of an earlier start until it counts

Callers saw: 503 for staged requests while a runner was up that had left and come back under its name after its clock was set back.

Cause: an entry of an earlier start, which counts once the known one was not heard of for 4 s, was dropped and not looked at again; runners write nothing while nothing changes.

Change: it is kept as long as it is the last one written of that runner.

Evidence: features/relay_decisions.feature, one of three new rows fails without the change.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -50,6 +50,26 @@
       | 6    | 0.5   | 6     | counts        |
       | 5    | 9     | 5     | counts        |
 
+  # Guards against runners whose clocks were set back and that are never used
+  # again, as their entries are written once, too early to count.
+  Scenario Outline: an entry of start 4 that comes once, 0.5 s after one of start 5, <counts> after <s> s
+    Given a fleet with runner "a" born at 3
+    When its entry comes born at 5, then after 0.5 s born at 4
+    And <s> s pass
+    Then the runner that is known was born at <known>
+
+    Examples:
+      | s   | known | counts         |
+      | 3   | 5     | does not count |
+      | 4   | 4     | counts         |
+
+  Scenario: an entry of an earlier start that is replaced does not count later
+    Given a fleet with runner "a" born at 3
+    When its entry comes born at 5, then after 0.5 s born at 4
+    And its entry comes again born at 5
+    And 10 s pass
+    Then the runner that is known was born at 5
+
   Scenario: an entry that vanishes right after an outage is doubted first
     Given a fleet with runner "a" born at 1
     When the store is back and the entry of "a" is gone
--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -243,6 +243,13 @@
     start_again(context, late)
 
 
+@when('{s:g} s pass')
+def pass_time(context: Any, s: float) -> None:
+    """Let nothing be written meanwhile."""
+    context.catalog.now += s
+    context.catalog.expire_runners(context.catalog.now)
+
+
 @then('the runner that is known was born at {born:d}')
 def check_born(context: Any, born: int) -> None:
     """Look at the entry in use."""
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -483,7 +483,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         parts: dict[str, Callable[[], object]] = {
-            'fleet': lambda: self.catalog.fleet.remove_expired(now),
+            'fleet': lambda: self.catalog.expire_runners(now),
             'makers': lambda: self.stages.forget_makers(now),
             'stream-origins': lambda: self.origins.tick(now),
             'members': lambda: self._send_all(self.members.tick(now, wall)),
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -389,37 +389,46 @@
             if item.value is not None:
                 entry = self.decoder.decode_runner(item.name, item.value)
             era = model.era_of(item.version)
-            before = self.fleet.runners.get(item.name)
-            # A later entry of the same start replaces the one of before.
-            entry_before = before.entry if before is not None else None
-            self.fleet.update(item.name, entry, self.now, era)
-            known = self.fleet.runners.get(item.name)
-            if before is not None and before is not known:
-                # Its entry is gone, or that of a later start.
-                incarnation = (before.name, before.entry.started_ms)
-                self.crash_evidence.on_ended(incarnation, self.now)
-                self._forget_model(before)
-            if known is not None and known is not before:
-                self.reach.on_started(known)
-            if known is not None:
-                self.makers.on_entry(
-                    known.address, known.entry.start, self.now
-                )
-                self.stream_origins.observe([known], self.now)
-                self.cold.on_entry(
-                    known,
-                    entry_before,
-                    self.now,
-                    self.now + self.wall_offset_s,
-                )
-            if item.name not in self.fleet.runners:
-                self.prompt_cache.remove(item.name)
+            self._update_runner(item.name, entry, era)
         elif self.decoder.is_configuration(item.name):
             if item.value is not None:
                 self._apply_configuration(
                     self.decoder.decode_configuration(item.value)
                 )
 
+    def _update_runner(
+        self, name: str, entry: _fleet.RunnerEntry | None, era: int
+    ) -> None:
+        before = self.fleet.runners.get(name)
+        # A later entry of the same start replaces the one of before.
+        entry_before = before.entry if before is not None else None
+        self.fleet.update(name, entry, self.now, era)
+        known = self.fleet.runners.get(name)
+        if before is not None and before is not known:
+            # Its entry is gone, or that of a later start.
+            incarnation = (before.name, before.entry.started_ms)
+            self.crash_evidence.on_ended(incarnation, self.now)
+            self._forget_model(before)
+        if known is not None and known is not before:
+            self.reach.on_started(known)
+        if known is not None:
+            self.makers.on_entry(known.address, known.entry.start, self.now)
+            self.stream_origins.observe([known], self.now)
+            self.cold.on_entry(
+                known,
+                entry_before,
+                self.now,
+                self.now + self.wall_offset_s,
+            )
+        if name not in self.fleet.runners:
+            self.prompt_cache.remove(name)
+
+    def expire_runners(self, now: float) -> None:
+        """Remove runners that are gone; take those whose time has come."""
+        self.fleet.remove_expired(now)
+        for entry, era in self.fleet.take_believed(now):
+            self._update_runner(entry.runner.name, entry, era)
+
     def _forget_model(self, runner: _fleet.FleetRunner) -> None:
         """Forget what an incarnation that ended held and how fast it was."""
         models = self.runner_models
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -112,6 +112,9 @@
         self.departures: dict[str, _Departure] = {}
         # Starts that a later one has replaced, and when, by name.
         self.replaced: dict[str, dict[int, float]] = {}
+        # The last entry of a runner while it tells of an earlier start than
+        # the known one; nothing may be written that says so again.
+        self.doubtful: dict[str, tuple[RunnerEntry, int]] = {}
         self.store_recovered_at: float | None = None
 
     def on_store_recovered(self, now: float) -> None:
@@ -130,6 +133,7 @@
         The entry is None if it was removed.
         """
         known = self.runners.get(name)
+        self.doubtful.pop(name, None)
         if entry is None:
             if known is not None:
                 self._remove(known, now, era)
@@ -137,6 +141,7 @@
         if self._is_replaced(entry):
             return
         if known is not None and _is_outdated(known, entry, now, era):
+            self.doubtful[name] = entry, era
             return
         if entry.runner.state == model.HostState.LEAVING:
             self._record_departure(entry, now, era, is_leaving=True)
@@ -225,6 +230,24 @@
         self._record_departure(known.entry, now, era, is_leaving=False)
         del self.runners[known.name]
 
+    def take_believed(self, now: float) -> list[tuple[RunnerEntry, int]]:
+        """Remove and return the entries of earlier starts that count now.
+
+        Each comes with its era. Nothing was heard of the known starts for a
+        while, or they are gone.
+        """
+        found = []
+        for name, (entry, era) in list(self.doubtful.items()):
+            known = self.runners.get(name)
+            if known is None:
+                found.append((entry, era))
+            elif now >= known.heard_at + EARLIER_START_DOUBT_S:
+                found.append((entry, min(era, known.era)))
+            else:
+                continue
+            del self.doubtful[name]
+        return found
+
     def remove_expired(self, now: float) -> None:
         """Remove runners that did not register again in time."""
         for runner in list(self.runners.values()):
