Forget the starts of addresses without an entry

Callers saw nothing: what a host knows of starts grew with each address that a runner ever had. A start is forgotten 120 s after its entry was removed, when no result of it is left; until then one that lapses and comes back is known.

Evidence: features/relay_decisions.feature, two rows.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -63,6 +63,19 @@
       | 3   | 5     | does not count |
       | 4   | 4     | counts         |
 
+  # Guards against addresses that are kept for ever, and against starts that
+  # are forgotten while results of them live.
+  Scenario Outline: the start of a runner whose entry is gone is <kept> after <s> s
+    Given a fleet with runner "a" born at 3
+    When its entry is removed
+    And <s> s pass
+    Then the start at its address is <start>
+
+    Examples:
+      | s   | start | kept      |
+      | 60  | 3     | known     |
+      | 120 | 0     | forgotten |
+
   Scenario: an entry of an earlier start that is replaced does not count later
     Given a fleet with runner "a" born at 3
     When its entry comes born at 5, then after 0.5 s born at 4
--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -248,6 +248,21 @@
     """Let nothing be written meanwhile."""
     context.catalog.now += s
     context.catalog.expire_runners(context.catalog.now)
+    context.catalog.makers.forget(context.catalog.now)
+
+
+@when('its entry is removed')
+def remove_entry(context: Any) -> None:
+    """Let the store delete it."""
+    context.catalog.now = 0.0
+    context.catalog.apply(model.StoredObject(context.runner.name, 9, None))
+
+
+@then('the start at its address is {started_ms:d}')
+def check_start(context: Any, started_ms: int) -> None:
+    """Look at what is believed to be there."""
+    address = context.runner.address
+    assert context.catalog.makers.start_at(address) == started_ms
 
 
 @then('the runner that is known was born at {born:d}')
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -409,6 +409,8 @@
             incarnation = (before.name, before.entry.started_ms)
             self.crash_evidence.on_ended(incarnation, self.now)
             self._forget_model(before)
+            if known is None:
+                self.makers.on_gone(before.address, self.now)
         if known is not None and known is not before:
             self.reach.on_started(known)
         if known is not None:
--- a/libs/ragwort_relay/ragwort_relay/_makers.py
+++ b/libs/ragwort_relay/ragwort_relay/_makers.py
@@ -23,6 +23,8 @@
     def __init__(self) -> None:
         """Start without any."""
         self.current: dict[str, int] = {}
+        # When the last entry of an address was removed.
+        self.gone: dict[str, float] = {}
         # Starts that are over, and when this host heard of it, by address.
         self.ended: dict[str, dict[int, float]] = {}
         # Addresses whose process told its start on a connection that is open.
@@ -42,6 +44,7 @@
         A connection may outlive its process for a while at this end, so that
         a start which was not heard of before is believed until on_told.
         """
+        self.gone.pop(address, None)
         ended = self.ended.get(address, {})
         if started_ms in ended:
             # Remembered for as long as it is told.
@@ -52,6 +55,10 @@
             self.vouched.discard(address)
             self.on_doubt(address)
 
+    def on_gone(self, address: str, now: float) -> None:
+        """Record that the entry of an address was removed; it may be back."""
+        self.gone[address] = now
+
     def on_told(self, address: str, started_ms: int, now: float) -> bool:
         """Record a start that the process at an address tells of itself.
 
@@ -143,7 +150,11 @@
         return started_ms in self.ended.get(address, ())
 
     def forget(self, now: float) -> None:
-        """Forget starts that ended long ago."""
+        """Forget starts that ended, or whose entries went, long ago."""
+        for address, at in list(self.gone.items()):
+            if now >= at + ENDED_MEMORY_S:
+                del self.gone[address]
+                self.current.pop(address, None)
         for address, starts in list(self.ended.items()):
             kept = {
                 started_ms: at
