--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -556,6 +556,44 @@
         return False
 
 
+class PlainRunner(Runner):
+    """A runner of a plain service, which answers after some work."""
+
+    def __init__(self, *args, queue=24, work_s=0.09, **options):
+        super().__init__(*args, **options)
+        self.queue = queue
+        self.work_s = work_s
+        self.arrivals = []
+        # Headers that it adds to all its answers.
+        self.notices = ()
+
+    async def on_request(self, request, reader, writer):
+        name = request.get('request-id')
+        self.arrivals.append((self.record.now(), name))
+        if self.waiting >= self.queue:
+            self.record.say(f'request {name} reaches {self.name}: full')
+            self.not_run(request, writer, 503, self.notices)
+            return True
+        self.record.say(f'request {name} reaches {self.name}')
+        self.waiting += 1
+        while self.running >= self.slots:
+            await asyncio.sleep(0.005)
+        self.waiting -= 1
+        self.running += 1
+        born = self.born
+        await asyncio.sleep(self.work_s)
+        if self.born != born or not self.is_up:
+            return False
+        self.running -= 1
+        answer(
+            writer,
+            200,
+            (*self.headers(request), *self.notices),
+            f'{name} {request.target}'.encode().ljust(800, b'.'),
+        )
+        return True
+
+
 class Host:
     """One entry host: the program and settings of the deploy file."""
 
