--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -319,23 +319,31 @@
             await asyncio.sleep(HEARTBEAT_S)
             if self.is_up and self.born == born:
                 self.sequence += 1
+                self._write_if_changed()
+
+    def _write_if_changed(self):
+        """Write the entry, which changes with more than its sequence."""
+        found = self.store.objects.get(('servers', self.name))
+        known = {} if found is None else found[1]
+        entry = self.entry()
+        if known | {'sequence': 0} != entry | {'sequence': 0}:
+            self.register()
+
+    def entry(self):
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'sequence': self.sequence,
+            'born': self.born,
+        }
 
     def register(self):
-        self.store.put(
-            'servers',
-            self.name,
-            {
-                'service': self.service,
-                'address': self.address,
-                'zone': self.zone,
-                'version': 'v1',
-                'slots': self.slots,
-                'state': self.state,
-                'coldRemainingMs': 0,
-                'sequence': self.sequence,
-                'born': self.born,
-            },
-        )
+        self.store.put('servers', self.name, self.entry())
 
     def crash(self):
         """End the process without a word."""
