--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -297,6 +297,7 @@
         self.sequence = 0
         self.is_up = False
         self.state = 'ready'
+        self.version = 'v1'
         self.server = Server(self._on_call)
 
     @property
@@ -334,7 +335,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'coldRemainingMs': 0,
@@ -552,7 +553,8 @@
             if closed.done():
                 self.record.say(f'request {name} closed at {self.name}')
                 return False
-            data = f'id: {number}\ndata: {name} {number}\n\n'.encode()
+            data = f'id: {number}\ndata: {name} {number} {self.version}\n\n'
+            data = data.encode()
             chunk = b'%x\r\n%s\r\n' % (len(data), data)
             if number == last + 1:
                 writer.write('\r\n'.join(lines).encode())
