Conclude the end of a start from the entries that are listed

Cause: MakerStarts took the entry read last for the process at the address, the other start for over, and kept both as facts that no later entry, removal or heartbeat took back; it told them to other hosts as if the process had said so.

Now what a process tells on its connection is kept apart from entries. What follows from entries is computed from those that are listed, and a listed start is over only if the order of the writes and the times of the starts agree. Other hosts are told first-hand knowledge alone; their word that a listed start is over ends after 5 s with a readable store.

--- /dev/null
+++ b/features/runner_starts.feature
@@ -0,0 +1,80 @@
+Feature: Hosts know which process is at a runner's address
+  Entries of ended processes may be listed beside those of the next ones, and
+  may arrive behind them; clocks may be set back.
+
+  # Guards against stage runners at work that count as ended for good, as a host
+  # read the entry of the process before them last.
+  Scenario Outline: a host that starts reads the entries of an ended process and of the next one at its address, <order>
+    Given a host without entries
+    When it reads the entries <order>:
+      | runner | address     | born | version |
+      | old    | 10.0.0.1:80 | 5    | 10      |
+      | new    | 10.0.0.1:80 | 9    | 20      |
+    Then at 10.0.0.1:80 results of start 9 are in use and those of 5 are over
+    When the entry of "old" is removed
+    Then at 10.0.0.1:80 results of start 9 are in use and those of 5 are over
+
+    Examples:
+      | order         |
+      | in this order |
+      | in reverse    |
+
+  # Guards against hosts that pass on what they read in entries as if the
+  # process itself had told it.
+  Scenario Outline: a host that has read two starts at one address, <order>, tells other hosts of neither
+    Given a host without entries
+    When it reads the entries <order>:
+      | runner | address     | born | version |
+      | old    | 10.0.0.1:80 | 5    | 10      |
+      | new    | 10.0.0.1:80 | 9    | 20      |
+    Then it tells other hosts of no start that is over
+
+    Examples:
+      | order         |
+      | in this order |
+      | in reverse    |
+
+  # Guards against a start at work that counts as over beside an entry whose
+  # place in the order is not known.
+  Scenario Outline: <what> is listed beside the entry of the process at work until it expires
+    Given a host without entries
+    When it reads the entries in this order:
+      | runner | address     | born   | version |
+      | known  | 10.0.0.1:80 | 9      | 10      |
+      | other  | 10.0.0.1:80 | <born> | 20      |
+    Then at 10.0.0.1:80 results of starts 9 and <born> are in use
+    When the entry of "<gone>" is removed
+    Then at 10.0.0.1:80 results of start <left> are in use and those of <over> are over
+
+    Examples:
+      | what                                    | born | gone  | left | over |
+      | a late entry of an ended process        | 5    | other | 9    | 5    |
+      | a start of a clock that was set back    | 5    | known | 5    | 9    |
+
+  Scenario: a process tells its start while entries of two others are listed
+    Given a host without entries
+    When it reads the entries in this order:
+      | runner | address     | born | version |
+      | old    | 10.0.0.1:80 | 5    | 10      |
+      | new    | 10.0.0.1:80 | 9    | 20      |
+    And the process at 10.0.0.1:80 tells start 3
+    Then at 10.0.0.1:80 results of start 3 are in use and those of 9 are over
+    And it tells other hosts that start 3 is there and that 5 and 9 are over
+
+  # Guards against a start at work that counts as over for 120 s, as another
+  # host's connection to it broke.
+  Scenario Outline: another host tells that start 9, which is listed, is over, <outage>
+    Given a host without entries
+    When it reads the entries in this order:
+      | runner | address     | born | version |
+      | new    | 10.0.0.1:80 | 9    | 20      |
+    And another host tells that start 9 at 10.0.0.1:80 is over
+    Then at 10.0.0.1:80 results of start 9 are over
+    When <outage>
+    And 6 s pass for the host
+    Then at 10.0.0.1:80 results of start 9 are <state>
+
+    Examples:
+      | outage                    | state  |
+      | the store can be read     | in use |
+      | the store can't be read   | over   |
--- a/features/steps/relay_decision_steps.py
+++ b/features/steps/relay_decision_steps.py
@@ -248,7 +248,7 @@
     """Let nothing be written meanwhile."""
     context.catalog.now += s
     context.catalog.expire_runners(context.catalog.now)
-    context.catalog.makers.forget(context.catalog.now)
+    context.catalog.forget_makers(context.catalog.now)
 
 
 @when('its entry is removed')
--- /dev/null
+++ b/features/steps/runner_start_steps.py
@@ -0,0 +1,154 @@
+"""Steps of which process is believed to be at a runner's address."""
+
+import json
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+import structlog
+
+from ragwort_edge import _maker_news
+import ragwort_lab as lab
+import ragwort_model as model
+
+OTHER_HOST = 'other'
+
+
+def entry_of(
+    runner: str,
+    born: int,
+    version: int,
+    address: str = '10.0.0.1:80',
+    **fields: Any,
+) -> model.StoredObject:
+    """Return a runner's entry in the lab's form."""
+    values = {
+        'service': 'main',
+        'address': address,
+        'domain': 'north',
+        'state': 'live',
+        'born': born,
+        'slots': 4,
+    }
+    text = json.dumps(values | fields)
+    return model.StoredObject(f'runner/{runner}', version, text)
+
+
+@given('a host without entries')
+def set_host(context: Any) -> None:
+    """Create a host's catalog and what it tells other hosts."""
+    context.catalog = lab.RelayWorld(hosts=1).hosts[0].catalog
+    context.catalog.now = 100.0
+    context.sent = []
+    context.news = _maker_news.MakerNews(
+        None,
+        context.catalog.makers,
+        lambda effect: context.sent.append(effect.message),
+        structlog.wrap_logger(structlog.ReturnLogger()),
+    )
+
+
+@when('it reads the entries {order}')
+def read_entries(context: Any, order: str) -> None:
+    """Apply the entries of the table."""
+    rows = list(context.table)
+    if order.startswith('in reverse'):
+        rows.reverse()
+    for row in rows:
+        context.catalog.apply(
+            entry_of(
+                row['runner'],
+                int(row['born']),
+                int(row['version']),
+                row['address'],
+            )
+        )
+
+
+@when('the entry of "{runner}" is removed')
+def remove_entry(context: Any, runner: str) -> None:
+    """Let it expire."""
+    context.catalog.apply(model.StoredObject(f'runner/{runner}', 90, None))
+
+
+@when('the process at {address} tells start {start:d}')
+def tell(context: Any, address: str, start: int) -> None:
+    """Let it tell its start on a connection."""
+    catalog = context.catalog
+    catalog.makers.on_told(address, start, catalog.now)
+
+
+@when('another host tells that start {start:d} at {address} is over')
+def hear(context: Any, start: int, address: str) -> None:
+    """Let a host whose connection to it broke tell so."""
+    catalog = context.catalog
+    message = model.RunnerStarts([model.RunnerStart(address, 0, [start])])
+    context.news.on_told(OTHER_HOST, message, catalog.now)
+
+
+@when("the store can't be read")
+def lose_store(context: Any) -> None:
+    """Let an outage of the store begin."""
+    context.catalog.fleet.on_store_lost()
+
+
+@when('the store can be read')
+def keep_store(context: Any) -> None:
+    """Let nothing happen."""
+
+
+@when('{s:g} s pass for the host')
+def wait(context: Any, s: float) -> None:
+    """Let the host do what is due."""
+    catalog = context.catalog
+    catalog.now += s
+    catalog.expire_runners(catalog.now)
+    catalog.forget_makers(catalog.now)
+
+
+@then(
+    'at {address} results of start {start:d} are in use and those of {over:d}'
+    ' are over'
+)
+def check_one(context: Any, address: str, start: int, over: int) -> None:
+    """Look at both starts."""
+    makers = context.catalog.makers
+    assert not makers.has_ended(address, start)
+    assert makers.has_ended(address, over)
+    assert makers.start_at(address) == start, makers.start_at(address)
+
+
+@then('at {address} results of starts {one:d} and {other:d} are in use')
+def check_both(context: Any, address: str, one: int, other: int) -> None:
+    """Look at both starts."""
+    makers = context.catalog.makers
+    assert not makers.has_ended(address, one)
+    assert not makers.has_ended(address, other)
+
+
+@then('at {address} results of start {start:d} are {state}')
+def check_state(context: Any, address: str, start: int, state: str) -> None:
+    """Look at one start."""
+    has_ended = context.catalog.makers.has_ended(address, start)
+    assert has_ended == (state == 'over'), has_ended
+
+
+@then('it tells other hosts of no start that is over')
+def check_untold(context: Any) -> None:
+    """Look at what is sent."""
+    context.news.tell(OTHER_HOST, ['10.0.0.1:80'])
+    told = [start for sent in context.sent for start in sent.starts]
+    assert not any(start.ended for start in told), told
+
+
+@then(
+    'it tells other hosts that start {start:d} is there and that {one:d} and'
+    ' {other:d} are over'
+)
+def check_told(context: Any, start: int, one: int, other: int) -> None:
+    """Look at what is sent."""
+    context.news.tell(OTHER_HOST, ['10.0.0.1:80'])
+    told = context.sent[-1].starts[0]
+    assert told.started_ms == start, told
+    assert sorted(told.ended) == sorted((one, other)), told
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -637,6 +637,7 @@
                 self.logger.info('store-reachable', objects=prefix)
             self._on_adopted(watcher.on_store_result(unprefixed, now), prefix)
             if watcher.is_store_unavailable and not was_unreachable:
+                self.catalog.fleet.on_store_lost()
                 self.logger.warning(
                     'store-unreachable', objects=prefix, status=result.status
                 )
--- a/libs/ragwort_edge/ragwort_edge/_maker_news.py
+++ b/libs/ragwort_edge/ragwort_edge/_maker_news.py
@@ -48,18 +48,19 @@
                 self.tell(host, [address])
 
     def tell(self, host: str, addresses: Iterable[str]) -> None:
-        """Tell a host the starts at some addresses."""
-        starts = [
-            model.RunnerStart(
-                address,
-                self.makers.start_at(address),
-                self.makers.ended_at(address)[-MAX_ENDED:],
-                address in self.makers.down,
-            )
-            for address in addresses
-        ]
-        message = model.RunnerStarts(starts[:MAX_STARTS])
-        self.send_peer(model.SendPeerMessage(host, message))
+        """Tell a host what is known at first hand of some addresses."""
+        starts = []
+        for address in addresses:
+            told, ended, is_down = self.makers.told_at(address)
+            if told or ended or is_down:
+                starts.append(
+                    model.RunnerStart(
+                        address, told, ended[-MAX_ENDED:], is_down
+                    )
+                )
+        if starts:
+            message = model.RunnerStarts(starts[:MAX_STARTS])
+            self.send_peer(model.SendPeerMessage(host, message))
 
     def forget(self, now: float) -> None:
         """Forget holders whose results have expired."""
--- a/libs/ragwort_edge/ragwort_edge/_stage_service.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_service.py
@@ -106,7 +106,7 @@
 
     def forget_makers(self, now: float) -> None:
         """Forget starts and holders of results that are gone by now."""
-        self.catalog.makers.forget(now)
+        self.catalog.forget_makers(now)
         self.local_owner.maker_news.forget(now)
 
     @property
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -328,10 +328,11 @@
         )
 
     def runner_at(self, address: str) -> _fleet.FleetRunner | None:
-        """Return the latest runner with an address, None if there is none."""
+        """Return the runner that is believed to be at an address."""
+        current = self.makers.start_at(address)
         return max(
             (r for r in self.fleet.runners.values() if r.address == address),
-            key=lambda runner: runner.entry.started_ms,
+            key=lambda r: (r.entry.start == current, r.entry.started_ms),
             default=None,
         )
 
@@ -378,8 +379,7 @@
             problem = str(error) if is_expected else f'unexpected {error!r}'
             self.problems[item.name] = problem
             if self.decoder.is_runner(item.name):
-                era = model.era_of(item.version)
-                self.fleet.update(item.name, None, self.now, era)
+                self.fleet.update(item.name, None, self.now, item.version)
         else:
             self.problems.pop(item.name, None)
 
@@ -388,8 +388,7 @@
             entry = None
             if item.value is not None:
                 entry = self.decoder.decode_runner(item.name, item.value)
-            era = model.era_of(item.version)
-            self._update_runner(item.name, entry, era)
+            self._update_runner(item.name, entry, item.version)
         elif self.decoder.is_configuration(item.name):
             if item.value is not None:
                 self._apply_configuration(
@@ -397,24 +396,26 @@
                 )
 
     def _update_runner(
-        self, name: str, entry: _fleet.RunnerEntry | None, era: int
+        self,
+        name: str,
+        entry: _fleet.RunnerEntry | None,
+        version: int,
+        is_believed: bool = False,
     ) -> None:
         before = self.fleet.runners.get(name)
         # A later entry of the same start replaces the one of before.
         entry_before = before.entry if before is not None else None
-        self.fleet.update(name, entry, self.now, era)
+        self.fleet.update(name, entry, self.now, version, is_believed)
         known = self.fleet.runners.get(name)
         if before is not None and before is not known:
             # Its entry is gone, or that of a later start.
             incarnation = (before.name, before.entry.started_ms)
             self.crash_evidence.on_ended(incarnation, self.now)
             self._forget_model(before)
-            if known is None:
-                self.makers.on_gone(before.address, self.now)
         if known is not None and known is not before:
             self.reach.on_started(known)
         if known is not None:
-            self.makers.on_entry(known.address, known.entry.start, self.now)
+            self.makers.on_entry(known.entry, version, self.now)
             self.stream_origins.observe([known], self.now)
             self.cold.on_entry(
                 known,
@@ -422,14 +423,21 @@
                 self.now,
                 self.now + self.wall_offset_s,
             )
-        if name not in self.fleet.runners:
+        else:
+            self.makers.on_gone(name, self.now)
             self.prompt_cache.remove(name)
 
     def expire_runners(self, now: float) -> None:
         """Remove runners that are gone; take those whose time has come."""
         self.fleet.remove_expired(now)
-        for entry, era in self.fleet.take_believed(now):
-            self._update_runner(entry.runner.name, entry, era)
+        for name in self.makers.listings.keys() - self.fleet.runners.keys():
+            self.makers.on_gone(name, now)
+        for entry, version in self.fleet.take_believed(now):
+            self._update_runner(entry.runner.name, entry, version, True)
+
+    def forget_makers(self, now: float) -> None:
+        """Forget starts of runners that are gone by now."""
+        self.makers.forget(now, self.fleet.readable_since)
 
     def _forget_model(self, runner: _fleet.FleetRunner) -> None:
         """Forget what an incarnation that ended held and how fast it was."""
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -1,6 +1,7 @@
 """Runners listed in the store, with this host's statistics of them."""
 
 from collections.abc import Callable
+import math
 
 import msgspec
 
@@ -14,9 +15,10 @@
 # Runners that leave or are gone are remembered for this long, so that an
 # older copy of the store does not bring them back.
 DEPARTURE_MEMORY_S = 120.0
-# A runner that was gone is used again if its entry in an older copy is still
-# there after this time, in which the entry of a dead runner expires.
-RESTORED_ENTRY_DOUBT_S = 5.0
+# An entry that contradicts what is known of a runner counts once it has stood
+# for this time, in which the process at work would have written its own again
+# and the entry of an ended one would have expired.
+ENTRY_DOUBT_S = 5.0
 # Time without an entry of a start after which one of an earlier start counts:
 # a few heartbeats. The clock of a runner's machine may have been set back.
 EARLIER_START_DOUBT_S = 4.0
@@ -116,22 +118,31 @@
         # the known one; nothing may be written that says so again.
         self.doubtful: dict[str, tuple[RunnerEntry, int]] = {}
         self.store_recovered_at: float | None = None
+        # Since when the store has told each change.
+        self.readable_since = 0.0
+
+    def on_store_lost(self) -> None:
+        """Record that the store can't be read."""
+        self.readable_since = math.inf
 
     def on_store_recovered(self, now: float) -> None:
         """Record the end of an outage of the store."""
         self.store_recovered_at = now
+        self.readable_since = now
 
     def update(
         self,
         name: str,
         entry: RunnerEntry | None,
         now: float,
-        era: int = 0,
+        version: int = 0,
+        is_believed: bool = False,
     ) -> None:
-        """Store a runner's entry as of an era of the store.
+        """Store a version of a runner's entry, None if it was removed.
 
-        The entry is None if it was removed.
+        is_believed tells that an entry which was doubtful counts now.
         """
+        era = model.era_of(version)
         known = self.runners.get(name)
         self.doubtful.pop(name, None)
         if entry is None:
@@ -140,8 +151,12 @@
             return
         if self._is_replaced(entry):
             return
-        if known is not None and _is_outdated(known, entry, now, era):
-            self.doubtful[name] = entry, era
+        if (
+            known is not None
+            and not is_believed
+            and _is_outdated(known, entry, now, era)
+        ):
+            self.doubtful[name] = entry, version
             return
         if entry.runner.state == model.HostState.LEAVING:
             self._record_departure(entry, now, era, is_leaving=True)
@@ -233,19 +248,16 @@
     def take_believed(self, now: float) -> list[tuple[RunnerEntry, int]]:
         """Remove and return the entries of earlier starts that count now.
 
-        Each comes with its era. Nothing was heard of the known starts for a
-        while, or they are gone.
+        Each comes with its version. Nothing was heard of the known starts for
+        a while, or they are gone.
         """
         found = []
-        for name, (entry, era) in list(self.doubtful.items()):
+        for name, (entry, version) in list(self.doubtful.items()):
             known = self.runners.get(name)
-            if known is None:
-                found.append((entry, era))
-            elif now >= known.heard_at + EARLIER_START_DOUBT_S:
-                found.append((entry, min(era, known.era)))
-            else:
-                continue
-            del self.doubtful[name]
+            since = -math.inf if known is None else known.heard_at
+            if now >= since + EARLIER_START_DOUBT_S:
+                found.append((entry, version))
+                del self.doubtful[name]
         return found
 
     def remove_expired(self, now: float) -> None:
@@ -282,7 +294,7 @@
             if now >= departure.at + DEPARTURE_MEMORY_S:
                 del self.departures[name]
             return
-        if now < restored_at + RESTORED_ENTRY_DOUBT_S:
+        if now < restored_at + ENTRY_DOUBT_S:
             return
         del self.departures[name]
         if known is not None and is_listed:
--- a/libs/ragwort_relay/ragwort_relay/_makers.py
+++ b/libs/ragwort_relay/ragwort_relay/_makers.py
@@ -1,19 +1,110 @@
 """Which start of a runner the results at its address belong to.
 
 A result ends with the process that made it, and the next start of that runner
-may give its handle to a result of another request. A runner's entry in the
-store may come late or tell of an earlier process, and clocks are set back:
-what a process says of itself goes first, and starts are never put in order.
+may give its handle to a result of another request. What a process tells of
+itself on its own connection is first hand and goes before its entry in the
+store, which may come late, from an older copy or from a process that has
+ended. What follows from entries alone is worked out anew from those that are
+listed, so that it ends with them, and other hosts are never told of it.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 
-# Results, and entries of ended processes, are gone after this time.
+import msgspec
+
+from ragwort_relay import _fleet
+
+# Results, and starts whose entries are gone, are forgotten after this time.
 ENDED_MEMORY_S = 120.0
 MS_PER_S = 1000
 
 
+class _Start(msgspec.Struct):
+    """What is known of one start of a process at an address.
+
+    version is that of the first entry which told it, born_ms when it began by
+    its own clock; both are 0 if not known. names are the runners' names under
+    which it is listed, last_at is when it was last heard of. is_replaced tells
+    whether its entry has given way to that of the same runner's next start,
+    ended_at is when its end was told at first hand.
+    """
+
+    last_at: float
+    version: int = 0
+    born_ms: int = 0
+    names: set[str] = msgspec.field(default_factory=set)
+    is_replaced: bool = False
+    ended_at: float | None = None
+
+    def is_followed_by(self, other: '_Start') -> bool:
+        """Tell whether another start at this address began later.
+
+        A late write misleads the order of the entries, a clock that was set
+        back that of the starts. A listed start ends only if both say so.
+        """
+        signs = []
+        if self.version and other.version:
+            signs.append(other.version > self.version)
+        if self.born_ms and other.born_ms:
+            signs.append(other.born_ms > self.born_ms)
+        if not signs:
+            return True
+        return all(signs) if self.names else any(signs)
+
+
+class _Place(msgspec.Struct):
+    """The starts of processes at one address.
+
+    told is the start that was told last at first hand, 0 if there is none;
+    is_vouched tells whether the connection that told it is open here, is_down
+    whether connections are refused.
+    """
+
+    starts: dict[int, _Start] = msgspec.field(default_factory=dict)
+    told: int = 0
+    is_vouched: bool = False
+    is_down: bool = False
+
+    def current(self) -> int:
+        """Return the start that is believed to be there, 0 if none is."""
+        if self.told:
+            return self.told
+        alive = [
+            (bool(start.names), start.born_ms, start.version, number)
+            for number, start in self.starts.items()
+            if start.ended_at is None and not start.is_replaced
+        ]
+        return max(alive)[-1] if alive else 0
+
+    def has_ended(self, number: int) -> bool:
+        """Tell whether a start is over."""
+        if self.is_vouched:
+            return number != self.told
+        if self.is_down and number == self.current():
+            return True
+        start = self.starts.get(number)
+        if start is None or number == self.told:
+            return False
+        if start.ended_at is not None or start.is_replaced:
+            return True
+        return self.is_outdated(start)
+
+    def is_outdated(self, start: _Start) -> bool:
+        """Tell whether a listed start began later than this one."""
+        return any(
+            start.is_followed_by(other)
+            for other in self.starts.values()
+            if other is not start and other.names and other.ended_at is None
+        )
+
+    def ended(self) -> set[int]:
+        """Return the known starts that are over."""
+        return {number for number in self.starts if self.has_ended(number)}
+
+
 class MakerStarts:
     """The starts of runners at each address, as RunnerEntry.start.
 
@@ -22,15 +113,9 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self.current: dict[str, int] = {}
-        # When the last entry of an address was removed.
-        self.gone: dict[str, float] = {}
-        # Starts that are over, and when this host heard of it, by address.
-        self.ended: dict[str, dict[int, float]] = {}
-        # Addresses whose process told its start on a connection that is open.
-        self.vouched: set[str] = set()
-        # Addresses that refuse connections since the last one to them broke.
-        self.down: set[str] = set()
+        self.places: dict[str, _Place] = {}
+        # The address and start of each runner's entry, by its name.
+        self.listings: dict[str, tuple[str, int]] = {}
         # Counts the changes after which has_ended may answer otherwise.
         self.change_count = 0
         # Called with an address where a start is over.
@@ -38,26 +123,73 @@
         # Called with an address whose entry contradicts what its process told.
         self.on_doubt: Callable[[str], None] = lambda address: None
 
-    def on_entry(self, address: str, started_ms: int, now: float) -> None:
-        """Record a start from an entry in the store.
+    @contextlib.contextmanager
+    def _changing(self, address: str) -> Iterator[_Place]:
+        """Change what is known of an address; tell of starts that end."""
+        place = self.places.setdefault(address, _Place())
+        told_before = place.told, place.is_vouched
+        ended_before = place.ended()
+        yield place
+        ended = place.ended()
+        if (place.told, place.is_vouched) != told_before or (
+            ended != ended_before
+        ):
+            self.change_count += 1
+        if ended - ended_before:
+            self.on_ended(address)
+
+    def on_entry(
+        self, entry: _fleet.RunnerEntry, version: int, now: float
+    ) -> None:
+        """Record the entry in force of a runner, with its version."""
+        name, address = entry.runner.name, entry.runner.address
+        listing = address, entry.start
+        if self.listings.get(name) == listing:
+            return
+        before = self.listings.get(name)
+        if before is not None:
+            self._unlist(name, now, is_replaced=before[1] != entry.start)
+        self.listings[name] = listing
+        if self._list(name, entry, version, now):
+            self.on_doubt(address)
+
+    def _list(
+        self, name: str, entry: _fleet.RunnerEntry, version: int, now: float
+    ) -> bool:
+        """List a start; return whether it contradicts the process there.
 
         A connection may outlive its process for a while at this end, so that
         a start which was not heard of before is believed until on_told.
         """
-        self.gone.pop(address, None)
-        ended = self.ended.get(address, {})
-        if started_ms in ended:
-            # Remembered for as long as it is told.
-            ended[started_ms] = now
-            return
-        is_ended = self._replace(address, started_ms, now)
-        if is_ended and address in self.vouched:
-            self.vouched.discard(address)
-            self.on_doubt(address)
+        with self._changing(entry.runner.address) as place:
+            is_new = entry.start not in place.starts
+            start = place.starts.setdefault(entry.start, _Start(now))
+            start.version = start.version or version
+            start.born_ms = entry.started_ms
+            start.names.add(name)
+            start.is_replaced = False
+            if not is_new:
+                return False
+            place.is_down = False
+            told = place.starts.get(place.told)
+            if told is None or not told.is_followed_by(start):
+                return False
+            was_vouched, place.is_vouched = place.is_vouched, False
+            place.told = 0
+        return was_vouched
+
+    def on_gone(self, name: str, now: float) -> None:
+        """Record that a runner's entry was removed; it may be back."""
+        if name in self.listings:
+            self._unlist(name, now, is_replaced=False)
 
-    def on_gone(self, address: str, now: float) -> None:
-        """Record that the entry of an address was removed; it may be back."""
-        self.gone[address] = now
+    def _unlist(self, name: str, now: float, is_replaced: bool) -> None:
+        address, number = self.listings.pop(name)
+        with self._changing(address) as place:
+            start = place.starts[number]
+            start.names.discard(name)
+            start.last_at = now
+            start.is_replaced = is_replaced and not start.names
 
     def on_told(self, address: str, started_ms: int, now: float) -> bool:
         """Record a start that the process at an address tells of itself.
@@ -65,12 +197,23 @@
         It tells so on a connection that stays open until on_closed. Return
         whether an earlier start is over by that.
         """
-        self.ended.get(address, {}).pop(started_ms, None)
-        self.down.discard(address)
-        if address not in self.vouched:
-            self.vouched.add(address)
-            self.change_count += 1
-        return self._replace(address, started_ms, now)
+        with self._changing(address) as place:
+            before = place.current()
+            self._tell(place, started_ms, now)
+            for number, start in place.starts.items():
+                if number != started_ms and start.ended_at is None:
+                    start.ended_at = now
+            place.is_vouched = True
+            place.is_down = False
+        return before not in (0, started_ms)
+
+    def _tell(self, place: _Place, started_ms: int, now: float) -> None:
+        start = place.starts.setdefault(started_ms, _Start(now))
+        start.ended_at = None
+        start.is_replaced = False
+        start.born_ms = start.born_ms or max(started_ms, 0)
+        start.last_at = now
+        place.told = started_ms
 
     def on_lost(self, address: str, now: float) -> bool:
         """Record that any process may be at an address now.
@@ -78,23 +221,27 @@
         One that tells no start has ended, or its connection alone. Return
         whether a start is over by that.
         """
-        return self._replace(address, -1 - int(now * MS_PER_S), now)
+        with self._changing(address) as place:
+            before = place.current()
+            if before:
+                place.starts[before].ended_at = now
+            self._tell(place, -1 - int(now * MS_PER_S), now)
+        return bool(before)
 
     def on_down(self, address: str) -> None:
         """Record that no process is at an address, until on_up or a start."""
-        if address in self.down or address in self.vouched:
-            return
-        self.down.add(address)
-        self.change_count += 1
-        self.on_ended(address)
+        with self._changing(address) as place:
+            place.is_down = place.is_down or not place.is_vouched
 
     def on_up(self, address: str) -> None:
         """Record that a process may be at an address."""
-        self.down.discard(address)
+        if address in self.places:
+            self.places[address].is_down = False
 
     def on_closed(self, address: str) -> None:
         """Record that a process' connection has ended, maybe with it."""
-        self.vouched.discard(address)
+        if address in self.places:
+            self.places[address].is_vouched = False
 
     def on_news(
         self,
@@ -103,65 +250,76 @@
         ended: Iterable[int],
         now: float,
     ) -> None:
-        """Record what another host heard from the process at an address.
+        """Record what the process at an address told another host.
 
         ended are the starts that are over.
         """
-        if address in self.vouched:
-            return
-        self.ended.get(address, {}).pop(started_ms, None)
-        self._replace(address, started_ms, now)
-        for start in ended:
-            self._end(address, start, now)
-
-    def _replace(self, address: str, started_ms: int, now: float) -> bool:
-        known_ms = self.current.get(address, 0)
-        if started_ms == known_ms or not started_ms:
-            return False
-        self.down.discard(address)
-        self.current[address] = started_ms
-        return self._end(address, known_ms, now)
-
-    def _end(self, address: str, started_ms: int, now: float) -> bool:
-        ended = self.ended.setdefault(address, {})
-        if not started_ms or started_ms in ended:
-            return False
-        ended[started_ms] = now
-        self.change_count += 1
-        self.on_ended(address)
-        return True
+        with self._changing(address) as place:
+            if place.is_vouched:
+                return
+            for number in ended:
+                start = place.starts.setdefault(number, _Start(now))
+                start.ended_at = start.last_at = now
+                if place.told == number:
+                    place.told = 0
+            known = place.starts.get(started_ms, _Start(now))
+            known.born_ms = known.born_ms or max(started_ms, 0)
+            if started_ms and not place.is_outdated(known):
+                self._tell(place, started_ms, now)
 
     def start_at(self, address: str) -> int:
         """Return the start that is believed to be at an address now."""
-        return self.current.get(address, 0)
+        place = self.places.get(address)
+        return place.current() if place is not None else 0
 
-    def ended_at(self, address: str) -> list[int]:
-        """Return the starts at an address that are over."""
-        return list(self.ended.get(address, ()))
+    def told_at(self, address: str) -> tuple[int, list[int], bool]:
+        """Return what is known at first hand of an address.
+
+        It is the start that is there, 0 if that is not known, those that are
+        over, and whether connections are refused.
+        """
+        place = self.places.get(address, _Place())
+        ended = [
+            number
+            for number, start in place.starts.items()
+            if start.ended_at is not None
+        ]
+        return place.told, ended, place.is_down
 
     def has_ended(self, address: str, started_ms: int) -> bool:
         """Tell whether the process that made results at a start has ended."""
-        if not started_ms:
+        place = self.places.get(address)
+        if not started_ms or place is None:
             return False
-        if address in self.vouched:
-            return started_ms != self.current.get(address)
-        if address in self.down and started_ms == self.start_at(address):
-            return True
-        return started_ms in self.ended.get(address, ())
-
-    def forget(self, now: float) -> None:
-        """Forget starts that ended, or whose entries went, long ago."""
-        for address, at in list(self.gone.items()):
-            if now >= at + ENDED_MEMORY_S:
-                del self.gone[address]
-                self.current.pop(address, None)
-        for address, starts in list(self.ended.items()):
-            kept = {
-                started_ms: at
-                for started_ms, at in starts.items()
-                if now < at + ENDED_MEMORY_S
-            }
-            if kept:
-                self.ended[address] = kept
-            else:
-                del self.ended[address]
+        return place.has_ended(started_ms)
+
+    def forget(self, now: float, readable_since: float) -> None:
+        """Forget starts that were last heard of long ago.
+
+        The store has told all changes since readable_since. The entry of an
+        ended process would have expired by then, so that a start which is
+        still listed is not over.
+        """
+        for address, place in list(self.places.items()):
+            for number, start in list(place.starts.items()):
+                if start.names or (place.is_vouched and number == place.told):
+                    start.last_at = now
+                elif now >= start.last_at + ENDED_MEMORY_S:
+                    del place.starts[number]
+            if place.told not in place.starts:
+                place.told = 0
+            self._believe_listed(place, now, readable_since)
+            if not place.starts and not place.is_down:
+                del self.places[address]
+
+    def _believe_listed(
+        self, place: _Place, now: float, readable_since: float
+    ) -> None:
+        for number, start in place.starts.items():
+            if start.ended_at is None or not start.names:
+                continue
+            doubted_since = max(start.ended_at, readable_since)
+            if now >= doubted_since + _fleet.ENTRY_DOUBT_S:
+                start.ended_at = None
+                if number != place.told:
+                    self.change_count += 1
