Doubt entries of earlier starts until they have stood

Cause: an entry of an earlier start counted once nothing had been heard of the known one for 4 s, while entries come only when they change.

Now such an entry, or one of a start that was replaced, counts if the store holds it for 5 s while it can be read: the process at work writes its own entry again with the next heartbeat. Until then no stream goes on at the runner and new requests go to others first. No start is shut out any more.

--- a/features/relay_decisions.feature
+++ b/features/relay_decisions.feature
@@ -41,27 +41,34 @@
     Then the runner that is known was born at <known>
 
     Examples:
-      | late | after | known | counts        |
-      | 3    | 0.5   | 5     | does not count |
-      | 3    | 30    | 5     | does not count |
-      | 3    | 200   | 3     | counts        |
-      | 4    | 0.5   | 5     | does not count |
-      | 4    | 5     | 4     | counts        |
-      | 6    | 0.5   | 6     | counts        |
-      | 5    | 9     | 5     | counts        |
+      | late | after | known | counts                 |
+      | 3    | 0.5   | 5     | does not count at once |
+      | 3    | 30    | 5     | does not count at once |
+      | 3    | 200   | 5     | does not count at once |
+      | 4    | 0.5   | 5     | does not count at once |
+      | 4    | 5     | 5     | does not count at once |
+      | 6    | 0.5   | 6     | counts                 |
+      | 5    | 9     | 5     | counts                 |
 
   # Guards against runners whose clocks were set back and that are never used
-  # again, as their entries are written once, too early to count.
-  Scenario Outline: an entry of start 4 that comes once, 0.5 s after one of start 5, <counts> after <s> s
+  # again, as their entries are written once, and against late writes that
+  # count before the runner has written its own entry again.
+  Scenario Outline: an entry of start <late> that comes once, <after> s after one of start 5, <counts> after <s> s
     Given a fleet with runner "a" born at 3
-    When its entry comes born at 5, then after 0.5 s born at 4
+    When its entry comes born at 5, then after <after> s born at <late>
     And <s> s pass
     Then the runner that is known was born at <known>
 
     Examples:
-      | s   | known | counts         |
-      | 3   | 5     | does not count |
-      | 4   | 4     | counts         |
+      | late | after | s   | known | counts         |
+      | 4    | 0.5   | 4.9 | 5     | does not count |
+      | 4    | 0.5   | 5   | 4     | counts         |
+      | 4    | 30    | 4.9 | 5     | does not count |
+      | 4    | 30    | 5   | 4     | counts         |
+      | 3    | 30    | 4.9 | 5     | does not count |
+      | 3    | 30    | 5   | 3     | counts         |
+      | 3    | 200   | 4.9 | 5     | does not count |
+      | 3    | 200   | 5   | 3     | counts         |
 
   # Guards against addresses that are kept for ever, and against starts that
   # are forgotten while results of them live.
--- a/features/runner_starts.feature
+++ b/features/runner_starts.feature
@@ -78,3 +78,71 @@
       | outage                    | state  |
       | the store can be read     | in use |
       | the store can't be read   | over   |
+
+  # Guards against a host that takes a late entry of an ended process for the
+  # next start, and passes over what the process at work writes.
+  Scenario Outline: a host that knows one start alone reads a late entry of an earlier one, <after> s later
+    Given a host without entries
+    When it reads an entry born 9 of version "v2"
+    And <after> s pass for the host
+    And it reads an entry born 5 of version "v1"
+    Then the runner is one of "v2", where no stream of "v1" or "v2" goes on
+    When 1.2 s pass for the host
+    And it reads an entry born 9 of version "v2"
+    Then the runner is one of "v2", where streams of "v2" go on
+    When 30 s pass for the host
+    Then the runner is one of "v2", where streams of "v2" go on
+
+    Examples:
+      | after |
+      | 0.5   |
+      | 30    |
+      | 200   |
+
+  # Guards against an entry of another writer that shuts the runner's own out.
+  Scenario Outline: an entry with a start <what> stands between two of the runner's own
+    Given a host without entries
+    When it reads an entry born 9 of version "v2"
+    And it reads an entry born <born> of version "v1"
+    And 1.2 s pass for the host
+    And it reads an entry born 9 of version "v2"
+    And 5 s pass for the host
+    Then the runner is one of "v2", where streams of "v2" go on
+
+    Examples:
+      | what          | born             |
+      | of long ago   | 1                |
+      | in the future | 9000000000000000 |
+
+  Scenario: a start of a clock that was set back counts once nothing is left at the address of the one before
+    Given a host without entries
+    When it reads an entry born 9 of version "v1"
+    And it reads an entry born 5 of version "v2" at another address
+    And 0.1 s pass for the host
+    Then the runner is one of "v1", where no stream of "v1" or "v2" goes on
+    When its address refuses a connection
+    And 0.1 s pass for the host
+    Then the runner is one of "v2", where streams of "v2" go on
+
+  # Guards against late writes that count as the process at work can't write.
+  Scenario: a late entry does not come to count while the store can't be read
+    Given a host without entries
+    When it reads an entry born 9 of version "v2"
+    And it reads an entry born 5 of version "v1"
+    And the store can't be read
+    And 30 s pass for the host
+    Then the runner is one of "v2", where no stream of "v1" or "v2" goes on
+    When the store can be read again
+    And 4.9 s pass for the host
+    Then the runner is one of "v2", where no stream of "v1" or "v2" goes on
+    When it reads an entry born 9 of version "v2"
+    Then the runner is one of "v2", where streams of "v2" go on
+
+  Scenario: a runner whose software version is doubtful gets new requests last
+    Given a host without entries
+    When it reads an entry born 9 of version "v2"
+    Then new requests go to the runner
+    When it reads an entry born 5 of version "v1"
+    Then new requests go to the runner
+    When another runner of its service is listed
+    Then no new requests go to the runner
--- a/features/steps/runner_start_steps.py
+++ b/features/steps/runner_start_steps.py
@@ -11,6 +11,7 @@
 from ragwort_edge import _maker_news
 import ragwort_lab as lab
 import ragwort_model as model
+import ragwort_relay as relay
 
 OTHER_HOST = 'other'
 
@@ -18,11 +19,11 @@
 def entry_of(
     runner: str,
     born: int,
-    version: int,
+    number: int,
     address: str = '10.0.0.1:80',
     **fields: Any,
 ) -> model.StoredObject:
-    """Return a runner's entry in the lab's form."""
+    """Return a version of a runner's entry in the lab's form."""
     values = {
         'service': 'main',
         'address': address,
@@ -32,7 +33,7 @@
         'slots': 4,
     }
     text = json.dumps(values | fields)
-    return model.StoredObject(f'runner/{runner}', version, text)
+    return model.StoredObject(f'runner/{runner}', number, text)
 
 
 @given('a host without entries')
@@ -152,3 +153,79 @@
     told = context.sent[-1].starts[0]
     assert told.started_ms == start, told
     assert sorted(told.ended) == sorted((one, other)), told
+
+
+def _runner(context: Any) -> relay.FleetRunner:
+    found = context.catalog.fleet.runners['runner/a']
+    assert isinstance(found, relay.FleetRunner)
+    return found
+
+
+@when('it reads an entry born {born:d} of version "{version}"')
+@when('it reads an entry born {born:d} of version "{version}" at {place}')
+def read_entry(
+    context: Any, born: int, version: str, place: str | None = None
+) -> None:
+    """Apply the next version of the runner's entry."""
+    context.entry_count = getattr(context, 'entry_count', 0) + 1
+    address = '10.0.0.1:80' if place is None else '10.0.0.2:80'
+    context.catalog.apply(
+        entry_of('a', born, context.entry_count, address, version=version)
+    )
+
+
+@when('its address refuses a connection')
+def refuse(context: Any) -> None:
+    """Let the host fail to connect."""
+    context.catalog.reach.on_unreachable(_runner(context), context.catalog.now)
+
+
+@when('the store can be read again')
+def recover_store(context: Any) -> None:
+    """Let the outage end."""
+    context.catalog.fleet.on_store_recovered(context.catalog.now)
+
+
+@when('another runner of its service is listed')
+def add_other(context: Any) -> None:
+    """Apply its entry."""
+    context.catalog.apply(entry_of('b', 3, 99, '10.0.0.9:80', version='v2'))
+
+
+def _goes_on(context: Any, version: str) -> bool:
+    origin = relay.StreamOrigin('main', version)
+    return origin.may_continue_at(_runner(context))
+
+
+@then('the runner is one of "{version}", where streams of "{stream}" go on')
+def check_certain(context: Any, version: str, stream: str) -> None:
+    """Look at the runner."""
+    known = _runner(context).entry.runner
+    assert known.software_version == version, known
+    assert _goes_on(context, stream)
+
+
+@then(
+    'the runner is one of "{version}", where no stream of "{one}" or "{other}"'
+    ' goes on'
+)
+def check_uncertain(context: Any, version: str, one: str, other: str) -> None:
+    """Look at the runner."""
+    known = _runner(context).entry.runner
+    assert known.software_version == version, known
+    assert not _goes_on(context, one)
+    assert not _goes_on(context, other)
+
+
+@then('new requests go to the runner')
+def check_used(context: Any) -> None:
+    """Look at the usable runners."""
+    usable = context.catalog.fleet.usable('main', context.catalog.now)
+    assert _runner(context) in usable
+
+
+@then('no new requests go to the runner')
+def check_spared(context: Any) -> None:
+    """Look at the usable runners."""
+    usable = context.catalog.fleet.usable('main', context.catalog.now)
+    assert usable and _runner(context) not in usable
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -19,9 +19,6 @@
 # for this time, in which the process at work would have written its own again
 # and the entry of an ended one would have expired.
 ENTRY_DOUBT_S = 5.0
-# Time without an entry of a start after which one of an earlier start counts:
-# a few heartbeats. The clock of a runner's machine may have been set back.
-EARLIER_START_DOUBT_S = 4.0
 
 
 class RunnerEntry(msgspec.Struct, frozen=True):
@@ -52,8 +49,10 @@
     """A runner's entry and what this host learned of the runner.
 
     era is that of the store which told the entry; unconfirmed_until is set
-    while the entry is missing after an outage; slowness is the decayed ratio
-    of work time to the typical time; heard_at is when its entry last came.
+    while the entry is missing after an outage; rival is the entry that the
+    store holds in its place while that is doubtful; slowness is the decayed
+    ratio of work time to the typical time; unreachable_at is when it last took
+    no connection.
     """
 
     entry: RunnerEntry
@@ -62,7 +61,8 @@
     unconfirmed_until: float | None = None
     is_misdirected: bool = False
     slowness: float = 1.0
-    heard_at: float = 0.0
+    rival: RunnerEntry | None = None
+    unreachable_at: float = -math.inf
 
     @property
     def name(self) -> str:
@@ -81,6 +81,22 @@
             runner.service == service and runner.state == model.HostState.LIVE
         )
 
+    @property
+    def entries(self) -> list[RunnerEntry]:
+        """Return the entries of the processes that may be there."""
+        return [self.entry] if self.rival is None else [self.entry, self.rival]
+
+    @property
+    def is_certain(self) -> bool:
+        """Tell whether its state and its software version are known."""
+        if self.unconfirmed_until is not None:
+            return False
+        known, rival = self.entry.runner, self.rival
+        return rival is None or (
+            rival.runner.state == model.HostState.LIVE
+            and rival.runner.software_version == known.software_version
+        )
+
     def is_usable(self, now: float) -> bool:
         """Tell whether new work may go to the runner."""
         if self.entry.runner.state == model.HostState.LEAVING:
@@ -105,18 +121,36 @@
     is_final: bool = False
 
 
+class _Doubt(msgspec.Struct):
+    """A version of a runner's entry that contradicts what is known.
+
+    since is when the first such entry of its start came.
+    """
+
+    entry: RunnerEntry
+    version: int
+    since: float
+
+
 class Fleet:
-    """All known runners."""
+    """All known runners.
+
+    A runner's entry is not always that of the process at work: a write of an
+    ended process may be carried out late, and a store that returns as an older
+    copy holds earlier entries. A process at work writes its own entry again
+    with the next heartbeat. So an entry that only such a write explains is
+    doubtful, and counts if nothing replaces it for ENTRY_DOUBT_S.
+    """
 
     def __init__(self) -> None:
         """Start without runners."""
         self.runners: dict[str, FleetRunner] = {}
         self.departures: dict[str, _Departure] = {}
-        # Starts that a later one has replaced, and when, by name.
+        # Starts that another one has replaced, and when, by name.
         self.replaced: dict[str, dict[int, float]] = {}
-        # The last entry of a runner while it tells of an earlier start than
-        # the known one; nothing may be written that says so again.
-        self.doubtful: dict[str, tuple[RunnerEntry, int]] = {}
+        # What the store holds of a runner while that is doubtful; nothing may
+        # be written that says so again.
+        self.doubtful: dict[str, _Doubt] = {}
         self.store_recovered_at: float | None = None
         # Since when the store has told each change.
         self.readable_since = 0.0
@@ -144,19 +178,20 @@
         """
         era = model.era_of(version)
         known = self.runners.get(name)
-        self.doubtful.pop(name, None)
+        doubt = self.doubtful.pop(name, None)
+        if known is not None:
+            known.rival = None
         if entry is None:
             if known is not None:
                 self._remove(known, now, era)
             return
-        if self._is_replaced(entry):
-            return
-        if (
-            known is not None
-            and not is_believed
-            and _is_outdated(known, entry, now, era)
-        ):
-            self.doubtful[name] = entry, version
+        if not is_believed and self._is_doubtful(known, entry):
+            since = now
+            if doubt is not None and doubt.entry.start == entry.start:
+                since = doubt.since
+            self.doubtful[name] = _Doubt(entry, version, since)
+            if known is not None:
+                known.rival = entry
             return
         if entry.runner.state == model.HostState.LEAVING:
             self._record_departure(entry, now, era, is_leaving=True)
@@ -167,22 +202,28 @@
                 replaced = self.replaced.setdefault(name, {})
                 replaced[known.entry.started_ms] = now
             state = policy.RunnerState(entry.runner)
-            self.runners[name] = FleetRunner(entry, state, era, heard_at=now)
+            self.runners[name] = FleetRunner(entry, state, era)
             return
-        known.heard_at = now
         known.era = max(known.era, era)
         if known.address != entry.runner.address:
             known.is_misdirected = False
         self._set_entry(known, entry)
         known.unconfirmed_until = None
 
-    def _is_replaced(self, entry: RunnerEntry) -> bool:
-        """Tell whether a runner's later start was known before.
+    def _is_doubtful(
+        self, known: FleetRunner | None, entry: RunnerEntry
+    ) -> bool:
+        """Tell whether an entry may be that of an ended process.
 
-        A write of a process that has ended may be carried out late.
+        Its clock, or that of the process at work, may have been set back.
         """
-        starts = self.replaced.get(entry.runner.name, {})
-        return entry.started_ms in starts
+        if known is None or known.entry.started_ms == entry.started_ms:
+            return False
+        replaced = self.replaced.get(entry.runner.name, {})
+        return (
+            entry.started_ms < known.entry.started_ms
+            or entry.started_ms in replaced
+        )
 
     def _without_return(
         self, name: str, entry: RunnerEntry, now: float, era: int
@@ -246,17 +287,18 @@
         del self.runners[known.name]
 
     def take_believed(self, now: float) -> list[tuple[RunnerEntry, int]]:
-        """Remove and return the entries of earlier starts that count now.
+        """Remove and return the doubtful entries that count now.
 
-        Each comes with its version. Nothing was heard of the known starts for
-        a while, or they are gone.
+        Each comes with its version.
         """
         found = []
-        for name, (entry, version) in list(self.doubtful.items()):
+        for name, doubt in list(self.doubtful.items()):
             known = self.runners.get(name)
-            since = -math.inf if known is None else known.heard_at
-            if now >= since + EARLIER_START_DOUBT_S:
-                found.append((entry, version))
+            since = max(doubt.since, self.readable_since)
+            if now >= since + ENTRY_DOUBT_S or (
+                known is not None and _has_moved(known, doubt)
+            ):
+                found.append((doubt.entry, doubt.version))
                 del self.doubtful[name]
         return found
 
@@ -313,10 +355,10 @@
         homes: _homes.Homes = _homes.ANYWHERE,
         is_evacuated: Callable[[FleetRunner, float], bool] | None = None,
     ) -> list[FleetRunner]:
-        """Return a service's usable runners, only confirmed ones if any.
+        """Return a service's usable runners, only certain ones if any.
 
         Runners outside of the homes or in evacuated domains don't count as
-        confirmed ones either.
+        certain ones either.
         """
         found = [
             runner
@@ -326,8 +368,7 @@
             and homes.admits(runner.entry.runner.failure_domain)
             and not (is_evacuated and is_evacuated(runner, now))
         ]
-        confirmed = [r for r in found if r.unconfirmed_until is None]
-        return confirmed or found
+        return [r for r in found if r.is_certain] or found
 
     def services(self) -> set[str]:
         """Return the services that have runners."""
@@ -353,13 +394,7 @@
     return _in_state(entry, model.HostState.LEAVING)
 
 
-def _is_outdated(
-    known: FleetRunner, entry: RunnerEntry, now: float, era: int
-) -> bool:
-    """Tell whether an entry shows an earlier incarnation than the known one.
-
-    An older copy of the store may, or a write that was carried out late.
-    """
-    if entry.started_ms >= known.entry.started_ms:
-        return False
-    return era > known.era or now < known.heard_at + EARLIER_START_DOUBT_S
+def _has_moved(known: FleetRunner, doubt: _Doubt) -> bool:
+    """Tell whether nothing is left at the address of a doubted runner."""
+    is_elsewhere = known.address != doubt.entry.runner.address
+    return is_elsewhere and known.unreachable_at >= doubt.since
--- a/libs/ragwort_relay/ragwort_relay/_origins.py
+++ b/libs/ragwort_relay/ragwort_relay/_origins.py
@@ -33,10 +33,10 @@
 
     def may_continue_at(self, runner: _fleet.FleetRunner) -> bool:
         """Tell whether a runner's events fit behind the stream's."""
-        found = runner.entry.runner
-        return (found.service, found.software_version) == (
-            self.service,
-            self.software_version,
+        return all(
+            (entry.runner.service, entry.runner.software_version)
+            == (self.service, self.software_version)
+            for entry in runner.entries
         )
 
 
@@ -89,10 +89,11 @@
     ) -> None:
         """Record the versions of runners that are there now."""
         for found in runners:
-            runner = found.entry.runner
-            self.observe_version(
-                runner.service, runner.software_version, now, now
-            )
+            for entry in found.entries:
+                runner = entry.runner
+                self.observe_version(
+                    runner.service, runner.software_version, now, now
+                )
 
     def versions(self, service: str, now: float) -> dict[str, float]:
         """Return the versions of the last time, and when each was there."""
--- a/libs/ragwort_relay/ragwort_relay/_reach.py
+++ b/libs/ragwort_relay/ragwort_relay/_reach.py
@@ -56,6 +56,7 @@
 
     def on_unreachable(self, runner: _fleet.FleetRunner, now: float) -> None:
         """Record that a runner took no connection."""
+        runner.unreachable_at = now
         service = runner.entry.runner.service
         incarnation = (runner.name, runner.entry.started_ms)
         self.failed.setdefault(service, set()).add(incarnation)
