Take no entry of before for the return of a start that leaves

Cause: any entry of the same start and era of the store counted as a new registration. Records of leaving starts were also forgotten after 120 s of a drain, and were put in order by the time of the start, so that what a runner whose clock had been set back said of its leaving was taken for old.

Now an entry that takes back a report of leaving is doubtful, as one of an earlier start: it counts if the store holds it for 5 s while it can be read, or for 120 s if an older copy of the store brought it back. Records are kept by name and start.

--- a/features/runner_starts.feature
+++ b/features/runner_starts.feature
@@ -146,3 +146,83 @@
     Then new requests go to the runner
     When another runner of its service is listed
     Then no new requests go to the runner
+
+  # Guards against requests to a runner that leaves, as a heartbeat of before
+  # its report is carried out behind it.
+  Scenario Outline: a late entry says that a runner which <leaves> is ready
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And it reads an entry born 9 that says <report>
+    And 2.2 s pass for the host
+    And it reads an entry born 9 that says ready
+    Then no request goes to it
+    When 1.2 s pass for the host
+    And it reads an entry born 9 that says <again>
+    And 30 s pass for the host
+    Then no request goes to it
+
+    Examples:
+      | leaves           | report   | again    |
+      | drains           | draining | draining |
+      | drains and exits | draining | nothing  |
+
+  Scenario: a runner that was listed as draining by another writer is used again
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And it reads an entry born 9 that says draining
+    And it reads an entry born 9 that says ready
+    And 4.9 s pass for the host
+    Then no request goes to it
+    When 0.1 s pass for the host
+    Then requests go to it
+
+  Scenario: a runner drains for two minutes before a late entry says that it is ready
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And it reads an entry born 9 that says draining
+    And 130 s pass for the host
+    And it reads an entry born 9 that says ready
+    Then no request goes to it
+
+  Scenario: a late entry of a runner that has left says that it is ready
+    Given a host without entries
+    When it reads an entry born 9 that says draining
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born 9 that says ready
+    And 3.6 s pass for the host
+    Then no request goes to it
+    When it reads an entry born 9 that says nothing
+    And 30 s pass for the host
+    Then no request goes to it
+
+  Scenario Outline: a runner that has left starts again under its name, <clock>
+    Given a host without entries
+    When it reads an entry born 9 that says draining
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born <born> that says ready
+    Then requests go to it
+
+    Examples:
+      | clock                      | born |
+      | at once                    | 12   |
+      | its clock having been back | 5    |
+
+  # Guards against requests to a runner that leaves, as its start is earlier
+  # than that of the process that left before.
+  Scenario: a runner whose clock was set back says in an answer that it leaves
+    Given a host without entries
+    When it reads an entry born 9 that says draining
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born 5 that says ready
+    And the runner says in an answer that it leaves
+    Then no request goes to it
+    When it reads an entry born 5 that says ready
+    And 30 s pass for the host
+    Then no request goes to it
+
+  Scenario: a runner whose entry had expired registers again
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born 9 that says ready
+    Then requests go to it
--- a/features/steps/runner_start_steps.py
+++ b/features/steps/runner_start_steps.py
@@ -229,3 +229,39 @@
     """Look at the usable runners."""
     usable = context.catalog.fleet.usable('main', context.catalog.now)
     assert usable and _runner(context) not in usable
+
+
+@when('it reads an entry born {born:d} that says {report}')
+def read_state(context: Any, born: int, report: str) -> None:
+    """Apply the next version of the runner's entry, or its removal."""
+    context.entry_count = getattr(context, 'entry_count', 0) + 1
+    state = {'ready': 'live', 'draining': 'leaving'}.get(report)
+    item = model.StoredObject('runner/a', context.entry_count, None)
+    if state is not None:
+        item = entry_of('a', born, context.entry_count, state=state)
+    context.catalog.apply(item)
+
+
+@when('the runner says in an answer that it leaves')
+def say_leaving(context: Any) -> None:
+    """Let an answer bear that notice."""
+    catalog = context.catalog
+    catalog.departure_news.on_answer(_runner(context), catalog.now)
+
+
+def _usable(context: Any) -> list[relay.FleetRunner]:
+    catalog = context.catalog
+    usable: list[relay.FleetRunner] = catalog.usable('main', catalog.now)
+    return usable
+
+
+@then('no request goes to it')
+def check_unused(context: Any) -> None:
+    """Look at the usable runners."""
+    assert not _usable(context)
+
+
+@then('requests go to it')
+def check_served(context: Any) -> None:
+    """Look at the usable runners."""
+    assert [runner.name for runner in _usable(context)] == ['runner/a']
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -109,27 +109,26 @@
 
     is_leaving tells whether the runner itself said that it leaves, is_final
     whether it did so in an answer, which no entry takes back. era is that of
-    the store which told it. restored_at is when an older copy of the store
-    brought a removed entry back.
+    the store which told it.
     """
 
-    started_ms: int
     era: int
     at: float
     is_leaving: bool
-    restored_at: float | None = None
     is_final: bool = False
 
 
 class _Doubt(msgspec.Struct):
     """A version of a runner's entry that contradicts what is known.
 
-    since is when the first such entry of its start came.
+    since is when the first such entry of its start came, stands_s how long it
+    has to stand to count.
     """
 
     entry: RunnerEntry
     version: int
     since: float
+    stands_s: float = ENTRY_DOUBT_S
 
 
 class Fleet:
@@ -145,7 +144,8 @@
     def __init__(self) -> None:
         """Start without runners."""
         self.runners: dict[str, FleetRunner] = {}
-        self.departures: dict[str, _Departure] = {}
+        # By name and start.
+        self.departures: dict[tuple[str, int], _Departure] = {}
         # Starts that another one has replaced, and when, by name.
         self.replaced: dict[str, dict[int, float]] = {}
         # What the store holds of a runner while that is doubtful; nothing may
@@ -185,18 +185,16 @@
             if known is not None:
                 self._remove(known, now, era)
             return
-        if not is_believed and self._is_doubtful(known, entry):
+        if not is_believed and self._is_doubtful(known, entry, era):
             since = now
             if doubt is not None and doubt.entry.start == entry.start:
                 since = doubt.since
-            self.doubtful[name] = _Doubt(entry, version, since)
-            if known is not None:
-                known.rival = entry
+            self._doubt(entry, version, since)
             return
         if entry.runner.state == model.HostState.LEAVING:
             self._record_departure(entry, now, era, is_leaving=True)
         else:
-            entry = self._without_return(name, entry, now, era)
+            entry = self._without_return(entry)
         if known is None or known.entry.started_ms != entry.started_ms:
             if known is not None and known.entry.started_ms:
                 replaced = self.replaced.setdefault(name, {})
@@ -210,13 +208,32 @@
         self._set_entry(known, entry)
         known.unconfirmed_until = None
 
+    def _doubt(self, entry: RunnerEntry, version: int, since: float) -> None:
+        name, era = entry.runner.name, model.era_of(version)
+        doubt = self.doubtful[name] = _Doubt(entry, version, since)
+        if name in self.runners:
+            self.runners[name].rival = entry
+        departure = self.departures.get(_key(entry))
+        if departure is None or departure.era == era:
+            return
+        if departure.is_leaving:
+            # An older copy of the store, which nobody has to write again.
+            doubt.stands_s = DEPARTURE_MEMORY_S
+        else:
+            # The next entry is the runner's own.
+            departure.era = era
+
     def _is_doubtful(
-        self, known: FleetRunner | None, entry: RunnerEntry
+        self, known: FleetRunner | None, entry: RunnerEntry, era: int
     ) -> bool:
-        """Tell whether an entry may be that of an ended process.
+        """Tell whether an entry may be one of before.
 
-        Its clock, or that of the process at work, may have been set back.
+        A start that was replaced or leaves does not come back, but the clock
+        of a runner may have been set back, and another writer may have said
+        that it leaves.
         """
+        if self._is_doubtful_return(entry, era):
+            return True
         if known is None or known.entry.started_ms == entry.started_ms:
             return False
         replaced = self.replaced.get(entry.runner.name, {})
@@ -225,37 +242,36 @@
             or entry.started_ms in replaced
         )
 
-    def _without_return(
-        self, name: str, entry: RunnerEntry, now: float, era: int
-    ) -> RunnerEntry:
-        """Return an entry as leaving if only an older copy says otherwise."""
-        departure = self.departures.get(name)
-        if departure is None or departure.started_ms != entry.started_ms:
-            return entry
-        if departure.is_final:
+    def _is_doubtful_return(self, entry: RunnerEntry, era: int) -> bool:
+        """Tell whether an entry of a start that left may be one of before.
+
+        A runner whose entry had expired registers again.
+        """
+        departure = self.departures.get(_key(entry))
+        if departure is None or departure.is_final:
+            return False
+        is_live = entry.runner.state == model.HostState.LIVE
+        return is_live and (departure.is_leaving or departure.era != era)
+
+    def _without_return(self, entry: RunnerEntry) -> RunnerEntry:
+        """Return an entry as leaving if its start has said so in an answer."""
+        departure = self.departures.get(_key(entry))
+        if departure is not None and departure.is_final:
             return _as_leaving(entry)
-        if era == departure.era:
-            # The runner itself has registered again.
-            del self.departures[name]
-            return entry
-        if not departure.is_leaving:
-            departure.era = era
-            departure.restored_at = now
-        return _as_leaving(entry)
+        self.departures.pop(_key(entry), None)
+        return entry
 
     def on_leaving(self, name: str, started_ms: int, now: float) -> bool:
         """Record that a runner's incarnation said in an answer that it leaves.
 
         Return whether that is news.
         """
-        departure = self.departures.get(name)
-        if departure is not None and departure.started_ms >= started_ms:
-            is_known = departure.started_ms > started_ms or departure.is_final
-            if is_known:
-                return False
+        departure = self.departures.get((name, started_ms))
+        if departure is not None and departure.is_final:
+            return False
         era = departure.era if departure is not None else 0
-        self.departures[name] = _Departure(
-            started_ms, era, now, is_leaving=True, is_final=True
+        self.departures[name, started_ms] = _Departure(
+            era, now, is_leaving=True, is_final=True
         )
         known = self.runners.get(name)
         if known is not None and known.entry.started_ms == started_ms:
@@ -265,14 +281,13 @@
     def _record_departure(
         self, entry: RunnerEntry, now: float, era: int, is_leaving: bool
     ) -> None:
-        name = entry.runner.name
-        known = self.departures.get(name)
+        known = self.departures.get(_key(entry))
         is_final = False
-        if known is not None and known.started_ms == entry.started_ms:
+        if known is not None:
             is_leaving = is_leaving or known.is_leaving
             is_final = known.is_final
-        self.departures[name] = _Departure(
-            entry.started_ms, era, now, is_leaving, is_final=is_final
+        self.departures[_key(entry)] = _Departure(
+            era, now, is_leaving, is_final
         )
 
     def _remove(self, known: FleetRunner, now: float, era: int) -> None:
@@ -295,7 +310,7 @@
         for name, doubt in list(self.doubtful.items()):
             known = self.runners.get(name)
             since = max(doubt.since, self.readable_since)
-            if now >= since + ENTRY_DOUBT_S or (
+            if now >= since + doubt.stands_s or (
                 known is not None and _has_moved(known, doubt)
             ):
                 found.append((doubt.entry, doubt.version))
@@ -308,8 +323,10 @@
             until = runner.unconfirmed_until
             if until is not None and now >= until:
                 del self.runners[runner.name]
-        for name, departure in list(self.departures.items()):
-            self._check_departure(name, departure, now)
+        for key, departure in list(self.departures.items()):
+            is_recent = now < departure.at + DEPARTURE_MEMORY_S
+            if not is_recent and not self._is_listed(*key):
+                del self.departures[key]
         for name, starts in list(self.replaced.items()):
             kept = {
                 started_ms: at
@@ -321,28 +338,12 @@
             else:
                 del self.replaced[name]
 
-    def _check_departure(
-        self, name: str, departure: _Departure, now: float
-    ) -> None:
-        """Forget an old departure, or one that was not one after all."""
-        restored_at = departure.restored_at
+    def _is_listed(self, name: str, started_ms: int) -> bool:
+        """Tell whether the store holds an entry of a runner's start."""
         known = self.runners.get(name)
-        is_listed = known is not None and (
-            known.entry.started_ms == departure.started_ms
+        return known is not None and any(
+            entry.started_ms == started_ms for entry in known.entries
         )
-        if departure.is_final and is_listed:
-            return
-        if restored_at is None:
-            if now >= departure.at + DEPARTURE_MEMORY_S:
-                del self.departures[name]
-            return
-        if now < restored_at + ENTRY_DOUBT_S:
-            return
-        del self.departures[name]
-        if known is not None and is_listed:
-            self._set_entry(
-                known, _in_state(known.entry, model.HostState.LIVE)
-            )
 
     def _set_entry(self, known: FleetRunner, entry: RunnerEntry) -> None:
         known.entry = entry
@@ -385,13 +386,15 @@
         return [r for r in self.runners.values() if r.is_live_of(service)]
 
 
-def _in_state(entry: RunnerEntry, state: model.HostState) -> RunnerEntry:
-    runner = msgspec.structs.replace(entry.runner, state=state)
-    return msgspec.structs.replace(entry, runner=runner)
+def _key(entry: RunnerEntry) -> tuple[str, int]:
+    return entry.runner.name, entry.started_ms
 
 
 def _as_leaving(entry: RunnerEntry) -> RunnerEntry:
-    return _in_state(entry, model.HostState.LEAVING)
+    runner = msgspec.structs.replace(
+        entry.runner, state=model.HostState.LEAVING
+    )
+    return msgspec.structs.replace(entry, runner=runner)
 
 
 def _has_moved(known: FleetRunner, doubt: _Doubt) -> bool:
