Check what hosts believe of runners' starts against a model

A state machine over the real classes of three hosts, a store and runners: starts in place and under other names, clocks set back, drains, exits, writes carried out 1 to 6 s late, outages, older copies, hosts that start, gossip in any order, late news, connections and entries of another writer. After each step: no host uses a start again of which it knows that it leaves; once nothing has gone wrong for a heartbeat and the delay of the watch, no stream goes on at another software version and no start at work counts as over; what only an expired entry or one that has stood settles is right 5 s later.

- a start whose entry had expired counted for the next one again
- a start at work counted as over while its entry was the doubtful one
- an entry that says draining had to stand as long as a return
- a start that was told on a connection which was left was believed long after its entry had gone
- a start whose entry is gone beside that of another one never counted as over if the times of the starts and the order of the entries both misled

A return of a start that leaves now has to stand for 30 s: four lost heartbeats in a row are no rarity where writes are lost.

--- a/features/model_checks.feature
+++ b/features/model_checks.feature
@@ -12,6 +12,7 @@
       | watcher of a restored store |
       | claim ledger of a restored store |
       | lease of a restored store |
+      | starts of runners |
 
   Scenario Outline: a broken <object> is caught
     When the "<object>" is broken on purpose
@@ -26,3 +27,4 @@
       | watcher of a restored store |
       | claim ledger of a restored store |
       | lease of a restored store |
+      | starts of runners |
--- a/features/runner_starts.feature
+++ b/features/runner_starts.feature
@@ -171,7 +171,7 @@
     When it reads an entry born 9 that says ready
     And it reads an entry born 9 that says draining
     And it reads an entry born 9 that says ready
-    And 4.9 s pass for the host
+    And 29.9 s pass for the host
     Then no request goes to it
     When 0.1 s pass for the host
     Then requests go to it
@@ -226,3 +226,31 @@
     And it reads an entry born 9 that says nothing
     And it reads an entry born 9 that says ready
     Then requests go to it
+
+  # Guards against a late entry of a start that was known before and counts for
+  # the next one, as its entry had expired meanwhile.
+  Scenario: a late entry of a start that has expired comes to a runner whose clock was set back
+    Given a host without entries
+    When it reads an entry born 9 of version "v1"
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born 5 of version "v2"
+    And it reads an entry born 9 of version "v1"
+    Then the runner is one of "v2", where no stream of "v1" or "v2" goes on
+    When it reads an entry born 5 of version "v2"
+    Then the runner is one of "v2", where streams of "v2" go on
+
+  # Guards against a start that a process told once and that is believed long
+  # after its end.
+  Scenario: a process has told its start, and its connection was left before it ended
+    Given a host without entries
+    When it reads the entries in this order:
+      | runner | address     | born | version |
+      | old    | 10.0.0.1:80 | 9    | 10      |
+    And the process at 10.0.0.1:80 tells start 9
+    And the connection to 10.0.0.1:80 is left
+    And it reads the entries in this order:
+      | runner | address     | born | version |
+      | new    | 10.0.0.1:80 | 5    | 20      |
+    And the entry of "old" is removed
+    And 5.1 s pass for the host
+    Then at 10.0.0.1:80 results of start 5 are in use and those of 9 are over
--- a/features/steps/runner_start_steps.py
+++ b/features/steps/runner_start_steps.py
@@ -265,3 +265,9 @@
 def check_served(context: Any) -> None:
     """Look at the usable runners."""
     assert [runner.name for runner in _usable(context)] == ['runner/a']
+
+
+@when('the connection to {address} is left')
+def leave_connection(context: Any, address: str) -> None:
+    """Let the host need it no more."""
+    context.catalog.makers.on_closed(address)
--- a/features/support/broken.py
+++ b/features/support/broken.py
@@ -10,6 +10,7 @@
 from features.support import machines
 import ragwort_membership as membership
 import ragwort_model as model
+import ragwort_relay as relay
 import ragwort_state as state
 
 
@@ -96,7 +97,15 @@
         yield
 
 
+@contextlib.contextmanager
+def _believe_any_entry() -> Iterator[None]:
+    """Take each entry that comes for that of the process at work."""
+    with mock.patch.object(relay.Fleet, '_is_doubtful', lambda *_: False):
+        yield
+
+
 BROKEN = {
+    'starts of runners': _believe_any_entry,
     'watcher of a restored store': _ignore_eras,
     'claim ledger of a restored store': _trust_claims_across_eras,
     'lease of a restored store': _take_lost_lease_at_once,
--- a/features/support/machines.py
+++ b/features/support/machines.py
@@ -5,6 +5,7 @@
 from hypothesis import stateful
 
 from features.support import adversary
+from features.support import runner_starts
 from features.support import store_restores
 
 MACHINES: dict[str, type[stateful.RuleBasedStateMachine]] = {
@@ -15,11 +16,13 @@
     'watcher of a restored store': store_restores.WatcherMachine,
     'claim ledger of a restored store': store_restores.RestoredLedgerMachine,
     'lease of a restored store': store_restores.RestoredLeaseMachine,
+    'starts of runners': runner_starts.RunnerStartsMachine,
 }
 # Restores multiply the runs to explore.
 EXAMPLES = {
     'claim ledger of a restored store': 600,
     'lease of a restored store': 600,
+    'starts of runners': 400,
 }
 DEFAULT_EXAMPLES = 150
 
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -415,7 +415,7 @@
         if known is not None and known is not before:
             self.reach.on_started(known)
         if known is not None:
-            self.makers.on_entry(known.entry, version, self.now)
+            self.makers.on_entries(known, version, self.now)
             self.stream_origins.observe([known], self.now)
             self.cold.on_entry(
                 known,
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -19,6 +19,9 @@
 # for this time, in which the process at work would have written its own again
 # and the entry of an ended one would have expired.
 ENTRY_DOUBT_S = 5.0
+# The same for an entry that takes back a report of leaving. Several heartbeats
+# in a row may be lost, and requests would be lost with the runner.
+RETURN_DOUBT_S = 30.0
 
 
 class RunnerEntry(msgspec.Struct, frozen=True):
@@ -146,8 +149,8 @@
         self.runners: dict[str, FleetRunner] = {}
         # By name and start.
         self.departures: dict[tuple[str, int], _Departure] = {}
-        # Starts that another one has replaced, and when, by name.
-        self.replaced: dict[str, dict[int, float]] = {}
+        # Starts that were known before, and until when, by name.
+        self.former: dict[str, dict[int, float]] = {}
         # What the store holds of a runner while that is doubtful; nothing may
         # be written that says so again.
         self.doubtful: dict[str, _Doubt] = {}
@@ -196,9 +199,8 @@
         else:
             entry = self._without_return(entry)
         if known is None or known.entry.started_ms != entry.started_ms:
-            if known is not None and known.entry.started_ms:
-                replaced = self.replaced.setdefault(name, {})
-                replaced[known.entry.started_ms] = now
+            if known is not None:
+                self._add_former(known, now)
             state = policy.RunnerState(entry.runner)
             self.runners[name] = FleetRunner(entry, state, era)
             return
@@ -214,11 +216,14 @@
         if name in self.runners:
             self.runners[name].rival = entry
         departure = self.departures.get(_key(entry))
-        if departure is None or departure.era == era:
+        if departure is None or entry.runner.state != model.HostState.LIVE:
             return
+        is_restored = departure.era != era
         if departure.is_leaving:
-            # An older copy of the store, which nobody has to write again.
-            doubt.stands_s = DEPARTURE_MEMORY_S
+            # Nobody has to write what an older copy of the store holds.
+            doubt.stands_s = (
+                DEPARTURE_MEMORY_S if is_restored else RETURN_DOUBT_S
+            )
         else:
             # The next entry is the runner's own.
             departure.era = era
@@ -236,12 +241,16 @@
             return True
         if known is None or known.entry.started_ms == entry.started_ms:
             return False
-        replaced = self.replaced.get(entry.runner.name, {})
         return (
             entry.started_ms < known.entry.started_ms
-            or entry.started_ms in replaced
+            or entry.started_ms in self.former.get(known.name, ())
         )
 
+    def _add_former(self, known: FleetRunner, now: float) -> None:
+        if known.entry.started_ms:
+            former = self.former.setdefault(known.name, {})
+            former[known.entry.started_ms] = now
+
     def _is_doubtful_return(self, entry: RunnerEntry, era: int) -> bool:
         """Tell whether an entry of a start that left may be one of before.
 
@@ -299,6 +308,7 @@
             known.unconfirmed_until = recovered_at + REREGISTRATION_GRACE_S
             return
         self._record_departure(known.entry, now, era, is_leaving=False)
+        self._add_former(known, now)
         del self.runners[known.name]
 
     def take_believed(self, now: float) -> list[tuple[RunnerEntry, int]]:
@@ -311,7 +321,8 @@
             known = self.runners.get(name)
             since = max(doubt.since, self.readable_since)
             if now >= since + doubt.stands_s or (
-                known is not None and _has_moved(known, doubt)
+                _is_gone(known, doubt)
+                and _key(doubt.entry) not in self.departures
             ):
                 found.append((doubt.entry, doubt.version))
                 del self.doubtful[name]
@@ -322,21 +333,22 @@
         for runner in list(self.runners.values()):
             until = runner.unconfirmed_until
             if until is not None and now >= until:
+                self._add_former(runner, now)
                 del self.runners[runner.name]
         for key, departure in list(self.departures.items()):
             is_recent = now < departure.at + DEPARTURE_MEMORY_S
             if not is_recent and not self._is_listed(*key):
                 del self.departures[key]
-        for name, starts in list(self.replaced.items()):
+        for name, starts in list(self.former.items()):
             kept = {
                 started_ms: at
                 for started_ms, at in starts.items()
                 if now < at + DEPARTURE_MEMORY_S
             }
             if kept:
-                self.replaced[name] = kept
+                self.former[name] = kept
             else:
-                del self.replaced[name]
+                del self.former[name]
 
     def _is_listed(self, name: str, started_ms: int) -> bool:
         """Tell whether the store holds an entry of a runner's start."""
@@ -397,7 +409,9 @@
     return msgspec.structs.replace(entry, runner=runner)
 
 
-def _has_moved(known: FleetRunner, doubt: _Doubt) -> bool:
-    """Tell whether nothing is left at the address of a doubted runner."""
+def _is_gone(known: FleetRunner | None, doubt: _Doubt) -> bool:
+    """Tell whether the start that a doubtful entry contradicts has ended."""
+    if known is None:
+        return True
     is_elsewhere = known.address != doubt.entry.runner.address
     return is_elsewhere and known.unreachable_at >= doubt.since
--- a/libs/ragwort_relay/ragwort_relay/_makers.py
+++ b/libs/ragwort_relay/ragwort_relay/_makers.py
@@ -28,8 +28,8 @@
     version is that of the first entry which told it, born_ms when it began by
     its own clock; both are 0 if not known. names are the runners' names under
     which it is listed, last_at is when it was last heard of. is_replaced tells
-    whether its entry has given way to that of the same runner's next start,
-    ended_at is when its end was told at first hand.
+    whether its entry has given way to that of another start, ended_at is when
+    its end was told at first hand.
     """
 
     last_at: float
@@ -43,8 +43,11 @@
         """Tell whether another start at this address began later.
 
         A late write misleads the order of the entries, a clock that was set
-        back that of the starts. A listed start ends only if both say so.
+        back that of the starts. A listed start ends only if both say so, and
+        not while its own runner's entry is doubtful.
         """
+        if self.names & other.names:
+            return False
         signs = []
         if self.version and other.version:
             signs.append(other.version > self.version)
@@ -114,8 +117,8 @@
     def __init__(self) -> None:
         """Start without any."""
         self.places: dict[str, _Place] = {}
-        # The address and start of each runner's entry, by its name.
-        self.listings: dict[str, tuple[str, int]] = {}
+        # The address and start of each of a runner's entries, by its name.
+        self.listings: dict[str, set[tuple[str, int]]] = {}
         # Counts the changes after which has_ended may answer otherwise.
         self.change_count = 0
         # Called with an address where a start is over.
@@ -138,20 +141,25 @@
         if ended - ended_before:
             self.on_ended(address)
 
-    def on_entry(
-        self, entry: _fleet.RunnerEntry, version: int, now: float
+    def on_entries(
+        self, runner: _fleet.FleetRunner, version: int, now: float
     ) -> None:
-        """Record the entry in force of a runner, with its version."""
-        name, address = entry.runner.name, entry.runner.address
-        listing = address, entry.start
-        if self.listings.get(name) == listing:
-            return
-        before = self.listings.get(name)
-        if before is not None:
-            self._unlist(name, now, is_replaced=before[1] != entry.start)
-        self.listings[name] = listing
-        if self._list(name, entry, version, now):
-            self.on_doubt(address)
+        """Record a runner's entry, and the doubtful one beside it.
+
+        version is that of the entry that came last.
+        """
+        listed = {(e.runner.address, e.start): e for e in runner.entries}
+        before = self.listings.get(runner.name, set())
+        self.listings[runner.name] = set(listed)
+        starts = {start for _, start in listed}
+        for listing in before - listed.keys():
+            is_replaced = listing[1] not in starts
+            self._unlist(runner.name, listing, now, is_replaced)
+        for (address, _), entry in listed.items():
+            if (address, entry.start) in before:
+                continue
+            if self._list(runner.name, entry, version, now):
+                self.on_doubt(address)
 
     def _list(
         self, name: str, entry: _fleet.RunnerEntry, version: int, now: float
@@ -180,11 +188,17 @@
 
     def on_gone(self, name: str, now: float) -> None:
         """Record that a runner's entry was removed; it may be back."""
-        if name in self.listings:
-            self._unlist(name, now, is_replaced=False)
+        for listing in self.listings.pop(name, ()):
+            self._unlist(name, listing, now, is_replaced=False)
 
-    def _unlist(self, name: str, now: float, is_replaced: bool) -> None:
-        address, number = self.listings.pop(name)
+    def _unlist(
+        self,
+        name: str,
+        listing: tuple[str, int],
+        now: float,
+        is_replaced: bool,
+    ) -> None:
+        address, number = listing
         with self._changing(address) as place:
             start = place.starts[number]
             start.names.discard(name)
@@ -294,11 +308,11 @@
         return place.has_ended(started_ms)
 
     def forget(self, now: float, readable_since: float) -> None:
-        """Forget starts that were last heard of long ago.
+        """Forget old starts, and doubts that the entries have ended.
 
-        The store has told all changes since readable_since. The entry of an
-        ended process would have expired by then, so that a start which is
-        still listed is not over.
+        The store has told all changes since readable_since. By then the entry
+        of an ended process would have expired, and a process at work would
+        have written its own.
         """
         for address, place in list(self.places.items()):
             for number, start in list(place.starts.items()):
@@ -308,18 +322,25 @@
                     del place.starts[number]
             if place.told not in place.starts:
                 place.told = 0
-            self._believe_listed(place, now, readable_since)
+            settled_at = now - _fleet.ENTRY_DOUBT_S
+            if settled_at >= readable_since:
+                self._settle(address, place, settled_at)
             if not place.starts and not place.is_down:
                 del self.places[address]
 
-    def _believe_listed(
-        self, place: _Place, now: float, readable_since: float
-    ) -> None:
+    def _settle(self, address: str, place: _Place, settled_at: float) -> None:
+        """Believe entries that have been listed, or not, since a time."""
+        has_listed = any(start.names for start in place.starts.values())
         for number, start in place.starts.items():
-            if start.ended_at is None or not start.names:
+            is_told = number == place.told
+            if start.names:
+                ended_at = start.ended_at
+                if ended_at is not None and ended_at <= settled_at:
+                    with self._changing(address):
+                        start.ended_at = None
+            elif not has_listed or start.last_at > settled_at:
                 continue
-            doubted_since = max(start.ended_at, readable_since)
-            if now >= doubted_since + _fleet.ENTRY_DOUBT_S:
-                start.ended_at = None
-                if number != place.told:
-                    self.change_count += 1
+            elif not start.is_replaced and (start.born_ms or not is_told):
+                with self._changing(address):
+                    start.is_replaced = True
+                    place.told = 0 if is_told else place.told
