Soak: heartbeats that are carried out late

The new promise 'reported': a host that was settled sends nothing to a runner later than the drain time behind its report.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -64,6 +64,12 @@
     When the soak plays seed 7001 with 4 hosts, results numbered anew and 14 s of faults
     Then it ends well and says that all promises were kept
 
+  Scenario: a short run of real processes while heartbeats of before are carried out late
+    Guards against streams joined out of two software versions, requests to
+    runners that leave and runners at work that are taken for ended.
+    When the soak plays seed 8004 with 4 hosts, late heartbeats, two software versions and 14 s of faults
+    Then it ends well and says that all promises were kept
+
   Scenario: records of a sound run break no promise
     Given the records of a sound run
     Then no promise is broken
@@ -135,6 +141,13 @@
     When its host was started just before
     Then no promise is broken
 
+  Scenario: a host that started lately may send to a runner that had reported its leaving
+    Given the records of a sound run
+    When a request at a runner that had reported its leaving is in the records
+    Then only the promise "reported" is broken
+    When that host was started behind the report
+    Then no promise is broken
+
   Scenario: a host that a fault concerned may leave a request unanswered
     Given the records of a sound run
     When a request that got no answer is in the records
--- a/features/soak/__main__.py
+++ b/features/soak/__main__.py
@@ -28,6 +28,7 @@
     outlasting: bool = False,
     slow: bool = False,
     renumbered: bool = False,
+    late_writes: bool = False,
 ) -> None:
     """Play one seed; every broken promise is a line and status 1."""
     options = run.SoakOptions(
@@ -53,6 +54,7 @@
         outlasting,
         slow,
         renumbered,
+        late_writes,
     )
     result = run.play(options)
     typer.echo(result.line())
--- a/features/soak/ledger.py
+++ b/features/soak/ledger.py
@@ -49,6 +49,16 @@
     times: list[float] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportedArrival:
+    """A request that came long after its runner reported that it leaves."""
+
+    runner: str
+    host: str
+    reported_at: float
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """One request as its caller saw it, times in seconds.
@@ -121,6 +131,7 @@
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     limited: list[LimitedArrival] = dataclasses.field(default_factory=list)
     noticed: list[NoticedArrivals] = dataclasses.field(default_factory=list)
+    reported: list[ReportedArrival] = dataclasses.field(default_factory=list)
     asked_hosts: dict[str, str] = dataclasses.field(default_factory=dict)
     outcomes: list[Outcome] = dataclasses.field(default_factory=list)
     key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
--- a/features/soak/promises.py
+++ b/features/soak/promises.py
@@ -18,6 +18,8 @@
 SLACK_S = 1.5
 # Time after which a leaving runner gets nothing from a host that it told.
 DRAIN_BOUND_S = 3.0
+# Time after its start or a disturbance from which a host knows the runners.
+SETTLED_S = 4.0
 # Requests that may reach a runner in its pause, and from when on they count.
 MOST_IN_PAUSE = 2
 PAUSE_NOTICE_S = 0.5
@@ -315,6 +317,36 @@
             yield f'{found.runner} got {len(late)} requests from {found.host}'
 
 
+@promise('reported')
+def reported(records: ledger.Ledger) -> Iterator[str]:
+    """A host sends nothing to a runner that has reported that it leaves.
+
+    One that started since, or was disturbed, may not have read the report.
+    """
+    late = collections.Counter(
+        (found.runner, found.host)
+        for found in records.reported
+        if not _is_excused(records, found)
+    )
+    for (runner, host), count in late.items():
+        yield f'{runner} got {count} requests from {host}'
+
+
+def _is_excused(records: ledger.Ledger, found: ledger.ReportedArrival) -> bool:
+    has_started = any(
+        at > found.reported_at - SETTLED_S
+        for starts in records.starts.values()
+        for at in starts
+        if at < found.at
+    )
+    return has_started or any(
+        one.target == found.host
+        and one.at < found.at
+        and one.until > found.reported_at - SETTLED_S
+        for one in records.disturbances
+    )
+
+
 @promise('pause')
 def pause(records: ledger.Ledger) -> Iterator[str]:
     """A host lets a runner alone for as long as that asked it to."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -12,6 +12,7 @@
 
 from features.soak import evacuations
 from features.soak import faults
+from features.soak import late_writes
 from features.soak import leaving
 from features.soak import ledger
 from features.soak import odd_entries
@@ -53,7 +54,9 @@
     keep; with has_outlasting some streams become much longer as their host
     leaves. With has_slow callers and runners stop reading in the middle of
     large bodies. With has_renumbered stage runners start again under their
-    names and number their results anew, mostly while the store is away.
+    names and number their results anew, mostly while the store is away. With
+    has_late_writes the store carries heartbeats out late, beside runners that
+    drain or start again and hosts that start.
     """
 
     seed: int
@@ -78,6 +81,7 @@
     has_outlasting: bool = False
     has_slow: bool = False
     has_renumbered: bool = False
+    has_late_writes: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +171,11 @@
             self.plan += renumbering.draw_restarts(
                 self.extra_rng, options.faults_s
             )
+        if options.has_late_writes:
+            late_writes.prepare(self.system)
+            self.plan += late_writes.draw_late_writes(
+                self.extra_rng, options.faults_s
+            )
         for is_wanted, name in (
             (options.has_repeats, strange_faults.REPEATED_REFUSALS),
             (options.has_errors, strange_faults.BROKEN_RESUMPTIONS),
--- a/features/soak/runners.py
+++ b/features/soak/runners.py
@@ -33,6 +33,10 @@
 LAPSE_S = 3.6
 # Time that a leaving runner goes on serving.
 DRAIN_S = 2.0
+# Slack for hosts that hear of a report, and time without trouble at the store
+# before it.
+REPORT_SLACK_S = 1.5
+STABLE_S = 3.0
 # Time after a runner names a limit from which hosts must keep it.
 LIMIT_NOTICE_S = 3.0
 # A part of a prompt that crashes each runner, for so long.
@@ -143,6 +147,9 @@
         # Its calls take so many times as long as the configuration says.
         self.pace = 1.0
         self.is_draining = False
+        # When the store took its report that it leaves.
+        self.reported_at: float | None = None
+        self.beat_s = 0.0
         self.notices = notices.Notices(records)
         self.is_up = False
         self.site = edge.Site(
@@ -197,15 +204,16 @@
         else:
             self.born = int(time.time() * 1000)
         self.is_draining = False
+        self.reported_at = None
         self.is_up = True
         self.limit_per_s = None
         self.turned_away_at.clear()
         self.notices = notices.Notices(self.records)
         self.register()
 
-    def register(self) -> None:
-        """Write the runner's entry."""
-        entry = {
+    def entry(self) -> dict[str, Any]:
+        """Return what the runner writes of itself."""
+        return {
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
@@ -214,7 +222,18 @@
             'slots': SLOTS,
             'born': self.born,
         }
-        self.store.put(KIND, self.identifier, entry)
+
+    def register(self) -> None:
+        """Write the runner's entry."""
+        self.store.put(KIND, self.identifier, self.entry())
+
+    def beat(self) -> None:
+        """Write the entry again, now and then, if it isn't the runner's."""
+        known = self.store.objects.get((KIND, self.identifier), (0, None))
+        is_written = not self.is_draining or self.reported_at is not None
+        if self.is_up and is_written and known[1] != self.entry():
+            self.register()
+        self.reactor.callLater(self.beat_s, self.beat)
 
     def name_limit(self, rate_per_s: float | None) -> None:
         """Name a limit in all answers from now on, or none."""
@@ -266,15 +285,18 @@
         if not self.is_up:
             return
         self._stop()
-        self.reactor.callLater(
-            LAPSE_S, self._lapse, self.identifier, self.born
-        )
+        self.lapse_later(self.identifier, self.born)
+
+    def lapse_later(self, identifier: str, born: int) -> None:
+        """Let the entry of a start lapse unless it is at work then."""
+        self.reactor.callLater(LAPSE_S, self._lapse, identifier, born)
 
     def _lapse(self, identifier: str, born: int) -> None:
         """Remove the entry of a start unless a later one has its name."""
         if (identifier, born) == (self.identifier, self.born) and self.is_up:
             return
-        if identifier != self.identifier or born == self.born:
+        known = self.store.objects.get((KIND, identifier))
+        if known is not None and known[1]['born'] == born:
             self.store.remove(KIND, identifier)
 
     def _die(self, arrivals: list[float], crashes: list[float]) -> None:
@@ -294,11 +316,18 @@
         """Announce the end, go on for a while, then end."""
         if self.is_draining or not self.is_up:
             return
-        self.is_draining = True
         self.site.is_closing = True
         self.notices.leave()
+        self.report_leaving(DRAIN_S)
+
+    def report_leaving(self, lasts_s: float) -> None:
+        """Report in the entry that it leaves, and end later."""
+        if self.is_draining or not self.is_up:
+            return
+        self.is_draining = True
+        self.reported_at = self.reactor.seconds()
         self.register()
-        self.reactor.callLater(DRAIN_S, self._end_drain, self.identifier)
+        self.reactor.callLater(lasts_s, self._end_drain, self.identifier)
 
     def leave_quietly(self) -> None:
         """Say in answers alone that it leaves, go on for long, then end."""
@@ -338,6 +367,17 @@
 
     # What it is asked.
 
+    def _note_reported(self, request_id: str) -> None:
+        """Note what comes long after the store took a report of leaving."""
+        now = self.reactor.seconds()
+        at, host = self.reported_at, self.records.asked_hosts.get(request_id)
+        if at is None or host is None or now <= at + DRAIN_S + REPORT_SLACK_S:
+            return
+        if self.store.disturbed_at < at - STABLE_S:
+            self.records.reported.append(
+                ledger.ReportedArrival(self.identifier, host, at, now)
+            )
+
     def _note_limited(self) -> None:
         now = self.reactor.seconds()
         rate_per_s = self.limit_per_s
@@ -371,6 +411,7 @@
         request_id = exchange.request.header(b'request-id') or b''
         if not exchange.request.path.startswith(UPLOAD_PREFIX):
             self.notices.on_arrival(self, request_id.decode(), now)
+            self._note_reported(request_id.decode())
         if now < self.notices.pause_until:
             self._note_main(exchange, False)
             self.reply(exchange, 503, (NOT_RUN,))
--- a/features/soak/series.py
+++ b/features/soak/series.py
@@ -32,6 +32,7 @@
     'outlasting',
     'slow',
     'renumbered',
+    'late-writes',
 )
 RUN_TIMEOUT_S = 180.0
 
@@ -89,6 +90,7 @@
     outlasting: bool = typer.Option(False, help='Streams that grow then.'),
     slow: bool = typer.Option(False, help='Readers that stop for a while.'),
     renumbered: bool = typer.Option(False, help='Results numbered anew.'),
+    late_writes: bool = typer.Option(False, help='Heartbeats of before.'),
     hosts: int = typer.Option(4, help='Hosts of the seeds in the row.'),
 ) -> None:
     """Play seeds; status 1 if a promise broke on any."""
@@ -113,6 +115,7 @@
             outlasting,
             slow,
             renumbered,
+            late_writes,
         ),
         strict=True,
     )
--- a/features/soak/store.py
+++ b/features/soak/store.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import json
+import math
 from typing import Any
 import urllib.parse
 
@@ -62,6 +63,8 @@
         self.watches: list[_Watch] = []
         self.calls = 0
         self.era = 1
+        # When hosts could last not rely on it.
+        self.disturbed_at = -math.inf
         self.copies: collections.deque[_Copy] = collections.deque(
             maxlen=COPIES
         )
@@ -89,6 +92,7 @@
         copy = older[-1] if older else self.copies[0]
         lost = [key for key in self.objects if key not in copy.objects]
         self.era += 1
+        self.disturbed_at = self.reactor.seconds()
         self.revision = copy.revision
         self.objects = dict(copy.objects)
         self.history = [h for h in self.history if h[0] <= copy.revision]
@@ -123,6 +127,7 @@
 
     def compact(self) -> None:
         """Drop the history and cut the watches."""
+        self.disturbed_at = self.reactor.seconds()
         self.floor = self.revision
         self.history.clear()
         watches, self.watches = self.watches, []
@@ -132,6 +137,9 @@
     def set_mode(self, mode: StoreMode) -> None:
         """Change how hosts are answered from now on."""
         self.mode = mode
+        # Until it answers again.
+        is_ok = mode == StoreMode.OK
+        self.disturbed_at = self.reactor.seconds() if is_ok else math.inf
         if mode == StoreMode.LOST_ANSWERS:
             # The open watches lose theirs without a sign.
             self.watches.clear()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -154,6 +154,17 @@
     run_soak(context, seed, count, faults_s, '--renumbered')
 
 
+@when(
+    'the soak plays seed {seed:d} with {count:d} hosts, late heartbeats, two'
+    ' software versions and {faults_s:d} s of faults'
+)
+def play_late_writes(
+    context: Any, seed: int, count: int, faults_s: int
+) -> None:
+    """Run the soak with heartbeats of before that are carried out late."""
+    run_soak(context, seed, count, faults_s, '--late-writes', '--versions')
+
+
 def run_soak(
     context: Any, seed: int, count: int, faults_s: int, *more: str
 ) -> None:
@@ -328,6 +339,14 @@
     add_request(records, 'safe-99', 'safe', 30.0).key = 'given'
 
 
+@defect('a request at a runner that had reported its leaving')
+def send_reported(records: ledger.Ledger) -> None:
+    """Add one that came well behind the drain time."""
+    records.reported.append(
+        ledger.ReportedArrival('i-0001', 'host-0', 30.0, 34.0)
+    )
+
+
 @defect('a refusal of a key that was taken')
 def refuse_key(records: ledger.Ledger) -> None:
     """Answer 503 well after a key was taken."""
@@ -610,6 +629,13 @@
     context.records.starts[one.host] = [one.asked_at - 1.0]
 
 
+@when('that host was started behind the report')
+def start_reported_host(context: Any) -> None:
+    """Note a start of the host that sent it."""
+    found = context.records.reported[-1]
+    context.records.starts[found.host] = [found.reported_at + 1.0]
+
+
 @then('no promise is broken')
 def check_kept(context: Any) -> None:
     """Check all promises."""
