--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -483,7 +483,7 @@
         now, wall = self.reactor.seconds(), time.time()
         self.catalog.now = now
         parts: dict[str, Callable[[], object]] = {
-            'fleet': lambda: self.catalog.expire_runners(now),
+            'fleet': lambda: self._expire_runners(now),
             'makers': lambda: self.stages.forget_makers(now),
             'stream-origins': lambda: self.origins.tick(now),
             'members': lambda: self._send_all(self.members.tick(now, wall)),
@@ -666,10 +666,35 @@
                 problem=self.catalog.problems.get(item.name),
                 in_force=configuration.version if configuration else None,
             )
+            self._log_doubt(item.name)
         self.origins.share_newly_mixed(self.reactor.seconds())
         for service in list(self.stages.local_owner.batchers):
             self.stages.local_owner.schedule_dispatch(service, 0.0)
 
+    def _log_doubt(self, runner: str) -> None:
+        doubt = self.catalog.fleet.doubtful.get(runner)
+        if doubt is None:
+            return
+        known = self.catalog.fleet.runners.get(runner)
+        self.logger.info(
+            'entry-doubted',
+            runner=runner,
+            started_ms=doubt.entry.started_ms,
+            state=doubt.entry.runner.state,
+            known_started_ms=known.entry.started_ms if known else None,
+            known_state=known.entry.runner.state if known else None,
+            stands_s=doubt.stands_s,
+        )
+
+    def _expire_runners(self, now: float) -> None:
+        for entry in self.catalog.expire_runners(now):
+            self.logger.info(
+                'entry-believed',
+                runner=entry.runner.name,
+                started_ms=entry.started_ms,
+                state=entry.runner.state,
+            )
+
     def _send_gossip(self) -> None:
         now = self.reactor.seconds()
         self._send_all(self.gossip.tick(now, self.members.peer_addresses()))
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -427,13 +427,18 @@
             self.makers.on_gone(name, self.now)
             self.prompt_cache.remove(name)
 
-    def expire_runners(self, now: float) -> None:
-        """Remove runners that are gone; take those whose time has come."""
+    def expire_runners(self, now: float) -> list[_fleet.RunnerEntry]:
+        """Remove runners that are gone.
+
+        Return the doubtful entries that have come to count.
+        """
         self.fleet.remove_expired(now)
         for name in self.makers.listings.keys() - self.fleet.runners.keys():
             self.makers.on_gone(name, now)
-        for entry, version in self.fleet.take_believed(now):
+        believed = self.fleet.take_believed(now)
+        for entry, version in believed:
             self._update_runner(entry.runner.name, entry, version, True)
+        return [entry for entry, _ in believed]
 
     def forget_makers(self, now: float) -> None:
         """Forget starts of runners that are gone by now."""
