Close a waiting request whose inputs' maker has a next start

Cause: the host took a waiting request back only if it could send it again.

Now one that can't be sent again fails once another process may be at the maker's address; while the maker is down it goes on, as its runner may have its inputs. Hosts that hold results hear of the next start as well as of the end.

--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -383,6 +383,8 @@
         runner.crash()
         others = [name for name in system.SERVICES if name != own]
         runner.service = rng.choice(sorted(others))
+        # Names are not used again by other services.
+        runner.identifier = ''
         whole.reactor.callLater(REUSE_S, _start_if_down, whole, runner)
     return Begun('none', lambda: None, REUSE_S)
 
--- a/features/stage_runner_crashes.feature
+++ b/features/stage_runner_crashes.feature
@@ -115,6 +115,21 @@
       | at once | the hosts hear of each start 0 s later            |
       | never   | no host hears of the starts, as the store is away |
 
+  Scenario Outline: stage runners begin anew while main calls that may be sent once wait at their runners, hosts hear of it <when>
+    # Guards against answers made of another request's results, as a request
+    # without attempts left goes on waiting with handles that are given anew.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And runners of main calls that fetch the inputs 1 s later, for requests that may be sent once
+    When 12 staged requests a second are sent for 8 s while each runner starts again in turn
+    And <hearing>
+    Then no piece and no request gets a result of another request
+    And at least 0.5 of the requests are answered
+
+    Examples:
+      | when    | hearing                                           |
+      | at once | the hosts hear of each start 0 s later            |
+      | never   | no host hears of the starts, as the store is away |
+
   Scenario: results expire before the next stage has room for what reads them
     # Guards against calls that come back without results, as pieces wait for
     # longer than their inputs live.
--- a/features/steps/renumbered_result_steps.py
+++ b/features/steps/renumbered_result_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+import msgspec
 
 from features.steps import relay_decision_steps
 import ragwort_edge as edge
@@ -164,6 +165,21 @@
     )
 
 
+@given(
+    'runners of main calls that fetch the inputs {wait_s:g} s later, for'
+    ' requests that may be sent once'
+)
+def add_waiting_once(context: Any, wait_s: float) -> None:
+    """Let no request be sent to a second runner."""
+    add_waiting(context, wait_s)
+    context.route = msgspec.structs.replace(
+        context.route, is_resumable=False, attempts=1
+    )
+    context.world.configure(
+        relay_decision_steps.make_configuration([context.route], first=QUICK)
+    )
+
+
 @given('runners of main calls that fetch the inputs {wait_s:g} s later')
 def add_waiting(context: Any, wait_s: float) -> None:
     """Let them be the next to read what the first stage makes."""
--- a/libs/ragwort_edge/ragwort_edge/_maker_news.py
+++ b/libs/ragwort_edge/ragwort_edge/_maker_news.py
@@ -80,6 +80,8 @@
                 self.logger.warning('invalid-runner-start', told=repr(told))
                 continue
             before = self.makers.change_count
+            if not told.is_down:
+                self.makers.on_up(told.address)
             self.makers.on_news(told.address, told.started_ms, told.ended, now)
             if told.is_down:
                 self.makers.on_down(told.address)
--- a/libs/ragwort_edge/ragwort_edge/_request_handler.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_handler.py
@@ -638,7 +638,10 @@
         if result == relay.SendResult.NOT_SENT:
             self.context.catalog.reach.on_unreachable(runner, now)
         if call_failure is not None:
-            runner.state.on_failure(call_failure, now)
+            if outcome.is_given_up:
+                runner.state.on_cancel()
+            else:
+                runner.state.on_failure(call_failure, now)
             self.context.logger.info(
                 'send-failed',
                 request=self.metadata.request_id,
--- a/libs/ragwort_edge/ragwort_edge/_request_stages.py
+++ b/libs/ragwort_edge/ragwort_edge/_request_stages.py
@@ -174,6 +174,17 @@
             )
         )
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Tell whether other results may bear the handles of the inputs."""
+        run, owner = self.run, self.context.stages.local_owner
+        return run is not None and any(
+            owner.has_successor(handle, started_ms)
+            for handle, started_ms in zip(
+                self.inputs, run.starts_of(self.inputs), strict=True
+            )
+        )
+
     async def _execute_once(self, run: relay.StageRun) -> None:
         self.run = run
         if not run.is_done:
--- a/libs/ragwort_edge/ragwort_edge/_send_loop.py
+++ b/libs/ragwort_edge/ragwort_edge/_send_loop.py
@@ -32,6 +32,8 @@
 # and the time without an answer after which its connection counts as dead.
 REACH_CHECK_S = 1.0
 UNREACHABLE_S = 1.0
+# Why a request is taken back that waits at a runner.
+INPUTS_GONE = 'inputs are gone with their makers'
 # Name of a failed second send in the log and the metrics.
 SECOND_SEND = 'second-send'
 
@@ -155,18 +157,25 @@
         """Take a request back that may wait for inputs which are gone.
 
         A runner fetches them once it has room; by then the next start of
-        their maker may have given their handles to other results.
+        their maker may have given their handles to other results. A request
+        that can't be sent again waits until there is a next start: most
+        runners have the inputs by then.
         """
         send, handler = self.lead, self.handler
         if send is None or send.has_begun or send.ended is not None:
             return
         if self.kept is not None or not handler.stages.has_outlived_inputs:
             return
-        if self._may_send_beside(send):
+        if self.trial is None and self._may_send_beside(send):
             self.lead = None
             handler.placement.on_send_over(self.context.reactor.seconds())
             self._abandon(send)
-            send.pass_on(send.lost('inputs are gone with their makers'))
+            send.pass_on(send.lost(INPUTS_GONE))
+        elif handler.stages.may_be_replaced:
+            outcome = send.lost(INPUTS_GONE)
+            outcome.is_given_up = True
+            send.stop()
+            send.end(outcome)
 
     def _may_send_beside(self, send: _sends.Send) -> bool:
         """Spend the budget for a send beside an open one, if all allows it."""
--- a/libs/ragwort_edge/ragwort_edge/_sends.py
+++ b/libs/ragwort_edge/ragwort_edge/_sends.py
@@ -19,7 +19,8 @@
     """Outcome of one send to a runner.
 
     is_closed_early tells that the connection closed before any of the answer
-    proper had come, is_silent that it is open and another runner is asked.
+    proper had come, is_silent that it is open and another runner is asked,
+    is_given_up that this host closed it through no fault of the runner.
     """
 
     result: relay.SendResult
@@ -28,6 +29,7 @@
     is_input_gone: bool = False
     is_closed_early: bool = False
     is_silent: bool = False
+    is_given_up: bool = False
 
 
 class SendOwner(Protocol):
--- a/libs/ragwort_edge/ragwort_edge/_stage_owner.py
+++ b/libs/ragwort_edge/ragwort_edge/_stage_owner.py
@@ -457,6 +457,11 @@
         address = self.dialect.handle_address(handle)
         return self.makers.has_ended(address, started_ms)
 
+    def has_successor(self, handle: str, started_ms: int) -> bool:
+        """Tell whether a result's handle may be another result's by now."""
+        address = self.dialect.handle_address(handle)
+        return self.makers.has_successor(address, started_ms)
+
     def _has_results(self, runner: relay.FleetRunner) -> bool:
         """Tell whether results of a runner are in use or being made."""
         return any(
--- a/libs/ragwort_relay/ragwort_relay/_makers.py
+++ b/libs/ragwort_relay/ragwort_relay/_makers.py
@@ -121,7 +121,8 @@
         self.listings: dict[str, set[tuple[str, int]]] = {}
         # Counts the changes after which has_ended may answer otherwise.
         self.change_count = 0
-        # Called with an address where a start is over.
+        # Called with an address where a start is over, or another process is
+        # at last.
         self.on_ended: Callable[[str], None] = lambda address: None
         # Called with an address whose entry contradicts what its process told.
         self.on_doubt: Callable[[str], None] = lambda address: None
@@ -131,14 +132,15 @@
         """Change what is known of an address; tell of starts that end."""
         place = self.places.setdefault(address, _Place())
         told_before = place.told, place.is_vouched
-        ended_before = place.ended()
+        was_down, ended_before = place.is_down, place.ended()
         yield place
         ended = place.ended()
+        has_successor = was_down and not place.is_down
         if (place.told, place.is_vouched) != told_before or (
             ended != ended_before
         ):
             self.change_count += 1
-        if ended - ended_before:
+        if ended - ended_before or (ended and has_successor):
             self.on_ended(address)
 
     def on_entries(
@@ -307,6 +309,16 @@
             return False
         return place.has_ended(started_ms)
 
+    def has_successor(self, address: str, started_ms: int) -> bool:
+        """Tell whether another process may be there by now.
+
+        Its results may bear the handles of those that a start made.
+        """
+        place = self.places.get(address)
+        if place is None or place.is_down:
+            return False
+        return self.has_ended(address, started_ms)
+
     def forget(self, now: float, readable_since: float) -> None:
         """Forget old starts, and doubts that the entries have ended.
 
