Keep results behind a connection that is taken again at once

Now the process is the same if the first connection behind the break, opened within 20 ms, is taken: one that ends leaves its port closed until its next start listens. Anything else counts as before.

--- a/features/soak/notices.py
+++ b/features/soak/notices.py
@@ -62,7 +62,9 @@
         known: dict[str, ledger.NoticedArrivals],
     ) -> None:
         found = known.get(host)
-        if found is not None:
+        starts = self.records.starts.get(host, ())
+        # A host that has started since knows nothing of what was told before.
+        if found is not None and not any(at > found.told_at for at in starts):
             found.times.append(now)
             return
         known[host] = ledger.NoticedArrivals(
--- a/features/stage_runner_crashes.feature
+++ b/features/stage_runner_crashes.feature
@@ -100,6 +100,22 @@
       | away     | no host hears of the starts, as the store is away |
       | late     | the hosts hear of each start 1.5 s later          |
 
+  Scenario Outline: connections to stage runners whose reports tell <start> break, and are taken again at once
+    # Guards against results at work that are made again for each connection
+    # that breaks, as it tells nothing of its process.
+    Given 3 hosts and 4 stage runners that number their results from 1 at each start
+    And a second stage that keeps pieces waiting
+    And runners whose reports tell <start>
+    When 10 staged requests come a second for 8 s
+    And the connections to one runner after the other break
+    Then at most 0.03 of the pieces are made twice
+    And no piece and no request gets a result of another request
+
+    Examples:
+      | start       |
+      | no start    |
+      | their start |
+
   Scenario Outline: stage runners begin anew while main calls wait at their runners, hosts hear of it <when>
     # Guards against main calls that wait with handles of an ended start until
     # the next one has given them to other results.
--- a/features/steps/renumbered_result_steps.py
+++ b/features/steps/renumbered_result_steps.py
@@ -225,6 +225,11 @@
     context.born_step = -CLOCK_STEP_MS
 
 
+@given('runners whose reports tell their start')
+def tell_start(context: Any) -> None:
+    """Leave the runners as they are."""
+
+
 @given('runners whose reports tell no start')
 def tell_nothing(context: Any) -> None:
     """Let runners tell their starts in their entries alone."""
@@ -400,3 +405,33 @@
                 wrong.append((at, handle, owners[-1]))
     assert freed
     assert not wrong, wrong[:5]
+
+
+@when('the connections to one runner after the other break')
+def play_breaks(context: Any) -> None:
+    """Let the runners go on, and take connections at once."""
+    world = context.world
+    for number in range(len(context.runners) * STARTS_PER_RUNNER):
+        runner = context.runners[number % len(context.runners)]
+        world.clock.callLater(
+            FIRST_START_S + number * START_GAP_S,
+            world.network.end_connections,
+            runner.address,
+        )
+    _play(context, None, None, starts=0)
+
+
+@then('at most {share:g} of the pieces are made twice')
+def check_made_once(context: Any, share: float) -> None:
+    """Count what the stages' runners were asked for."""
+    runners = [*context.runners, *context.readers]
+    made = [
+        (item['request_id'], runner in context.readers, item['piece'])
+        for runner in runners
+        for arrival in runner.arrivals
+        if arrival.request.target == b'/make'
+        for item in json.loads(arrival.request.body)
+    ]
+    assert len(made) > 100, len(made)
+    twice = 1.0 - len(set(made)) / len(made)
+    assert twice <= share, (twice, len(made))
--- a/libs/ragwort_edge/ragwort_edge/_maker_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_maker_watch.py
@@ -23,6 +23,8 @@
 # The same behind a connection that the runner had said it would close.
 ANNOUNCED_CLOSE_INTERVAL_S = 1.0
 ANSWER_TIMEOUT_S = 0.5
+# A process takes longer to start.
+AT_ONCE_S = 0.02
 # Refused connections in a row before a runner counts as down.
 MIN_REFUSALS = 2
 
@@ -36,8 +38,8 @@
     used_until is until when results of calls that were sent there may live.
     is_told tells whether its report has come, is_closing whether that said
     that the runner would close it. broken_start is the start that was there
-    when it was closed without notice, None if it was not; refusals counts the
-    connections refused since.
+    when it was closed without notice at broken_at, None if it was not; opened
+    and refusals count the connections opened and refused since.
     """
 
     runner: relay.FleetRunner
@@ -49,8 +51,20 @@
     is_told: bool = False
     is_closing: bool = False
     broken_start: int | None = None
+    broken_at: float = 0.0
+    opened: int = 0
     refusals: int = 0
 
+    @property
+    def is_taken_at_once(self) -> bool:
+        """Tell whether the first connection behind a break was taken.
+
+        A process that ends leaves its port closed until its next start
+        listens.
+        """
+        is_prompt = self.opened_at <= self.broken_at + AT_ONCE_S
+        return is_prompt and self.opened == 1
+
 
 class MakerWatch:
     """Asks runners for their starts, once a connection."""
@@ -142,6 +156,7 @@
             self._open_at(link, link.next_at)
             return
         link.opened_at = now
+        link.opened += 1
         link.is_told = False
         reader = _ReportReader(self, link)
         link.call = self.client.open(
@@ -182,8 +197,10 @@
         else:
             # The connection was all that told this process from another,
             # unless an entry has come meanwhile.
-            has_ended = broken_start == before_ms and makers.on_lost(
-                address, now
+            has_ended = (
+                broken_start == before_ms
+                and not link.is_taken_at_once
+                and makers.on_lost(address, now)
             )
         if has_ended:
             self.logger.info(
@@ -215,6 +232,8 @@
         makers, address = self.catalog.makers, link.runner.address
         if link.is_told and not link.is_closing:
             link.broken_start = makers.start_at(address)
+            link.broken_at = self.reactor.seconds()
+            link.opened = 0
         makers.on_closed(address)
         self._reopen(link)
 
