Keep a limit while its runner is listed

Cause: limits expired by time, though only an answer ends one.

Now a limit is kept until an answer comes without it or the runner is gone; hosts tell each other of limits named within 30 s, as before.

--- a/features/runner_starts.feature
+++ b/features/runner_starts.feature
@@ -254,3 +254,20 @@
     And the entry of "old" is removed
     And 5.1 s pass for the host
     Then at 10.0.0.1:80 results of start 5 are in use and those of 9 are over
+
+  # Guards against a burst that goes to a runner in need from all hosts, as no
+  # answer has named its limit for a while.
+  Scenario Outline: a runner names a limit, and nothing is asked of it for <s> s
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And the runner names a limit of 0.5 requests a second
+    And <s> s pass for the host
+    Then the runner is limited
+    When the runner answers without a limit
+    Then the runner is not limited
+
+    Examples:
+      | s    |
+      | 5    |
+      | 32   |
+      | 4000 |
--- a/features/steps/runner_start_steps.py
+++ b/features/steps/runner_start_steps.py
@@ -271,3 +271,40 @@
 def leave_connection(context: Any, address: str) -> None:
     """Let the host need it no more."""
     context.catalog.makers.on_closed(address)
+
+
+@when('the runner names a limit of {rate:g} requests a second')
+def name_limit(context: Any, rate: float) -> None:
+    """Let an answer bear it."""
+    catalog, now = context.catalog, context.catalog.now
+    catalog.rate_limits.on_answer(_runner(context), rate, now, now)
+
+
+@when('the runner answers without a limit')
+def end_limit(context: Any) -> None:
+    """Let an answer end it."""
+    catalog, now = context.catalog, context.catalog.now
+    catalog.rate_limits.on_answer(_runner(context), None, now, now)
+
+
+@when('another host tells that start {start:d} of the runner named a limit')
+def hear_limit(context: Any, start: int) -> None:
+    """Merge what a host tells of a second ago."""
+    catalog = context.catalog
+    told = model.RunnerLimit('runner/a', start, 0.5, 1.0)
+    catalog.rate_limits.merge([told], catalog.now)
+
+
+@then('the runner is limited')
+def check_limited(context: Any) -> None:
+    """Look at what is told, and ask."""
+    limits, now = context.catalog.rate_limits, context.catalog.now
+    limits.to_spread(now)
+    assert limits.is_limited(_runner(context), now)
+
+
+@then('the runner is not limited')
+def check_unlimited(context: Any) -> None:
+    """Ask."""
+    limits, now = context.catalog.rate_limits, context.catalog.now
+    assert not limits.is_limited(_runner(context), now)
--- a/libs/ragwort_relay/ragwort_relay/_catalog.py
+++ b/libs/ragwort_relay/ragwort_relay/_catalog.py
@@ -64,6 +64,7 @@
         self.makers = _makers.MakerStarts()
         self.departure_news = _departures.DepartureNews(self.fleet)
         self.rate_limits = _limits.RateLimits()
+        self.rate_limits.is_listed = self.fleet.runners.__contains__
         self.pauses = _pauses.Pauses()
         self.evacuations = _evacuations.Evacuations()
         self.reach = _reach.Reach()
--- a/libs/ragwort_relay/ragwort_relay/_limits.py
+++ b/libs/ragwort_relay/ragwort_relay/_limits.py
@@ -16,7 +16,7 @@
 import ragwort_model as model
 from ragwort_relay import _fleet
 
-# Time after which a limit that no host was told again is forgotten.
+# Time for which hosts tell each other a limit that no answer has named again.
 LIMIT_TTL_S = 30.0
 # Time for which hosts tell each other that a limit has ended.
 ENDED_TTL_S = 10.0
@@ -53,8 +53,8 @@
         """Return the time between two requests of one of the holders."""
         return holders / max(self.rate_per_s or 0.0, MIN_RATE_PER_S)
 
-    def is_current(self, now: float) -> bool:
-        """Tell whether hosts still go by this record."""
+    def is_told(self, now: float) -> bool:
+        """Tell whether hosts still tell each other of this record."""
         ttl_s = ENDED_TTL_S if self.rate_per_s is None else LIMIT_TTL_S
         return now < self.observed_at + ttl_s
 
@@ -66,6 +66,8 @@
         """Start without limits, as the only holder of each."""
         self.limits: dict[str, _Limit] = {}
         self.count_holders: CountHolders = lambda runner, most: 1
+        # Tells whether a runner is listed.
+        self.is_listed: Callable[[str], bool] = lambda name: False
         self.next_spread_at = 0.0
 
     def on_answer(
@@ -121,7 +123,7 @@
         known = self._find(runner)
         if known is None or known.rate_per_s is None:
             return None
-        return known if known.is_current(now) else None
+        return known
 
     def wait_s(self, runner: _fleet.FleetRunner, now: float) -> float | None:
         """Return the time until this host may send to a runner.
@@ -150,7 +152,9 @@
     def to_spread(self, now: float) -> list[model.RunnerLimit]:
         """Return the limits to tell other hosts now, the latest first."""
         for name, limit in list(self.limits.items()):
-            if not limit.is_current(now):
+            # An answer alone ends a limit.
+            is_kept = limit.rate_per_s is not None and self.is_listed(name)
+            if not limit.is_told(now) and not is_kept:
                 del self.limits[name]
         if not self.limits or now < self.next_spread_at:
             return []
@@ -163,6 +167,7 @@
                 now - limit.observed_at,
             )
             for name, limit in self.limits.items()
+            if limit.is_told(now)
         ]
         return sorted(told, key=lambda item: item.age_s)[:MAX_SPREAD_LIMITS]
 
@@ -179,7 +184,7 @@
                 (latest.started_ms, latest.observed_at)
                 > (known.started_ms, known.observed_at)
             )
-            if not is_newer or not latest.is_current(now):
+            if not is_newer or not latest.is_told(now):
                 continue
             if self._update(item.runner, latest):
                 news.append(item)
