Put what hosts tell of limits in order by its age alone

A limit that another host told was taken for old if its start was earlier than that of the start before: of a runner whose clock had been set back only the hosts that it had answered kept the limit.

Cause: RateLimits.merge compared the times of the starts before the ages of the answers; the care of brittle runners dropped only what earlier starts had.

Now the later answer counts, whichever start it is of.

runner_starts.feature, another host tells of a limit: one of two rows fails on and passes now.

--- a/features/runner_starts.feature
+++ b/features/runner_starts.feature
@@ -271,3 +271,21 @@
       | 5    |
       | 32   |
       | 4000 |
+
+  # Guards against a limit that is taken for old, as the start of its runner is
+  # earlier than that of the one before.
+  Scenario Outline: another host tells of a limit of a runner that has started again, <clock>
+    Given a host without entries
+    When it reads an entry born 9 that says ready
+    And the runner names a limit of 0.5 requests a second
+    And it reads an entry born 9 that says nothing
+    And it reads an entry born <born> that says ready
+    And 3 s pass for the host
+    Then the runner is not limited
+    When another host tells that start <born> of the runner named a limit
+    Then the runner is limited
+
+    Examples:
+      | clock                      | born |
+      | at once                    | 12   |
+      | its clock having been back | 5    |
--- a/libs/ragwort_relay/ragwort_relay/_brittle.py
+++ b/libs/ragwort_relay/ragwort_relay/_brittle.py
@@ -96,7 +96,7 @@
         key = _key(runner)
         care = _Care(rejects_per_s, self._share(runner, rejects_per_s))
         self.cares[key] = care
-        self._forget_earlier_starts(key)
+        self._forget_other_starts(key)
         return care
 
     def _holder_count(self, rejects_per_s: float) -> int:
@@ -107,10 +107,10 @@
         holders = self.holders(runner, self._holder_count(rejects_per_s))
         return max(runner.entry.slots // max(len(holders), 1), 1)
 
-    def _forget_earlier_starts(self, key: Incarnation) -> None:
+    def _forget_other_starts(self, key: Incarnation) -> None:
         name, started_ms = key
         for known in list(self.cares):
-            if known[0] == name and known[1] < started_ms:
+            if known[0] == name and known[1] != started_ms:
                 del self.cares[known]
 
     def _on_reject(self, care: _Care, now: float) -> None:
--- a/libs/ragwort_relay/ragwort_relay/_limits.py
+++ b/libs/ragwort_relay/ragwort_relay/_limits.py
@@ -181,8 +181,7 @@
             latest = _Limit(item.started_ms, item.rate_per_s, now - age_s)
             known = self.limits.get(item.runner)
             is_newer = known is None or (
-                (latest.started_ms, latest.observed_at)
-                > (known.started_ms, known.observed_at)
+                latest.observed_at > known.observed_at
             )
             if not is_newer or not latest.is_told(now):
                 continue
