Count the entries as readable by reads of the entries alone

Doubts about entries and starts could last for ever, or end in an outage: the time since which the store can be read was taken from all kinds of objects, and a kind that the store has never held (404) counted as an outage that nothing ended.

Now only answers to reads of the runners' entries decide, and only those that say nothing of what the store holds (unavailable, too many calls).

relay_host.feature, a host counts the time: fails without the change (readable since 0.05 s ago for 1 s asked), passes with it.

--- a/features/relay_host.feature
+++ b/features/relay_host.feature
@@ -64,6 +64,20 @@
     When the store turns host 2 away and runner "a" is leaving
     Then within 2 s no host sends to runner "a"
 
+  # Guards against doubts that never end, as a kind of objects that the store
+  # has never held counted as an outage, and against doubts that end in one.
+  Scenario: a host counts the time in which the runners' entries can be read
+    Given 1 relay hosts whose store answers
+    Then host 0 has read the entries since before its last second
+    When the store has no object of another kind that host 0 reads
+    Then host 0 has read the entries since before its last second
+    When the store turns host 0 away
+    And 5 s pass at the hosts
+    Then host 0 can't read the entries
+    When the store answers host 0 again
+    And 3 s pass at the hosts
+    Then host 0 has read the entries since before its last second
+
   Scenario: the return of a store in which nothing changes is noticed
     Given 1 relay hosts whose store answers
     When the store turns host 0 away for 3 s and nothing changes
--- a/features/steps/relay_host_steps.py
+++ b/features/steps/relay_host_steps.py
@@ -545,3 +545,43 @@
     plain = wire.encode_peer('a:1', effect.message)
     assert (data == plain) == (frame == 'a plain')
     assert wire.decode_peer(data).message == effect.message
+
+
+@then('host {index:d} has read the entries since before its last second')
+def check_readable(context: Any, index: int) -> None:
+    """Look at the fleet."""
+    now = context.world.clock.seconds()
+    since = context.world.hosts[index].catalog.fleet.readable_since
+    assert since <= now - 1.0, (since, now)
+
+
+@then("host {index:d} can't read the entries")
+def check_unreadable(context: Any, index: int) -> None:
+    """Look at the fleet."""
+    since = context.world.hosts[index].catalog.fleet.readable_since
+    assert since > context.world.clock.seconds(), since
+
+
+@when('the store has no object of another kind that host {index:d} reads')
+def answer_nothing(context: Any, index: int) -> None:
+    """Answer a read of the configuration as one of an unknown kind."""
+    host = context.world.hosts[index]
+    watcher = host.watchers['config/']
+    watcher.pending_op = 'config:watch#odd'
+    result = model.StoreResult(
+        'config/' + watcher.pending_op, model.StoreStatus.NOT_FOUND
+    )
+    host._on_store(result)
+    context.world.run(0.05)
+
+
+@when('the store answers host {index:d} again')
+def let_in(context: Any, index: int) -> None:
+    """Let a host reach the store."""
+    context.world.let_in(index)
+
+
+@when('{s:g} s pass at the hosts')
+def pass_time(context: Any, s: float) -> None:
+    """Let the hosts go on."""
+    context.world.run(s)
--- a/libs/ragwort_edge/ragwort_edge/_host.py
+++ b/libs/ragwort_edge/ragwort_edge/_host.py
@@ -54,6 +54,11 @@
 STORE_WATCHER_ROLE = 'store-watcher'
 HOST_REGISTRY_ROLE = 'host-registry'
 BRITTLE_ROLE = 'brittle-runner'
+# Answers to a read that tell nothing of what the store holds.
+UNREADABLE_STATUSES = (
+    model.StoreStatus.UNAVAILABLE,
+    model.StoreStatus.RATE_LIMITED,
+)
 # Time after which the entry of a host that is down is deleted.
 HOST_EXPIRY_S = 60.0
 # Delay between join attempts of a host that knows no other: until it joins,
@@ -632,12 +637,14 @@
             unprefixed = msgspec.structs.replace(
                 result, op=result.op.removeprefix(prefix)
             )
+            has_entries = self.catalog.decoder.is_runner(prefix)
             if was_unreachable and result.status == model.StoreStatus.OK:
-                self.catalog.fleet.on_store_recovered(now)
+                self.catalog.fleet.on_store_recovered(now, has_entries)
                 self.logger.info('store-reachable', objects=prefix)
             self._on_adopted(watcher.on_store_result(unprefixed, now), prefix)
-            if watcher.is_store_unavailable and not was_unreachable:
+            if has_entries and result.status in UNREADABLE_STATUSES:
                 self.catalog.fleet.on_store_lost()
+            if watcher.is_store_unavailable and not was_unreachable:
                 self.logger.warning(
                     'store-unreachable', objects=prefix, status=result.status
                 )
--- a/libs/ragwort_relay/ragwort_relay/_fleet.py
+++ b/libs/ragwort_relay/ragwort_relay/_fleet.py
@@ -159,13 +159,17 @@
         self.readable_since = 0.0
 
     def on_store_lost(self) -> None:
-        """Record that the store can't be read."""
+        """Record that the entries can't be read."""
         self.readable_since = math.inf
 
-    def on_store_recovered(self, now: float) -> None:
-        """Record the end of an outage of the store."""
+    def on_store_recovered(self, now: float, has_entries: bool = True) -> None:
+        """Record the end of an outage of the store.
+
+        has_entries tells whether the entries themselves can be read again.
+        """
         self.store_recovered_at = now
-        self.readable_since = now
+        if has_entries:
+            self.readable_since = now
 
     def update(
         self,
--- a/libs/ragwort_relay/ragwort_relay/_makers.py
+++ b/libs/ragwort_relay/ragwort_relay/_makers.py
@@ -121,8 +121,8 @@
         self.listings: dict[str, set[tuple[str, int]]] = {}
         # Counts the changes after which has_ended may answer otherwise.
         self.change_count = 0
-        # Called with an address where a start is over, or another process is
-        # at last.
+        # Called with an address where a start is over, or another process has
+        # come.
         self.on_ended: Callable[[str], None] = lambda address: None
         # Called with an address whose entry contradicts what its process told.
         self.on_doubt: Callable[[str], None] = lambda address: None
