--- a/libs/ragwort_edge/ragwort_edge/_maker_watch.py
+++ b/libs/ragwort_edge/ragwort_edge/_maker_watch.py
@@ -23,7 +23,8 @@
 # The same behind a connection that the runner had said it would close.
 ANNOUNCED_CLOSE_INTERVAL_S = 1.0
 ANSWER_TIMEOUT_S = 0.5
-# A process takes longer to start.
+# Time in which a connection behind a broken one is opened at once: less than
+# a process takes to start.
 AT_ONCE_S = 0.02
 # Refused connections in a row before a runner counts as down.
 MIN_REFUSALS = 2
